--- /dev/null
+++ b/demo/main.ts
@@ -0,0 +1,56 @@
+import { LocalCluster } from "../standins/LocalCluster";
+import { DemoChecks } from "./DemoChecks";
+import { demoSetup } from "./demoSetup";
+import { runDemo } from "./runDemo";
+
+/** Prints where everything is, and keeps the cluster until the process is ended. */
+const hold = async (cluster: LocalCluster): Promise<void> => {
+    console.log(JSON.stringify({
+        entries: cluster.nodes.map(node => node.callersUrl),
+        standIns: {
+            tables: cluster.standIns.tables.server.url,
+            objects: cluster.standIns.objects.server.url,
+            cloud: cluster.standIns.cloud.server.url,
+            runners: cluster.standIns.runners.map(({ vm }) => ({
+                service: vm.service,
+                dataCentre: vm.dataCentre,
+                url: vm.url,
+            })),
+        },
+        accounts: demoSetup.accounts,
+        operatorToken: cluster.operatorToken,
+    }));
+    await new Promise<void>(resolve => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+    });
+};
+
+const main = async (): Promise<void> => {
+    const asJson = process.argv.includes("--json");
+    const cluster = new LocalCluster(demoSetup);
+    const checks = new DemoChecks(asJson);
+    try {
+        await cluster.start();
+        if (process.argv.includes("--hold")) {
+            await hold(cluster);
+            return;
+        }
+        await runDemo(cluster, checks);
+    }
+    finally {
+        await cluster.stop();
+    }
+    if (asJson) {
+        console.log(JSON.stringify({ held: checks.allHeld, checks: checks.checks }));
+    }
+    else {
+        console.log(checks.allHeld ? "every promise held" : "a promise was broken");
+    }
+    process.exitCode = checks.allHeld ? 0 : 1;
+};
+
+main().catch((error: unknown) => {
+    console.error(error);
+    process.exitCode = 1;
+});
--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,59 @@
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+    { ignores: ["dist/**", "node_modules/**", "jest.config.js"] },
+    ...tseslint.configs.recommended,
+    {
+        files: ["**/*.ts"],
+        rules: {
+            "curly": ["error", "all"],
+            "eqeqeq": "error",
+            "prefer-arrow-callback": ["error", { allowNamedFunctions: true }],
+            "no-restricted-syntax": [
+                "error",
+                { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
+                {
+                    selector: "TSInterfaceDeclaration[id.name=/^I[A-Z]/]",
+                    message: "Interfaces carry no I prefix.",
+                },
+            ],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_" }],
+            "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
+        },
+    },
+    {
+        files: ["src/routing/**/*.ts", "src/admission/**/*.ts", "src/declaration/**/*.ts"],
+        ignores: ["**/*.test.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    group: ["**/platform/*", "**/callers/*", "**/daemon/*", "**/cli/*"],
+                    message: "Policies take plain data and know nothing of adapters.",
+                }],
+            }],
+        },
+    },
+    {
+        files: ["src/callers/**/*.ts"],
+        ignores: ["**/*.test.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    group: ["**/platform/http*", "**/daemon/*", "**/cli/*"],
+                    message: "Callers know nothing of platform adapters.",
+                }],
+            }],
+        },
+    },
+    {
+        files: ["src/**/*.ts"],
+        rules: {
+            "no-restricted-globals": ["error", { name: "Date", message: "Use the injected Clock." }],
+            "no-restricted-properties": ["error", {
+                object: "Math",
+                property: "random",
+                message: "Use the injected RandomSource.",
+            }],
+        },
+    },
+);
--- /dev/null
+++ b/src/callers/CallerContext.ts
@@ -0,0 +1,31 @@
+import type { Configuration } from "../configuration/Configuration";
+import type { PlainCalls } from "../idempotency/PlainCalls";
+import type { Clock, RandomSource } from "../kernel/types";
+import type { Membership } from "../membership/Membership";
+import type { ChatRequests } from "../streams/ChatRequests";
+import type { KeptRequests } from "../streams/KeptRequests";
+import type { RequestLocator } from "../streams/RequestLocator";
+import type { EventLog } from "../telemetry/EventLog";
+import type { Metrics } from "../telemetry/Metrics";
+import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
+
+/** What the callers' handlers work with. */
+export interface CallerContext {
+    readonly nodeId: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly events: EventLog;
+    readonly metrics: Metrics;
+    readonly configuration: Configuration;
+    readonly membership: Membership;
+    readonly registry: UpstreamRegistry;
+    readonly chats: ChatRequests;
+    readonly kept: KeptRequests;
+    readonly locator: RequestLocator;
+    readonly calls: PlainCalls;
+    readonly maxBodyBytes: number;
+    readonly entriesValidMs: number;
+    readonly stallMs: number;
+    /** Aborts when this node must let go of its callers because its VM is taken. */
+    readonly letGo: AbortSignal;
+}
--- /dev/null
+++ b/src/callers/CallerServer.ts
@@ -0,0 +1,211 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import { toFailure } from "../results/toFailure";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { CallerContext } from "./CallerContext";
+import { handleChat } from "./handleChat";
+import { handleRequest } from "./handleRequest";
+import { handleService } from "./handleService";
+import { selectEntries } from "./selectEntries";
+import { sendAnswer } from "./sendAnswer";
+import { sendFailure } from "./sendFailure";
+import type { Exchange } from "./types";
+
+/** Handles exchanges under `/v1/operators/`. */
+export type OperatorHandler = (exchange: Exchange) => Task<void>;
+
+/** Options of {@link CallerServer}. */
+export interface CallerServerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly maxHeaderBytes: number;
+}
+
+const headersTimeoutMs = 10_000;
+const keepAliveTimeoutMs = 60_000;
+const validForJitter = 0.2; // spreads the moments at which callers ask again
+
+/** HTTP server for callers and operators; one task per exchange. */
+export class CallerServer {
+    private readonly server: Server;
+    private readonly scope = new Scope();
+    private context: CallerContext | undefined;
+    private handleOperator: OperatorHandler | undefined;
+
+    constructor(private readonly options: CallerServerOptions) {
+        this.server = createServer({
+            maxHeaderSize: options.maxHeaderBytes,
+            headersTimeout: headersTimeoutMs,
+            keepAliveTimeout: keepAliveTimeoutMs,
+            requestTimeout: 0,
+            noDelay: true,
+        }, (request, response) => this.serve(request, response));
+        this.server.on("clientError", (_error, socket) => {
+            if (socket.writable) {
+                socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+            }
+        });
+    }
+
+    /** Port on which callers connect; known after {@link listen}. */
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Number of exchanges that have not ended. */
+    get openExchanges(): number {
+        return this.scope.size;
+    }
+
+    /** Binds the port. Until {@link setContext}, every exchange is refused. */
+    async listen(): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.options.port, this.options.host, () => resolve());
+        });
+    }
+
+    /** Gives the handlers what they work with. */
+    setContext(context: CallerContext, handleOperator: OperatorHandler): void {
+        this.context = context;
+        this.handleOperator = handleOperator;
+    }
+
+    /** Closes the server and the connections that are left. */
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeIdleConnections();
+        await this.scope.cancel();
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    private serve(request: IncomingMessage, response: ServerResponse): void {
+        const closing = new AbortController();
+        response.on("close", () => closing.abort());
+        response.on("error", () => closing.abort());
+        const target = request.url ?? "/";
+        const queryStart = target.indexOf("?");
+        const exchange: Exchange = {
+            request,
+            response,
+            target,
+            path: queryStart < 0 ? target : target.slice(0, queryStart),
+            query: new URLSearchParams(queryStart < 0 ? "" : target.slice(queryStart)),
+            closed: closing.signal,
+        };
+        if (this.context && this.context.membership.ownState !== "live") {
+            response.shouldKeepAlive = false;
+        }
+        this.scope.run("exchange", () => this.handle(exchange));
+    }
+
+    private *handle(exchange: Exchange): Task<void> {
+        try {
+            yield* this.route(exchange);
+        }
+        catch (error) {
+            this.refuse(exchange, error);
+        }
+    }
+
+    private *route(exchange: Exchange): Task<void> {
+        const { path, request } = exchange;
+        const context = this.context;
+        if (path === "/healthz") {
+            return sendAnswer(exchange.response, 200, { status: "ok" });
+        }
+        if (!context) {
+            const message = "the node is starting";
+            throw new FailureError(
+                createFailure(resultCodes.noConfiguration, message, { retryAfterMs: 1_000 }),
+            );
+        }
+        if (path.startsWith("/v1/services/")) {
+            return yield* handleService(context, exchange);
+        }
+        if (path === "/v1/chat/completions") {
+            requireMethod(exchange, "POST");
+            return yield* handleChat(context, exchange);
+        }
+        if (path.startsWith("/v1/requests/")) {
+            return yield* handleRequest(context, exchange);
+        }
+        if (path.startsWith("/v1/operators/")) {
+            return yield* this.handleOperator!(exchange);
+        }
+        requireMethod(exchange, "GET");
+        switch (path) {
+            case "/v1/entries":
+                return this.answerEntries(context, exchange);
+            case "/readyz":
+                return this.answerReady(context, exchange);
+            case "/metrics":
+                return yield* this.answerMetrics(context, exchange);
+        }
+        throw new FailureError(
+            createFailure(resultCodes.notFound, `path "${request.method} ${path}" does not exist`),
+        );
+    }
+
+    private answerEntries(context: CallerContext, exchange: Exchange): void {
+        const jitter = 1 - validForJitter / 2 + context.random.nextFloat() * validForJitter;
+        sendAnswer(exchange.response, 200, {
+            entries: selectEntries({ members: context.membership.members.value, random: context.random }),
+            validForMs: Math.round(context.entriesValidMs * jitter),
+            revision: context.configuration.revision,
+        });
+    }
+
+    private answerReady(context: CallerContext, exchange: Exchange): void {
+        const problems: string[] = [];
+        if (context.membership.ownState !== "live") {
+            problems.push("leaving");
+        }
+        if (!context.configuration.current.value) {
+            problems.push("no configuration");
+        }
+        if (!context.configuration.isCurrent()) {
+            problems.push("configuration not current");
+        }
+        sendAnswer(exchange.response, problems.length === 0 ? 200 : 503, {
+            ready: problems.length === 0,
+            problems,
+        });
+    }
+
+    private *answerMetrics(context: CallerContext, exchange: Exchange): Task<void> {
+        const text = yield* waitFor(context.metrics.registry.metrics());
+        exchange.response.writeHead(200, { "content-type": context.metrics.registry.contentType });
+        exchange.response.end(text);
+    }
+
+    private refuse(exchange: Exchange, error: unknown): void {
+        const failure = toFailure(error);
+        this.context?.metrics.refusals.inc({ code: String(failure.result.code) });
+        if (failure.result === resultCodes.internalError) {
+            this.context?.events.emit(eventKinds.taskFailed, { task: exchange.path, error: String(error) });
+        }
+        if (failure.result === resultCodes.bodyTooLarge) {
+            exchange.response.shouldKeepAlive = false;
+        }
+        sendFailure(exchange.response, failure);
+    }
+}
+
+const requireMethod = (exchange: Exchange, method: string): void => {
+    if (exchange.request.method !== method) {
+        const message = `"${exchange.path}" takes ${method} only`;
+        throw new FailureError(createFailure(resultCodes.methodNotAllowed, message));
+    }
+};
+
+/** Name of the caller server. */
+export const callerServerName = createServiceName<CallerServer>("caller-server");
--- /dev/null
+++ b/src/callers/authenticateCaller.ts
@@ -0,0 +1,37 @@
+import type { IncomingMessage } from "node:http";
+import type { ActiveConfiguration } from "../configuration/types";
+import { findAccountByKey } from "../declaration/findAccountByKey";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import type { AuthenticatedCaller } from "./types";
+import { readBearerKey } from "./readBearerKey";
+
+/**
+ * Finds the client account of a request by its key.
+ *
+ * @param request - the incoming request
+ * @param configuration - the configuration in force
+ * @returns the account, with the configuration that its request is served under
+ * @throws FailureError when there is no configuration, no key or no such account
+ */
+export const authenticateCaller = (
+    request: IncomingMessage,
+    configuration: ActiveConfiguration | undefined,
+): AuthenticatedCaller => {
+    if (!configuration) {
+        const message = "no configuration has been applied yet";
+        throw new FailureError(createFailure(resultCodes.noConfiguration, message, { retryAfterMs: 1_000 }));
+    }
+    const key = readBearerKey(request);
+    const account = key === undefined
+        ? undefined
+        : findAccountByKey(configuration.declaration.clientAccounts, key);
+    if (!account) {
+        const message = key === undefined
+            ? "the Authorization header has no bearer key"
+            : "the key is not known";
+        throw new FailureError(createFailure(resultCodes.unauthorized, message));
+    }
+    return { account, configuration };
+};
--- /dev/null
+++ b/src/callers/handleChat.ts
@@ -0,0 +1,117 @@
+import { hashText } from "../_lib/hashText";
+import { parseJson } from "../_lib/parseJson";
+import { parseWithSchema } from "../_lib/parseWithSchema";
+import { formatProblems } from "../_lib/formatProblems";
+import type { Declaration, WorkClass } from "../declaration/declarationSchema";
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import { type ChatBody, chatBodySchema } from "../streams/chatBodySchema";
+import { computeBodyDigest } from "../streams/computeBodyDigest";
+import { answerRecord } from "./answerRecord";
+import { authenticateCaller } from "./authenticateCaller";
+import type { CallerContext } from "./CallerContext";
+import { checkAdmission } from "./checkAdmission";
+import { readBody } from "./readBody";
+import { readIdempotencyKey } from "./readIdempotencyKey";
+import { relayAnswer } from "./relayAnswer";
+import type { Exchange } from "./types";
+
+const keyedIdLength = 32;
+
+/**
+ * Serves `POST /v1/chat/completions`, streamed or whole.
+ *
+ * @param context - the node
+ * @param exchange - the HTTP exchange
+ * @throws FailureError when the request is refused
+ */
+export function* handleChat(context: CallerContext, exchange: Exchange): Task<void> {
+    const { account, configuration } = authenticateCaller(
+        exchange.request,
+        context.configuration.current.value,
+    );
+    const bytes = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
+    checkAdmission(context);
+    const body = parseChatBody(bytes);
+    const service = findModelService(configuration.declaration, body.model);
+    if (!account.services.includes(service.name)) {
+        const message = `account "${account.id}" may not use service "${service.name}"`;
+        throw new FailureError(createFailure(resultCodes.forbidden, message));
+    }
+    const workClass = findWorkClass(configuration.declaration, exchange, service.defaultClass);
+    const key = readIdempotencyKey(exchange.request);
+    const isStream = body.stream === true;
+    if (key === undefined) {
+        const record = yield* waitFor(
+            context.chats.accept({ accountId: account.id, service: service.name, workClass, body }),
+        );
+        return yield* answerRecord(context, exchange, record, isStream, 0);
+    }
+    const requestId = `key.${hashText(`${account.id}\n${key}`).slice(0, keyedIdLength)}`;
+    const location = yield* waitFor(context.locator.locate(requestId, account.id));
+    if (location.kind === "here") {
+        checkSameBody(computeBodyDigest(location.record.description.body), body);
+        return yield* answerRecord(context, exchange, location.record, isStream, 0);
+    }
+    if (location.kind === "member") {
+        checkSameBody(location.bodyDigest, body);
+        return yield* relayAnswer(context, exchange, {
+            requestId,
+            accountId: account.id,
+            isStream,
+            nodeId: location.nodeId,
+            offset: 0,
+        });
+    }
+    const record = yield* waitFor(
+        context.chats.accept({ accountId: account.id, service: service.name, workClass, body, requestId }),
+    );
+    context.locator.spreadHint(requestId, context.nodeId);
+    yield* answerRecord(context, exchange, record, isStream, 0);
+}
+
+const parseChatBody = (bytes: Buffer): ChatBody =>
+    parseJson(bytes.toString("utf8"))
+        .chain(document =>
+            parseWithSchema(chatBodySchema, document).mapLeft(problems =>
+                createFailure(resultCodes.badField, formatProblems(problems))
+            )
+        )
+        .ifLeft(failure => {
+            throw new FailureError(failure);
+        })
+        .unsafeCoerce();
+
+const findModelService = (
+    declaration: Declaration,
+    model: string,
+): { name: string; defaultClass: string; } => {
+    const service = declaration.services.find(candidate =>
+        candidate.kind === "model" && (candidate.name === model || candidate.models.includes(model))
+    );
+    if (!service) {
+        throw new FailureError(createFailure(resultCodes.unknownModel, `model "${model}" does not exist`));
+    }
+    return service;
+};
+
+const findWorkClass = (declaration: Declaration, exchange: Exchange, defaultClass: string): WorkClass => {
+    const name = exchange.request.headers["work-class"] ?? defaultClass;
+    const workClass = declaration.classes.find(candidate => candidate.name === name);
+    if (!workClass) {
+        throw new FailureError(
+            createFailure(resultCodes.unknownClass, `class of work "${name}" does not exist`),
+        );
+    }
+    return workClass;
+};
+
+const checkSameBody = (digestBefore: string, body: ChatBody): void => {
+    if (digestBefore !== computeBodyDigest(body)) {
+        const message = "the Idempotency-Key was used before with another body";
+        throw new FailureError(createFailure(resultCodes.idempotencyKeyReused, message));
+    }
+};
--- /dev/null
+++ b/src/callers/handleRequest.ts
@@ -0,0 +1,148 @@
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { formatFailure } from "../results/formatFailure";
+import { resultCodes } from "../results/resultCodes";
+import type { RequestState } from "../streams/RequestRecord";
+import { answerRecord } from "./answerRecord";
+import { authenticateCaller } from "./authenticateCaller";
+import type { CallerContext } from "./CallerContext";
+import { createWholeAnswer } from "./createWholeAnswer";
+import { relayAnswer } from "./relayAnswer";
+import { sendAnswer } from "./sendAnswer";
+import type { Exchange } from "./types";
+
+/** State of a request as `GET /v1/requests/{id}` gives it. */
+export interface RequestStateAnswer {
+    readonly id: string;
+    readonly state: RequestState | "open";
+    readonly events?: number;
+    /** The chat completion, when the request is answered. */
+    readonly answer?: unknown;
+    readonly error?: unknown;
+}
+
+/**
+ * Serves `GET /v1/requests/{id}`, `GET /v1/requests/{id}/events` and `DELETE /v1/requests/{id}`, wherever the
+ * request is.
+ *
+ * @param context - the node
+ * @param exchange - the HTTP exchange
+ * @throws FailureError when no node knows this request of this account
+ */
+export function* handleRequest(context: CallerContext, exchange: Exchange): Task<void> {
+    const { account } = authenticateCaller(exchange.request, context.configuration.current.value);
+    const [requestId, part, ...rest] = exchange.path.slice("/v1/requests/".length).split("/");
+    if (rest.length > 0 || (part !== undefined && part !== "events")) {
+        throw new FailureError(createFailure(resultCodes.notFound, `path "${exchange.path}" does not exist`));
+    }
+    const method = exchange.request.method;
+    if (method === "GET" && part === "events") {
+        return yield* resumeEvents(context, exchange, requestId, account.id);
+    }
+    if (method === "GET" && part === undefined) {
+        const state = yield* readState(context, requestId, account.id);
+        return sendAnswer(exchange.response, 200, state, { "request-id": requestId });
+    }
+    if (method === "DELETE" && part === undefined) {
+        return yield* cancelRequest(context, exchange, requestId, account.id);
+    }
+    const message = `method ${method} is not taken by "${exchange.path}"`;
+    throw new FailureError(createFailure(resultCodes.methodNotAllowed, message));
+}
+
+function* resumeEvents(
+    context: CallerContext,
+    exchange: Exchange,
+    requestId: string,
+    accountId: string,
+): Task<void> {
+    const offset = readNextOffset(exchange);
+    const location = yield* waitFor(context.locator.locate(requestId, accountId));
+    if (location.kind === "here") {
+        return yield* answerRecord(context, exchange, location.record, true, offset);
+    }
+    if (location.kind === "member") {
+        const relayed = { requestId, accountId, isStream: true, nodeId: location.nodeId, offset };
+        return yield* relayAnswer(context, exchange, relayed);
+    }
+    throw createUnknownRequest(requestId);
+}
+
+function* readState(context: CallerContext, requestId: string, accountId: string): Task<RequestStateAnswer> {
+    const location = yield* waitFor(context.locator.locate(requestId, accountId));
+    if (location.kind === "here") {
+        const { record } = location;
+        return {
+            id: requestId,
+            state: record.state,
+            events: record.log.nextOffset,
+            answer: record.state === "answered"
+                ? createWholeAnswer(requestId, record.log.read(0))
+                : undefined,
+            error: record.failure && formatFailure(record.failure).error,
+        };
+    }
+    if (location.kind === "member") {
+        const read = yield* waitFor(context.locator.readRemote(location.nodeId, requestId, accountId, 0));
+        return {
+            id: requestId,
+            state: read.state,
+            events: read.nextOffset,
+            answer: read.ended ? createWholeAnswer(requestId, read.events) : undefined,
+            error: (read.failure as { error?: unknown; } | undefined)?.error,
+        };
+    }
+    const kept = yield* waitFor(context.kept.read(requestId, accountId).catch(() => undefined));
+    if (!kept) {
+        throw createUnknownRequest(requestId);
+    }
+    const choices = [{
+        index: 0,
+        message: { role: "assistant", content: kept.text },
+        finish_reason: kept.finishReason,
+    }];
+    return {
+        id: requestId,
+        state: kept.state,
+        answer: kept.state === "answered" ? { id: requestId, object: "chat.completion", choices } : undefined,
+    };
+}
+
+function* cancelRequest(
+    context: CallerContext,
+    exchange: Exchange,
+    requestId: string,
+    accountId: string,
+): Task<void> {
+    const location = yield* waitFor(context.locator.locate(requestId, accountId));
+    if (location.kind === "unknown") {
+        throw createUnknownRequest(requestId);
+    }
+    if (location.kind === "here") {
+        context.chats.cancel(location.record);
+    }
+    else {
+        yield* waitFor(context.locator.cancelRemote(location.nodeId, requestId, accountId));
+    }
+    const state = yield* readState(context, requestId, accountId);
+    sendAnswer(exchange.response, 200, state, { "request-id": requestId });
+}
+
+const readNextOffset = (exchange: Exchange): number => {
+    const header = exchange.request.headers["last-event-id"];
+    if (header === undefined) {
+        return 0;
+    }
+    if (typeof header !== "string" || !/^\d{1,12}$/.test(header)) {
+        const message = `Last-Event-ID "${String(header)}" is not an offset`;
+        throw new FailureError(createFailure(resultCodes.badField, message));
+    }
+    return Number(header) + 1;
+};
+
+const createUnknownRequest = (requestId: string): FailureError =>
+    new FailureError(
+        createFailure(resultCodes.unknownRequest, `request "${requestId}" is not known for this account`),
+    );
--- /dev/null
+++ b/src/callers/readBody.ts
@@ -0,0 +1,41 @@
+import type { IncomingMessage } from "node:http";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+
+/**
+ * Reads a request's body up to a limit.
+ *
+ * @param request - the incoming request
+ * @param maxBytes - the limit
+ * @returns the body
+ * @throws FailureError when it is larger or the caller broke off
+ */
+export const readBody = (request: IncomingMessage, maxBytes: number): Promise<Buffer> =>
+    new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        const refuse = (message: string): void =>
+            reject(new FailureError(createFailure(resultCodes.bodyTooLarge, message)));
+        const declared = Number(request.headers["content-length"] ?? 0);
+        if (declared > maxBytes) {
+            request.resume();
+            refuse(`the body has ${declared} bytes; the limit is ${maxBytes}`);
+            return;
+        }
+        request.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > maxBytes) {
+                chunks.length = 0;
+                refuse(`the body is larger than ${maxBytes} bytes`);
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+        request.on("error", reject);
+        request.on(
+            "close",
+            () => reject(new FailureError(createFailure(resultCodes.badJson, "the body was cut off"))),
+        );
+    });
--- /dev/null
+++ b/src/configuration/ConfigurationStore.ts
@@ -0,0 +1,191 @@
+import { type Either, Left, Right } from "purify-ts";
+import { parseDeclaration } from "../declaration/parseDeclaration";
+import type { Clock } from "../kernel/types";
+import { StoreError } from "../platform/StoreError";
+import type { Row, RowOperation, TableService } from "../platform/types";
+import { createFailure } from "../results/createFailure";
+import { resultCodes } from "../results/resultCodes";
+import type { Failure } from "../results/types";
+import type { ActiveConfiguration } from "./types";
+
+/** Options of {@link ConfigurationStore}. */
+export interface ConfigurationStoreOptions {
+    readonly tables: TableService;
+    readonly clock: Clock;
+    /** Tries to settle a commit whose answer was lost; default 5. */
+    readonly settleAttempts?: number;
+    /** Pause between those tries; default 200 ms. */
+    readonly settlePauseMs?: number;
+}
+
+/** A change to commit. */
+export interface ConfigurationChange {
+    /** Revision that the operator saw; 0 for the first change. */
+    readonly expectRevision: number;
+    readonly changeId: string;
+    readonly document: unknown;
+}
+
+const table = "configuration";
+const currentKey = "current";
+const storeRetryAfterMs = 1_000;
+const revisionDigits = 10;
+
+/** Reads and commits configurations in the table service by compare-and-set on the revision. */
+export class ConfigurationStore {
+    constructor(private readonly options: ConfigurationStoreOptions) {}
+
+    /**
+     * Reads the committed configuration.
+     *
+     * @returns the configuration, or undefined when none was ever committed
+     * @throws StoreError when the service does not answer
+     */
+    async read(): Promise<ActiveConfiguration | undefined> {
+        const [row] = await this.options.tables.read([{ table, key: currentKey }]);
+        return row && toConfiguration(row);
+    }
+
+    /**
+     * Reads the revision that a change committed.
+     *
+     * @returns the revision, or undefined when the change is not committed
+     * @throws StoreError when the service does not answer
+     */
+    async readChange(changeId: string): Promise<number | undefined> {
+        const [row] = await this.options.tables.read([{ table, key: toChangeKey(changeId) }]);
+        return (row?.value as { revision: number; } | undefined)?.revision;
+    }
+
+    /**
+     * Lists committed configurations, oldest first.
+     *
+     * @throws StoreError when the service does not answer
+     */
+    async listHistory(limit: number): Promise<ActiveConfiguration[]> {
+        const rows = await this.options.tables.list(table, "history/", limit);
+        return rows.map(toConfiguration);
+    }
+
+    /**
+     * Commits a change.
+     *
+     * @param change - the change, based on the revision that the operator saw
+     * @returns the committed configuration, a conflict, "not run", or "unknown" with the change id
+     */
+    async commit(change: ConfigurationChange): Promise<Either<Failure, ActiveConfiguration>> {
+        const parsed = parseDeclaration(change.document);
+        if (parsed.isLeft()) {
+            return Left(parsed.swap().unsafeCoerce());
+        }
+        let current: Row | undefined;
+        try {
+            const [row, changed] = await this.options.tables.read([
+                { table, key: currentKey },
+                { table, key: toChangeKey(change.changeId) },
+            ]);
+            if (changed && row) {
+                return this.readCommitted(change);
+            }
+            current = row;
+        }
+        catch (error) {
+            return Left(toStoreFailure(error));
+        }
+        const heldRevision = current ? toConfiguration(current).revision : 0;
+        if (heldRevision !== change.expectRevision) {
+            return Left(toConflict(change, current));
+        }
+        const next: ActiveConfiguration = {
+            revision: heldRevision + 1,
+            changeId: change.changeId,
+            declaration: parsed.unsafeCoerce(),
+            committedAtMs: this.options.clock.nowMs(),
+        };
+        return this.settle(change, next, toOperations(next, current));
+    }
+
+    /** Repeats the conditional transaction until the service tells what became of it. */
+    private async settle(
+        change: ConfigurationChange,
+        next: ActiveConfiguration,
+        operations: readonly RowOperation[],
+    ): Promise<Either<Failure, ActiveConfiguration>> {
+        const attempts = this.options.settleAttempts ?? 5;
+        let mayHaveCommitted = false;
+        for (let attempt = 0; attempt < attempts; attempt += 1) {
+            try {
+                const outcome = await this.options.tables.transact(operations);
+                if (outcome.kind === "committed") {
+                    return Right(next);
+                }
+                return await this.readCommitted(change);
+            }
+            catch (error) {
+                mayHaveCommitted = mayHaveCommitted || !(error instanceof StoreError)
+                    || error.effect === "unknown";
+            }
+            await this.options.clock.sleep(this.options.settlePauseMs ?? 200);
+        }
+        if (!mayHaveCommitted) {
+            return Left(toStoreFailure(new Error("the table service does not answer")));
+        }
+        const message = `change "${change.changeId}" was sent and the table service did not tell its outcome`;
+        return Left(createFailure(resultCodes.configurationUnknown, message));
+    }
+
+    /** After a failed condition: tells whether this very change is what was committed. */
+    private async readCommitted(change: ConfigurationChange): Promise<Either<Failure, ActiveConfiguration>> {
+        try {
+            const [current, changed] = await this.options.tables.read([
+                { table, key: currentKey },
+                { table, key: toChangeKey(change.changeId) },
+            ]);
+            if (!changed) {
+                return Left(toConflict(change, current));
+            }
+            const { revision } = changed.value as { revision: number; };
+            const [row] = await this.options.tables.read([{ table, key: toHistoryKey(revision) }]);
+            return Right(toConfiguration(row!));
+        }
+        catch {
+            const message = `the outcome of change "${change.changeId}" cannot be read now`;
+            return Left(createFailure(resultCodes.configurationUnknown, message));
+        }
+    }
+}
+
+const toHistoryKey = (revision: number): string =>
+    `history/${String(revision).padStart(revisionDigits, "0")}`;
+
+const toChangeKey = (changeId: string): string => `change/${changeId}`;
+
+const toConfiguration = (row: Row): ActiveConfiguration => row.value as ActiveConfiguration;
+
+const toOperations = (next: ActiveConfiguration, current: Row | undefined): RowOperation[] => [
+    {
+        table,
+        key: currentKey,
+        condition: current ? { kind: "revision", revision: current.revision } : { kind: "absent" },
+        value: next,
+    },
+    { table, key: toHistoryKey(next.revision), condition: { kind: "absent" }, value: next },
+    {
+        table,
+        key: toChangeKey(next.changeId),
+        condition: { kind: "absent" },
+        value: { revision: next.revision },
+    },
+];
+
+const toConflict = (change: ConfigurationChange, current: Row | undefined): Failure => {
+    const held = current ? toConfiguration(current) : undefined;
+    const message = `revision ${change.expectRevision} was expected, but revision ${held?.revision ?? 0} `
+        + `(change "${held?.changeId ?? "none"}") is in force; read it, merge and apply again`;
+    return createFailure(resultCodes.configurationConflict, message);
+};
+
+const toStoreFailure = (error: unknown): Failure => {
+    const message = `the change was not made: ${(error as Error).message}`;
+    return createFailure(resultCodes.storeUnavailable, message, { retryAfterMs: storeRetryAfterMs });
+};
--- /dev/null
+++ b/src/daemon/EntryNode.ts
@@ -0,0 +1,156 @@
+import { type CallerContext } from "../callers/CallerContext";
+import { callerServerName } from "../callers/CallerServer";
+import { configurationName } from "../configuration/Configuration";
+import { plainCallsName } from "../idempotency/PlainCalls";
+import { Kernel } from "../kernel/Kernel";
+import { runTask } from "../kernel/runTask";
+import { membershipName } from "../membership/Membership";
+import { ClusterReports } from "../operators/ClusterReports";
+import { OperatorApi } from "../operators/OperatorApi";
+import { peerNetworkName } from "../peers/PeerNetwork";
+import { entryReclaimName } from "../reclaim/EntryReclaim";
+import { chatRequestsName } from "../streams/ChatRequests";
+import { keptRequestsName } from "../streams/KeptRequests";
+import { requestLocatorName } from "../streams/RequestLocator";
+import { serviceDispatchersName } from "../streams/ServiceDispatchers";
+import { eventLogName } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { metricsName } from "../telemetry/Metrics";
+import { upstreamRegistryName } from "../upstreams/UpstreamRegistry";
+import { configurationStoreName, invariantsName, registerServices } from "./registerServices";
+import { registerGauges } from "./registerGauges";
+import type { NodeOptions } from "./types";
+
+const drainPollMs = 20;
+const departFlushMs = 50; // lets the last announcement leave before the links close
+const stallMs = 30_000;
+
+/** One node: all services, from start to a planned stop. */
+export class EntryNode {
+    readonly kernel = new Kernel();
+
+    constructor(private readonly options: NodeOptions) {
+        registerServices(this.kernel, options);
+    }
+
+    get nodeId(): string {
+        return this.options.settings.nodeId;
+    }
+
+    /** Base URL for callers and operators; known after {@link start}. */
+    get callersUrl(): string {
+        return `http://${this.options.settings.callers.host}:${this.kernel.find(callerServerName).port}`;
+    }
+
+    /** Web-socket URL for members; known after {@link start}. */
+    get peersUrl(): string {
+        return `ws://${this.options.settings.peers.host}:${this.kernel.find(peerNetworkName).port}`;
+    }
+
+    /** Number of members to which a link is up. */
+    countLinks(): number {
+        return this.kernel.find(peerNetworkName).linkedNodes.length;
+    }
+
+    /** Number of live members that this node knows, itself included. */
+    countMembers(): number {
+        return this.kernel.find(membershipName).listLive().length;
+    }
+
+    /** Number of usable runners of a service that this node knows. */
+    countRunners(service: string): number {
+        return this.kernel.find(upstreamRegistryName).listUsable(service).length;
+    }
+
+    /** Starts all services; then the node accepts requests. */
+    async start(): Promise<void> {
+        await this.kernel.start();
+        const context = this.createContext();
+        const operators = this.createOperatorApi();
+        registerGauges(this.kernel.find);
+        this.kernel.find(callerServerName).setContext(context, exchange => operators.handle(exchange));
+        this.kernel.find(eventLogName).emit(eventKinds.nodeStarted, {
+            callers: this.callersUrl,
+            peers: this.peersUrl,
+        });
+    }
+
+    /** Planned stop: takes no new work, lets every request end, then stops. Nothing in progress is cut. */
+    async stop(): Promise<void> {
+        const events = this.kernel.find(eventLogName);
+        const { clock, settings } = this.options;
+        events.emit(eventKinds.nodeStopping);
+        this.kernel.find(membershipName).leave();
+        const deadlineMs = clock.monotonicMs() + settings.timing.drainMs;
+        while (!this.isDrained() && clock.monotonicMs() < deadlineMs) {
+            await clock.sleep(drainPollMs);
+        }
+        const reclaim = this.kernel.find(entryReclaimName);
+        await runTask(() => reclaim.handOverAll(), { name: "hand-over" }).done;
+        this.kernel.find(membershipName).depart();
+        await clock.sleep(departFlushMs);
+        await this.kernel.stop();
+        await this.options.platform.close();
+        events.emit(eventKinds.nodeStopped);
+    }
+
+    /** Ends at once, as a process that dies does; for tests of failures. */
+    async kill(): Promise<void> {
+        await this.kernel.stop();
+        await this.options.platform.close();
+    }
+
+    private isDrained(): boolean {
+        return this.kernel.find(chatRequestsName).listInProgress().length === 0
+            && this.kernel.find(plainCallsName).size === 0
+            && this.kernel.find(callerServerName).openExchanges === 0;
+    }
+
+    private createContext(): CallerContext {
+        const { settings, clock, random } = this.options;
+        const { find } = this.kernel;
+        return {
+            nodeId: settings.nodeId,
+            clock,
+            random,
+            events: find(eventLogName),
+            metrics: find(metricsName),
+            configuration: find(configurationName),
+            membership: find(membershipName),
+            registry: find(upstreamRegistryName),
+            chats: find(chatRequestsName),
+            kept: find(keptRequestsName),
+            locator: find(requestLocatorName),
+            calls: find(plainCallsName),
+            maxBodyBytes: settings.limits.maxBodyBytes,
+            entriesValidMs: settings.timing.entriesValidMs,
+            stallMs,
+            letGo: find(entryReclaimName).letGo,
+        };
+    }
+
+    private createOperatorApi(): OperatorApi {
+        const { settings, clock } = this.options;
+        const { find } = this.kernel;
+        const reports = new ClusterReports({
+            nodeId: settings.nodeId,
+            clock,
+            events: find(eventLogName),
+            invariants: find(invariantsName),
+            network: find(peerNetworkName),
+            membership: find(membershipName),
+            configuration: find(configurationName),
+            registry: find(upstreamRegistryName),
+            chats: find(chatRequestsName),
+            dispatchers: find(serviceDispatchersName),
+        });
+        return new OperatorApi({
+            tokenHashes: settings.operatorTokenHashes,
+            maxBodyBytes: settings.limits.maxBodyBytes,
+            configuration: find(configurationName),
+            store: find(configurationStoreName),
+            membership: find(membershipName),
+            reports,
+        });
+    }
+}
--- /dev/null
+++ b/src/daemon/createHttpPlatform.ts
@@ -0,0 +1,34 @@
+import { HttpCloud } from "../platform/HttpCloud";
+import { HttpObjectStore } from "../platform/HttpObjectStore";
+import { HttpTableService } from "../platform/HttpTableService";
+import type { Settings } from "../settings/settingsSchema";
+import { HttpEngineClient } from "../upstreams/HttpEngineClient";
+import { HttpPlainClient } from "../upstreams/HttpPlainClient";
+import type { NodePlatform } from "./types";
+
+const upstreamTimeoutMs = 2_000;
+
+/**
+ * Creates the adapters for the platform and the upstreams over HTTP.
+ *
+ * @param settings - a node's settings
+ * @returns the adapters
+ */
+export const createHttpPlatform = (settings: Settings): NodePlatform => {
+    const timeoutMs = settings.timing.storeTimeoutMs;
+    const tables = new HttpTableService({ url: settings.platform.tables, timeoutMs });
+    const objects = new HttpObjectStore({ url: settings.platform.objects, timeoutMs });
+    const cloud = new HttpCloud({ url: settings.platform.cloud, timeoutMs });
+    return {
+        tables,
+        objects,
+        cloud,
+        upstreams: {
+            createEngine: vm => new HttpEngineClient({ url: vm.url, timeoutMs: upstreamTimeoutMs }),
+            createPlain: vm => new HttpPlainClient({ url: vm.url, connectTimeoutMs: upstreamTimeoutMs }),
+        },
+        close: async () => {
+            await Promise.all([tables.close(), objects.close(), cloud.close()]);
+        },
+    };
+};
--- /dev/null
+++ b/src/daemon/registerGauges.ts
@@ -0,0 +1,78 @@
+import { configurationName } from "../configuration/Configuration";
+import { plainCallsName } from "../idempotency/PlainCalls";
+import type { FindService } from "../kernel/types";
+import { membershipName } from "../membership/Membership";
+import { peerNetworkName } from "../peers/PeerNetwork";
+import { chatRequestsName } from "../streams/ChatRequests";
+import { serviceDispatchersName } from "../streams/ServiceDispatchers";
+import { metricsName } from "../telemetry/Metrics";
+import { clockName } from "./clockName";
+import { groupCommitterName, invariantsName, streamMemoryName } from "./registerServices";
+
+/**
+ * Adds the gauges that read the state of a node's services.
+ *
+ * @param find - finds the node's services
+ */
+export const registerGauges = (find: FindService): void => {
+    const metrics = find(metricsName);
+    const addValue = (name: string, help: string, read: () => number): void =>
+        metrics.addGauge(name, help, [], () => [{ value: read() }]);
+    addValue(
+        "sequoiagrade_configuration_revision",
+        "Revision in force.",
+        () => find(configurationName).revision,
+    );
+    addValue(
+        "sequoiagrade_members_live",
+        "Members that take new work.",
+        () => find(membershipName).listLive().length,
+    );
+    addValue("sequoiagrade_stream_bytes", "Memory held by answers.", () => find(streamMemoryName).heldBytes);
+    addValue("sequoiagrade_calls_in_flight", "Calls to plain services.", () => find(plainCallsName).size);
+    addValue("sequoiagrade_broken_invariants", "Failed assertions.", () => find(invariantsName).brokenCount);
+    addValue(
+        "sequoiagrade_table_transactions",
+        "Group commits sent.",
+        () => find(groupCommitterName).transactions,
+    );
+    addValue(
+        "sequoiagrade_peer_sent_bytes",
+        "Bytes sent to members.",
+        () => find(peerNetworkName).counters.bytesSent,
+    );
+    metrics.addGauge(
+        "sequoiagrade_queued_requests",
+        "Requests that wait for a runner.",
+        ["service"],
+        () =>
+            [...find(serviceDispatchersName).readQueueSizes()].map(([service, value]) => ({
+                labels: { service },
+                value,
+            })),
+    );
+    metrics.addGauge(
+        "sequoiagrade_requests_in_progress",
+        "Model requests in progress.",
+        ["class"],
+        () => countByClass(find, () => true),
+    );
+    metrics.addGauge("sequoiagrade_requests_overdue", "Model requests past their target.", ["class"], () => {
+        const nowMs = find(clockName).nowMs();
+        return countByClass(find, (acceptedAtMs, wholeMs) => nowMs - acceptedAtMs > wholeMs);
+    });
+};
+
+const countByClass = (
+    find: FindService,
+    matches: (acceptedAtMs: number, wholeMs: number) => boolean,
+): { labels: { class: string; }; value: number; }[] => {
+    const classes = find(configurationName).current.value?.declaration.classes ?? [];
+    const counts = new Map(classes.map(workClass => [workClass.name, 0]));
+    for (const { description } of find(chatRequestsName).listInProgress()) {
+        if (matches(description.acceptedAtMs, description.workClass.latency.wholeMs)) {
+            counts.set(description.workClass.name, (counts.get(description.workClass.name) ?? 0) + 1);
+        }
+    }
+    return [...counts].map(([name, value]) => ({ labels: { class: name }, value }));
+};
--- /dev/null
+++ b/src/daemon/registerServices.ts
@@ -0,0 +1,328 @@
+import { CallerServer, callerServerName } from "../callers/CallerServer";
+import { Configuration, configurationName } from "../configuration/Configuration";
+import { ConfigurationStore } from "../configuration/ConfigurationStore";
+import { GroupCommitter } from "../idempotency/GroupCommitter";
+import { PlainCalls, plainCallsName } from "../idempotency/PlainCalls";
+import { SendRecords, sendRecordsName } from "../idempotency/SendRecords";
+import { createServiceName } from "../kernel/createServiceName";
+import type { Kernel } from "../kernel/Kernel";
+import { CloudWatch, cloudWatchName } from "../membership/CloudWatch";
+import { Membership, membershipName } from "../membership/Membership";
+import { selectWatchers } from "../membership/selectWatchers";
+import { GossipMap, gossipMapName } from "../peers/GossipMap";
+import { PeerNetwork, peerNetworkName } from "../peers/PeerNetwork";
+import { EntryReclaim, entryReclaimName } from "../reclaim/EntryReclaim";
+import { UpstreamReclaim, upstreamReclaimName } from "../reclaim/UpstreamReclaim";
+import { ChatRequests, chatRequestsName } from "../streams/ChatRequests";
+import { KeptRequests, keptRequestsName } from "../streams/KeptRequests";
+import { RequestLocator, requestLocatorName } from "../streams/RequestLocator";
+import { ServiceDispatchers, serviceDispatchersName } from "../streams/ServiceDispatchers";
+import { StreamMemory } from "../streams/StreamMemory";
+import { EventLog, eventLogName } from "../telemetry/EventLog";
+import { Invariants } from "../telemetry/Invariants";
+import { Metrics, metricsName } from "../telemetry/Metrics";
+import { UpstreamRegistry, upstreamRegistryName } from "../upstreams/UpstreamRegistry";
+import { clockName } from "./clockName";
+import type { NodeOptions } from "./types";
+
+/** Name of the invariants service. */
+export const invariantsName = createServiceName<Invariants>("invariants");
+/** Name of the configuration store. */
+export const configurationStoreName = createServiceName<ConfigurationStore>("configuration-store");
+/** Name of the group committer. */
+export const groupCommitterName = createServiceName<GroupCommitter>("group-committer");
+/** Name of the stream memory. */
+export const streamMemoryName = createServiceName<StreamMemory>("stream-memory");
+
+const goneAfterSilences = 2; // a member is gone after this many times the silence deadline
+
+/**
+ * Registers all services of a node. Each finds what it requires by name.
+ *
+ * @param kernel - the node's kernel
+ * @param options - settings and adapters
+ */
+export const registerServices = (kernel: Kernel, options: NodeOptions): void => {
+    registerTelemetry(kernel, options);
+    registerCluster(kernel, options);
+    registerStores(kernel, options);
+    registerRouting(kernel, options);
+    registerReclaim(kernel, options);
+};
+
+const registerTelemetry = (
+    kernel: Kernel,
+    { settings, clock, logger, onBrokenInvariant }: NodeOptions,
+): void => {
+    kernel.register({ name: clockName, requires: [], create: () => clock });
+    kernel.register({
+        name: eventLogName,
+        requires: [],
+        create: () => new EventLog({ node: settings.nodeId, clock, logger }),
+    });
+    kernel.register({
+        name: invariantsName,
+        requires: [eventLogName],
+        create: find => new Invariants({ events: find(eventLogName), onBroken: onBrokenInvariant }),
+    });
+    kernel.register({ name: metricsName, requires: [], create: () => new Metrics() });
+    kernel.register({
+        name: callerServerName,
+        requires: [],
+        create: () => {
+            const server = new CallerServer({
+                ...settings.callers,
+                maxHeaderBytes: settings.limits.maxHeaderBytes,
+            });
+            return Object.assign(server, { start: () => server.listen(), stop: () => server.close() });
+        },
+    });
+};
+
+const registerCluster = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    const { timing } = settings;
+    kernel.register({
+        name: gossipMapName,
+        requires: [eventLogName],
+        create: find =>
+            new GossipMap({ nodeId: settings.nodeId, hybridClock: find(eventLogName).hybridClock }),
+    });
+    kernel.register({
+        name: peerNetworkName,
+        requires: [eventLogName, gossipMapName],
+        create: find =>
+            new PeerNetwork({
+                nodeId: settings.nodeId,
+                clusterKey: settings.clusterKey,
+                host: settings.peers.host,
+                port: settings.peers.port,
+                heartbeatMs: timing.heartbeatMs,
+                silenceMs: timing.silenceMs,
+                maxFrameBytes: settings.limits.maxPeerFrameBytes,
+                clock,
+                random,
+                events: find(eventLogName),
+                gossip: find(gossipMapName),
+                readRevision: () => find(configurationName).revision,
+            }),
+    });
+    kernel.register({
+        name: membershipName,
+        requires: [peerNetworkName, gossipMapName, callerServerName],
+        create: find =>
+            new Membership({
+                self: {
+                    nodeId: settings.nodeId,
+                    dataCentre: settings.dataCentre,
+                    callersUrl: `http://${settings.callers.host}:${find(callerServerName).port}`,
+                    peersUrl: `ws://${settings.peers.host}:${find(peerNetworkName).port}`,
+                    incarnation: clock.nowMs(),
+                },
+                clock,
+                events: find(eventLogName),
+                gossip: find(gossipMapName),
+                network: find(peerNetworkName),
+                heartbeatMs: timing.heartbeatMs,
+                goneAfterMs: timing.silenceMs * goneAfterSilences,
+            }),
+    });
+    kernel.register({
+        name: cloudWatchName,
+        requires: [membershipName],
+        create: find =>
+            new CloudWatch({
+                nodeId: settings.nodeId,
+                cloud: platform.cloud,
+                clock,
+                events: find(eventLogName),
+                gossip: find(gossipMapName),
+                membership: find(membershipName),
+                pollMs: timing.vmListPollMs,
+            }),
+    });
+};
+
+const registerStores = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    kernel.register({
+        name: configurationStoreName,
+        requires: [],
+        create: () => new ConfigurationStore({ tables: platform.tables, clock }),
+    });
+    kernel.register({
+        name: configurationName,
+        requires: [configurationStoreName, membershipName, peerNetworkName, invariantsName],
+        create: find =>
+            new Configuration({
+                nodeId: settings.nodeId,
+                store: find(configurationStoreName),
+                clock,
+                events: find(eventLogName),
+                invariants: find(invariantsName),
+                network: find(peerNetworkName),
+                membership: find(membershipName),
+                pollMs: settings.timing.configurationPollMs,
+                isolationMs: settings.timing.isolationMs,
+            }),
+    });
+    kernel.register({
+        name: groupCommitterName,
+        requires: [],
+        create: () => new GroupCommitter({ tables: platform.tables, clock }),
+    });
+    kernel.register({
+        name: sendRecordsName,
+        requires: [groupCommitterName, invariantsName, eventLogName],
+        create: find =>
+            new SendRecords({
+                nodeId: settings.nodeId,
+                tables: platform.tables,
+                committer: find(groupCommitterName),
+                clock,
+                random,
+                events: find(eventLogName),
+                invariants: find(invariantsName),
+            }),
+    });
+};
+
+const registerRouting = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    const { limits, timing } = settings;
+    kernel.register({
+        name: upstreamRegistryName,
+        requires: [cloudWatchName, configurationName],
+        create: find => {
+            const configuration = find(configurationName);
+            const registry = new UpstreamRegistry({
+                nodeId: settings.nodeId,
+                clock,
+                events: find(eventLogName),
+                gossip: find(gossipMapName),
+                clients: platform.upstreams,
+                readServiceKind: service =>
+                    configuration.current.value?.declaration.services
+                        .find(candidate => candidate.name === service)?.kind,
+                loadPollMs: timing.loadPollMs,
+            });
+            configuration.current.changes.observe(() => registry.refresh()).catch(() => {});
+            return registry;
+        },
+    });
+    kernel.register({
+        name: serviceDispatchersName,
+        requires: [upstreamRegistryName],
+        create: find =>
+            new ServiceDispatchers({
+                clock,
+                random,
+                registry: find(upstreamRegistryName),
+                maxQueuedRequests: limits.maxQueuedRequests,
+                maxQueuedBytes: limits.maxQueuedBytes,
+            }),
+    });
+    kernel.register({
+        name: plainCallsName,
+        requires: [upstreamRegistryName, sendRecordsName, peerNetworkName],
+        create: find =>
+            new PlainCalls({
+                nodeId: settings.nodeId,
+                clock,
+                random,
+                events: find(eventLogName),
+                network: find(peerNetworkName),
+                registry: find(upstreamRegistryName),
+                records: find(sendRecordsName),
+            }),
+    });
+    kernel.register({
+        name: streamMemoryName,
+        requires: [],
+        create: () => new StreamMemory(limits.maxStreamBytes),
+    });
+};
+
+const registerReclaim = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    const isWatcher = (duty: string, count: number): boolean => {
+        const memberIds = kernel.find(membershipName).listLive().map(member => member.nodeId);
+        return selectWatchers({ duty, memberIds, count }).includes(settings.nodeId);
+    };
+    kernel.register({
+        name: keptRequestsName,
+        requires: [groupCommitterName, membershipName],
+        create: find =>
+            new KeptRequests({
+                nodeId: settings.nodeId,
+                tables: platform.tables,
+                committer: find(groupCommitterName),
+                clock,
+                events: find(eventLogName),
+                listLiveMembers: () =>
+                    find(membershipName).members.value
+                        .filter(member => member.state !== "gone")
+                        .map(member => member.nodeId),
+                isWatcher: () => isWatcher("kept-requests", 2),
+                adopt: bundle => find(chatRequestsName).adopt(bundle),
+            }),
+    });
+    kernel.register({
+        name: chatRequestsName,
+        requires: [keptRequestsName, serviceDispatchersName, streamMemoryName, metricsName],
+        create: find =>
+            new ChatRequests({
+                nodeId: settings.nodeId,
+                clock,
+                random,
+                events: find(eventLogName),
+                invariants: find(invariantsName),
+                metrics: find(metricsName),
+                memory: find(streamMemoryName),
+                configuration: find(configurationName),
+                registry: find(upstreamRegistryName),
+                dispatchers: find(serviceDispatchersName),
+                kept: find(keptRequestsName),
+                streamSilenceMs: settings.timing.streamSilenceMs,
+                resumeWindowMs: settings.timing.resumeWindowMs,
+            }),
+    });
+    kernel.register({
+        name: requestLocatorName,
+        requires: [chatRequestsName, peerNetworkName, membershipName],
+        create: find =>
+            new RequestLocator({
+                nodeId: settings.nodeId,
+                network: find(peerNetworkName),
+                membership: find(membershipName),
+                chats: find(chatRequestsName),
+            }),
+    });
+    kernel.register({
+        name: upstreamReclaimName,
+        requires: [chatRequestsName, upstreamRegistryName],
+        create: find =>
+            new UpstreamReclaim({
+                clock,
+                events: find(eventLogName),
+                registry: find(upstreamRegistryName),
+                chats: find(chatRequestsName),
+            }),
+    });
+    kernel.register({
+        name: entryReclaimName,
+        requires: [requestLocatorName, cloudWatchName],
+        create: find =>
+            new EntryReclaim({
+                nodeId: settings.nodeId,
+                dataCentre: settings.dataCentre,
+                clock,
+                random,
+                events: find(eventLogName),
+                invariants: find(invariantsName),
+                gossip: find(gossipMapName),
+                network: find(peerNetworkName),
+                membership: find(membershipName),
+                objects: platform.objects,
+                chats: find(chatRequestsName),
+                locator: find(requestLocatorName),
+                isWatcher: () => isWatcher("hand-over", 1),
+            }),
+    });
+};
--- /dev/null
+++ b/src/daemon/types.ts
@@ -0,0 +1,28 @@
+/** Shapes of a node's surroundings. */
+
+import type { Logger } from "loglevel";
+import type { Clock, RandomSource } from "../kernel/types";
+import type { Cloud, ObjectStore, TableService } from "../platform/types";
+import type { Settings } from "../settings/settingsSchema";
+import type { UpstreamClientFactory } from "../upstreams/UpstreamRegistry";
+
+/** Adapters to everything outside of the node. Replacing one is all that another protocol takes. */
+export interface NodePlatform {
+    readonly tables: TableService;
+    readonly objects: ObjectStore;
+    readonly cloud: Cloud;
+    readonly upstreams: UpstreamClientFactory;
+    /** Closes the adapters' connections. */
+    close(): Promise<void>;
+}
+
+/** Options of a node. */
+export interface NodeOptions {
+    readonly settings: Settings;
+    readonly platform: NodePlatform;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger?: Logger;
+    /** Called for each broken invariant. */
+    readonly onBrokenInvariant?: (name: string, detail: string) => void;
+}
--- /dev/null
+++ b/src/declaration/parseDeclaration.ts
@@ -0,0 +1,18 @@
+import { Either } from "purify-ts";
+import { formatProblems } from "../_lib/formatProblems";
+import { parseWithSchema } from "../_lib/parseWithSchema";
+import { createFailure } from "../results/createFailure";
+import { resultCodes } from "../results/resultCodes";
+import type { Failure } from "../results/types";
+import { type Declaration, declarationSchema } from "./declarationSchema";
+
+/**
+ * Checks a parsed declaration as a whole.
+ *
+ * @param document - the parsed JSON document
+ * @returns the declaration with defaults, or a failure that lists every problem with its path
+ */
+export const parseDeclaration = (document: unknown): Either<Failure, Declaration> =>
+    parseWithSchema(declarationSchema, document).mapLeft(problems =>
+        createFailure(resultCodes.invalidDeclaration, formatProblems(problems))
+    );
--- /dev/null
+++ b/src/kernel/Kernel.test.ts
@@ -0,0 +1,79 @@
+import { createServiceName } from "./createServiceName";
+import { Kernel } from "./Kernel";
+import type { ServiceDefinition, ServiceName } from "./types";
+
+interface Part {
+    readonly id: string;
+}
+
+const names = {
+    store: createServiceName<Part>("store"),
+    cache: createServiceName<Part>("cache"),
+    server: createServiceName<Part>("server"),
+};
+
+const createDefinition = (
+    name: ServiceName<Part>,
+    requires: readonly ServiceName<Part>[],
+    log: string[],
+    fails = false,
+): ServiceDefinition<Part> => ({
+    name,
+    requires,
+    create: find => {
+        requires.forEach(required => log.push(`${name.id} finds ${find(required).id}`));
+        return {
+            id: name.id,
+            start: async () => {
+                log.push(`start ${name.id}`);
+                if (fails) {
+                    throw new Error(`${name.id} fails`);
+                }
+            },
+            stop: async () => {
+                log.push(`stop ${name.id}`);
+            },
+        };
+    },
+});
+
+describe("Kernel", () => {
+    it("starts requirements first and stops in reverse", async () => {
+        const log: string[] = [];
+        const kernel = new Kernel();
+        kernel.register(createDefinition(names.server, [names.cache], log));
+        kernel.register(createDefinition(names.cache, [names.store], log));
+        kernel.register(createDefinition(names.store, [], log));
+        await kernel.start();
+        await kernel.stop();
+        expect(log).toEqual([
+            "start store",
+            "cache finds store",
+            "start cache",
+            "server finds cache",
+            "start server",
+            "stop server",
+            "stop cache",
+            "stop store",
+        ]);
+    });
+
+    it("stops what was started when one fails", async () => {
+        const log: string[] = [];
+        const kernel = new Kernel();
+        kernel.register(createDefinition(names.store, [], log));
+        kernel.register(createDefinition(names.server, [names.store], log, true));
+        await expect(kernel.start()).rejects.toThrow("server fails");
+        expect(log.slice(-2)).toEqual(["stop server", "stop store"]);
+    });
+
+    it("names a circle and a missing requirement", async () => {
+        const circle = new Kernel();
+        circle.register(createDefinition(names.store, [names.cache], []));
+        circle.register(createDefinition(names.cache, [names.store], []));
+        await expect(circle.start()).rejects.toThrow("store -> cache -> store");
+        const missing = new Kernel();
+        missing.register(createDefinition(names.cache, [names.store], []));
+        await expect(missing.start()).rejects.toThrow("service \"store\" is required by \"cache\"");
+    });
+});
--- /dev/null
+++ b/src/kernel/SeededRandom.ts
@@ -0,0 +1,30 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { RandomSource } from "./types";
+
+const floatSteps = 0x100000000; // 2^32 equally likely values
+
+/** Random source whose sequence depends on its seed alone. */
+export class SeededRandom implements RandomSource {
+    private readonly generator: ReturnType<typeof xoroshiro128plus>;
+
+    constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+    }
+
+    nextFloat(): number {
+        return this.nextInt(floatSteps) / floatSteps;
+    }
+
+    nextInt(bound: number): number {
+        return uniformInt(this.generator, 0, bound - 1);
+    }
+
+    nextId(bytes: number): string {
+        let id = "";
+        for (let index = 0; index < bytes; index += 1) {
+            id += this.nextInt(256).toString(16).padStart(2, "0");
+        }
+        return id;
+    }
+}
--- /dev/null
+++ b/src/kernel/SystemClock.ts
@@ -0,0 +1,29 @@
+import { performance } from "node:perf_hooks";
+import type { Clock } from "./types";
+
+/** Clock of the machine. */
+export class SystemClock implements Clock {
+    nowMs(): number {
+        return Math.floor(performance.timeOrigin + performance.now());
+    }
+
+    monotonicMs(): number {
+        return performance.now();
+    }
+
+    sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            if (signal?.aborted) {
+                resolve();
+                return;
+            }
+            const finish = (): void => {
+                clearTimeout(timer);
+                signal?.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, delayMs);
+            signal?.addEventListener("abort", finish);
+        });
+    }
+}
--- /dev/null
+++ b/src/membership/CloudWatch.ts
@@ -0,0 +1,154 @@
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { GossipMap } from "../peers/GossipMap";
+import type { Cloud, ReclaimNotice, Vm, VmOffer } from "../platform/types";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { Membership } from "./Membership";
+import { selectWatchers } from "./selectWatchers";
+
+/** Options of {@link CloudWatch}. */
+export interface CloudWatchOptions {
+    readonly nodeId: string;
+    readonly cloud: Cloud;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly gossip: GossipMap;
+    readonly membership: Membership;
+    readonly pollMs: number;
+}
+
+/** A reclaim notice as the gossip map holds it. */
+export interface KnownNotice {
+    readonly vmId: string;
+    readonly dataCentre: string;
+    /** Wall-clock time at which the VM is taken, in milliseconds. */
+    readonly takenAtMs: number;
+}
+
+const idlePollFactor = 10; // nodes that do not watch poll this many times less often
+const offersPollFactor = 20; // prices change slowly
+
+/** Reads the cloud's VM list, notices and prices on a few nodes and spreads them to all. */
+export class CloudWatch {
+    private readonly scope: Scope;
+    private offers: readonly VmOffer[] = [];
+    private pollsSinceOffers = 0;
+    private failing = false;
+
+    constructor(private readonly options: CloudWatchOptions) {
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+    }
+
+    /** Reads the list once, if it can be had, and goes on in the background. */
+    async start(): Promise<void> {
+        await this.poll();
+        this.scope.run("cloud-watch", signal => this.watch(signal));
+    }
+
+    async stop(): Promise<void> {
+        await this.scope.cancel();
+    }
+
+    private *watch(signal: AbortSignal): Task<void> {
+        let skipped = 0;
+        while (!signal.aborted) {
+            yield* waitFor(this.options.clock.sleep(this.options.pollMs, signal));
+            skipped += 1;
+            if (this.isWatcher() || skipped >= idlePollFactor) {
+                skipped = 0;
+                yield* waitFor(this.poll());
+            }
+        }
+    }
+
+    private isWatcher(): boolean {
+        const memberIds = this.options.membership.listLive().map(member => member.nodeId);
+        return selectWatchers({ duty: "cloud", memberIds }).includes(this.options.nodeId);
+    }
+
+    private async poll(): Promise<void> {
+        try {
+            const [vms, notices] = await Promise.all([
+                this.options.cloud.listVms(),
+                this.options.cloud.listNotices(),
+            ]);
+            this.adoptVms(vms);
+            this.adoptNotices(notices);
+            await this.pollOffers();
+            if (this.failing) {
+                this.options.events.emit(eventKinds.storeRecovered, { store: "cloud" });
+            }
+            this.failing = false;
+        }
+        catch (error) {
+            if (!this.failing) {
+                this.options.events.emit(eventKinds.storeFailed, { store: "cloud", error: String(error) });
+            }
+            this.failing = true;
+        }
+    }
+
+    private async pollOffers(): Promise<void> {
+        this.pollsSinceOffers -= 1;
+        if (this.pollsSinceOffers > 0) {
+            return;
+        }
+        this.pollsSinceOffers = offersPollFactor;
+        const offers = await this.options.cloud.listOffers();
+        if (JSON.stringify(offers) !== JSON.stringify(this.offers)) {
+            this.offers = offers;
+            this.options.gossip.set("offers", offers);
+        }
+    }
+
+    private adoptVms(vms: readonly Vm[]): void {
+        const writes: { key: string; value: unknown; }[] = [];
+        const listed = new Set(vms.map(vm => vm.id));
+        for (const vm of vms) {
+            const known = this.options.gossip.get(`vm/${vm.id}`);
+            if (JSON.stringify(known) !== JSON.stringify(vm)) {
+                writes.push({ key: `vm/${vm.id}`, value: vm });
+            }
+        }
+        for (const known of this.options.gossip.listValues<Vm>("vm/")) {
+            if (!listed.has(known.id)) {
+                writes.push({ key: `vm/${known.id}`, value: undefined });
+            }
+        }
+        if (writes.length > 0) {
+            this.options.gossip.setAll(writes);
+        }
+    }
+
+    private adoptNotices(notices: readonly ReclaimNotice[]): void {
+        const listed = new Set(notices.map(notice => notice.vmId));
+        const writes: { key: string; value: unknown; }[] = notices
+            .filter(notice => this.options.gossip.get(`notice/${notice.vmId}`) === undefined)
+            .map(notice => ({ key: `notice/${notice.vmId}`, value: this.toKnownNotice(notice) }));
+        for (const known of this.options.gossip.listValues<KnownNotice>("notice/")) {
+            if (!listed.has(known.vmId)) {
+                writes.push({ key: `notice/${known.vmId}`, value: undefined });
+            }
+        }
+        if (writes.length > 0) {
+            this.options.gossip.setAll(writes);
+        }
+    }
+
+    private toKnownNotice(notice: ReclaimNotice): KnownNotice {
+        return {
+            vmId: notice.vmId,
+            dataCentre: notice.dataCentre,
+            takenAtMs: this.options.clock.nowMs() + notice.remainingMs,
+        };
+    }
+}
+
+/** Name of the cloud watch service. */
+export const cloudWatchName = createServiceName<CloudWatch>("cloud-watch");
--- /dev/null
+++ b/src/membership/Membership.ts
@@ -0,0 +1,166 @@
+import { Observed } from "../_lib/Observed";
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { GossipMap } from "../peers/GossipMap";
+import type { PeerNetwork } from "../peers/PeerNetwork";
+import type { Vm } from "../platform/types";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { Member, MemberState } from "./types";
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+    readonly self: Omit<Member, "state">;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly gossip: GossipMap;
+    readonly network: PeerNetwork;
+    readonly heartbeatMs: number;
+    /** A member whose link stays lost for this long and that cannot be dialled is gone. */
+    readonly goneAfterMs: number;
+}
+
+const memberPrefix = "member/";
+const vmPrefix = "vm/";
+const pingMethod = "membership.ping";
+
+/**
+ * Who the members are. Members announce themselves in the gossip map; a member that cannot be reached is
+ * marked gone by a neighbour and refutes it when it lives (as in SWIM, Das et al. 2002).
+ */
+export class Membership {
+    readonly members = new Observed<readonly Member[]>([]);
+    private readonly scope: Scope;
+    private readonly lostSinceMs = new Map<string, number>();
+    private state: MemberState = "live";
+
+    constructor(private readonly options: MembershipOptions) {
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+        options.network.handle(pingMethod, async () => ({ nodeId: options.self.nodeId }));
+        options.network.onLoss(nodeId => {
+            if (!this.lostSinceMs.has(nodeId)) {
+                this.lostSinceMs.set(nodeId, options.clock.monotonicMs());
+            }
+        });
+        options.network.onHeartbeat(nodeId => this.lostSinceMs.delete(nodeId));
+    }
+
+    /** Announces this node and starts to watch the others. */
+    async start(): Promise<void> {
+        this.options.gossip.changed.changes.observe(() => this.refresh()).catch(() => {});
+        this.announce();
+        this.refresh();
+        this.scope.run("member-watch", signal => this.watchLost(signal));
+    }
+
+    async stop(): Promise<void> {
+        await this.scope.cancel();
+    }
+
+    /** This node's own state. */
+    get ownState(): MemberState {
+        return this.state;
+    }
+
+    /** Members that take new work, this node included unless it is leaving. */
+    listLive(): Member[] {
+        return this.members.value.filter(member => member.state === "live");
+    }
+
+    /** Finds a member by name. */
+    find(nodeId: string): Member | undefined {
+        return this.members.value.find(member => member.nodeId === nodeId);
+    }
+
+    /** Tells every member that this node is leaving. */
+    leave(): void {
+        this.state = "leaving";
+        this.announce();
+    }
+
+    /** Tells every member that this node is gone; the last message before it stops. */
+    depart(): void {
+        this.state = "gone";
+        this.announce();
+    }
+
+    private announce(): void {
+        const self: Member = { ...this.options.self, state: this.state };
+        this.options.gossip.set(`${memberPrefix}${self.nodeId}`, self);
+    }
+
+    private refresh(): void {
+        const announced = this.options.gossip.listValues<Member>(memberPrefix);
+        const own = announced.find(member => member.nodeId === this.options.self.nodeId);
+        if (own && (own.state !== this.state || own.incarnation !== this.options.self.incarnation)) {
+            this.announce();
+            return;
+        }
+        this.reportChanges(announced);
+        this.members.set(announced);
+        this.options.network.setMembers([
+            ...announced.filter(member => member.state !== "gone")
+                .map(member => ({ nodeId: member.nodeId, url: member.peersUrl })),
+            ...this.listUnannouncedEntries(announced),
+        ]);
+    }
+
+    /** Entry VMs of the cloud's list that have not announced themselves yet. */
+    private listUnannouncedEntries(announced: readonly Member[]): { nodeId: string; url: string; }[] {
+        const known = new Set(announced.map(member => member.nodeId));
+        return this.options.gossip.listValues<Vm>(vmPrefix)
+            .filter(vm => vm.role === "entry" && !known.has(vm.service))
+            .map(vm => ({ nodeId: vm.service, url: vm.url }));
+    }
+
+    private reportChanges(announced: readonly Member[]): void {
+        for (const member of announced) {
+            const before = this.find(member.nodeId);
+            if (before?.state !== member.state || before.incarnation !== member.incarnation) {
+                this.options.events.emit(eventKinds.memberChanged, {
+                    member: member.nodeId,
+                    state: member.state,
+                });
+            }
+        }
+    }
+
+    private *watchLost(signal: AbortSignal): Task<void> {
+        while (!signal.aborted) {
+            yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
+            const oldestMs = this.options.clock.monotonicMs() - this.options.goneAfterMs;
+            for (const [nodeId, sinceMs] of [...this.lostSinceMs]) {
+                const member = this.find(nodeId);
+                if (!member || member.state === "gone") {
+                    this.lostSinceMs.delete(nodeId);
+                }
+                else if (sinceMs < oldestMs) {
+                    yield* this.confirmGone(member);
+                }
+            }
+        }
+    }
+
+    private *confirmGone(member: Member): Task<void> {
+        try {
+            yield* waitFor(
+                this.options.network.call(member.nodeId, pingMethod, {}, this.options.heartbeatMs),
+            );
+        }
+        catch {
+            const current = this.find(member.nodeId);
+            if (current && current.incarnation === member.incarnation) {
+                this.options.gossip.set(`${memberPrefix}${member.nodeId}`, { ...current, state: "gone" });
+            }
+        }
+        this.lostSinceMs.delete(member.nodeId);
+    }
+}
+
+/** Name of the membership service. */
+export const membershipName = createServiceName<Membership>("membership");
--- /dev/null
+++ b/src/operators/ClusterReports.ts
@@ -0,0 +1,160 @@
+import type { Configuration } from "../configuration/Configuration";
+import type { Clock } from "../kernel/types";
+import type { Membership } from "../membership/Membership";
+import type { PeerNetwork } from "../peers/PeerNetwork";
+import type { ChatRequests } from "../streams/ChatRequests";
+import type { ServiceDispatchers } from "../streams/ServiceDispatchers";
+import { compareHybridTimes } from "../telemetry/compareHybridTimes";
+import type { EventFilter, EventLog } from "../telemetry/EventLog";
+import type { Invariants } from "../telemetry/Invariants";
+import type { EventRecord } from "../telemetry/types";
+import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
+import type { ClassReport, ClusterReport, ClusterStatus, NodeReport, NodeStatus } from "./types";
+
+/** Options of {@link ClusterReports}. */
+export interface ClusterReportsOptions {
+    readonly nodeId: string;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly invariants: Invariants;
+    readonly network: PeerNetwork;
+    readonly membership: Membership;
+    readonly configuration: Configuration;
+    readonly registry: UpstreamRegistry;
+    readonly chats: ChatRequests;
+    readonly dispatchers: ServiceDispatchers;
+}
+
+const statusMethod = "operators.status";
+const reportMethod = "operators.report";
+const eventsMethod = "operators.events";
+const collectTimeoutMs = 2_000;
+
+/** Collects status, reports and events from every member for an operator. */
+export class ClusterReports {
+    constructor(private readonly options: ClusterReportsOptions) {
+        const { network } = options;
+        network.handle(statusMethod, async () => this.readStatus());
+        network.handle(reportMethod, async () => this.readReport());
+        network.handle(eventsMethod, async payload => options.events.list(payload as EventFilter));
+    }
+
+    /** Status of all members; unreachable ones are named. */
+    async collectStatus(): Promise<ClusterStatus> {
+        const { answers, missing } = await this.collect<NodeStatus>(
+            statusMethod,
+            {},
+            () => this.readStatus(),
+        );
+        return {
+            revision: this.options.configuration.revision,
+            members: [...this.options.membership.members.value],
+            nodes: answers,
+            unreachable: missing,
+        };
+    }
+
+    /** What was accepted, answered, refused and is overdue, by class, over all members. */
+    async collectReport(): Promise<ClusterReport> {
+        const { answers, missing } = await this.collect<NodeReport>(
+            reportMethod,
+            {},
+            () => this.readReport(),
+        );
+        return { classes: mergeClasses(answers), nodes: answers, unreachable: missing };
+    }
+
+    /** Events of all members in the order of their timestamps. */
+    async collectEvents(
+        filter: EventFilter,
+    ): Promise<{ events: EventRecord[]; unreachable: readonly string[]; }> {
+        const { answers, missing } = await this.collect<EventRecord[]>(
+            eventsMethod,
+            filter,
+            () => this.options.events.list(filter),
+        );
+        const events = answers.flat();
+        events.sort((a, b) => compareHybridTimes(a.time, b.time) || (a.node < b.node ? -1 : 1));
+        return { events, unreachable: missing };
+    }
+
+    private async collect<T>(
+        method: string,
+        payload: unknown,
+        readOwn: () => T,
+    ): Promise<{ answers: T[]; missing: string[]; }> {
+        const missing: string[] = [];
+        const others = this.options.membership.members.value
+            .filter(member => member.state !== "gone" && member.nodeId !== this.options.nodeId);
+        const answers = await Promise.all(others.map(async member => {
+            try {
+                return await this.options.network.call(member.nodeId, method, payload, collectTimeoutMs) as T;
+            }
+            catch {
+                missing.push(member.nodeId);
+                return undefined;
+            }
+        }));
+        const received = answers.filter(answer => answer !== undefined) as T[];
+        return { answers: [readOwn(), ...received], missing };
+    }
+
+    private readStatus(): NodeStatus {
+        const services = this.options.configuration.current.value?.declaration.services ?? [];
+        return {
+            nodeId: this.options.nodeId,
+            state: this.options.membership.ownState,
+            revision: this.options.configuration.revision,
+            current: this.options.configuration.isCurrent(),
+            links: this.options.network.linkedNodes.length,
+            runners: services.flatMap(service =>
+                this.options.registry.listRunners(service.name).map(runner => ({
+                    id: runner.id,
+                    service: service.name,
+                    dataCentre: runner.vm.dataCentre,
+                    leaving: runner.isLeaving,
+                    load: runner.estimatedLoad,
+                    slots: runner.slots,
+                    share: this.options.registry.ejections.readShare(runner.id),
+                }))
+            ),
+            queued: Object.fromEntries(this.options.dispatchers.readQueueSizes()),
+            brokenInvariants: this.options.invariants.brokenCount,
+        };
+    }
+
+    private readReport(): NodeReport {
+        const classes = this.options.configuration.current.value?.declaration.classes ?? [];
+        const records = this.options.chats.listInProgress();
+        const nowMs = this.options.clock.nowMs();
+        return {
+            nodeId: this.options.nodeId,
+            balance: this.options.chats.readBalance(),
+            classes: classes.map(workClass => {
+                const own = records.filter(record => record.description.workClass.name === workClass.name);
+                const ages = own.map(record => nowMs - record.description.acceptedAtMs);
+                return {
+                    name: workClass.name,
+                    inProgress: own.length,
+                    overdue: ages.filter(ageMs => ageMs > workClass.latency.wholeMs).length,
+                    oldestMs: Math.max(0, ...ages),
+                };
+            }),
+        };
+    }
+}
+
+const mergeClasses = (reports: readonly NodeReport[]): ClassReport[] => {
+    const merged = new Map<string, ClassReport>();
+    for (const report of reports.flatMap(node => node.classes)) {
+        const before = merged.get(report.name)
+            ?? { name: report.name, inProgress: 0, overdue: 0, oldestMs: 0 };
+        merged.set(report.name, {
+            name: report.name,
+            inProgress: before.inProgress + report.inProgress,
+            overdue: before.overdue + report.overdue,
+            oldestMs: Math.max(before.oldestMs, report.oldestMs),
+        });
+    }
+    return [...merged.values()];
+};
--- /dev/null
+++ b/src/operators/OperatorApi.ts
@@ -0,0 +1,177 @@
+import { timingSafeEqual } from "node:crypto";
+import { z } from "zod";
+import { formatProblems } from "../_lib/formatProblems";
+import { hashText } from "../_lib/hashText";
+import { parseJson } from "../_lib/parseJson";
+import { parseWithSchema } from "../_lib/parseWithSchema";
+import { readBearerKey } from "../callers/readBearerKey";
+import { readBody } from "../callers/readBody";
+import { sendAnswer } from "../callers/sendAnswer";
+import type { Exchange } from "../callers/types";
+import type { Configuration } from "../configuration/Configuration";
+import type { ConfigurationStore } from "../configuration/ConfigurationStore";
+import { parseDeclaration } from "../declaration/parseDeclaration";
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { Membership } from "../membership/Membership";
+import { StoreError } from "../platform/StoreError";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import type { EventFilter } from "../telemetry/EventLog";
+import type { ClusterReports } from "./ClusterReports";
+
+/** Options of {@link OperatorApi}. */
+export interface OperatorApiOptions {
+    readonly tokenHashes: readonly string[];
+    readonly maxBodyBytes: number;
+    readonly configuration: Configuration;
+    readonly store: ConfigurationStore;
+    readonly membership: Membership;
+    readonly reports: ClusterReports;
+}
+
+const prefix = "/v1/operators/";
+const defaultHistoryLimit = 20;
+
+const applySchema = z.object({
+    expectRevision: z.number().int().min(0),
+    changeId: z.string().regex(/^[A-Za-z0-9._-]{1,100}$/, "expected 1 to 100 letters, digits, dots, dashes"),
+    declaration: z.unknown(),
+    dryRun: z.boolean().default(false),
+}).strict();
+
+/** Operators' calls: configuration, status, report and time line. */
+export class OperatorApi {
+    constructor(private readonly options: OperatorApiOptions) {}
+
+    /**
+     * Serves one operator's exchange.
+     *
+     * @throws FailureError when it is refused
+     */
+    *handle(exchange: Exchange): Task<void> {
+        this.authenticate(exchange);
+        const path = exchange.path.slice(prefix.length);
+        const method = exchange.request.method;
+        if (method === "POST" && path === "configuration") {
+            return yield* this.apply(exchange);
+        }
+        if (method !== "GET") {
+            const message = `method ${method} is not taken by "${exchange.path}"`;
+            throw new FailureError(createFailure(resultCodes.methodNotAllowed, message));
+        }
+        sendAnswer(exchange.response, 200, yield* this.read(exchange, path));
+    }
+
+    private *read(exchange: Exchange, path: string): Task<unknown> {
+        const { configuration, reports } = this.options;
+        switch (path) {
+            case "configuration":
+                return configuration.current.value ?? { revision: 0 };
+            case "configuration/history":
+                return yield* this.readHistory(exchange);
+            case "configuration/status":
+                return yield* this.readStatus();
+            case "status":
+                return yield* waitFor(reports.collectStatus());
+            case "report":
+                return yield* waitFor(reports.collectReport());
+            case "timeline":
+                return yield* waitFor(reports.collectEvents(parseFilter(exchange.query)));
+        }
+        if (path.startsWith("configuration/changes/")) {
+            return yield* this.readChange(path.slice("configuration/changes/".length));
+        }
+        throw new FailureError(createFailure(resultCodes.notFound, `path "${exchange.path}" does not exist`));
+    }
+
+    private *apply(exchange: Exchange): Task<void> {
+        const bytes = yield* waitFor(readBody(exchange.request, this.options.maxBodyBytes));
+        const change = parseJson(bytes.toString("utf8"))
+            .chain(document =>
+                parseWithSchema(applySchema, document).mapLeft(problems =>
+                    createFailure(resultCodes.badField, formatProblems(problems))
+                )
+            )
+            .ifLeft(failure => {
+                throw new FailureError(failure);
+            })
+            .unsafeCoerce();
+        if (change.dryRun) {
+            parseDeclaration(change.declaration).ifLeft(failure => {
+                throw new FailureError(failure);
+            });
+            sendAnswer(exchange.response, 200, {
+                dryRun: true,
+                revision: this.options.configuration.revision,
+            });
+            return;
+        }
+        const applied = yield* waitFor(this.options.configuration.apply({
+            expectRevision: change.expectRevision,
+            changeId: change.changeId,
+            document: change.declaration,
+        }));
+        applied.ifLeft(failure => {
+            throw new FailureError(failure);
+        });
+        sendAnswer(exchange.response, 200, applied.unsafeCoerce());
+    }
+
+    private *readHistory(exchange: Exchange): Task<unknown> {
+        const limit = Number(exchange.query.get("limit") ?? defaultHistoryLimit);
+        const history = yield* this.readStore(this.options.store.listHistory(Math.max(1, limit)));
+        return { history };
+    }
+
+    private *readChange(changeId: string): Task<unknown> {
+        const revision = yield* this.readStore(this.options.store.readChange(changeId));
+        return revision === undefined
+            ? { changeId, state: "not-committed" }
+            : { changeId, state: "committed", revision };
+    }
+
+    private *readStatus(): Task<unknown> {
+        const inForce = yield* waitFor(this.options.configuration.confirmInForce());
+        const live = this.options.membership.listLive().map(member => member.nodeId);
+        return {
+            revision: this.options.configuration.revision,
+            inForce,
+            missing: live.filter(nodeId => !inForce.includes(nodeId)),
+        };
+    }
+
+    private *readStore<T>(pending: Promise<T>): Task<T> {
+        try {
+            return yield* waitFor(pending);
+        }
+        catch (error) {
+            if (error instanceof StoreError) {
+                const options = { retryAfterMs: 1_000 };
+                throw new FailureError(createFailure(resultCodes.storeUnavailable, error.message, options));
+            }
+            throw error;
+        }
+    }
+
+    private authenticate(exchange: Exchange): void {
+        const token = readBearerKey(exchange.request);
+        const hash = Buffer.from(hashText(token ?? ""), "hex");
+        const matches = this.options.tokenHashes
+            .map(stored => timingSafeEqual(hash, Buffer.from(stored, "hex")))
+            .includes(true);
+        if (token === undefined || !matches) {
+            throw new FailureError(createFailure(resultCodes.unauthorized, "an operator's token is needed"));
+        }
+    }
+}
+
+const parseFilter = (query: URLSearchParams): EventFilter => ({
+    requestId: query.get("request") ?? undefined,
+    changeId: query.get("change") ?? undefined,
+    sinceMs: toNumber(query.get("since")),
+    untilMs: toNumber(query.get("until")),
+});
+
+const toNumber = (text: string | null): number | undefined => text === null ? undefined : Number(text);
--- /dev/null
+++ b/src/peers/PeerLink.ts
@@ -0,0 +1,95 @@
+import type { WebSocket } from "ws";
+import type { Clock } from "../kernel/types";
+import type { PeerMessage } from "./messageSchema";
+import { packFrame } from "./packFrame";
+import { PeerError } from "./PeerError";
+
+interface PendingCall {
+    readonly resolve: (payload: unknown) => void;
+    readonly reject: (error: PeerError) => void;
+}
+
+/** Counts of what a link carried. */
+export interface LinkCounters {
+    messagesSent: number;
+    bytesSent: number;
+    messagesReceived: number;
+    bytesReceived: number;
+}
+
+/** An authenticated link to one member. */
+export class PeerLink {
+    private readonly pending = new Map<number, PendingCall>();
+    private nextCallId = 1;
+    lastHeardMs: number;
+
+    constructor(
+        readonly nodeId: string,
+        private readonly socket: WebSocket,
+        private readonly clock: Clock,
+        private readonly counters: LinkCounters,
+    ) {
+        this.lastHeardMs = clock.monotonicMs();
+    }
+
+    /** Sends a message; a closed socket drops it. */
+    send(message: PeerMessage): void {
+        if (this.socket.readyState !== this.socket.OPEN) {
+            return;
+        }
+        const frame = packFrame(message);
+        this.counters.messagesSent += 1;
+        this.counters.bytesSent += frame.length;
+        this.socket.send(frame);
+    }
+
+    /**
+     * Calls a method of the member.
+     *
+     * @param method - the method's name
+     * @param payload - plain data
+     * @param timeoutMs - longest wait for the reply
+     * @returns the reply's payload
+     * @throws PeerError when the link is lost, the time is over or the member refuses
+     */
+    call(method: string, payload: unknown, timeoutMs: number): Promise<unknown> {
+        const callId = this.nextCallId;
+        this.nextCallId += 1;
+        const stopTimer = new AbortController();
+        return new Promise<unknown>((resolve, reject) => {
+            this.pending.set(callId, { resolve, reject });
+            this.send({ kind: "call", callId, method, payload });
+            void this.clock.sleep(timeoutMs, stopTimer.signal).then(() => {
+                reject(
+                    new PeerError(`member "${this.nodeId}" did not answer "${method}" in time`, "timeout"),
+                );
+            });
+        }).finally(() => {
+            this.pending.delete(callId);
+            stopTimer.abort();
+        });
+    }
+
+    /** Settles the call that a reply belongs to; late and unknown replies are dropped. */
+    settle(callId: number, ok: boolean, payload: unknown): void {
+        const pending = this.pending.get(callId);
+        if (!pending) {
+            return;
+        }
+        if (ok) {
+            pending.resolve(payload);
+        }
+        else {
+            pending.reject(new PeerError(`member "${this.nodeId}" refused: ${String(payload)}`, "refused"));
+        }
+    }
+
+    /** Closes the socket and fails every open call. */
+    close(): void {
+        this.socket.terminate();
+        for (const pending of this.pending.values()) {
+            pending.reject(new PeerError(`link to member "${this.nodeId}" was lost`, "unreachable"));
+        }
+        this.pending.clear();
+    }
+}
--- /dev/null
+++ b/src/peers/PeerNetwork.ts
@@ -0,0 +1,403 @@
+import type { AddressInfo } from "node:net";
+import { WebSocketServer } from "ws";
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, RandomSource, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { type DialledPeer, dialPeer } from "./dialPeer";
+import { FrameQueue } from "./FrameQueue";
+import type { GossipChange, GossipMap } from "./GossipMap";
+import type { GossipEntry, Heartbeat } from "./messageSchema";
+import { gossipEntrySchema, peerMessageSchema } from "./messageSchema";
+import { PeerError } from "./PeerError";
+import { type LinkCounters, PeerLink } from "./PeerLink";
+import { proveIdentity } from "./proveIdentity";
+import { selectDialTargets } from "./selectDialTargets";
+
+/** Handles a call of a member; what it returns is the reply. */
+export type PeerHandler = (payload: unknown, fromNode: string) => Promise<unknown>;
+
+/** A member that can be dialled. */
+export interface PeerAddress {
+    readonly nodeId: string;
+    readonly url: string;
+}
+
+/** Options of {@link PeerNetwork}. */
+export interface PeerNetworkOptions {
+    readonly nodeId: string;
+    readonly clusterKey: string;
+    readonly host: string;
+    readonly port: number;
+    readonly heartbeatMs: number;
+    readonly silenceMs: number;
+    readonly maxFrameBytes: number;
+    readonly fullMeshUpTo?: number;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly events: EventLog;
+    readonly gossip: GossipMap;
+    /** Configuration revision for the heartbeats. */
+    readonly readRevision: () => number;
+}
+
+const exchangeMethod = "gossip.exchange";
+const exchangeTimeoutMs = 2_000;
+const firstRedialMs = 100;
+const maxRedialMs = 2_000;
+const garbledPerLink = 3; // a link with more unreadable frames is closed
+
+/** Links to other members: heartbeats, calls, and the spreading of the gossip map. */
+export class PeerNetwork {
+    readonly counters: LinkCounters = {
+        messagesSent: 0,
+        bytesSent: 0,
+        messagesReceived: 0,
+        bytesReceived: 0,
+    };
+    private readonly links = new Map<string, PeerLink>();
+    private readonly handlers = new Map<string, PeerHandler>();
+    private readonly dialTasks = new Map<string, () => void>();
+    private readonly addresses = new Map<string, string>();
+    private readonly scope: Scope;
+    private server: WebSocketServer | undefined;
+    private readonly heartbeatListeners: ((nodeId: string, heartbeat: Heartbeat) => void)[] = [];
+    private readonly lossListeners: ((nodeId: string) => void)[] = [];
+    private readonly digestMismatches = new Map<string, number>();
+
+    constructor(private readonly options: PeerNetworkOptions) {
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+        this.handle(exchangeMethod, (payload, fromNode) => this.answerExchange(payload, fromNode));
+    }
+
+    /** Port on which members connect; known after {@link start}. */
+    get port(): number {
+        return (this.server!.address() as AddressInfo).port;
+    }
+
+    /** Names of the members to which a link is up. */
+    get linkedNodes(): readonly string[] {
+        return [...this.links.keys()];
+    }
+
+    /** Listens for members and starts heartbeats and gossip. */
+    async start(): Promise<void> {
+        const server = new WebSocketServer({
+            host: this.options.host,
+            port: this.options.port,
+            maxPayload: this.options.maxFrameBytes,
+        });
+        this.server = server;
+        server.on("connection", socket => {
+            const dialled = { socket, queue: new FrameQueue(socket) };
+            this.scope.run("peer-accepted", signal => this.serveSocket(dialled, "acceptor", signal));
+        });
+        await new Promise<void>((resolve, reject) => {
+            server.once("listening", resolve);
+            server.once("error", reject);
+        });
+        this.scope.run("heartbeats", signal => this.sendHeartbeats(signal));
+        this.options.gossip.changed.changes.observe(change => this.spread(change)).catch(() => {});
+    }
+
+    /** Closes every link. */
+    async stop(): Promise<void> {
+        for (const link of this.links.values()) {
+            link.close();
+        }
+        for (const client of this.server?.clients ?? []) {
+            client.terminate();
+        }
+        await this.scope.cancel();
+        await new Promise<void>(resolve => this.server ? this.server.close(() => resolve()) : resolve());
+    }
+
+    /** Registers the handler of a method. */
+    handle(method: string, handler: PeerHandler): void {
+        this.handlers.set(method, handler);
+    }
+
+    /** Registers a listener for heartbeats. */
+    onHeartbeat(listener: (nodeId: string, heartbeat: Heartbeat) => void): void {
+        this.heartbeatListeners.push(listener);
+    }
+
+    /** Registers a listener for lost links. */
+    onLoss(listener: (nodeId: string) => void): void {
+        this.lossListeners.push(listener);
+    }
+
+    /**
+     * Sets the members that may be dialled and keeps links to those of them that this node must dial.
+     *
+     * @param members - the known members that are not gone
+     */
+    setMembers(members: readonly PeerAddress[]): void {
+        this.addresses.clear();
+        members.forEach(member => this.addresses.set(member.nodeId, member.url));
+        const wanted = new Set(selectDialTargets({
+            nodeId: this.options.nodeId,
+            memberIds: members.map(member => member.nodeId),
+            fullMeshUpTo: this.options.fullMeshUpTo,
+        }));
+        for (const [nodeId, cancel] of this.dialTasks) {
+            if (!wanted.has(nodeId)) {
+                cancel();
+                this.dialTasks.delete(nodeId);
+            }
+        }
+        for (const nodeId of wanted) {
+            if (!this.dialTasks.has(nodeId)) {
+                const handle = this.scope.run(`peer-${nodeId}`, signal => this.keepLink(nodeId, signal));
+                this.dialTasks.set(nodeId, () => handle.cancel());
+            }
+        }
+    }
+
+    /**
+     * Calls a method of a member, over a link made for it when there is none.
+     *
+     * @param nodeId - the member
+     * @param method - the method's name
+     * @param payload - plain data
+     * @param timeoutMs - longest wait for the reply
+     * @returns the reply
+     * @throws PeerError when the member cannot be reached, is late or refuses
+     */
+    async call(nodeId: string, method: string, payload: unknown, timeoutMs: number): Promise<unknown> {
+        const link = this.links.get(nodeId) ?? await this.openLink(nodeId, timeoutMs);
+        return link.call(method, payload, timeoutMs);
+    }
+
+    private async openLink(nodeId: string, timeoutMs: number): Promise<PeerLink> {
+        const url = this.addresses.get(nodeId);
+        if (!url) {
+            throw new PeerError(`member "${nodeId}" is not known`, "unreachable");
+        }
+        const { clock, maxFrameBytes } = this.options;
+        const dialled = await dialPeer({ url, timeoutMs, maxFrameBytes, clock });
+        const handle = this.scope.run(
+            `peer-${nodeId}`,
+            signal => this.serveSocket(dialled, "dialer", signal),
+        );
+        const deadlineMs = this.options.clock.monotonicMs() + timeoutMs;
+        while (!this.links.has(nodeId) && this.options.clock.monotonicMs() < deadlineMs) {
+            await Promise.race([this.options.clock.sleep(5), handle.done]);
+        }
+        const link = this.links.get(nodeId);
+        if (!link) {
+            throw new PeerError(`member "${nodeId}" did not complete the handshake`, "unreachable");
+        }
+        return link;
+    }
+
+    /** Dials a member again and again until cancelled. */
+    private *keepLink(nodeId: string, signal: AbortSignal): Task<void> {
+        let delayMs = firstRedialMs;
+        while (!signal.aborted) {
+            const startedMs = this.options.clock.monotonicMs();
+            const url = this.addresses.get(nodeId);
+            if (url && !this.links.has(nodeId)) {
+                try {
+                    const dialled = yield* waitFor(dialPeer({
+                        url,
+                        timeoutMs: this.options.silenceMs,
+                        maxFrameBytes: this.options.maxFrameBytes,
+                        clock: this.options.clock,
+                    }));
+                    yield* this.serveSocket(dialled, "dialer", signal);
+                }
+                catch (error) {
+                    if (!(error instanceof PeerError)) {
+                        throw error;
+                    }
+                    this.lossListeners.forEach(listener => listener(nodeId));
+                }
+            }
+            const lastedMs = this.options.clock.monotonicMs() - startedMs;
+            delayMs = lastedMs > maxRedialMs ? firstRedialMs : Math.min(maxRedialMs, delayMs * 2);
+            const jitter = 0.5 + this.options.random.nextFloat() / 2;
+            yield* waitFor(this.options.clock.sleep(delayMs * jitter, signal));
+        }
+    }
+
+    /** Serves one connection from the handshake to its end. */
+    private *serveSocket(dialled: DialledPeer, side: "dialer" | "acceptor", signal: AbortSignal): Task<void> {
+        const { socket, queue } = dialled;
+        let link: PeerLink | undefined;
+        try {
+            const proven = yield* proveIdentity({
+                socket,
+                queue,
+                side,
+                nodeId: this.options.nodeId,
+                clusterKey: this.options.clusterKey,
+                nonce: this.options.random.nextId(16),
+                timeoutMs: this.options.silenceMs,
+                clock: this.options.clock,
+                signal,
+            });
+            if (!proven) {
+                this.options.events.emit(eventKinds.peerRejected, { reason: "handshake failed", side });
+                return;
+            }
+            link = new PeerLink(proven, socket, this.options.clock, this.counters);
+            this.links.get(proven)?.close();
+            this.links.set(proven, link);
+            this.options.events.emit(eventKinds.peerConnected, { peer: proven, side });
+            this.sendHeartbeat(link);
+            yield* this.receiveFrames(link, queue, signal);
+        }
+        finally {
+            socket.terminate();
+            this.dropLink(link);
+        }
+    }
+
+    private *receiveFrames(link: PeerLink, queue: FrameQueue, signal: AbortSignal): Task<void> {
+        let garbled = 0;
+        while (!signal.aborted) {
+            const frame = yield* waitFor(queue.take());
+            if (frame.kind === "closed") {
+                return;
+            }
+            link.lastHeardMs = this.options.clock.monotonicMs();
+            const parsed = frame.kind === "frame" ? peerMessageSchema.safeParse(frame.message) : undefined;
+            if (!parsed?.success || frame.kind !== "frame") {
+                garbled += 1;
+                this.options.events.emit(eventKinds.peerRejected, {
+                    reason: "unreadable frame",
+                    peer: link.nodeId,
+                });
+                if (garbled > garbledPerLink) {
+                    return;
+                }
+                continue;
+            }
+            this.counters.messagesReceived += 1;
+            this.counters.bytesReceived += frame.bytes;
+            const message = parsed.data;
+            switch (message.kind) {
+                case "heartbeat":
+                    this.receiveHeartbeat(link, message);
+                    break;
+                case "gossip":
+                    this.options.gossip.merge(message.entries as GossipEntry[], link.nodeId);
+                    break;
+                case "call":
+                    void this.answerCall(link, message.callId, message.method, message.payload);
+                    break;
+                case "reply":
+                    link.settle(message.callId, message.ok, message.payload);
+                    break;
+            }
+        }
+    }
+
+    private async answerCall(
+        link: PeerLink,
+        callId: number,
+        method: string,
+        payload: unknown,
+    ): Promise<void> {
+        const handler = this.handlers.get(method);
+        try {
+            if (!handler) {
+                throw new Error(`method "${method}" does not exist`);
+            }
+            const reply = await handler(payload, link.nodeId);
+            link.send({ kind: "reply", callId, ok: true, payload: reply });
+        }
+        catch (error) {
+            link.send({ kind: "reply", callId, ok: false, payload: (error as Error).message });
+        }
+    }
+
+    private *sendHeartbeats(signal: AbortSignal): Task<void> {
+        while (!signal.aborted) {
+            yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
+            const oldestMs = this.options.clock.monotonicMs() - this.options.silenceMs;
+            for (const link of [...this.links.values()]) {
+                if (link.lastHeardMs < oldestMs) {
+                    link.close();
+                    this.dropLink(link);
+                    continue;
+                }
+                this.sendHeartbeat(link);
+            }
+        }
+    }
+
+    private sendHeartbeat(link: PeerLink): void {
+        link.send({
+            kind: "heartbeat",
+            time: this.options.events.hybridClock.next(),
+            revision: this.options.readRevision(),
+            digest: this.options.gossip.digest,
+        });
+    }
+
+    private receiveHeartbeat(link: PeerLink, heartbeat: Heartbeat): void {
+        this.options.events.hybridClock.merge(heartbeat.time);
+        this.heartbeatListeners.forEach(listener => listener(link.nodeId, heartbeat));
+        if (heartbeat.digest === this.options.gossip.digest) {
+            this.digestMismatches.delete(link.nodeId);
+            return;
+        }
+        const mismatches = (this.digestMismatches.get(link.nodeId) ?? 0) + 1;
+        this.digestMismatches.set(link.nodeId, mismatches);
+        if (mismatches >= 2) {
+            this.digestMismatches.delete(link.nodeId);
+            void this.exchangeGossip(link);
+        }
+    }
+
+    /** Exchanges whole gossip maps after the digests differed twice in a row. */
+    private async exchangeGossip(link: PeerLink): Promise<void> {
+        try {
+            const mine = this.options.gossip.listEntries();
+            const theirs = await link.call(exchangeMethod, { entries: mine }, exchangeTimeoutMs);
+            this.options.gossip.merge(parseEntries(theirs), link.nodeId);
+        }
+        catch (error) {
+            this.options.events.emit(eventKinds.peerRejected, { reason: String(error), peer: link.nodeId });
+        }
+    }
+
+    private async answerExchange(payload: unknown, fromNode: string): Promise<unknown> {
+        const mine = this.options.gossip.listEntries();
+        this.options.gossip.merge(parseEntries(payload), fromNode);
+        return { entries: mine };
+    }
+
+    private spread(change: GossipChange): void {
+        for (const link of this.links.values()) {
+            if (link.nodeId !== change.source) {
+                link.send({ kind: "gossip", entries: [...change.entries] });
+            }
+        }
+    }
+
+    private dropLink(link: PeerLink | undefined): void {
+        if (!link || this.links.get(link.nodeId) !== link) {
+            return;
+        }
+        this.links.delete(link.nodeId);
+        link.close();
+        this.options.events.emit(eventKinds.peerLost, { peer: link.nodeId });
+        this.lossListeners.forEach(listener => listener(link.nodeId));
+    }
+}
+
+const parseEntries = (payload: unknown): GossipEntry[] => {
+    const entries = (payload as { entries?: unknown; }).entries;
+    return gossipEntrySchema.array().parse(entries) as GossipEntry[];
+};
+
+/** Name of the peer network service. */
+export const peerNetworkName = createServiceName<PeerNetwork>("peer-network");
--- /dev/null
+++ b/src/peers/proveIdentity.ts
@@ -0,0 +1,62 @@
+import { timingSafeEqual } from "node:crypto";
+import type { WebSocket } from "ws";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { computeProof } from "./computeProof";
+import type { ArrivedFrame, FrameQueue } from "./FrameQueue";
+import { helloSchema, proofSchema } from "./messageSchema";
+import { packFrame } from "./packFrame";
+
+/** Options of {@link proveIdentity}. */
+export interface ProveIdentityOptions {
+    readonly socket: WebSocket;
+    readonly queue: FrameQueue;
+    readonly side: "dialer" | "acceptor";
+    readonly nodeId: string;
+    readonly clusterKey: string;
+    /** 32 hexadecimal digits, never used before. */
+    readonly nonce: string;
+    readonly timeoutMs: number;
+    readonly clock: Clock;
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Makes both sides of a new connection prove that they know the cluster key.
+ *
+ * @param options - the connection and this side's identity
+ * @returns the other side's name, or undefined when it proved nothing in time
+ */
+export function* proveIdentity(options: ProveIdentityOptions): Task<string | undefined> {
+    const { socket, nodeId, nonce } = options;
+    socket.send(packFrame({ kind: "hello", nodeId, nonce }));
+    const hello = helloSchema.safeParse(yield* takeInTime(options));
+    if (!hello.success || hello.data.nodeId === nodeId) {
+        return undefined;
+    }
+    const ownProof = { clusterKey: options.clusterKey, side: options.side, nodeId, nonce: hello.data.nonce };
+    socket.send(packFrame({ kind: "proof", mac: computeProof(ownProof) }));
+    const proof = proofSchema.safeParse(yield* takeInTime(options));
+    if (!proof.success) {
+        return undefined;
+    }
+    const expected = computeProof({
+        clusterKey: options.clusterKey,
+        side: options.side === "dialer" ? "acceptor" : "dialer",
+        nodeId: hello.data.nodeId,
+        nonce,
+    });
+    const matches = timingSafeEqual(
+        Buffer.from(expected),
+        Buffer.from(proof.data.mac.padEnd(64).slice(0, 64)),
+    );
+    return matches ? hello.data.nodeId : undefined;
+}
+
+function* takeInTime(options: ProveIdentityOptions): Task<unknown> {
+    const stopTimer = new AbortController();
+    const timeout = options.clock.sleep(options.timeoutMs, stopTimer.signal).then(() => undefined);
+    const frame = yield* waitFor(Promise.race<ArrivedFrame | undefined>([options.queue.take(), timeout]));
+    stopTimer.abort();
+    return frame?.kind === "frame" ? frame.message : undefined;
+}
--- /dev/null
+++ b/src/peers/selectDialTargets.ts
@@ -0,0 +1,33 @@
+import { hashToInt } from "../_lib/hashToInt";
+
+/** Options of {@link selectDialTargets}. */
+export interface SelectDialTargetsOptions {
+    readonly nodeId: string;
+    /** Names of all members, this node included or not. */
+    readonly memberIds: readonly string[];
+    /** Up to this many members every pair is linked; beyond it, ring distances 1, 2, 4, … are. Default 16. */
+    readonly fullMeshUpTo?: number;
+}
+
+const defaultFullMeshUpTo = 16;
+
+/**
+ * Selects the members that a node dials. Over all nodes the links form a connected graph whose
+ * degree grows with the logarithm of the number of members (the finger distances of Chord, Stoica et al. 2001).
+ *
+ * @param options - the node and the members
+ * @returns names of the members to dial
+ */
+export const selectDialTargets = (options: SelectDialTargetsOptions): string[] => {
+    const others = options.memberIds.filter(id => id !== options.nodeId);
+    if (others.length < (options.fullMeshUpTo ?? defaultFullMeshUpTo)) {
+        return others.filter(id => id > options.nodeId);
+    }
+    const ring = [...others, options.nodeId].sort((a, b) => hashToInt(a) - hashToInt(b) || (a < b ? -1 : 1));
+    const position = ring.indexOf(options.nodeId);
+    const targets = new Set<string>();
+    for (let distance = 1; distance <= ring.length / 2; distance *= 2) {
+        targets.add(ring[(position + distance) % ring.length]);
+    }
+    return [...targets];
+};
--- /dev/null
+++ b/src/platform/HttpObjectStore.ts
@@ -0,0 +1,72 @@
+import { Agent, request } from "undici";
+import { StoreError } from "./StoreError";
+import type { ObjectStore } from "./types";
+
+/** Options of {@link HttpObjectStore}. */
+export interface HttpObjectStoreOptions {
+    readonly url: string;
+    readonly timeoutMs: number;
+}
+
+const maxConnections = 8;
+
+/** Object store over HTTP, as the stand-in speaks it. */
+export class HttpObjectStore implements ObjectStore {
+    private readonly agent = new Agent({ connections: maxConnections });
+
+    constructor(private readonly options: HttpObjectStoreOptions) {}
+
+    async put(key: string, body: Buffer): Promise<void> {
+        await this.exchange("PUT", `/objects/${encodeURIComponent(key)}`, body);
+    }
+
+    async get(key: string): Promise<Buffer | undefined> {
+        return this.exchange("GET", `/objects/${encodeURIComponent(key)}`);
+    }
+
+    async list(prefix: string): Promise<readonly string[]> {
+        const body = await this.exchange("GET", `/objects?prefix=${encodeURIComponent(prefix)}`);
+        return (JSON.parse(body!.toString("utf8")) as { keys: string[]; }).keys;
+    }
+
+    async remove(key: string): Promise<void> {
+        await this.exchange("DELETE", `/objects/${encodeURIComponent(key)}`);
+    }
+
+    /** Closes the connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async exchange(
+        method: "GET" | "PUT" | "DELETE",
+        path: string,
+        body?: Buffer,
+    ): Promise<Buffer | undefined> {
+        try {
+            const answer = await request(`${this.options.url}${path}`, {
+                dispatcher: this.agent,
+                method,
+                body,
+                signal: AbortSignal.timeout(this.options.timeoutMs),
+            });
+            const content = Buffer.from(await answer.body.arrayBuffer());
+            if (answer.statusCode === 404) {
+                return undefined;
+            }
+            if (answer.statusCode !== 200) {
+                throw new StoreError(
+                    `object store answered ${answer.statusCode} to ${method} ${path}`,
+                    "unknown",
+                );
+            }
+            return content;
+        }
+        catch (error) {
+            if (error instanceof StoreError) {
+                throw error;
+            }
+            throw new StoreError(`object store ${method} ${path}: ${(error as Error).message}`, "unknown");
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/HttpTableService.ts
@@ -0,0 +1,52 @@
+import { Agent } from "undici";
+import { sendJson } from "./sendJson";
+import { StoreError } from "./StoreError";
+import type { Row, RowAddress, RowOperation, TableService, TransactionOutcome } from "./types";
+
+/** Options of {@link HttpTableService}. */
+export interface HttpTableServiceOptions {
+    readonly url: string;
+    readonly timeoutMs: number;
+}
+
+const maxConnections = 16;
+
+/** Table service over HTTP and JSON, as the stand-in speaks it. */
+export class HttpTableService implements TableService {
+    private readonly agent = new Agent({ connections: maxConnections });
+
+    constructor(private readonly options: HttpTableServiceOptions) {}
+
+    async transact(operations: readonly RowOperation[]): Promise<TransactionOutcome> {
+        return await this.post("/transact", { operations }) as TransactionOutcome;
+    }
+
+    async read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]> {
+        const answer = await this.post("/read", { addresses }) as { rows: (Row | { absent: true; })[]; };
+        return answer.rows.map(row => "absent" in row ? undefined : row);
+    }
+
+    async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
+        const answer = await this.post("/list", { table, prefix, limit }) as { rows: Row[]; };
+        return answer.rows;
+    }
+
+    /** Closes the connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async post(path: string, body: unknown): Promise<unknown> {
+        const answer = await sendJson({
+            dispatcher: this.agent,
+            url: `${this.options.url}${path}`,
+            method: "POST",
+            body,
+            timeoutMs: this.options.timeoutMs,
+        });
+        if (answer.status !== 200) {
+            throw new StoreError(`table service answered ${answer.status} to ${path}`, "unknown");
+        }
+        return answer.body;
+    }
+}
--- /dev/null
+++ b/src/platform/MemoryTableService.ts
@@ -0,0 +1,80 @@
+import type { Row, RowAddress, RowCondition, RowOperation, TableService, TransactionOutcome } from "./types";
+
+/** Table service kept in memory: the reference for the semantics, used by tests and the stand-in. */
+export class MemoryTableService implements TableService {
+    private readonly tables = new Map<string, Map<string, Row>>();
+    /** Number of transactions so far. */
+    transactions = 0;
+    /** Number of rows written so far. */
+    rowsWritten = 0;
+    /** Number of read and list calls so far. */
+    reads = 0;
+
+    async transact(operations: readonly RowOperation[]): Promise<TransactionOutcome> {
+        return this.commit(operations);
+    }
+
+    async read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]> {
+        this.reads += 1;
+        return addresses.map(address => this.table(address.table).get(address.key));
+    }
+
+    async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
+        this.reads += 1;
+        return [...this.table(table).values()]
+            .filter(row => row.key.startsWith(prefix))
+            .sort((a, b) => a.key < b.key ? -1 : 1)
+            .slice(0, limit);
+    }
+
+    /**
+     * Commits all operations or none, at once.
+     *
+     * @param operations - the operations
+     * @returns the new revisions, or the indexes of the failed conditions
+     */
+    commit(operations: readonly RowOperation[]): TransactionOutcome {
+        this.transactions += 1;
+        const failed = operations.flatMap((operation, index) => {
+            const row = this.table(operation.table).get(operation.key);
+            return meetsCondition(row, operation.condition) ? [] : [index];
+        });
+        if (failed.length > 0) {
+            return { kind: "conflict", failed };
+        }
+        return { kind: "committed", revisions: operations.map(operation => this.write(operation)) };
+    }
+
+    private write(operation: RowOperation): number {
+        this.rowsWritten += 1;
+        const table = this.table(operation.table);
+        const revision = (table.get(operation.key)?.revision ?? 0) + 1;
+        if (operation.value === undefined) {
+            table.delete(operation.key);
+        }
+        else {
+            table.set(operation.key, { key: operation.key, revision, value: operation.value });
+        }
+        return revision;
+    }
+
+    private table(name: string): Map<string, Row> {
+        let table = this.tables.get(name);
+        if (!table) {
+            table = new Map();
+            this.tables.set(name, table);
+        }
+        return table;
+    }
+}
+
+const meetsCondition = (row: Row | undefined, condition: RowCondition): boolean => {
+    switch (condition.kind) {
+        case "any":
+            return true;
+        case "absent":
+            return row === undefined;
+        case "revision":
+            return row?.revision === condition.revision;
+    }
+};
--- /dev/null
+++ b/src/reclaim/UpstreamReclaim.ts
@@ -0,0 +1,135 @@
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { ChatRequests } from "../streams/ChatRequests";
+import type { RequestRecord } from "../streams/RequestRecord";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { Runner } from "../upstreams/Runner";
+import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
+import { planReclaim, type ReclaimedStream } from "./planReclaim";
+
+/** Options of {@link UpstreamReclaim}. */
+export interface UpstreamReclaimOptions {
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly registry: UpstreamRegistry;
+    readonly chats: ChatRequests;
+    /** Size of the KV cache, in bytes per token; default 1,024. */
+    readonly bytesPerToken?: number;
+    /** Bandwidth of a runner's link that this node may use, in bytes per millisecond; default 20,000. */
+    readonly bytesPerMs?: number;
+}
+
+const charactersPerToken = 4;
+const defaultBytesPerToken = 1_024;
+const defaultBytesPerMs = 20_000;
+const defaultRemainingTokens = 256;
+
+/** Gets the streams of a leaving runner to their end with the fewest tokens computed again. */
+export class UpstreamReclaim {
+    private readonly scope: Scope;
+
+    constructor(private readonly options: UpstreamReclaimOptions) {
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+    }
+
+    async start(): Promise<void> {
+        this.options.registry.leaving.changes.observe(runner => {
+            if (runner?.client.engine && runner.takenAtMs !== undefined) {
+                this.scope.run(`reclaim-${runner.id}`, () => this.reclaim(runner));
+            }
+        }).catch(() => {});
+    }
+
+    async stop(): Promise<void> {
+        await this.scope.cancel();
+    }
+
+    private *reclaim(runner: Runner): Task<void> {
+        const records = this.options.chats.listInProgress().filter(record =>
+            record.attempt?.runner === runner
+        );
+        const planned = planReclaim({
+            streams: records.map(record => this.describe(record, runner)),
+            noticeMs: runner.takenAtMs! - this.options.clock.nowMs(),
+            bytesPerToken: this.options.bytesPerToken ?? defaultBytesPerToken,
+            bytesPerMs: this.options.bytesPerMs ?? defaultBytesPerMs,
+        });
+        for (const { requestId, choice } of planned) {
+            const record = records.find(candidate => candidate.id === requestId)!;
+            const attempt = record.attempt!;
+            if (choice === "finish" || record.hasEnded || attempt.runner !== runner) {
+                continue;
+            }
+            const moved = choice === "move-cache" && (yield* this.moveCache(record, runner));
+            if (!record.hasEnded && record.attempt === attempt) {
+                this.options.events.emit(eventKinds.attemptMoved, {
+                    requestId,
+                    from: runner.id,
+                    cache: moved,
+                });
+                attempt.stop({ kind: "moved" });
+            }
+        }
+    }
+
+    /** Moves a request's KV cache to the usable runner with the most room outside the reclaimed data centre. */
+    private *moveCache(record: RequestRecord, runner: Runner): Task<boolean> {
+        const target = this.pickTarget(record, runner);
+        if (!target) {
+            return false;
+        }
+        try {
+            const cache = yield* waitFor(runner.client.engine!.exportCache(record.id));
+            const imported = cache !== undefined
+                && (yield* waitFor(target.client.engine!.importCache(record.id, cache)));
+            if (imported) {
+                record.plannedRunner = target;
+            }
+            return imported;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    private pickTarget(record: RequestRecord, runner: Runner): Runner | undefined {
+        const { registry } = this.options;
+        const usable = registry.listUsable(record.description.service)
+            .filter(candidate => registry.ejections.readShare(candidate.id) >= 1);
+        const reclaimed = new Set(
+            registry.listRunners(record.description.service)
+                .filter(candidate => candidate.isLeaving)
+                .map(candidate => candidate.vm.dataCentre),
+        );
+        const elsewhere = usable.filter(candidate => !reclaimed.has(candidate.vm.dataCentre));
+        const candidates = elsewhere.length > 0 ? elsewhere : usable;
+        const planned = (candidate: Runner): number =>
+            this.options.chats.listInProgress().filter(other => other.plannedRunner === candidate).length;
+        const readLoad = (candidate: Runner): number =>
+            (candidate.estimatedLoad + planned(candidate)) / candidate.slots;
+        return candidates.filter(candidate => candidate !== runner)
+            .sort((a, b) => readLoad(a) - readLoad(b))[0];
+    }
+
+    private describe(record: RequestRecord, runner: Runner): ReclaimedStream {
+        const { body } = record.description;
+        const limit = (body.max_tokens ?? defaultRemainingTokens) as number;
+        const produced = record.log.nextOffset;
+        const promptTokens = JSON.stringify(body.messages ?? "").length / charactersPerToken;
+        const betweenMs = runner.latency.predictBetweenTokensMs(runner.estimatedLoad);
+        return {
+            requestId: record.id,
+            contextTokens: Math.ceil(promptTokens + produced),
+            remainingMs: Math.max(1, limit - produced) * betweenMs,
+        };
+    }
+}
+
+/** Name of the upstream reclaim service. */
+export const upstreamReclaimName = createServiceName<UpstreamReclaim>("upstream-reclaim");
--- /dev/null
+++ b/src/routing/TargetRoutingPolicy.ts
@@ -0,0 +1,100 @@
+import type { RandomSource } from "../kernel/types";
+import { type LatencyPrediction, predictLatency } from "./predictLatency";
+import type { RoutingChoice, RoutingPolicy, RoutingRequest, RunnerView } from "./types";
+
+/** Options of {@link TargetRoutingPolicy}. */
+export interface TargetRoutingPolicyOptions {
+    readonly random: RandomSource;
+    /** Share of a target that a prediction may use; default 0.8. */
+    readonly margin?: number;
+    /** Candidates weighed per decision; default 12. */
+    readonly sampleSize?: number;
+    /** Runners that hold cached tokens are taken into the sample, at most this many; default 3. */
+    readonly affinitySize?: number;
+}
+
+interface Candidate {
+    readonly runner: RunnerView;
+    readonly prediction: LatencyPrediction;
+}
+
+const defaultMargin = 0.8;
+const defaultSampleSize = 12;
+const defaultAffinitySize = 3;
+const nearCost = 1.1; // candidates within 10 % of the cheapest count as equal
+
+/**
+ * Chooses the cheapest runner that is predicted to meet the class's target. It weighs a random sample, and
+ * breaks near ties at random, so that nodes with the same late reports do not all choose the same runner.
+ */
+export class TargetRoutingPolicy implements RoutingPolicy {
+    readonly name = "target";
+    private readonly margin: number;
+    private readonly sampleSize: number;
+    private readonly affinitySize: number;
+
+    constructor(private readonly options: TargetRoutingPolicyOptions) {
+        this.margin = options.margin ?? defaultMargin;
+        this.sampleSize = options.sampleSize ?? defaultSampleSize;
+        this.affinitySize = options.affinitySize ?? defaultAffinitySize;
+    }
+
+    choose(request: RoutingRequest, runners: readonly RunnerView[]): RoutingChoice {
+        const admitted = runners.filter(runner => this.admits(runner));
+        const candidates = this.sample(admitted)
+            .map(runner => ({ runner, prediction: predictLatency(request, runner) }));
+        if (candidates.length === 0) {
+            return { runnerId: undefined, meetsTarget: false, predictedFirstTokenMs: Infinity };
+        }
+        const meeting = candidates.filter(candidate => this.meetsTarget(request, candidate.prediction));
+        if (meeting.length > 0) {
+            return toChoice(this.pickCheapest(meeting), true);
+        }
+        const withRoom = candidates.filter(({ runner }) => runner.running + runner.queued < runner.slots);
+        return toChoice(pickFastest(withRoom.length > 0 ? withRoom : candidates), false);
+    }
+
+    private admits(runner: RunnerView): boolean {
+        return runner.admitShare >= 1 || this.options.random.nextFloat() < runner.admitShare;
+    }
+
+    private sample(runners: readonly RunnerView[]): readonly RunnerView[] {
+        if (runners.length <= this.sampleSize) {
+            return runners;
+        }
+        const sampled = new Set<RunnerView>();
+        const cached = runners.filter(runner => runner.cachedTokens > 0);
+        cached.sort((a, b) => b.cachedTokens - a.cachedTokens);
+        cached.slice(0, this.affinitySize).forEach(runner => sampled.add(runner));
+        while (sampled.size < this.sampleSize) {
+            sampled.add(runners[this.options.random.nextInt(runners.length)]);
+        }
+        return [...sampled];
+    }
+
+    private meetsTarget(request: RoutingRequest, prediction: LatencyPrediction): boolean {
+        return request.waitedMs + prediction.firstTokenMs <= request.firstTokenMs * this.margin
+            && prediction.betweenTokensMs <= request.betweenTokensMs * this.margin;
+    }
+
+    private pickCheapest(candidates: readonly Candidate[]): Candidate {
+        const lowest = Math.min(...candidates.map(candidate => candidate.prediction.cost));
+        const near = candidates.filter(candidate => candidate.prediction.cost <= lowest * nearCost);
+        const first = near[this.options.random.nextInt(near.length)];
+        const second = near[this.options.random.nextInt(near.length)];
+        return loadOf(first) <= loadOf(second) ? first : second;
+    }
+}
+
+const loadOf = ({ runner }: Candidate): number => (runner.running + runner.queued) / runner.slots;
+
+const pickFastest = (candidates: readonly Candidate[]): Candidate =>
+    candidates.reduce((best, next) =>
+        next.prediction.firstTokenMs < best.prediction.firstTokenMs ? next : best
+    );
+
+const toChoice = (candidate: Candidate, meetsTarget: boolean): RoutingChoice => ({
+    runnerId: candidate.runner.id,
+    meetsTarget,
+    predictedFirstTokenMs: candidate.prediction.firstTokenMs,
+});
--- /dev/null
+++ b/src/routing/predictLatency.ts
@@ -0,0 +1,33 @@
+import type { RoutingRequest, RunnerView } from "./types";
+
+/** Predicted latency and cost of a request on one runner. */
+export interface LatencyPrediction {
+    /** Time to the first token from now, in milliseconds. */
+    readonly firstTokenMs: number;
+    /** Time between tokens, in milliseconds. */
+    readonly betweenTokensMs: number;
+    /** Cost of the machine time that the request takes, in the unit of the cloud's prices. */
+    readonly cost: number;
+}
+
+const msPerHour = 3_600_000;
+
+/**
+ * Predicts how a runner would serve a request.
+ *
+ * @param request - the request
+ * @param runner - the runner
+ * @returns latency and cost
+ */
+export const predictLatency = (request: RoutingRequest, runner: RunnerView): LatencyPrediction => {
+    const uncachedTokens = Math.max(0, request.promptTokens - runner.cachedTokens);
+    const prefillMs = uncachedTokens * runner.prefillMsPerToken;
+    const ahead = runner.running + runner.queued + 1 - runner.slots;
+    const queueMs = ahead > 0 ? ahead * runner.serviceMs / runner.slots : 0;
+    const decodeShareMs = request.expectedTokens * runner.betweenTokensMs / Math.max(1, runner.running + 1);
+    return {
+        firstTokenMs: queueMs + prefillMs + runner.betweenTokensMs,
+        betweenTokensMs: runner.betweenTokensMs,
+        cost: (prefillMs + decodeShareMs) * runner.pricePerHour / msPerHour,
+    };
+};
--- /dev/null
+++ b/src/settings/parseSettings.ts
@@ -0,0 +1,23 @@
+import { Either } from "purify-ts";
+import { formatProblems } from "../_lib/formatProblems";
+import { parseJson } from "../_lib/parseJson";
+import { parseWithSchema } from "../_lib/parseWithSchema";
+import { createFailure } from "../results/createFailure";
+import { resultCodes } from "../results/resultCodes";
+import type { Failure } from "../results/types";
+import { type Settings, settingsSchema } from "./settingsSchema";
+
+/**
+ * Checks the text of a settings file as a whole.
+ *
+ * @param text - JSON text
+ * @returns the settings with defaults, or a failure that lists every problem with its path
+ * @example
+ * parseSettings(readFileSync("node.json", "utf8")).map(settings => settings.nodeId);
+ */
+export const parseSettings = (text: string): Either<Failure, Settings> =>
+    parseJson(text).chain(document =>
+        parseWithSchema(settingsSchema, document).mapLeft(problems =>
+            createFailure(resultCodes.invalidSettings, formatProblems(problems))
+        )
+    );
--- /dev/null
+++ b/src/streams/ChatRequests.ts
@@ -0,0 +1,327 @@
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, RandomSource, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { Configuration } from "../configuration/Configuration";
+import type { WorkClass } from "../declaration/declarationSchema";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import { toFailure } from "../results/toFailure";
+import type { Failure } from "../results/types";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { Invariants } from "../telemetry/Invariants";
+import type { Metrics } from "../telemetry/Metrics";
+import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
+import type { ChatBody } from "./chatBodySchema";
+import type { HandOverBundle } from "./HandOverBundle";
+import type { KeptRequests } from "./KeptRequests";
+import { type BalanceCounts, RequestBalance } from "./RequestBalance";
+import { RequestRecord, type RequestState } from "./RequestRecord";
+import { RequestRunner } from "./RequestRunner";
+import { StreamLog } from "./StreamLog";
+import type { StreamMemory } from "./StreamMemory";
+import type { ServiceDispatchers } from "./ServiceDispatchers";
+
+/** Options of {@link ChatRequests}. */
+export interface ChatRequestsOptions {
+    readonly nodeId: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly events: EventLog;
+    readonly invariants: Invariants;
+    readonly metrics: Metrics;
+    readonly memory: StreamMemory;
+    readonly configuration: Configuration;
+    readonly registry: UpstreamRegistry;
+    readonly dispatchers: ServiceDispatchers;
+    readonly kept: KeptRequests;
+    readonly streamSilenceMs: number;
+    readonly resumeWindowMs: number;
+}
+
+/** A request to accept. */
+export interface ChatAcceptance {
+    readonly accountId: string;
+    readonly service: string;
+    readonly workClass: WorkClass;
+    readonly body: ChatBody;
+    /** Given for requests with an idempotency key; made up otherwise. */
+    readonly requestId?: string;
+}
+
+const sweepMs = 100;
+
+/** The model requests that this node runs, from acceptance to the end of their resume window. */
+export class ChatRequests {
+    private readonly records = new Map<string, RequestRecord>();
+    private readonly balance: RequestBalance;
+    private readonly runner: RequestRunner;
+    private readonly scope: Scope;
+
+    constructor(private readonly options: ChatRequestsOptions) {
+        this.balance = new RequestBalance(options.invariants);
+        this.runner = new RequestRunner(options);
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+    }
+
+    async start(): Promise<void> {
+        this.scope.run("request-sweep", signal => this.sweep(signal));
+    }
+
+    async stop(): Promise<void> {
+        await this.scope.cancel();
+    }
+
+    /** All records, ended ones within their resume window included. */
+    listRecords(): RequestRecord[] {
+        return [...this.records.values()];
+    }
+
+    /** Requests that have not ended. */
+    listInProgress(): RequestRecord[] {
+        return this.listRecords().filter(record => !record.hasEnded);
+    }
+
+    /** Whole answers that no caller has read to the end yet. */
+    listUnread(): RequestRecord[] {
+        return this.listRecords().filter(record => record.state === "answered" && !record.delivered);
+    }
+
+    /** Counts of this node, asserted to balance. */
+    readBalance(): BalanceCounts {
+        return this.balance.check(this.listInProgress().length);
+    }
+
+    /**
+     * Finds a request of an account. Another account's request is not found.
+     *
+     * @param requestId - the request
+     * @param accountId - the account that asks
+     */
+    find(requestId: string, accountId: string): RequestRecord | undefined {
+        const record = this.records.get(requestId);
+        return record?.description.accountId === accountId ? record : undefined;
+    }
+
+    /**
+     * Accepts a request and starts to run it. A class that is kept from acceptance on is stored first.
+     *
+     * @param acceptance - the request
+     * @returns its record
+     * @throws FailureError when it is refused; it has then not run
+     */
+    async accept(acceptance: ChatAcceptance): Promise<RequestRecord> {
+        if (this.options.memory.isFull) {
+            const message = "the node's memory for streams is used up";
+            throw new FailureError(createFailure(resultCodes.memoryLimit, message, { retryAfterMs: 1_000 }));
+        }
+        const kept = acceptance.workClass.durability === "kept-from-acceptance";
+        const record = this.createRecord({
+            id: acceptance.requestId ?? `${this.options.nodeId}.${this.options.random.nextId(12)}`,
+            accountId: acceptance.accountId,
+            service: acceptance.service,
+            workClass: acceptance.workClass,
+            body: acceptance.body,
+            acceptedAtMs: this.options.clock.nowMs(),
+            kept,
+        });
+        if (kept) {
+            this.records.set(record.id, record);
+            const stored = await this.options.kept.store(this.toBundle(record));
+            if (stored !== "stored") {
+                this.records.delete(record.id);
+                const message = "the request could not be stored before acceptance";
+                const run = stored === "unknown" ? "unknown" : "not-run";
+                const options = { retryAfterMs: 1_000, run } as const;
+                throw new FailureError(createFailure(resultCodes.storeUnavailable, message, options));
+            }
+        }
+        this.balance.recordAccepted();
+        this.options.events.emit(eventKinds.requestAccepted, {
+            requestId: record.id,
+            account: acceptance.accountId,
+            service: acceptance.service,
+            workClass: acceptance.workClass.name,
+        });
+        this.run(record);
+        return record;
+    }
+
+    /**
+     * Takes over a request from another node or from the store, and goes on where it stopped.
+     *
+     * @param bundle - the request
+     * @returns false when this node has it already
+     * @throws FailureError when its service or class is not declared
+     */
+    adopt(bundle: HandOverBundle): boolean {
+        const known = this.records.get(bundle.id);
+        if (known && known.state !== "handed-over") {
+            return false;
+        }
+        const declaration = this.options.configuration.current.value?.declaration;
+        const workClass = declaration?.classes.find(candidate => candidate.name === bundle.className);
+        if (!workClass) {
+            const message = `class of work "${bundle.className}" does not exist`;
+            throw new FailureError(createFailure(resultCodes.unknownClass, message));
+        }
+        const { id, accountId, service, body, acceptedAtMs, kept } = bundle;
+        const record = this.createRecord({ id, accountId, service, workClass, body, acceptedAtMs, kept });
+        if (bundle.nextOffset > 0) {
+            record.log.append({ firstOffset: 0, count: bundle.nextOffset, body: Buffer.from(bundle.events) });
+        }
+        this.balance.recordReceived();
+        this.options.events.emit(eventKinds.handOverReceived, { requestId: id, offset: bundle.nextOffset });
+        if (bundle.ended) {
+            record.log.end();
+        }
+        record.plannedRunner = bundle.runnerId === undefined
+            ? undefined
+            : this.options.registry.find(bundle.runnerId);
+        this.run(record);
+        return true;
+    }
+
+    /** Describes a request so that another node can go on with it. */
+    toBundle(record: RequestRecord): HandOverBundle {
+        const { id, accountId, service, workClass, body, acceptedAtMs, kept } = record.description;
+        return {
+            id,
+            accountId,
+            service,
+            className: workClass.name,
+            body: { ...body },
+            acceptedAtMs,
+            kept,
+            events: record.log.read(0),
+            nextOffset: record.log.nextOffset,
+            ended: record.log.ended,
+            runnerId: record.attempt?.runner.id,
+        };
+    }
+
+    /** Ends a request on this node because another one acknowledged it, or the store holds it. */
+    markHandedOver(record: RequestRecord, movedTo: string | undefined): void {
+        record.movedTo = movedTo;
+        this.finish(record, "handed-over");
+        record.attempt?.stop({ kind: "cancelled" });
+    }
+
+    /** Cancels a request for its caller. */
+    cancel(record: RequestRecord): void {
+        if (record.hasEnded) {
+            return;
+        }
+        const failure = createFailure(resultCodes.requestCancelled, `request "${record.id}" was cancelled`);
+        this.finish(record, "cancelled", failure);
+        record.attempt?.stop({ kind: "cancelled" });
+    }
+
+    private createRecord(description: RequestRecord["description"]): RequestRecord {
+        return new RequestRecord(description, new StreamLog(this.options.memory));
+    }
+
+    private run(record: RequestRecord): void {
+        this.records.set(record.id, record);
+        this.scope.run(`request-${record.id}`, signal => this.runToEnd(record, signal));
+    }
+
+    private *runToEnd(record: RequestRecord, signal: AbortSignal): Task<void> {
+        try {
+            yield* this.runner.run(record, signal);
+            if (!record.hasEnded) {
+                this.finish(record, "answered");
+            }
+        }
+        catch (error) {
+            if (!record.hasEnded) {
+                this.finish(record, "failed", toFailure(error));
+            }
+        }
+        if (record.description.kept && record.state !== "handed-over") {
+            yield* waitFor(this.options.kept.finish(record));
+        }
+    }
+
+    private finish(
+        record: RequestRecord,
+        state: Exclude<RequestState, "queued" | "running">,
+        failure?: Failure,
+    ): void {
+        if (record.hasEnded) {
+            return;
+        }
+        this.balance.recordEnd(state);
+        record.finish(state, this.options.clock.nowMs(), failure);
+        this.options.metrics.observeRequest(record);
+        const fields = { requestId: record.id, code: failure?.result.code, message: failure?.message };
+        switch (state) {
+            case "answered":
+                this.options.events.emit(eventKinds.requestAnswered, {
+                    requestId: record.id,
+                    events: record.log.nextOffset,
+                });
+                break;
+            case "cancelled":
+                this.options.events.emit(eventKinds.requestCancelled, { requestId: record.id });
+                break;
+            case "failed":
+                this.options.events.emit(
+                    record.attempts === 0 ? eventKinds.requestRefused : eventKinds.requestFailed,
+                    fields,
+                );
+                break;
+        }
+    }
+
+    /** Ends silent attempts, forgets answers past their resume window and reports overdue requests. */
+    private *sweep(signal: AbortSignal): Task<void> {
+        const overdue = new Set<string>();
+        while (!signal.aborted) {
+            yield* waitFor(this.options.clock.sleep(sweepMs, signal));
+            const nowMs = this.options.clock.nowMs();
+            for (const record of this.records.values()) {
+                if (!record.hasEnded) {
+                    this.checkSilence(record);
+                    this.reportOverdue(record, nowMs, overdue);
+                }
+                else if (nowMs - record.endedAtMs! > this.options.resumeWindowMs) {
+                    record.log.free();
+                    this.records.delete(record.id);
+                    overdue.delete(record.id);
+                }
+            }
+            this.options.dispatchers.pumpAll();
+        }
+    }
+
+    private checkSilence(record: RequestRecord): void {
+        const { attempt } = record;
+        if (!attempt) {
+            return;
+        }
+        const { streamSilenceMs } = this.options;
+        const waitsForFirst = attempt.firstBatchMs === undefined;
+        const firstTokenMs = record.description.workClass.latency.firstTokenMs;
+        const limitMs = waitsForFirst ? Math.max(streamSilenceMs * 2, firstTokenMs * 3) : streamSilenceMs;
+        if (this.options.clock.monotonicMs() - attempt.lastHeardMs > limitMs) {
+            attempt.stop({ kind: "silent" });
+        }
+    }
+
+    private reportOverdue(record: RequestRecord, nowMs: number, reported: Set<string>): void {
+        const { id, acceptedAtMs, workClass } = record.description;
+        if (nowMs - acceptedAtMs > workClass.latency.wholeMs && !reported.has(id)) {
+            reported.add(id);
+            this.options.events.emit(eventKinds.requestOverdue, { requestId: id, workClass: workClass.name });
+        }
+    }
+}
+
+/** Name of the chat requests service. */
+export const chatRequestsName = createServiceName<ChatRequests>("chat-requests");
--- /dev/null
+++ b/src/streams/RequestRecord.ts
@@ -0,0 +1,69 @@
+import type { WorkClass } from "../declaration/declarationSchema";
+import type { Failure } from "../results/types";
+import type { Attempt } from "./Attempt";
+import type { Runner } from "../upstreams/Runner";
+import type { StreamLog } from "./StreamLog";
+
+/** State of an accepted model request. */
+export type RequestState = "queued" | "running" | "answered" | "failed" | "cancelled" | "handed-over";
+
+/** What identifies and describes an accepted model request. */
+export interface RequestDescription {
+    readonly id: string;
+    readonly accountId: string;
+    readonly service: string;
+    readonly workClass: WorkClass;
+    /** The caller's body. */
+    readonly body: Readonly<Record<string, unknown>>;
+    /** Wall-clock time of acceptance, in milliseconds. */
+    readonly acceptedAtMs: number;
+    /** Whether it is kept in the table service until it is answered. */
+    readonly kept: boolean;
+}
+
+/** An accepted model request on the node that runs it. */
+export class RequestRecord {
+    state: RequestState = "queued";
+    failure: Failure | undefined;
+    attempt: Attempt | undefined;
+    attempts = 0;
+    firstTokenAtMs: number | undefined;
+    endedAtMs: number | undefined;
+    /** Runner to which the request's KV cache was moved; the next attempt goes there. */
+    plannedRunner: Runner | undefined;
+    /** Whether its answer must not grow, because it is being handed over as it stands. */
+    isFrozen = false;
+    /** Whether a caller got the whole answer. */
+    delivered = false;
+    /** Node that took the request over. */
+    movedTo: string | undefined;
+    private readonly endListeners: (() => void)[] = [];
+
+    constructor(readonly description: RequestDescription, readonly log: StreamLog) {}
+
+    get id(): string {
+        return this.description.id;
+    }
+
+    /** Whether the request ended on this node. */
+    get hasEnded(): boolean {
+        return this.state !== "queued" && this.state !== "running";
+    }
+
+    /** Ends the request and tells whoever waits. */
+    finish(state: Exclude<RequestState, "queued" | "running">, nowMs: number, failure?: Failure): void {
+        this.state = state;
+        this.failure = failure;
+        this.endedAtMs = nowMs;
+        this.log.notify();
+        this.endListeners.splice(0).forEach(listener => listener());
+    }
+
+    /** Resolves when the request has ended on this node. */
+    waitForEnd(): Promise<void> {
+        if (this.hasEnded) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => this.endListeners.push(resolve));
+    }
+}
--- /dev/null
+++ b/src/streams/RequestRunner.ts
@@ -0,0 +1,231 @@
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import { hashPromptBlocks } from "../routing/PrefixIndex";
+import type { DispatchRequest } from "../routing/Dispatcher";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { Runner } from "../upstreams/Runner";
+import { Attempt, type AttemptOutcome } from "./Attempt";
+import type { ChatBody } from "./chatBodySchema";
+import type { ChatRequestsOptions } from "./ChatRequests";
+import { decodeEvents } from "./decodeEvents";
+import { extractPromptText } from "./extractPromptText";
+import type { RequestRecord } from "./RequestRecord";
+
+const charactersPerToken = 4;
+const defaultExpectedTokens = 256;
+const giveUpFactor = 4; // a request ends after this many times its class's time to the whole answer
+const shortestGiveUpMs = 30_000;
+const maxAttempts = 16;
+const firstRetryPauseMs = 50;
+const maxRetryPauseMs = 1_000;
+const frozenPauseMs = 20;
+const leavingBoundMs = 1_000; // a leaving runner gets no new work later than this
+
+/** Runs one request: chooses runners and goes on until the answer is whole. */
+export class RequestRunner {
+    private readonly meanTokens = new Map<string, number>();
+
+    constructor(private readonly options: ChatRequestsOptions) {}
+
+    /**
+     * Runs a request until its answer is whole, it was ended from outside, or it cannot be answered.
+     *
+     * @param record - the request
+     * @param signal - aborts when the node stops
+     * @throws FailureError when it cannot be answered
+     */
+    *run(record: RequestRecord, signal: AbortSignal): Task<void> {
+        const body = record.description.body as ChatBody;
+        const prompt = extractPromptText(body);
+        const blocks = hashPromptBlocks(prompt);
+        const excluded = new Set<string>();
+        const budget = this.options.dispatchers.getBudget(record.description.service);
+        budget.earn();
+        while (!record.hasEnded && !signal.aborted && !record.log.ended) {
+            if (record.isFrozen) {
+                yield* waitFor(this.options.clock.sleep(frozenPauseMs, signal));
+                continue;
+            }
+            const runner = yield* this.acquireRunner(record, prompt, blocks, excluded, signal);
+            if (record.hasEnded || signal.aborted) {
+                runner?.recordEnded();
+                return;
+            }
+            if (!runner) {
+                continue;
+            }
+            const outcome = yield* this.runAttempt(record, runner, prompt, blocks);
+            if (outcome.kind === "ended" || outcome.kind === "cancelled") {
+                return;
+            }
+            excluded.clear();
+            if (outcome.kind !== "moved") {
+                excluded.add(runner.id);
+                yield* this.prepareRetry(record, outcome);
+            }
+        }
+    }
+
+    private *acquireRunner(
+        record: RequestRecord,
+        prompt: string,
+        blocks: readonly string[],
+        excluded: ReadonlySet<string>,
+        signal: AbortSignal,
+    ): Task<Runner | undefined> {
+        const planned = record.plannedRunner;
+        record.plannedRunner = undefined;
+        if (planned && !planned.isLeaving) {
+            planned.recordSent();
+            return planned;
+        }
+        const { description } = record;
+        const { latency, urgency } = description.workClass;
+        const dispatcher = this.options.dispatchers.get(description.service);
+        const stopWaiting = new AbortController();
+        const stop = (): void => stopWaiting.abort();
+        signal.addEventListener("abort", stop);
+        const ended = record.waitForEnd().then(() => {
+            stop();
+            return undefined;
+        });
+        const usable = this.options.registry.listUsable(description.service).length;
+        const request: DispatchRequest = {
+            accountId: description.accountId,
+            urgency,
+            bytes: prompt.length,
+            promptBlocks: blocks,
+            promptTokens: Math.ceil(prompt.length / charactersPerToken),
+            expectedTokens: this.expectTokens(record),
+            firstTokenMs: latency.firstTokenMs,
+            betweenTokensMs: latency.betweenTokensMs,
+            maxWaitMs: urgency === "interactive" ? latency.firstTokenMs * 2 : latency.wholeMs,
+            excluded: usable > excluded.size ? excluded : new Set(),
+            accepted: record.attempts > 0 || record.log.nextOffset > 0 || description.kept,
+        };
+        try {
+            const runnerId = yield* waitFor(
+                Promise.race([dispatcher.acquire(request, stopWaiting.signal), ended]),
+            );
+            return runnerId === undefined ? undefined : this.options.registry.find(runnerId);
+        }
+        finally {
+            signal.removeEventListener("abort", stop);
+        }
+    }
+
+    private *runAttempt(
+        record: RequestRecord,
+        runner: Runner,
+        prompt: string,
+        blocks: readonly string[],
+    ): Task<AttemptOutcome> {
+        const { clock, events, invariants, registry } = this.options;
+        const leavingForMs = runner.isLeaving ? clock.monotonicMs() - runner.leavingSinceMs! : 0;
+        invariants.assert(
+            "no-new-work-to-a-leaving-runner",
+            leavingForMs <= leavingBoundMs,
+            () => `runner "${runner.id}" has been leaving for ${Math.round(leavingForMs)} ms`,
+        );
+        record.attempts += 1;
+        record.state = "running";
+        const attempt = new Attempt({
+            number: record.attempts,
+            record,
+            runner,
+            clock,
+            onDropped: reason => events.emit(eventKinds.frameDropped, { requestId: record.id, reason }),
+        });
+        record.attempt = attempt;
+        const runningThere = runner.estimatedLoad;
+        events.emit(eventKinds.attemptStarted, {
+            requestId: record.id,
+            runner: runner.id,
+            attempt: attempt.number,
+        });
+        attempt.stream = runner.client.engine!.start({
+            requestId: record.id,
+            attempt: attempt.number,
+            body: record.description.body,
+            offset: record.log.nextOffset,
+            producedText: record.log.nextOffset > 0 ? decodeEvents(record.log.read(0)).text : "",
+            priority: record.description.workClass.urgency === "interactive" ? 0 : 1,
+        }, attempt);
+        const outcome = yield* waitFor(attempt.done);
+        runner.recordEnded();
+        if (outcome.kind === "ended") {
+            record.log.end();
+            registry.ejections.recordSuccess(runner.id);
+            registry.prefixes.add(runner.id, blocks);
+            this.learn(record, attempt, runningThere, prompt);
+        }
+        this.options.dispatchers.get(record.description.service).pump();
+        return outcome;
+    }
+
+    private *prepareRetry(
+        record: RequestRecord,
+        outcome: Extract<AttemptOutcome, { kind: "failed" | "silent"; }>,
+    ): Task<void> {
+        const { events, registry, clock } = this.options;
+        const message = outcome.kind === "silent" ? "the runner went silent" : outcome.error.message;
+        const runner = record.attempt!.runner;
+        events.emit(eventKinds.attemptFailed, { requestId: record.id, runner: runner.id, message });
+        if (outcome.kind === "failed" && outcome.error.kind === "bad-request") {
+            throw new FailureError(createFailure(resultCodes.upstreamRefused, message));
+        }
+        const runnerCount = registry.listRunners(record.description.service).length;
+        if (registry.ejections.recordFailure(runner.id, runnerCount)) {
+            events.emit(eventKinds.runnerEjected, { runner: runner.id });
+        }
+        this.throwWhenHopeless(record, message);
+        const budget = this.options.dispatchers.getBudget(record.description.service);
+        let pauseMs = firstRetryPauseMs;
+        while (!budget.take()) {
+            yield* waitFor(clock.sleep(pauseMs));
+            pauseMs = Math.min(maxRetryPauseMs, pauseMs * 2);
+            this.throwWhenHopeless(record, message);
+            budget.earn();
+        }
+    }
+
+    /** Gives up on a request that is far past its target; a kept one goes on until it is answered. */
+    private throwWhenHopeless(record: RequestRecord, message: string): void {
+        const { acceptedAtMs, kept, workClass } = record.description;
+        const limitMs = Math.max(shortestGiveUpMs, workClass.latency.wholeMs * giveUpFactor);
+        const late = this.options.clock.nowMs() - acceptedAtMs > limitMs;
+        if (!kept && (late || record.attempts >= maxAttempts)) {
+            const text = `request "${record.id}" failed after ${record.attempts} attempts: ${message}`;
+            throw new FailureError(createFailure(resultCodes.upstreamFailed, text));
+        }
+    }
+
+    private learn(record: RequestRecord, attempt: Attempt, runningThere: number, prompt: string): void {
+        if (attempt.firstBatchMs === undefined) {
+            return;
+        }
+        const { latency } = attempt.runner;
+        const tokens = record.log.nextOffset - attempt.firstOffset;
+        const nowMs = this.options.clock.monotonicMs();
+        if (runningThere <= attempt.runner.slots) {
+            latency.learnPrefill(
+                prompt.length / charactersPerToken,
+                attempt.firstBatchMs - attempt.startedAtMs,
+            );
+        }
+        latency.learnDecode(runningThere, tokens, nowMs - attempt.firstBatchMs);
+        latency.learnService(nowMs - attempt.startedAtMs);
+        const { service } = record.description;
+        const mean = this.meanTokens.get(service) ?? tokens;
+        this.meanTokens.set(service, mean + 0.1 * (tokens - mean));
+    }
+
+    private expectTokens(record: RequestRecord): number {
+        const { body, service } = record.description;
+        const limit = (body.max_completion_tokens ?? body.max_tokens ?? Infinity) as number;
+        return Math.min(limit, this.meanTokens.get(service) ?? defaultExpectedTokens);
+    }
+}
--- /dev/null
+++ b/src/streams/StreamMemory.ts
@@ -0,0 +1,24 @@
+/** Counts the memory that answers hold on this node. */
+export class StreamMemory {
+    private held = 0;
+
+    constructor(private readonly maxBytes: number) {}
+
+    /** Bytes held now. */
+    get heldBytes(): number {
+        return this.held;
+    }
+
+    /** Whether new requests must be refused. */
+    get isFull(): boolean {
+        return this.held >= this.maxBytes;
+    }
+
+    take(bytes: number): void {
+        this.held += bytes;
+    }
+
+    release(bytes: number): void {
+        this.held -= bytes;
+    }
+}
--- /dev/null
+++ b/src/streams/chatBodySchema.ts
@@ -0,0 +1,21 @@
+import { z } from "zod";
+
+const partSchema = z.object({ type: z.string() }).passthrough();
+const messageSchema = z.object({
+    role: z.string().min(1),
+    content: z.union([z.string(), z.array(partSchema), z.null()]).optional(),
+}).passthrough();
+
+/** Schema of a chat-completions body. Fields that the system does not use go to the engine unchanged. */
+export const chatBodySchema = z.object({
+    model: z.string().min(1),
+    messages: z.array(messageSchema).min(1),
+    stream: z.boolean().nullish(),
+    max_tokens: z.number().int().positive().nullish(),
+    max_completion_tokens: z.number().int().positive().nullish(),
+    n: z.literal(1, { errorMap: () => ({ message: "expected 1, as each request gets one answer" }) })
+        .nullish(),
+}).passthrough();
+
+/** A checked chat-completions body. */
+export type ChatBody = z.output<typeof chatBodySchema>;
--- /dev/null
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -0,0 +1,269 @@
+import { createServiceName } from "../kernel/createServiceName";
+import { Scope } from "../kernel/Scope";
+import type { Clock, Task, TaskHandle } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { KnownNotice } from "../membership/CloudWatch";
+import type { GossipMap } from "../peers/GossipMap";
+import type { Vm, VmOffer } from "../platform/types";
+import { blockTokens, PrefixIndex } from "../routing/PrefixIndex";
+import type { RunnerView } from "../routing/types";
+import { EjectionTracker } from "../retries/EjectionTracker";
+import { Observed } from "../_lib/Observed";
+import { rankByRendezvous } from "../_lib/rankByRendezvous";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { Runner } from "./Runner";
+import type { CacheEvent, EngineClient, PlainClient } from "./types";
+
+/** Creates clients for upstreams; the one place that knows their protocols. */
+export interface UpstreamClientFactory {
+    createEngine(vm: Vm): EngineClient;
+    createPlain(vm: Vm): PlainClient;
+}
+
+/** Options of {@link UpstreamRegistry}. */
+export interface UpstreamRegistryOptions {
+    readonly nodeId: string;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly gossip: GossipMap;
+    readonly clients: UpstreamClientFactory;
+    /** Kind of a declared service, or undefined. */
+    readonly readServiceKind: (service: string) => "model" | "plain" | undefined;
+    readonly loadPollMs: number;
+    /** Runners of one service that this node uses and polls; default 24. */
+    readonly followedRunners?: number;
+}
+
+const defaultFollowedRunners = 24;
+const cachePollEvery = 4; // cache events are read once for this many load polls
+const defaultPricePerHour = 1;
+
+/** The upstream VMs that this node uses, with their state. */
+export class UpstreamRegistry {
+    readonly prefixes = new PrefixIndex();
+    readonly ejections: EjectionTracker;
+    /** The runner that last began to leave. */
+    readonly leaving = new Observed<Runner | undefined>(undefined);
+    /** Counts changes of runners and their load, so that waiting requests look again. */
+    readonly changed = new Observed(0);
+    private readonly runners = new Map<string, Runner>();
+    private readonly pollTasks = new Map<string, TaskHandle<void>>();
+    private readonly scope: Scope;
+
+    constructor(private readonly options: UpstreamRegistryOptions) {
+        this.ejections = new EjectionTracker({ clock: options.clock });
+        this.scope = new Scope({
+            onTaskError: (task, error) =>
+                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+        });
+    }
+
+    async start(): Promise<void> {
+        this.options.gossip.changed.changes.observe(() => this.refresh()).catch(() => {});
+        this.refresh();
+    }
+
+    async stop(): Promise<void> {
+        await this.scope.cancel();
+        await Promise.all([...this.runners.values()].map(runner => runner.close()));
+    }
+
+    /** Runners of a service, leaving ones included. */
+    listRunners(service: string): Runner[] {
+        return [...this.runners.values()].filter(runner => runner.vm.service === service);
+    }
+
+    /** Runners of a service that may get new work. */
+    listUsable(service: string): Runner[] {
+        return this.listRunners(service).filter(runner => !runner.isLeaving);
+    }
+
+    find(runnerId: string): Runner | undefined {
+        return this.runners.get(runnerId);
+    }
+
+    /**
+     * Describes the usable runners of a service for a routing decision.
+     *
+     * @param service - the service
+     * @param blocks - hashes of the prompt's blocks
+     * @returns one view per runner that is neither leaving nor ejected
+     */
+    createViews(service: string, blocks: readonly string[]): RunnerView[] {
+        const cached = this.prefixes.countCachedTokens(blocks);
+        const views: RunnerView[] = [];
+        for (const runner of this.listUsable(service)) {
+            const admitShare = this.ejections.readShare(runner.id);
+            if (admitShare > 0) {
+                views.push(this.toView(runner, cached.get(runner.id) ?? 0, admitShare));
+            }
+        }
+        return views;
+    }
+
+    /** Reads the runners again, after the declared services changed. */
+    refresh(): void {
+        const vms = this.selectFollowed();
+        for (const vm of vms.values()) {
+            this.adoptVm(vm);
+        }
+        for (const runner of [...this.runners.values()]) {
+            if (!vms.has(runner.id)) {
+                this.dropRunner(runner);
+            }
+        }
+        this.adoptNotices();
+        this.changed.set(this.changed.value + 1);
+    }
+
+    /** All runners of small services; of large ones, a subset that differs from node to node. */
+    private selectFollowed(): Map<string, Vm> {
+        const byService = new Map<string, Vm[]>();
+        for (const vm of this.options.gossip.listValues<Vm>("vm/")) {
+            if (vm.role === "upstream" && this.options.readServiceKind(vm.service)) {
+                byService.set(vm.service, [...byService.get(vm.service) ?? [], vm]);
+            }
+        }
+        const limit = this.options.followedRunners ?? defaultFollowedRunners;
+        const selected = new Map<string, Vm>();
+        for (const vms of byService.values()) {
+            const ids = vms.map(vm => vm.id);
+            const kept = new Set(
+                ids.length <= limit ? ids : rankByRendezvous(this.options.nodeId, ids).slice(0, limit),
+            );
+            vms.filter(vm => kept.has(vm.id) || this.runners.get(vm.id)?.inFlight).forEach(vm =>
+                selected.set(vm.id, vm)
+            );
+        }
+        return selected;
+    }
+
+    private adoptVm(vm: Vm): void {
+        let runner = this.runners.get(vm.id);
+        if (!runner) {
+            runner = this.createRunner(vm);
+            this.runners.set(vm.id, runner);
+        }
+        runner.vm = vm;
+        if (vm.state === "leaving") {
+            this.markLeaving(runner, undefined);
+        }
+    }
+
+    private createRunner(vm: Vm): Runner {
+        const { clients, clock } = this.options;
+        if (this.options.readServiceKind(vm.service) === "plain") {
+            return new Runner(vm, { plain: clients.createPlain(vm) }, clock);
+        }
+        const runner = new Runner(vm, { engine: clients.createEngine(vm) }, clock);
+        this.pollTasks.set(
+            vm.id,
+            this.scope.run(`runner-${vm.id}`, signal => this.pollRunner(runner, signal)),
+        );
+        return runner;
+    }
+
+    private dropRunner(runner: Runner): void {
+        this.markLeaving(runner, undefined);
+        if (runner.inFlight > 0) {
+            return;
+        }
+        this.runners.delete(runner.id);
+        this.prefixes.forgetRunner(runner.id);
+        this.ejections.forget(runner.id);
+        this.pollTasks.get(runner.id)?.cancel();
+        this.pollTasks.delete(runner.id);
+        void runner.close();
+    }
+
+    private adoptNotices(): void {
+        for (const notice of this.options.gossip.listValues<KnownNotice>("notice/")) {
+            const runner = this.runners.get(notice.vmId);
+            if (runner) {
+                this.markLeaving(runner, notice.takenAtMs);
+            }
+        }
+    }
+
+    private markLeaving(runner: Runner, takenAtMs: number | undefined): void {
+        const isNews = !runner.isLeaving || (takenAtMs !== undefined && runner.takenAtMs === undefined);
+        runner.markLeaving(takenAtMs);
+        if (isNews) {
+            this.options.events.emit(eventKinds.runnerLeaving, {
+                runner: runner.id,
+                service: runner.vm.service,
+            });
+            this.leaving.set(runner);
+        }
+    }
+
+    private *pollRunner(runner: Runner, signal: AbortSignal): Task<void> {
+        const engine = runner.client.engine!;
+        let polls = 0;
+        let lastSequence = 0;
+        while (!signal.aborted) {
+            try {
+                runner.adoptReport(yield* waitFor(engine.readLoad()));
+                if (polls % cachePollEvery === 0) {
+                    const events = yield* waitFor(engine.readCacheEvents(lastSequence));
+                    lastSequence = this.adoptCacheEvents(runner, events, lastSequence);
+                }
+                this.changed.set(this.changed.value + 1);
+            }
+            catch {
+                // The report is late; routing goes on with the last one and with own counts.
+            }
+            polls += 1;
+            yield* waitFor(this.options.clock.sleep(this.options.loadPollMs, signal));
+        }
+    }
+
+    private adoptCacheEvents(runner: Runner, events: readonly CacheEvent[], lastSequence: number): number {
+        let last = lastSequence;
+        for (const event of events) {
+            if (last > 0 && event.sequence > last + 1) {
+                this.prefixes.forgetRunner(runner.id);
+            }
+            if (event.kind === "stored") {
+                this.prefixes.add(runner.id, event.blocks);
+            }
+            else {
+                this.prefixes.remove(runner.id, event.blocks);
+            }
+            last = event.sequence;
+        }
+        return last;
+    }
+
+    private toView(runner: Runner, cachedTokens: number, admitShare: number): RunnerView {
+        const load = runner.estimatedLoad;
+        const running = Math.min(load, runner.slots);
+        return {
+            id: runner.id,
+            dataCentre: runner.vm.dataCentre,
+            pricePerHour: this.readPrice(runner.vm),
+            running,
+            queued: load - running,
+            reportedLoad: runner.reportedLoad,
+            slots: runner.slots,
+            cachedTokens: cachedTokens - cachedTokens % blockTokens,
+            prefillMsPerToken: runner.latency.prefillMsPerToken,
+            betweenTokensMs: runner.latency.predictBetweenTokensMs(running + 1),
+            serviceMs: runner.latency.serviceMs,
+            admitShare,
+        };
+    }
+
+    private readPrice(vm: Vm): number {
+        const offers = this.options.gossip.get("offers") as readonly VmOffer[] | undefined;
+        const offer = offers?.find(candidate =>
+            candidate.dataCentre === vm.dataCentre && candidate.machineClass === vm.machineClass
+            && candidate.market === vm.market
+        );
+        return offer?.pricePerHour ?? defaultPricePerHour;
+    }
+}
+
+/** Name of the upstream registry service. */
+export const upstreamRegistryName = createServiceName<UpstreamRegistry>("upstream-registry");
--- /dev/null
+++ b/standins/LocalCluster.ts
@@ -0,0 +1,213 @@
+import loglevel, { type Logger } from "loglevel";
+import { hashText } from "../src/_lib/hashText";
+import { createHttpPlatform } from "../src/daemon/createHttpPlatform";
+import { EntryNode } from "../src/daemon/EntryNode";
+import type { Clock, RandomSource } from "../src/kernel/types";
+import { SeededRandom } from "../src/kernel/SeededRandom";
+import { SystemClock } from "../src/kernel/SystemClock";
+import { parseSettings } from "../src/settings/parseSettings";
+import type { Settings } from "../src/settings/settingsSchema";
+import { StandInCluster, type StandInClusterOptions } from "./StandInCluster";
+
+/** A node to start. */
+export interface LocalNode {
+    readonly nodeId: string;
+    readonly dataCentre: string;
+}
+
+/** A client account with its key. */
+export interface LocalAccount {
+    readonly id: string;
+    readonly key: string;
+}
+
+/** A service of the first configuration, as the declaration has it. */
+export interface LocalService {
+    readonly name: string;
+    readonly [field: string]: unknown;
+}
+
+/** Options of {@link LocalCluster}. */
+export interface LocalClusterOptions {
+    readonly nodes: readonly LocalNode[];
+    readonly standIns: StandInClusterOptions;
+    readonly accounts: readonly LocalAccount[];
+    /** Classes and services of the first configuration. */
+    readonly classes: readonly unknown[];
+    readonly services: readonly LocalService[];
+    readonly timing?: Partial<Settings["timing"]>;
+    readonly limits?: Partial<Settings["limits"]>;
+    readonly seed?: number;
+    readonly onBrokenInvariant?: (name: string, detail: string) => void;
+    /** Level of the nodes' logs; default silent. */
+    readonly logLevel?: "silent" | "info" | "debug";
+}
+
+const clusterKey = "local-cluster-key-0123456789";
+const settlePollMs = 20;
+const settleLimitMs = 10_000;
+
+/** Stand-ins and nodes in one process, for the demo, the soak run, benches and tests. */
+export class LocalCluster {
+    readonly operatorToken = "operator-token-for-local-use";
+    readonly clock: Clock = new SystemClock();
+    readonly standIns: StandInCluster;
+    readonly nodes: EntryNode[] = [];
+    readonly brokenInvariants: string[] = [];
+    private readonly random: RandomSource;
+
+    constructor(private readonly options: LocalClusterOptions) {
+        this.standIns = new StandInCluster(options.standIns);
+        this.random = new SeededRandom(options.seed ?? 1);
+        this.standIns.onEntryTaken = nodeId => void this.killNode(nodeId);
+    }
+
+    /** Starts stand-ins and nodes, applies the first configuration and waits until all nodes know all others. */
+    async start(): Promise<void> {
+        await this.standIns.start();
+        for (const node of this.options.nodes) {
+            await this.startNode(node);
+        }
+        await this.waitUntil(() => this.nodes.every(node => this.isLinked(node)), "all nodes are linked");
+        const applied = await this.applyConfiguration(this.createDeclaration(), 0, "first");
+        if (applied.status !== 200) {
+            throw new Error(`the first configuration was refused: ${JSON.stringify(applied.body)}`);
+        }
+        await this.waitUntil(
+            () => this.nodes.every(node => this.countRunners(node) === this.standIns.runners.length),
+            "all nodes know all runners",
+        );
+    }
+
+    /** Stops all nodes at once and the stand-ins. */
+    async stop(): Promise<void> {
+        await Promise.all(this.nodes.map(node => node.kill().catch(() => {})));
+        await this.standIns.stop();
+    }
+
+    /** Starts one node and lists its VM. */
+    async startNode(options: LocalNode): Promise<EntryNode> {
+        const settings = this.createSettings(options);
+        const node = new EntryNode({
+            settings,
+            platform: createHttpPlatform(settings),
+            clock: this.clock,
+            random: new SeededRandom(this.random.nextInt(0x7fffffff)),
+            logger: this.createLogger(options.nodeId),
+            onBrokenInvariant: (name, detail) => {
+                this.brokenInvariants.push(`${options.nodeId}: ${name}: ${detail}`);
+                this.options.onBrokenInvariant?.(name, detail);
+            },
+        });
+        await node.start();
+        this.nodes.push(node);
+        this.standIns.addEntry(options.nodeId, options.dataCentre, node.peersUrl);
+        return node;
+    }
+
+    /** Ends a node without a planned stop. */
+    async killNode(nodeId: string): Promise<void> {
+        const node = this.nodes.find(candidate => candidate.nodeId === nodeId);
+        if (node) {
+            this.forgetNode(node);
+            await node.kill();
+        }
+    }
+
+    /** Stops a node as planned. */
+    async stopNode(nodeId: string): Promise<void> {
+        const node = this.nodes.find(candidate => candidate.nodeId === nodeId)!;
+        await node.stop();
+        this.forgetNode(node);
+        this.standIns.cloud.endVm(`vm-${nodeId}`);
+    }
+
+    /** Applies a configuration through a node, the first one unless told otherwise. */
+    async applyConfiguration(
+        declaration: unknown,
+        expectRevision: number,
+        changeId: string,
+        node: EntryNode = this.nodes[0],
+    ): Promise<
+        { status: number; body: { revision?: number; inForce?: string[]; error?: { name: string; }; }; }
+    > {
+        const answer = await fetch(`${node.callersUrl}/v1/operators/configuration`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${this.operatorToken}` },
+            body: JSON.stringify({ expectRevision, changeId, declaration }),
+        });
+        return {
+            status: answer.status,
+            body: await answer.json() as { revision: number; inForce: string[]; },
+        };
+    }
+
+    /** The declaration of the first configuration. */
+    createDeclaration(): { classes: unknown[]; services: unknown[]; clientAccounts: unknown[]; } {
+        const services = this.options.services.map(service => service.name);
+        return {
+            classes: [...this.options.classes],
+            services: [...this.options.services],
+            clientAccounts: this.options.accounts.map(account => ({
+                id: account.id,
+                keyHashes: [hashText(account.key)],
+                services,
+            })),
+        };
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @throws Error when it does not hold within 10 s
+     */
+    async waitUntil(holds: () => boolean | Promise<boolean>, what: string): Promise<void> {
+        const deadlineMs = this.clock.monotonicMs() + settleLimitMs;
+        while (!await holds()) {
+            if (this.clock.monotonicMs() > deadlineMs) {
+                throw new Error(`it did not come about that ${what}`);
+            }
+            await this.clock.sleep(settlePollMs);
+        }
+    }
+
+    private forgetNode(node: EntryNode): void {
+        const index = this.nodes.indexOf(node);
+        if (index >= 0) {
+            this.nodes.splice(index, 1);
+        }
+    }
+
+    private isLinked(node: EntryNode): boolean {
+        return node.countLinks() >= this.nodes.length - 1 && node.countMembers() >= this.nodes.length;
+    }
+
+    private countRunners(node: EntryNode): number {
+        return this.options.services.reduce((sum, service) => sum + node.countRunners(service.name), 0);
+    }
+
+    private createLogger(nodeId: string): Logger {
+        const logger = loglevel.getLogger(`node-${nodeId}`);
+        logger.setLevel(this.options.logLevel ?? "silent", false);
+        return logger;
+    }
+
+    private createSettings({ nodeId, dataCentre }: LocalNode): Settings {
+        return parseSettings(JSON.stringify({
+            nodeId,
+            region: "local",
+            dataCentre,
+            callers: { host: "127.0.0.1", port: 0 },
+            peers: { host: "127.0.0.1", port: 0 },
+            clusterKey,
+            operatorTokenHashes: [hashText(this.operatorToken)],
+            platform: {
+                tables: this.standIns.tables.server.url,
+                objects: this.standIns.objects.server.url,
+                cloud: this.standIns.cloud.server.url,
+            },
+            timing: this.options.timing ?? {},
+            limits: this.options.limits ?? {},
+        })).unsafeCoerce();
+    }
+}
--- /dev/null
+++ b/standins/ObjectStandIn.ts
@@ -0,0 +1,34 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { StandInAnswer, StandInServer } from "./StandInServer";
+
+/** Stand-in of the object store. */
+export class ObjectStandIn {
+    readonly objects = new Map<string, Buffer>();
+    readonly server = new StandInServer((request, response, body) => this.answer(request, response, body));
+
+    private answer(request: IncomingMessage, response: ServerResponse, body: Buffer): unknown {
+        const url = new URL(request.url ?? "/", "http://objects");
+        if (url.pathname === "/objects") {
+            const prefix = url.searchParams.get("prefix") ?? "";
+            return { keys: [...this.objects.keys()].filter(key => key.startsWith(prefix)) };
+        }
+        const key = decodeURIComponent(url.pathname.slice("/objects/".length));
+        switch (request.method) {
+            case "PUT":
+                this.objects.set(key, body);
+                return {};
+            case "DELETE":
+                this.objects.delete(key);
+                return {};
+            default: {
+                const object = this.objects.get(key);
+                if (!object) {
+                    return new StandInAnswer(404, { error: `object "${key}" does not exist` });
+                }
+                response.writeHead(200, { "content-length": object.length });
+                response.end(object);
+                return undefined;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/PlainStandIn.ts
@@ -0,0 +1,51 @@
+import type { IncomingMessage } from "node:http";
+import { StandInAnswer, StandInServer } from "./StandInServer";
+
+/** One execution of a booking. */
+export interface Run {
+    readonly idempotencyKey: string | undefined;
+    readonly atMs: number;
+}
+
+interface Booking {
+    readonly id: string;
+    readonly details: unknown;
+}
+
+/** Stand-in of a transactional service that books, without checking for repeated keys. */
+export class PlainStandIn {
+    readonly runs: Run[] = [];
+    readonly server = new StandInServer((request, _response, body) => this.answer(request, body));
+    private readonly bookings = new Map<string, Booking>();
+
+    constructor(private readonly name: string) {}
+
+    private answer(request: IncomingMessage, body: Buffer): unknown {
+        const path = (request.url ?? "/").split("?")[0];
+        if (path === "/runs") {
+            return { runs: this.runs };
+        }
+        if (request.method === "POST" && path === "/bookings") {
+            return this.book(request, body);
+        }
+        if (request.method === "GET" && path.startsWith("/bookings/")) {
+            const booking = this.bookings.get(path.slice("/bookings/".length));
+            return booking ?? new StandInAnswer(404, { error: "no such booking" });
+        }
+        if (path === "/status") {
+            return { service: this.name, bookings: this.bookings.size };
+        }
+        return new StandInAnswer(404, { error: `path "${path}" does not exist` });
+    }
+
+    private book(request: IncomingMessage, body: Buffer): StandInAnswer {
+        const idempotencyKey = request.headers["idempotency-key"] as string | undefined;
+        this.runs.push({ idempotencyKey, atMs: Date.now() });
+        const booking = {
+            id: `${this.name}-${this.runs.length}`,
+            details: JSON.parse(body.toString("utf8") || "{}"),
+        };
+        this.bookings.set(booking.id, booking);
+        return new StandInAnswer(201, booking);
+    }
+}
