Add the command line; give attempts ids that differ between nodes

Cause: after a hand-over the new node numbered its attempt 1 again, as the old one had; the old node's late cancel then ended the new attempt at the engine, and the stream stood still for 4 s. Change: attempts carry an id of node, request and number, the number goes on over nodes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,7 +17,10 @@
                     message: "Interfaces carry no I prefix.",
                 },
             ],
-            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_" }],
+            "@typescript-eslint/no-unused-vars": ["error", {
+                argsIgnorePattern: "^_",
+                varsIgnorePattern: "^_",
+            }],
             "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
         },
     },
--- /dev/null
+++ b/src/cli/runOperatorRead.ts
@@ -0,0 +1,62 @@
+import type { ClusterReport, ClusterStatus } from "../operators/types";
+import type { EventRecord } from "../telemetry/types";
+import { exitCodes } from "./exitCodes";
+import { formatReport } from "./formatReport";
+import { formatStatus } from "./formatStatus";
+import { formatTimeline } from "./formatTimeline";
+import { OperatorClient } from "./OperatorClient";
+import type { CliOutput, ConnectionOptions } from "./types";
+
+/** Options of `timeline`. */
+export interface TimelineOptions extends ConnectionOptions {
+    readonly request?: string;
+    readonly change?: string;
+    /** Wall-clock times, in milliseconds. */
+    readonly since?: number;
+    readonly until?: number;
+}
+
+/**
+ * Runs `sequoiagrade status`.
+ *
+ * @returns the exit code
+ */
+export const runStatus = async (options: ConnectionOptions, output: CliOutput): Promise<number> => {
+    const status = await new OperatorClient(options).get("status") as ClusterStatus;
+    output.print(options.json ? JSON.stringify(status) : formatStatus(status));
+    return exitCodes.ok;
+};
+
+/**
+ * Runs `sequoiagrade report`.
+ *
+ * @returns the exit code
+ */
+export const runReport = async (options: ConnectionOptions, output: CliOutput): Promise<number> => {
+    const report = await new OperatorClient(options).get("report") as ClusterReport;
+    output.print(options.json ? JSON.stringify(report) : formatReport(report));
+    return exitCodes.ok;
+};
+
+/**
+ * Runs `sequoiagrade timeline`.
+ *
+ * @returns the exit code
+ */
+export const runTimeline = async (options: TimelineOptions, output: CliOutput): Promise<number> => {
+    const query = new URLSearchParams();
+    for (const name of ["request", "change", "since", "until"] as const) {
+        if (options[name] !== undefined) {
+            query.set(name, String(options[name]));
+        }
+    }
+    const answer = await new OperatorClient(options).get(`timeline?${query.toString()}`) as {
+        events: EventRecord[];
+        unreachable: string[];
+    };
+    output.print(options.json ? JSON.stringify(answer) : formatTimeline(answer.events));
+    if (answer.unreachable.length > 0 && !options.json) {
+        output.printError(`not reachable: ${answer.unreachable.join(", ")}`);
+    }
+    return exitCodes.ok;
+};
--- a/src/configuration/ConfigurationStore.ts
+++ b/src/configuration/ConfigurationStore.ts
@@ -58,13 +58,20 @@
     }
 
     /**
-     * Lists committed configurations, oldest first.
+     * Lists the latest committed configurations, oldest first.
      *
+     * @param limit - most entries
      * @throws StoreError when the service does not answer
      */
     async listHistory(limit: number): Promise<ActiveConfiguration[]> {
-        const rows = await this.options.tables.list(table, "history/", limit);
-        return rows.map(toConfiguration);
+        const current = await this.read();
+        const latest = current?.revision ?? 0;
+        const oldest = Math.max(1, latest - limit + 1);
+        const revisions = Array.from({ length: latest - oldest + 1 }, (_, index) => oldest + index);
+        const rows = await this.options.tables.read(
+            revisions.map(revision => ({ table, key: toHistoryKey(revision) })),
+        );
+        return rows.flatMap(row => row ? [toConfiguration(row)] : []);
     }
 
     /**
--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -180,6 +180,7 @@
         if (bundle.ended) {
             record.log.end();
         }
+        record.attempts = bundle.attempts;
         record.plannedRunner = bundle.runnerId === undefined
             ? undefined
             : this.options.registry.find(bundle.runnerId);
@@ -201,6 +202,7 @@
             events: record.log.read(0),
             nextOffset: record.log.nextOffset,
             ended: record.log.ended,
+            attempts: record.attempts,
             runnerId: record.attempt?.runner.id,
         };
     }
--- a/src/streams/HandOverBundle.ts
+++ b/src/streams/HandOverBundle.ts
@@ -14,6 +14,8 @@
     nextOffset: z.number().int().min(0),
     /** Whether the answer is whole and only kept for resuming. */
     ended: z.boolean(),
+    /** Attempts so far, on all nodes. */
+    attempts: z.number().int().min(0),
     /** Runner that has the request's prompt cached. */
     runnerId: z.string().optional(),
 }).strict();
--- a/src/streams/RequestRunner.ts
+++ b/src/streams/RequestRunner.ts
@@ -149,6 +149,7 @@
         attempt.stream = runner.client.engine!.start({
             requestId: record.id,
             attempt: attempt.number,
+            attemptId: `${this.options.nodeId}:${record.id}:${attempt.number}`,
             body: record.description.body,
             offset: record.log.nextOffset,
             producedText: record.log.nextOffset > 0 ? decodeEvents(record.log.read(0)).text : "",
--- a/src/upstreams/HttpEngineClient.ts
+++ b/src/upstreams/HttpEngineClient.ts
@@ -48,6 +48,7 @@
             stream: true,
             request_id: start.requestId,
             attempt: start.attempt,
+            attempt_id: start.attemptId,
             priority: start.priority,
             resume: start.offset > 0 ? { offset: start.offset, text: start.producedText } : undefined,
         };
@@ -98,7 +99,7 @@
     }
 
     private cancelRemote(start: EngineStart): void {
-        request(`${this.options.url}/requests/${start.requestId}/cancel?attempt=${start.attempt}`, {
+        request(`${this.options.url}/attempts/${encodeURIComponent(start.attemptId)}/cancel`, {
             dispatcher: this.pool,
             method: "POST",
             signal: AbortSignal.timeout(this.options.timeoutMs),
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -13,7 +13,10 @@
 /** A request as an engine gets it. */
 export interface EngineStart {
     readonly requestId: string;
+    /** Number of the attempt over all nodes, from 1. */
     readonly attempt: number;
+    /** Differs between any two attempts, also of different nodes. */
+    readonly attemptId: string;
     /** The caller's body; `stream` is set by the adapter. */
     readonly body: Readonly<Record<string, unknown>>;
     /** Offset at which the engine goes on; 0 for a new answer. */
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -27,6 +27,7 @@
 interface EngineBody extends ChatBody {
     readonly request_id?: string;
     readonly attempt?: number;
+    readonly attempt_id?: string;
     readonly priority?: number;
     readonly resume?: { readonly offset: number; readonly text: string; };
 }
@@ -65,6 +66,7 @@
     private timer: NodeJS.Timeout | undefined;
     private readonly stats = { prefilledTokens: 0, recomputedTokens: 0, generatedTokens: 0 };
     private fencing = 0;
+    private accepted = 0;
     private models: string[] = [];
     private role = "serve";
 
@@ -95,9 +97,8 @@
         const url = new URL(request.url ?? "/", "http://engine");
         const parse = (): Record<string, unknown> =>
             JSON.parse(body.toString("utf8")) as Record<string, unknown>;
-        if (url.pathname.startsWith("/requests/")) {
-            const [, , requestId] = url.pathname.split("/");
-            this.cancel(`${requestId}#${url.searchParams.get("attempt") ?? "0"}`);
+        if (url.pathname.startsWith("/attempts/")) {
+            this.cancel(decodeURIComponent(url.pathname.split("/")[2]));
             return {};
         }
         switch (url.pathname) {
@@ -129,10 +130,11 @@
         const prompt = extractPromptText(body);
         const seed = hashToInt(prompt);
         const id = body.request_id ?? "direct";
+        this.accepted += 1;
         const request: RunningRequest = {
             body,
             response,
-            key: `${id}#${body.attempt ?? 0}`,
+            key: body.attempt_id ?? `direct-${this.accepted}`,
             seed,
             prompt,
             total: countAnswerTokens(seed, body.max_tokens ?? undefined),
