Prove the promises under faults: soak run over processes, randomised tests, failure tests

Cause: the mechanisms ran, but nothing caused the failures they are meant for. Change: a soak run with nodes in processes of their own (killed, frozen, reclaimed, stopped), faults at every stand-in and two operators who race; randomised tests of at-most-once calls and of the configuration with a fake clock and a faulty table service; tests of entry and upstream reclaims.

--- a/bench/BenchCluster.ts
+++ b/bench/BenchCluster.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { hashText } from "../src/_lib/hashText";
 import type { StandInClusterOptions } from "../standins/StandInCluster";
-import { BenchProcess } from "./BenchProcess";
+import { ChildProcessHandle } from "../standins/ChildProcessHandle";
 import { benchAccount, benchOperatorToken } from "./benchSetup";
 import { type ProcessUsage, readProcessUsage } from "./readProcessUsage";
 import type { StandInAddresses } from "./standInProcess";
@@ -22,13 +22,15 @@
 /** One node and its stand-ins, each in a process of its own. */
 export class BenchCluster {
     private constructor(
-        readonly standIns: BenchProcess<StandInAddresses>,
-        readonly node: BenchProcess<NodeAddresses>,
+        readonly standIns: ChildProcessHandle<StandInAddresses>,
+        readonly node: ChildProcessHandle<NodeAddresses>,
     ) {}
 
     /** Starts stand-ins and one node, and waits until the node is ready and knows its runners. */
     static async start(options: StandInClusterOptions): Promise<BenchCluster> {
-        const standIns = await BenchProcess.start<StandInAddresses>(standInScript, [JSON.stringify(options)]);
+        const standIns = await ChildProcessHandle.start<StandInAddresses>(standInScript, [
+            JSON.stringify(options),
+        ]);
         const folder = mkdtempSync(join(tmpdir(), "sequoiagrade-bench-"));
         const file = join(folder, "node.json");
         writeFileSync(
@@ -52,7 +54,7 @@
             }),
         );
         const nodeArgs = profileFolder === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
-        const node = await BenchProcess.start<NodeAddresses>(
+        const node = await ChildProcessHandle.start<NodeAddresses>(
             mainScript,
             ["node", "--settings", file],
             nodeArgs,
--- a/bench/path/measureFirstByte.ts
+++ b/bench/path/measureFirstByte.ts
@@ -81,7 +81,7 @@
     const startMs = performance.now();
     let atMs = 0;
     for (let index = 0; index < streamsPerRound; index += 1) {
-        atMs -= Math.log(1 - random.nextFloat()) * streamMs / concurrency;
+        atMs -= Math.log(1 - random.drawFloat()) * streamMs / concurrency;
         const waitMs = startMs + atMs - performance.now();
         if (waitMs > 0) {
             await new Promise(resolve => setTimeout(resolve, waitMs));
--- /dev/null
+++ b/soak/runSoak.ts
@@ -0,0 +1,104 @@
+import { SeededRandom } from "../src/kernel/SeededRandom";
+import type { RandomSource } from "../src/kernel/types";
+import type { RunState } from "../src/results/types";
+import { FaultMaker } from "./FaultMaker";
+import { SoakCaller } from "./SoakCaller";
+import { SoakCluster } from "./SoakCluster";
+import { SoakOperators } from "./SoakOperators";
+import { SoakTally } from "./SoakTally";
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+    readonly seed: number;
+    readonly minutes: number;
+    /** Number of callers; default 16. */
+    readonly callers?: number;
+    /** Number of nodes; default 4. */
+    readonly nodes?: number;
+}
+
+const msPerMinute = 60_000;
+const defaultCallers = 16;
+const defaultNodes = 4;
+const healthyNodes = 2;
+const raceEveryMs = 2_500;
+const watchEveryMs = 500;
+const faultPauseMs = 500;
+const settleMs = 6_000; // after the last fault, before the last checks
+const startMs = 3_000;
+
+/**
+ * Runs callers, operators and faults against nodes in processes of their own, then checks every promise.
+ *
+ * @param options - seed and duration
+ * @returns counts and violations
+ */
+export const runSoak = async (options: SoakOptions): Promise<SoakTally> => {
+    const random = new SeededRandom(options.seed);
+    const tally = new SoakTally();
+    const cluster = new SoakCluster(options.nodes ?? defaultNodes);
+    const bookings = new Map<string, RunState | "answered">();
+    await cluster.start();
+    await pause(startMs);
+    const operators = new SoakOperators({ cluster, tally, random: createRandom(random) });
+    await operators.applyFirst();
+    await pause(startMs / 2);
+    const faults = new FaultMaker({ cluster, tally, healthyNodes, random: createRandom(random) });
+    const endMs = Date.now() + options.minutes * msPerMinute;
+    const repeat = async (step: () => Promise<void>, pauseMs: number): Promise<void> => {
+        while (Date.now() < endMs) {
+            await step();
+            await pause(pauseMs);
+        }
+    };
+    const callers = Array.from(
+        { length: options.callers ?? defaultCallers },
+        (_, number) => new SoakCaller({ number, cluster, tally, bookings, random: createRandom(random) }),
+    );
+    await Promise.all([
+        ...callers.map(caller => repeat(() => caller.step(), 20)),
+        repeat(() => faults.makeFaults(), faultPauseMs),
+        repeat(() => operators.applyAtOnce(), raceEveryMs),
+        repeat(() => operators.watch(), watchEveryMs),
+    ]);
+    await pause(settleMs);
+    await operators.checkHistory();
+    checkBookings(cluster, bookings, tally);
+    cluster.brokenInvariants.forEach(line => tally.fail("assertions of the program", line));
+    await cluster.stop();
+    return tally;
+};
+
+/** Compares what callers were told with what the plain runners ran. */
+const checkBookings = (
+    cluster: SoakCluster,
+    bookings: ReadonlyMap<string, RunState | "answered">,
+    tally: SoakTally,
+): void => {
+    const runs = new Map<string, number>();
+    for (const run of cluster.standIns.runners.flatMap(runner => runner.plain?.runs ?? [])) {
+        const key = run.idempotencyKey ?? "none";
+        runs.set(key, (runs.get(key) ?? 0) + 1);
+    }
+    tally.counts.set("runs per key at most", Math.max(0, ...runs.values()));
+    for (const [key, count] of runs) {
+        tally.check("at most once", count === 1, () => `${key} ran ${count} times`);
+    }
+    for (const [key, told] of bookings) {
+        const count = runs.get(key) ?? 0;
+        tally.check(
+            "answered means run",
+            told !== "answered" || count === 1,
+            () => `${key} was answered and ran ${count} times`,
+        );
+        tally.check(
+            "not run is true",
+            told !== "not-run" || count === 0,
+            () => `${key} was called not run and ran ${count} times`,
+        );
+    }
+};
+
+const createRandom = (random: RandomSource): RandomSource => new SeededRandom(random.drawInt(0x7fffffff));
+
+const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -148,7 +148,7 @@
     }
 
     private answerEntries(context: CallerContext, exchange: Exchange): void {
-        const jitter = 1 - validForJitter / 2 + context.random.nextFloat() * validForJitter;
+        const jitter = 1 - validForJitter / 2 + context.random.drawFloat() * validForJitter;
         sendAnswer(exchange.response, 200, {
             entries: selectEntries({ members: context.membership.members.value, random: context.random }),
             validForMs: Math.round(context.entriesValidMs * jitter),
--- a/src/callers/relayStream.ts
+++ b/src/callers/relayStream.ts
@@ -37,10 +37,10 @@
 export function* relayStream(options: RelayStreamOptions): Task<RelayEnd> {
     const { locator, clock, requestId, accountId, response, closed } = options;
     let { nodeId, offset } = options;
-    let searchingSinceMs = clock.monotonicMs();
+    let searchingSinceMs = clock.readMonotonicMs();
     while (!closed.aborted) {
         if (nodeId === undefined) {
-            if (clock.monotonicMs() - searchingSinceMs > options.searchMs) {
+            if (clock.readMonotonicMs() - searchingSinceMs > options.searchMs) {
                 return { kind: "lost" };
             }
             const location = yield* waitFor(locator.locate(requestId, accountId));
@@ -57,7 +57,7 @@
             nodeId = undefined;
             continue;
         }
-        searchingSinceMs = clock.monotonicMs();
+        searchingSinceMs = clock.readMonotonicMs();
         if (read.events.length > 0 && !closed.aborted) {
             sendStreamHeaders(response, requestId);
             const flushed = response.write(read.events);
--- a/src/callers/selectEntries.ts
+++ b/src/callers/selectEntries.ts
@@ -38,7 +38,7 @@
 const shuffle = <T>(items: readonly T[], random: RandomSource): T[] => {
     const shuffled = [...items];
     for (let index = shuffled.length - 1; index > 0; index -= 1) {
-        const other = random.nextInt(index + 1);
+        const other = random.drawInt(index + 1);
         [shuffled[index], shuffled[other]] = [shuffled[other], shuffled[index]];
     }
     return shuffled;
--- a/src/configuration/Configuration.ts
+++ b/src/configuration/Configuration.ts
@@ -23,8 +23,8 @@
     readonly clock: Clock;
     readonly events: EventLog;
     readonly invariants: Invariants;
-    readonly network: PeerNetwork;
-    readonly membership: Membership;
+    readonly network: Pick<PeerNetwork, "call" | "handle" | "linkedNodes" | "onHeartbeat">;
+    readonly membership: Pick<Membership, "listLive">;
     readonly pollMs: number;
     /** A node that hears neither the store nor any member for this long refuses new work. */
     readonly isolationMs: number;
@@ -64,7 +64,7 @@
         network.handle(waveMethod, (payload, fromNode) => this.receiveWave(payload, fromNode));
         network.handle(readMethod, async () => this.current.value);
         network.onHeartbeat((nodeId, heartbeat) => {
-            this.lastMemberMs = options.clock.monotonicMs();
+            this.lastMemberMs = options.clock.readMonotonicMs();
             if (heartbeat.revision > this.revision) {
                 void this.pull(nodeId);
             }
@@ -89,7 +89,7 @@
     /** Whether this node can know that its revision is current: it heard the store or a member lately. */
     isCurrent(): boolean {
         const heardMs = Math.max(this.lastStoreMs, this.lastMemberMs);
-        const current = this.options.clock.monotonicMs() - heardMs < this.options.isolationMs;
+        const current = this.options.clock.readMonotonicMs() - heardMs < this.options.isolationMs;
         if (current === this.stale) {
             this.stale = !current;
             const kind = current ? eventKinds.configurationCurrent : eventKinds.configurationStale;
@@ -226,7 +226,7 @@
     private async poll(): Promise<void> {
         try {
             const stored = await this.options.store.read();
-            this.lastStoreMs = this.options.clock.monotonicMs();
+            this.lastStoreMs = this.options.clock.readMonotonicMs();
             if (stored) {
                 this.adopt(stored);
             }
--- a/src/configuration/ConfigurationStore.ts
+++ b/src/configuration/ConfigurationStore.ts
@@ -107,7 +107,7 @@
             revision: heldRevision + 1,
             changeId: change.changeId,
             declaration: parsed.unsafeCoerce(),
-            committedAtMs: this.options.clock.nowMs(),
+            committedAtMs: this.options.clock.readWallMs(),
         };
         return this.settle(change, next, toOperations(next, current));
     }
--- a/src/daemon/EntryNode.ts
+++ b/src/daemon/EntryNode.ts
@@ -81,8 +81,8 @@
         const { clock, settings } = this.options;
         events.emit(eventKinds.nodeStopping);
         this.kernel.find(membershipName).leave();
-        const deadlineMs = clock.monotonicMs() + settings.timing.drainMs;
-        while (!this.isDrained() && clock.monotonicMs() < deadlineMs) {
+        const deadlineMs = clock.readMonotonicMs() + settings.timing.drainMs;
+        while (!this.isDrained() && clock.readMonotonicMs() < deadlineMs) {
             await clock.sleep(drainPollMs);
         }
         const reclaim = this.kernel.find(entryReclaimName);
--- a/src/daemon/registerGauges.ts
+++ b/src/daemon/registerGauges.ts
@@ -60,7 +60,7 @@
         () => countByClass(find, () => true),
     );
     metrics.addGauge("sequoiagrade_requests_overdue", "Model requests past their target.", ["class"], () => {
-        const nowMs = find(clockName).nowMs();
+        const nowMs = find(clockName).readWallMs();
         return countByClass(find, (acceptedAtMs, wholeMs) => nowMs - acceptedAtMs > wholeMs);
     });
 };
--- a/src/daemon/registerServices.ts
+++ b/src/daemon/registerServices.ts
@@ -116,7 +116,7 @@
                     dataCentre: settings.dataCentre,
                     callersUrl: `http://${settings.callers.host}:${find(callerServerName).port}`,
                     peersUrl: `ws://${settings.peers.host}:${find(peerNetworkName).port}`,
-                    incarnation: clock.nowMs(),
+                    incarnation: clock.readWallMs(),
                 },
                 clock,
                 events: find(eventLogName),
--- a/src/idempotency/PlainCalls.ts
+++ b/src/idempotency/PlainCalls.ts
@@ -25,8 +25,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly events: EventLog;
-    readonly network: PeerNetwork;
-    readonly registry: UpstreamRegistry;
+    readonly network: Pick<PeerNetwork, "call" | "handle">;
+    readonly registry: Pick<UpstreamRegistry, "listUsable" | "listRunners" | "ejections">;
     readonly records: SendRecords;
     /** Calls that may be in flight to one service from this node; default 2,000. */
     readonly maxInFlight?: number;
@@ -310,13 +310,13 @@
     private pickRunner(service: string, tried: ReadonlySet<string>): Runner | undefined {
         const { random, registry } = this.options;
         const usable = registry.listUsable(service).filter(runner => !tried.has(runner.id));
-        const healthy = usable.filter(runner => random.nextFloat() < registry.ejections.readShare(runner.id));
+        const healthy = usable.filter(runner => random.drawFloat() < registry.ejections.readShare(runner.id));
         const candidates = healthy.length > 0 ? healthy : usable;
         if (candidates.length === 0) {
             return undefined;
         }
-        const first = candidates[random.nextInt(candidates.length)];
-        const second = candidates[random.nextInt(candidates.length)];
+        const first = candidates[random.drawInt(candidates.length)];
+        const second = candidates[random.drawInt(candidates.length)];
         return first.inFlight <= second.inFlight ? first : second;
     }
 
--- a/src/idempotency/SendRecords.ts
+++ b/src/idempotency/SendRecords.ts
@@ -78,7 +78,7 @@
      * @returns the right, the record found there, or that the store cannot tell
      */
     *claim(key: string, digest: string): Task<ClaimOutcome> {
-        const attemptId = `${this.options.nodeId}:${this.options.random.nextId(8)}`;
+        const attemptId = `${this.options.nodeId}:${this.options.random.drawId(8)}`;
         let condition: RowCondition = { kind: "absent" };
         const attempts = this.options.settleAttempts ?? 3;
         let mayExist = false;
@@ -190,7 +190,7 @@
         const record: SendRecord = {
             ...value,
             nodeId: this.options.nodeId,
-            atMs: this.options.clock.nowMs(),
+            atMs: this.options.clock.readWallMs(),
         };
         return this.options.committer.write({ table, key, condition, value: record });
     }
@@ -209,7 +209,7 @@
 
     private scheduleRepair(key: string, attemptId: string): void {
         if (this.repairs.length < maxRepairs) {
-            const untilMs = this.options.clock.monotonicMs() + lateWriteMs;
+            const untilMs = this.options.clock.readMonotonicMs() + lateWriteMs;
             this.repairs.push({ key, attemptId, untilMs });
         }
     }
@@ -221,7 +221,8 @@
             this.repairs = [];
             for (const repair of open) {
                 const result = yield* waitFor(this.markNotRun(repair.key, repair.attemptId));
-                const mayAppear = result === "absent" && this.options.clock.monotonicMs() < repair.untilMs;
+                const mayAppear = result === "absent"
+                    && this.options.clock.readMonotonicMs() < repair.untilMs;
                 if (result === "open" || mayAppear) {
                     this.repairs.push(repair);
                 }
--- a/src/kernel/FakeClock.ts
+++ b/src/kernel/FakeClock.ts
@@ -13,11 +13,11 @@
 
     constructor(private currentMs = 1_000_000) {}
 
-    nowMs(): number {
+    readWallMs(): number {
         return this.currentMs;
     }
 
-    monotonicMs(): number {
+    readMonotonicMs(): number {
         return this.currentMs;
     }
 
@@ -28,8 +28,14 @@
                 return;
             }
             this.order += 1;
-            this.sleepers.push({ wakeAtMs: this.currentMs + delayMs, order: this.order, wake: resolve });
-            signal?.addEventListener("abort", () => resolve());
+            const finish = (): void => {
+                signal?.removeEventListener("abort", finish);
+                this.sleepers = this.sleepers.filter(candidate => candidate !== sleeper);
+                resolve();
+            };
+            const sleeper: Sleeper = { wakeAtMs: this.currentMs + delayMs, order: this.order, wake: finish };
+            this.sleepers.push(sleeper);
+            signal?.addEventListener("abort", finish);
         });
     }
 
--- a/src/kernel/SeededRandom.ts
+++ b/src/kernel/SeededRandom.ts
@@ -12,18 +12,18 @@
         this.generator = xoroshiro128plus(seed);
     }
 
-    nextFloat(): number {
-        return this.nextInt(floatSteps) / floatSteps;
+    drawFloat(): number {
+        return this.drawInt(floatSteps) / floatSteps;
     }
 
-    nextInt(bound: number): number {
+    drawInt(bound: number): number {
         return uniformInt(this.generator, 0, bound - 1);
     }
 
-    nextId(bytes: number): string {
+    drawId(bytes: number): string {
         let id = "";
         for (let index = 0; index < bytes; index += 1) {
-            id += this.nextInt(256).toString(16).padStart(2, "0");
+            id += this.drawInt(256).toString(16).padStart(2, "0");
         }
         return id;
     }
--- a/src/kernel/SystemClock.ts
+++ b/src/kernel/SystemClock.ts
@@ -3,11 +3,11 @@
 
 /** Clock of the machine. */
 export class SystemClock implements Clock {
-    nowMs(): number {
+    readWallMs(): number {
         return Math.floor(performance.timeOrigin + performance.now());
     }
 
-    monotonicMs(): number {
+    readMonotonicMs(): number {
         return performance.now();
     }
 
--- a/src/kernel/SystemRandom.ts
+++ b/src/kernel/SystemRandom.ts
@@ -9,15 +9,15 @@
     private pool = Buffer.alloc(0);
     private used = 0;
 
-    nextFloat(): number {
+    drawFloat(): number {
         return this.take(4).readUInt32LE() / (maxRandomInt + 1);
     }
 
-    nextInt(bound: number): number {
+    drawInt(bound: number): number {
         return bound <= 1 ? 0 : randomInt(bound);
     }
 
-    nextId(bytes: number): string {
+    drawId(bytes: number): string {
         return this.take(bytes).toString("hex");
     }
 
--- a/src/kernel/types.ts
+++ b/src/kernel/types.ts
@@ -16,9 +16,9 @@
 /** Source of time. Wall-clock values are in milliseconds since the epoch. */
 export interface Clock {
     /** Wall-clock time in milliseconds; may jump. */
-    nowMs(): number;
+    readWallMs(): number;
     /** Monotonic time in milliseconds; never decreases within a process. */
-    monotonicMs(): number;
+    readMonotonicMs(): number;
     /** Resolves after `delayMs`, or at once when `signal` aborts. Never rejects. */
     sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
 }
@@ -26,11 +26,11 @@
 /** Source of random numbers. */
 export interface RandomSource {
     /** Uniform in [0, 1). */
-    nextFloat(): number;
+    drawFloat(): number;
     /** Uniform integer in [0, bound). */
-    nextInt(bound: number): number;
+    drawInt(bound: number): number;
     /** Lower-case hexadecimal identifier of `bytes` random bytes. */
-    nextId(bytes: number): string;
+    drawId(bytes: number): string;
 }
 
 /** Typed name under which a service is registered. */
--- a/src/membership/CloudWatch.ts
+++ b/src/membership/CloudWatch.ts
@@ -145,7 +145,7 @@
         return {
             vmId: notice.vmId,
             dataCentre: notice.dataCentre,
-            takenAtMs: this.options.clock.nowMs() + notice.remainingMs,
+            takenAtMs: this.options.clock.readWallMs() + notice.remainingMs,
         };
     }
 }
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -44,7 +44,7 @@
         options.network.handle(pingMethod, async () => ({ nodeId: options.self.nodeId }));
         options.network.onLoss(nodeId => {
             if (!this.lostSinceMs.has(nodeId)) {
-                this.lostSinceMs.set(nodeId, options.clock.monotonicMs());
+                this.lostSinceMs.set(nodeId, options.clock.readMonotonicMs());
             }
         });
         options.network.onHeartbeat(nodeId => this.lostSinceMs.delete(nodeId));
@@ -133,7 +133,7 @@
     private *watchLost(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
-            const oldestMs = this.options.clock.monotonicMs() - this.options.goneAfterMs;
+            const oldestMs = this.options.clock.readMonotonicMs() - this.options.goneAfterMs;
             for (const [nodeId, sinceMs] of [...this.lostSinceMs]) {
                 const member = this.find(nodeId);
                 if (!member || member.state === "gone") {
--- a/src/operators/ClusterReports.ts
+++ b/src/operators/ClusterReports.ts
@@ -126,7 +126,7 @@
     private readReport(): NodeReport {
         const classes = this.options.configuration.current.value?.declaration.classes ?? [];
         const records = this.options.chats.listInProgress();
-        const nowMs = this.options.clock.nowMs();
+        const nowMs = this.options.clock.readWallMs();
         return {
             nodeId: this.options.nodeId,
             balance: this.options.chats.readBalance(),
--- a/src/peers/GossipMap.ts
+++ b/src/peers/GossipMap.ts
@@ -54,7 +54,7 @@
     setAll(writes: readonly { readonly key: string; readonly value: unknown; }[]): void {
         const entries = writes.map(write => ({
             key: write.key,
-            time: this.options.hybridClock.next(),
+            time: this.options.hybridClock.tick(),
             writer: this.options.nodeId,
             value: write.value,
         }));
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -30,7 +30,7 @@
         private readonly clock: Clock,
         private readonly counters: LinkCounters,
     ) {
-        this.lastHeardMs = clock.monotonicMs();
+        this.lastHeardMs = clock.readMonotonicMs();
     }
 
     /** Sends a message; a closed socket drops it. */
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -185,8 +185,8 @@
             `peer-${nodeId}`,
             signal => this.serveSocket(dialled, "dialer", signal),
         );
-        const deadlineMs = this.options.clock.monotonicMs() + timeoutMs;
-        while (!this.links.has(nodeId) && this.options.clock.monotonicMs() < deadlineMs) {
+        const deadlineMs = this.options.clock.readMonotonicMs() + timeoutMs;
+        while (!this.links.has(nodeId) && this.options.clock.readMonotonicMs() < deadlineMs) {
             await Promise.race([this.options.clock.sleep(5), handle.done]);
         }
         const link = this.links.get(nodeId);
@@ -200,7 +200,7 @@
     private *keepLink(nodeId: string, signal: AbortSignal): Task<void> {
         let delayMs = firstRedialMs;
         while (!signal.aborted) {
-            const startedMs = this.options.clock.monotonicMs();
+            const startedMs = this.options.clock.readMonotonicMs();
             const url = this.addresses.get(nodeId);
             if (url && !this.links.has(nodeId)) {
                 try {
@@ -219,9 +219,9 @@
                     this.lossListeners.forEach(listener => listener(nodeId));
                 }
             }
-            const lastedMs = this.options.clock.monotonicMs() - startedMs;
+            const lastedMs = this.options.clock.readMonotonicMs() - startedMs;
             delayMs = lastedMs > maxRedialMs ? firstRedialMs : Math.min(maxRedialMs, delayMs * 2);
-            const jitter = 0.5 + this.options.random.nextFloat() / 2;
+            const jitter = 0.5 + this.options.random.drawFloat() / 2;
             yield* waitFor(this.options.clock.sleep(delayMs * jitter, signal));
         }
     }
@@ -237,7 +237,7 @@
                 side,
                 nodeId: this.options.nodeId,
                 clusterKey: this.options.clusterKey,
-                nonce: this.options.random.nextId(16),
+                nonce: this.options.random.drawId(16),
                 timeoutMs: this.options.silenceMs,
                 clock: this.options.clock,
                 signal,
@@ -266,7 +266,7 @@
             if (frame.kind === "closed") {
                 return;
             }
-            link.lastHeardMs = this.options.clock.monotonicMs();
+            link.lastHeardMs = this.options.clock.readMonotonicMs();
             const parsed = frame.kind === "frame" ? peerMessageSchema.safeParse(frame.message) : undefined;
             if (!parsed?.success || frame.kind !== "frame") {
                 garbled += 1;
@@ -321,7 +321,7 @@
     private *sendHeartbeats(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
-            const oldestMs = this.options.clock.monotonicMs() - this.options.silenceMs;
+            const oldestMs = this.options.clock.readMonotonicMs() - this.options.silenceMs;
             for (const link of [...this.links.values()]) {
                 if (link.lastHeardMs < oldestMs) {
                     link.close();
@@ -336,7 +336,7 @@
     private sendHeartbeat(link: PeerLink): void {
         link.send({
             kind: "heartbeat",
-            time: this.options.events.hybridClock.next(),
+            time: this.options.events.hybridClock.tick(),
             revision: this.options.readRevision(),
             digest: this.options.gossip.digest,
         });
--- a/src/platform/MemoryTableService.ts
+++ b/src/platform/MemoryTableService.ts
@@ -16,12 +16,12 @@
 
     async read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]> {
         this.reads += 1;
-        return addresses.map(address => this.table(address.table).get(address.key));
+        return addresses.map(address => this.openTable(address.table).get(address.key));
     }
 
     async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
         this.reads += 1;
-        return [...this.table(table).values()]
+        return [...this.openTable(table).values()]
             .filter(row => row.key.startsWith(prefix))
             .sort((a, b) => a.key < b.key ? -1 : 1)
             .slice(0, limit);
@@ -36,7 +36,7 @@
     commit(operations: readonly RowOperation[]): TransactionOutcome {
         this.transactions += 1;
         const failed = operations.flatMap((operation, index) => {
-            const row = this.table(operation.table).get(operation.key);
+            const row = this.openTable(operation.table).get(operation.key);
             return meetsCondition(row, operation.condition) ? [] : [index];
         });
         if (failed.length > 0) {
@@ -47,7 +47,7 @@
 
     private write(operation: RowOperation): number {
         this.rowsWritten += 1;
-        const table = this.table(operation.table);
+        const table = this.openTable(operation.table);
         const revision = (table.get(operation.key)?.revision ?? 0) + 1;
         if (operation.value === undefined) {
             table.delete(operation.key);
@@ -58,7 +58,7 @@
         return revision;
     }
 
-    private table(name: string): Map<string, Row> {
+    private openTable(name: string): Map<string, Row> {
         let table = this.tables.get(name);
         if (!table) {
             table = new Map();
--- /dev/null
+++ b/src/reclaim/EntryReclaim.test.ts
@@ -0,0 +1,181 @@
+import { createTestCluster, testKeys } from "../../standins/createTestCluster";
+import { generateAnswer } from "../../standins/generateToken";
+import type { LocalCluster } from "../../standins/LocalCluster";
+import type { ReceivedStream } from "../../standins/readEventStream";
+import { readError, TestCaller } from "../../standins/TestCaller";
+import { entryReclaimName } from "./EntryReclaim";
+import { chatRequestsName } from "../streams/ChatRequests";
+import { runTask } from "../kernel/runTask";
+
+const caller = new TestCaller(testKeys.large);
+const prompt = "Draft the season plan.";
+const longTokens = 500;
+
+/** Opens a long stream and waits until it has some events. */
+const openLong = async (
+    cluster: LocalCluster,
+    node: number,
+    headers: Record<string, string> = {},
+): Promise<{ done: Promise<ReceivedStream>; requestId: string; }> => {
+    let done: Promise<ReceivedStream> | undefined;
+    await new Promise<void>(resolve => {
+        done = caller.stream(cluster.nodes[node], prompt, { max_tokens: longTokens }, headers, {
+            onEvent: event => event.id === 20 && resolve(),
+        });
+    });
+    const [record] = cluster.nodes[node].kernel.find(chatRequestsName).listInProgress();
+    return { done: done!, requestId: record.id };
+};
+
+/** Resumes until the answer is whole. */
+const finishElsewhere = async (
+    cluster: LocalCluster,
+    first: ReceivedStream,
+    requestId: string,
+): Promise<string> => {
+    let text = first.text;
+    let whole = first.whole;
+    let lastId = first.events.at(-1)?.id;
+    await cluster.waitUntil(async () => {
+        if (!whole) {
+            const rest = await caller.resume(cluster.nodes[0], requestId, lastId);
+            text += rest.text;
+            whole = rest.whole;
+            lastId = rest.events.at(-1)?.id ?? lastId;
+        }
+        return whole;
+    }, "the answer is whole");
+    return text;
+};
+
+describe("reclaims and stops of entry VMs", () => {
+    let cluster: LocalCluster;
+
+    beforeEach(async () => {
+        cluster = createTestCluster({ nodeCount: 3, engineCount: 3 });
+        await cluster.start();
+    });
+
+    afterEach(async () => {
+        await cluster.stop();
+        expect(cluster.brokenInvariants).toEqual([]);
+    });
+
+    it("hands a running request to another data centre and relays its rest to the same caller", async () => {
+        const { done, requestId } = await openLong(cluster, 2);
+        cluster.standIns.cloud.reclaim("vm-entry-2", 6_000);
+        const stream = await done;
+        expect(stream.whole).toBe(true);
+        expect(stream.text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
+        expect(stream.events.map(event => event.id)).toEqual(stream.events.map((_, index) => index));
+        const owners = cluster.nodes.filter(node =>
+            node.kernel.find(chatRequestsName).find(requestId, "large")?.state === "answered"
+        );
+        expect(owners.length).toBe(1);
+        expect(owners[0].nodeId).not.toBe("entry-2");
+    });
+
+    it("leaves the address answers at once and refuses new work as not run", async () => {
+        const leaving = cluster.nodes[2];
+        cluster.standIns.cloud.reclaim("vm-entry-2", 3_000);
+        await cluster.waitUntil(async () => {
+            const answer = await caller.call(cluster.nodes[0], "/v1/entries");
+            return !(answer.body.entries as string[]).includes(leaving.callersUrl);
+        }, "the leaving node is not named");
+        const refused = await caller.complete(leaving, "new work");
+        expect(readError(refused)).toMatchObject({ name: "node-leaving", run: "not-run" });
+    });
+
+    it("stores what no member takes, and a survivor picks it up", async () => {
+        const { done, requestId } = await openLong(cluster, 2);
+        for (const node of cluster.nodes.slice(0, 2)) {
+            const chats = node.kernel.find(chatRequestsName);
+            const adopt = chats.adopt.bind(chats);
+            let refusals = 2;
+            chats.adopt = bundle => {
+                refusals -= 1;
+                if (refusals >= 0) {
+                    throw new Error("this node takes nothing now");
+                }
+                return adopt(bundle);
+            };
+        }
+        await runTask(() => cluster.nodes[2].kernel.find(entryReclaimName).handOverAll(), {
+            name: "hand-over",
+        }).done;
+        expect(cluster.standIns.objects.objects.size).toBe(1);
+        await cluster.killNode("entry-2");
+        const text = await finishElsewhere(cluster, await done, requestId);
+        expect(text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
+        expect(cluster.standIns.objects.objects.size).toBe(0);
+    });
+
+    it("goes on here when neither a member nor the store takes a request", async () => {
+        const { done } = await openLong(cluster, 2);
+        for (const node of cluster.nodes.slice(0, 2)) {
+            node.kernel.find(chatRequestsName).adopt = () => {
+                throw new Error("this node takes nothing");
+            };
+        }
+        cluster.standIns.objects.server.setFault({ kind: "outage" });
+        await runTask(() => cluster.nodes[2].kernel.find(entryReclaimName).handOverAll(), {
+            name: "hand-over",
+        }).done;
+        const stream = await done;
+        expect(stream.whole).toBe(true);
+        expect(stream.text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
+    });
+
+    it("answers a kept request although its node died without notice", async () => {
+        const { done, requestId } = await openLong(cluster, 2, { "work-class": "batch" });
+        await cluster.killNode("entry-2");
+        expect((await done).whole).toBe(false);
+        await cluster.waitUntil(async () => {
+            const answer = await caller.call(cluster.nodes[0], `/v1/requests/${requestId}`);
+            const completion = answer.body.answer as
+                | { choices: { message: { content: string; }; }[]; }
+                | undefined;
+            return completion?.choices[0].message.content === generateAnswer(`user\n${prompt}\n`, longTokens);
+        }, "the kept request is answered");
+    });
+
+    it("refuses a kept request that cannot be stored, and says whether it may run", async () => {
+        cluster.standIns.tables.server.setFault({ kind: "outage" });
+        const refused = await caller.complete(cluster.nodes[0], "kept", {}, { "work-class": "batch" });
+        expect(readError(refused)).toMatchObject({ name: "store-unavailable", run: "not-run" });
+        const drafted = await caller.complete(cluster.nodes[0], "not kept");
+        expect(drafted.status).toBe(200);
+    });
+
+    it("cuts nothing at a planned stop, streamed, whole or booked", async () => {
+        cluster.standIns.runners.forEach(runner => runner.plain?.server.setFault({ kind: "delay", ms: 300 }));
+        const { done } = await openLong(cluster, 2);
+        const whole = caller.complete(cluster.nodes[2], "whole", { max_tokens: 200 });
+        const booking = caller.book(cluster.nodes[2], "b-1");
+        await cluster.clock.sleep(50);
+        await cluster.stopNode("entry-2");
+        expect((await done).whole).toBe(true);
+        expect((await whole).status).toBe(200);
+        expect((await booking).status).toBe(201);
+    });
+
+    it("does not lose an unread answer at a planned stop", async () => {
+        const aborting = new AbortController();
+        const answer = await fetch(`${cluster.nodes[2].callersUrl}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${testKeys.large}` },
+            body: JSON.stringify({
+                model: "llm",
+                stream: true,
+                messages: [{ role: "user", content: prompt }],
+            }),
+            signal: aborting.signal,
+        });
+        const requestId = answer.headers.get("request-id")!;
+        aborting.abort();
+        await cluster.stopNode("entry-2");
+        const rest = await caller.resume(cluster.nodes[0], requestId);
+        expect(rest.whole).toBe(true);
+        expect(rest.text).toBe(generateAnswer(`user\n${prompt}\n`));
+    });
+});
--- a/src/reclaim/EntryReclaim.ts
+++ b/src/reclaim/EntryReclaim.ts
@@ -106,7 +106,7 @@
     private *reclaim(notice: KnownNotice, signal: AbortSignal): Task<void> {
         this.options.membership.leave();
         yield* this.handOverAll();
-        const remainingMs = notice.takenAtMs - this.options.clock.nowMs() - letGoBeforeMs;
+        const remainingMs = notice.takenAtMs - this.options.clock.readWallMs() - letGoBeforeMs;
         yield* waitFor(this.options.clock.sleep(Math.max(0, remainingMs), signal));
         yield* this.handOverAll();
         this.letGoController.abort(abortReason);
@@ -170,7 +170,7 @@
 
     /** Stores what no member took, in one write. */
     private *storeAll(records: readonly RequestRecord[]): Task<void> {
-        const key = `${storePrefix}${this.options.nodeId}-${this.options.random.nextId(8)}`;
+        const key = `${storePrefix}${this.options.nodeId}-${this.options.random.drawId(8)}`;
         const body = pack(records.map(record => this.options.chats.toBundle(record)));
         for (let attempt = 0; attempt < storeAttempts; attempt += 1) {
             try {
--- a/src/reclaim/UpstreamReclaim.ts
+++ b/src/reclaim/UpstreamReclaim.ts
@@ -56,7 +56,7 @@
         );
         const planned = planReclaim({
             streams: records.map(record => this.describe(record, runner)),
-            noticeMs: runner.takenAtMs! - this.options.clock.nowMs(),
+            noticeMs: runner.takenAtMs! - this.options.clock.readWallMs(),
             bytesPerToken: this.options.bytesPerToken ?? defaultBytesPerToken,
             bytesPerMs: this.options.bytesPerMs ?? defaultBytesPerMs,
         });
@@ -109,10 +109,10 @@
         );
         const elsewhere = usable.filter(candidate => !reclaimed.has(candidate.vm.dataCentre));
         const candidates = elsewhere.length > 0 ? elsewhere : usable;
-        const planned = (candidate: Runner): number =>
+        const countPlanned = (candidate: Runner): number =>
             this.options.chats.listInProgress().filter(other => other.plannedRunner === candidate).length;
         const readLoad = (candidate: Runner): number =>
-            (candidate.estimatedLoad + planned(candidate)) / candidate.slots;
+            (candidate.estimatedLoad + countPlanned(candidate)) / candidate.slots;
         return candidates.filter(candidate => candidate !== runner)
             .sort((a, b) => readLoad(a) - readLoad(b))[0];
     }
--- a/src/retries/EjectionTracker.ts
+++ b/src/retries/EjectionTracker.ts
@@ -67,7 +67,7 @@
             return false;
         }
         const durationMs = this.options.firstEjectionMs * 2 ** health.ejections;
-        health.ejectedUntilMs = this.options.clock.monotonicMs()
+        health.ejectedUntilMs = this.options.clock.readMonotonicMs()
             + Math.min(durationMs, this.options.maxEjectionMs);
         health.ejections += 1;
         health.failures = 0;
@@ -80,7 +80,7 @@
         if (!health || health.ejections === 0) {
             return 1;
         }
-        const sinceReturnMs = this.options.clock.monotonicMs() - health.ejectedUntilMs;
+        const sinceReturnMs = this.options.clock.readMonotonicMs() - health.ejectedUntilMs;
         if (sinceReturnMs < 0) {
             return 0;
         }
@@ -93,7 +93,7 @@
     }
 
     private countEjected(): number {
-        const nowMs = this.options.clock.monotonicMs();
+        const nowMs = this.options.clock.readMonotonicMs();
         return [...this.health.values()].filter(health => health.ejectedUntilMs > nowMs).length;
     }
 }
--- a/src/routing/Dispatcher.ts
+++ b/src/routing/Dispatcher.ts
@@ -74,7 +74,7 @@
      * @throws FailureError when the request is refused; it has then not run
      */
     acquire(request: DispatchRequest, signal?: AbortSignal): Promise<string> {
-        const sinceMs = this.options.clock.monotonicMs();
+        const sinceMs = this.options.clock.readMonotonicMs();
         if (this.size === 0) {
             const runnerId = this.choose(request, 0);
             if (runnerId !== undefined) {
@@ -100,7 +100,7 @@
                 return;
             }
             const { request, sinceMs, resolve, reject } = item.value;
-            const waitedMs = this.options.clock.monotonicMs() - sinceMs;
+            const waitedMs = this.options.clock.readMonotonicMs() - sinceMs;
             const runnerId = this.choose(request, waitedMs);
             if (runnerId === undefined && (request.accepted || waitedMs < request.maxWaitMs)) {
                 return;
@@ -127,7 +127,7 @@
     private pumpOverflow(): void {
         while (this.overflow.length > 0) {
             const { request, sinceMs, resolve } = this.overflow[0];
-            const runnerId = this.choose(request, this.options.clock.monotonicMs() - sinceMs);
+            const runnerId = this.choose(request, this.options.clock.readMonotonicMs() - sinceMs);
             if (runnerId === undefined) {
                 return;
             }
--- a/src/routing/TargetRoutingPolicy.ts
+++ b/src/routing/TargetRoutingPolicy.ts
@@ -55,7 +55,7 @@
     }
 
     private admits(runner: RunnerView): boolean {
-        return runner.admitShare >= 1 || this.options.random.nextFloat() < runner.admitShare;
+        return runner.admitShare >= 1 || this.options.random.drawFloat() < runner.admitShare;
     }
 
     private sample(runners: readonly RunnerView[]): readonly RunnerView[] {
@@ -67,7 +67,7 @@
         cached.sort((a, b) => b.cachedTokens - a.cachedTokens);
         cached.slice(0, this.affinitySize).forEach(runner => sampled.add(runner));
         while (sampled.size < this.sampleSize) {
-            sampled.add(runners[this.options.random.nextInt(runners.length)]);
+            sampled.add(runners[this.options.random.drawInt(runners.length)]);
         }
         return [...sampled];
     }
@@ -80,13 +80,13 @@
     private pickCheapest(candidates: readonly Candidate[]): Candidate {
         const lowest = Math.min(...candidates.map(candidate => candidate.prediction.cost));
         const near = candidates.filter(candidate => candidate.prediction.cost <= lowest * nearCost);
-        const first = near[this.options.random.nextInt(near.length)];
-        const second = near[this.options.random.nextInt(near.length)];
-        return loadOf(first) <= loadOf(second) ? first : second;
+        const first = near[this.options.random.drawInt(near.length)];
+        const second = near[this.options.random.drawInt(near.length)];
+        return readLoad(first) <= readLoad(second) ? first : second;
     }
 }
 
-const loadOf = ({ runner }: Candidate): number => (runner.running + runner.queued) / runner.slots;
+const readLoad = ({ runner }: Candidate): number => (runner.running + runner.queued) / runner.slots;
 
 const pickFastest = (candidates: readonly Candidate[]): Candidate =>
     candidates.reduce((best, next) =>
--- a/src/streams/Attempt.ts
+++ b/src/streams/Attempt.ts
@@ -34,7 +34,7 @@
     private settled = false;
 
     constructor(private readonly options: AttemptOptions) {
-        this.startedAtMs = options.clock.monotonicMs();
+        this.startedAtMs = options.clock.readMonotonicMs();
         this.lastHeardMs = this.startedAtMs;
         this.firstOffset = options.record.log.nextOffset;
         this.done = new Promise(resolve => {
@@ -59,9 +59,9 @@
         if (record.isFrozen) {
             return;
         }
-        this.lastHeardMs = this.options.clock.monotonicMs();
+        this.lastHeardMs = this.options.clock.readMonotonicMs();
         this.firstBatchMs ??= this.lastHeardMs;
-        record.firstTokenAtMs ??= this.options.clock.nowMs();
+        record.firstTokenAtMs ??= this.options.clock.readWallMs();
         const outcome = record.log.append(batch);
         if (outcome === "duplicate") {
             this.options.onDropped("doubled frame");
--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -122,12 +122,12 @@
         }
         const kept = acceptance.workClass.durability === "kept-from-acceptance";
         const record = this.createRecord({
-            id: acceptance.requestId ?? `${this.options.nodeId}.${this.options.random.nextId(12)}`,
+            id: acceptance.requestId ?? `${this.options.nodeId}.${this.options.random.drawId(12)}`,
             accountId: acceptance.accountId,
             service: acceptance.service,
             workClass: acceptance.workClass,
             body: acceptance.body,
-            acceptedAtMs: this.options.clock.nowMs(),
+            acceptedAtMs: this.options.clock.readWallMs(),
             kept,
         });
         if (kept) {
@@ -259,7 +259,7 @@
             return;
         }
         this.balance.recordEnd(state);
-        record.finish(state, this.options.clock.nowMs(), failure);
+        record.finish(state, this.options.clock.readWallMs(), failure);
         this.options.metrics.observeRequest(record);
         const fields = { requestId: record.id, code: failure?.result.code, message: failure?.message };
         switch (state) {
@@ -286,7 +286,7 @@
         const overdue = new Set<string>();
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(sweepMs, signal));
-            const nowMs = this.options.clock.nowMs();
+            const nowMs = this.options.clock.readWallMs();
             for (const record of this.records.values()) {
                 if (!record.hasEnded) {
                     this.checkSilence(record);
@@ -311,7 +311,7 @@
         const waitsForFirst = attempt.firstBatchMs === undefined;
         const firstTokenMs = record.description.workClass.latency.firstTokenMs;
         const limitMs = waitsForFirst ? Math.max(streamSilenceMs * 2, firstTokenMs * 3) : streamSilenceMs;
-        if (this.options.clock.monotonicMs() - attempt.lastHeardMs > limitMs) {
+        if (this.options.clock.readMonotonicMs() - attempt.lastHeardMs > limitMs) {
             attempt.stop({ kind: "silent" });
         }
     }
--- a/src/streams/KeptRequests.ts
+++ b/src/streams/KeptRequests.ts
@@ -111,7 +111,7 @@
             text: decoded?.text,
             finishReason: decoded?.finishReason,
             message: record.failure?.message,
-            atMs: this.options.clock.nowMs(),
+            atMs: this.options.clock.readWallMs(),
         };
         for (let attempt = 0; attempt < writeAttempts; attempt += 1) {
             const stored = await this.write(table, record.id, row);
@@ -148,7 +148,7 @@
             owner: this.options.nodeId,
             accountId: bundle.accountId,
             bundle: { ...bundle, events: Buffer.from(bundle.events).toString("base64") },
-            atMs: this.options.clock.nowMs(),
+            atMs: this.options.clock.readWallMs(),
         };
     }
 
@@ -173,7 +173,7 @@
 
     private findOrphans(rows: readonly Row[]): Row[] {
         const live = new Set(this.options.listLiveMembers());
-        const nowMs = this.options.clock.monotonicMs();
+        const nowMs = this.options.clock.readMonotonicMs();
         const owners = new Set(rows.map(row => (row.value as { owner: string; }).owner));
         for (const owner of this.missingSinceMs.keys()) {
             if (live.has(owner) || !owners.has(owner)) {
--- a/src/streams/RequestRunner.ts
+++ b/src/streams/RequestRunner.ts
@@ -125,7 +125,7 @@
         blocks: readonly string[],
     ): Task<AttemptOutcome> {
         const { clock, events, invariants, registry } = this.options;
-        const leavingForMs = runner.isLeaving ? clock.monotonicMs() - runner.leavingSinceMs! : 0;
+        const leavingForMs = runner.isLeaving ? clock.readMonotonicMs() - runner.leavingSinceMs! : 0;
         invariants.assert(
             "no-new-work-to-a-leaving-runner",
             leavingForMs <= leavingBoundMs,
@@ -198,7 +198,7 @@
     private throwWhenHopeless(record: RequestRecord, message: string): void {
         const { acceptedAtMs, kept, workClass } = record.description;
         const limitMs = Math.max(shortestGiveUpMs, workClass.latency.wholeMs * giveUpFactor);
-        const late = this.options.clock.nowMs() - acceptedAtMs > limitMs;
+        const late = this.options.clock.readWallMs() - acceptedAtMs > limitMs;
         if (!kept && (late || record.attempts >= maxAttempts)) {
             const text = `request "${record.id}" failed after ${record.attempts} attempts: ${message}`;
             throw new FailureError(createFailure(resultCodes.upstreamFailed, text));
@@ -211,7 +211,7 @@
         }
         const { latency } = attempt.runner;
         const tokens = record.log.nextOffset - attempt.firstOffset;
-        const nowMs = this.options.clock.monotonicMs();
+        const nowMs = this.options.clock.readMonotonicMs();
         if (runningThere <= attempt.runner.slots) {
             latency.learnPrefill(
                 prompt.length / charactersPerToken,
--- a/src/telemetry/EventLog.ts
+++ b/src/telemetry/EventLog.ts
@@ -49,7 +49,7 @@
             name: kind.name,
             level: kind.level,
             node: this.options.node,
-            time: this.hybridClock.next(),
+            time: this.hybridClock.tick(),
             fields,
         };
         this.counts.set(kind.name, (this.counts.get(kind.name) ?? 0) + 1);
--- a/src/telemetry/HybridClock.ts
+++ b/src/telemetry/HybridClock.ts
@@ -12,8 +12,8 @@
     constructor(private readonly clock: Clock) {}
 
     /** Timestamp for a local event. */
-    next(): HybridTime {
-        const nowMs = this.clock.nowMs();
+    tick(): HybridTime {
+        const nowMs = this.clock.readWallMs();
         if (nowMs > this.wallMs) {
             this.wallMs = nowMs;
             this.counter = 0;
--- /dev/null
+++ b/src/upstreams/EventSplitter.test.ts
@@ -0,0 +1,76 @@
+import fc from "fast-check";
+import { StreamLog } from "../streams/StreamLog";
+import { StreamMemory } from "../streams/StreamMemory";
+import { EventSplitter } from "./EventSplitter";
+import type { TokenBatch } from "./types";
+
+const createEvents = (first: number, count: number, done: boolean): string => {
+    let text = "";
+    for (let id = first; id < first + count; id += 1) {
+        text += `id: ${id}\ndata: {"t":"${"x".repeat(id % 7)}"}\n\n`;
+    }
+    return done ? `${text}id: ${first + count}\ndata: [DONE]\n\n` : text;
+};
+
+describe("EventSplitter and StreamLog", () => {
+    it("give the same answer however the bytes are cut", () => {
+        fc.assert(
+            fc.property(
+                fc.integer({ min: 1, max: 60 }),
+                fc.array(fc.integer({ min: 1, max: 40 })),
+                (count, cuts) => {
+                    const whole = Buffer.from(createEvents(0, count, true));
+                    const splitter = new EventSplitter();
+                    const log = new StreamLog(new StreamMemory(1e9));
+                    let position = 0;
+                    for (const size of [...cuts, whole.length]) {
+                        const batch = splitter.push(whole.subarray(position, position + size));
+                        position = Math.min(whole.length, position + size);
+                        if (batch) {
+                            expect(log.append(batch)).toBe("appended");
+                        }
+                        if (position === whole.length) {
+                            break;
+                        }
+                    }
+                    expect(splitter.ended).toBe(true);
+                    expect(log.nextOffset).toBe(count + 1);
+                    expect(log.read(0).equals(whole)).toBe(true);
+                    expect(log.read(log.findPosition(count)).toString()).toContain("[DONE]");
+                },
+            ),
+            { seed: 5 },
+        );
+    });
+
+    it("drops doubled and late batches and tells of gaps, in any order of arrival", () => {
+        const batch = fc.record({ firstOffset: fc.nat(30), count: fc.integer({ min: 1, max: 8 }) });
+        fc.assert(
+            fc.property(fc.array(batch, { maxLength: 40 }), batches => {
+                const log = new StreamLog(new StreamMemory(1e9));
+                let next = 0;
+                for (const { firstOffset, count } of batches) {
+                    const body = Buffer.from(createEvents(firstOffset, count, false));
+                    const outcome = log.append({ firstOffset, count, body } as TokenBatch);
+                    if (firstOffset > next) {
+                        expect(outcome).toBe("gap");
+                    }
+                    else if (firstOffset + count <= next) {
+                        expect(outcome).toBe("duplicate");
+                    }
+                    else {
+                        expect(outcome).toBe("appended");
+                        next = firstOffset + count;
+                    }
+                    expect(log.read(0).toString()).toBe(createEvents(0, next, false));
+                }
+            }),
+            { seed: 6 },
+        );
+    });
+
+    it("refuses bytes that are no numbered events", () => {
+        expect(() => new EventSplitter().push(Buffer.from("data: x\n\n"))).toThrow("no id line");
+        expect(() => new EventSplitter().push(Buffer.from("id: x\ndata: y\n\n"))).toThrow("not a number");
+    });
+});
--- a/src/upstreams/Runner.ts
+++ b/src/upstreams/Runner.ts
@@ -67,7 +67,7 @@
 
     /** Notes that the runner is leaving. */
     markLeaving(takenAtMs: number | undefined): void {
-        this.leavingSinceMs ??= this.clock.monotonicMs();
+        this.leavingSinceMs ??= this.clock.readMonotonicMs();
         this.takenAtMs = takenAtMs ?? this.takenAtMs;
     }
 
--- a/standins/CloudStandIn.ts
+++ b/standins/CloudStandIn.ts
@@ -54,6 +54,12 @@
         this.timers.add(timer);
     }
 
+    /** Whether a VM is neither taken nor about to be. */
+    isLive(vmId: string): boolean {
+        const listed = this.vms.get(vmId);
+        return listed !== undefined && listed.takenAtMs === undefined && listed.endedAtMs === undefined;
+    }
+
     /** Ends a VM without notice. */
     endVm(vmId: string): void {
         const listed = this.vms.get(vmId);
--- a/standins/LocalCluster.ts
+++ b/standins/LocalCluster.ts
@@ -92,7 +92,7 @@
             settings,
             platform: createHttpPlatform(settings),
             clock: this.clock,
-            random: new SeededRandom(this.random.nextInt(0x7fffffff)),
+            random: new SeededRandom(this.random.drawInt(0x7fffffff)),
             logger: this.createLogger(options.nodeId),
             onBrokenInvariant: (name, detail) => {
                 this.brokenInvariants.push(`${options.nodeId}: ${name}: ${detail}`);
@@ -162,9 +162,9 @@
      * @throws Error when it does not hold within 10 s
      */
     async waitUntil(holds: () => boolean | Promise<boolean>, what: string): Promise<void> {
-        const deadlineMs = this.clock.monotonicMs() + settleLimitMs;
+        const deadlineMs = this.clock.readMonotonicMs() + settleLimitMs;
         while (!await holds()) {
-            if (this.clock.monotonicMs() > deadlineMs) {
+            if (this.clock.readMonotonicMs() > deadlineMs) {
                 throw new Error(`it did not come about that ${what}`);
             }
             await this.clock.sleep(settlePollMs);
--- a/standins/StandInCluster.ts
+++ b/standins/StandInCluster.ts
@@ -73,6 +73,11 @@
         });
     }
 
+    /** Whether a VM is neither taken nor about to be. */
+    isListed(vmId: string): boolean {
+        return this.cloud.isLive(vmId);
+    }
+
     async addEngine(service: string, dataCentre: string): Promise<StandInRunner> {
         const engine = new EngineStandIn(this.options.engine);
         await engine.server.start();
--- a/standins/TestCaller.ts
+++ b/standins/TestCaller.ts
@@ -1,7 +1,11 @@
-import type { EntryNode } from "../src/daemon/EntryNode";
 import type { FailureBody } from "../src/results/formatFailure";
 import { readEventStream, type ReadEventStreamOptions, type ReceivedStream } from "./readEventStream";
 
+/** A node that a caller connects to. */
+export interface CallTarget {
+    readonly callersUrl: string;
+}
+
 /** An answer as a test sees it. */
 export interface TestAnswer {
     readonly status: number;
@@ -14,7 +18,7 @@
     constructor(private readonly key: string) {}
 
     /** Sends one call and parses its JSON answer. */
-    async call(node: EntryNode, path: string, init: RequestInit = {}): Promise<TestAnswer> {
+    async call(node: CallTarget, path: string, init: RequestInit = {}): Promise<TestAnswer> {
         const headers = { authorization: `Bearer ${this.key}`, ...init.headers as Record<string, string> };
         const answer = await fetch(`${node.callersUrl}${path}`, { ...init, headers });
         const text = await answer.text();
@@ -23,7 +27,7 @@
 
     /** Asks for a whole chat completion. */
     complete(
-        node: EntryNode,
+        node: CallTarget,
         prompt: string,
         extra: Record<string, unknown> = {},
         headers = {},
@@ -37,7 +41,7 @@
 
     /** Asks for a streamed chat completion and reads it to its end. */
     async stream(
-        node: EntryNode,
+        node: CallTarget,
         prompt: string,
         extra: Record<string, unknown> = {},
         headers: Record<string, string> = {},
@@ -52,7 +56,7 @@
     }
 
     /** Resumes a stream after an event. */
-    async resume(node: EntryNode, requestId: string, lastEventId?: number): Promise<ReceivedStream> {
+    async resume(node: CallTarget, requestId: string, lastEventId?: number): Promise<ReceivedStream> {
         const headers: Record<string, string> = { authorization: `Bearer ${this.key}` };
         if (lastEventId !== undefined) {
             headers["last-event-id"] = String(lastEventId);
@@ -63,7 +67,7 @@
     }
 
     /** Books once under a key. */
-    book(node: EntryNode, idempotencyKey: string, details: unknown = { crew: 1 }): Promise<TestAnswer> {
+    book(node: CallTarget, idempotencyKey: string, details: unknown = { crew: 1 }): Promise<TestAnswer> {
         return this.call(node, "/v1/services/roster/bookings", {
             method: "POST",
             headers: { "idempotency-key": idempotencyKey },
