--- a/soak/FaultMaker.ts
+++ b/soak/FaultMaker.ts
@@ -36,15 +36,15 @@
         const { random } = this.options;
         switch (random.drawInt(4)) {
             case 0:
-                return this.faultNode();
+                return this.breakNode();
             case 1:
-                return this.faultRunner();
+                return this.breakRunner();
             default:
-                return this.faultPlatform();
+                return this.breakPlatform();
         }
     }
 
-    private async faultPlatform(): Promise<void> {
+    private async breakPlatform(): Promise<void> {
         const { cluster, random } = this.options;
         const { tables, objects, cloud } = cluster.standIns;
         const targets: readonly (readonly [string, StandInServer])[] = [
@@ -67,7 +67,7 @@
         server.setFault({ kind: "none" });
     }
 
-    private async faultRunner(): Promise<void> {
+    private async breakRunner(): Promise<void> {
         const { cluster, random, tally } = this.options;
         if (this.runnerFaults > 0) {
             return;
@@ -94,7 +94,7 @@
         this.runnerFaults -= 1;
     }
 
-    private async faultNode(): Promise<void> {
+    private async breakNode(): Promise<void> {
         const { cluster, random, tally, healthyNodes } = this.options;
         if (cluster.nodes.length - this.nodeFaults <= healthyNodes || this.nodeFaults > 0) {
             return;
@@ -108,9 +108,9 @@
                 break;
             case 1:
                 tally.count("faults: node frozen");
-                node.process.signal("SIGSTOP");
+                node.process.sendSignal("SIGSTOP");
                 await this.hold();
-                node.process.signal("SIGCONT");
+                node.process.sendSignal("SIGCONT");
                 break;
             case 2:
                 tally.count("faults: node reclaimed");
--- a/standins/ChildProcessHandle.ts
+++ b/standins/ChildProcessHandle.ts
@@ -43,7 +43,7 @@
     }
 
     /** Sends a signal, such as SIGSTOP to freeze the process and SIGCONT to let it go on. */
-    signal(name: "SIGSTOP" | "SIGCONT" | "SIGTERM" | "SIGKILL"): void {
+    sendSignal(name: "SIGSTOP" | "SIGCONT" | "SIGTERM" | "SIGKILL"): void {
         this.child.kill(name);
     }
 
