Hold duties by leases with fencing, and size the fleet under one

Cause: orders to the cloud and to engines need one giver at a time that may be paused and wake up late. Change: a lease row in the table service, taken over only after its taker has itself seen it unchanged for its whole duration; orders carry the fencing number and are given only while they arrive within the lease. The cheapest-fleet policy survives the loss of one data centre, falls back by price and does not flap.

--- a/src/configuration/Configuration.test.ts
+++ b/src/configuration/Configuration.test.ts
@@ -203,6 +203,27 @@
         await world.stop();
     });
 
+    it("keeps the newer revision when an older answer of the store arrives late", async () => {
+        const world = createWorld(7);
+        await startWorld(world);
+        await applyNow(world, 0, 0, "one");
+        const read = world.tables.read.bind(world.tables);
+        let late = 0;
+        world.tables.read = async addresses => {
+            const rows = await read(addresses);
+            if (addresses.length === 1) {
+                late += 1;
+                await world.clock.sleep(4_000);
+            }
+            return rows;
+        };
+        await world.clock.advance(1_200);
+        expect(late).toBeGreaterThan(0);
+        await applyNow(world, 0, 1, "two");
+        expect(world.nodes.map(node => node.revision)).toEqual([2, 2, 2, 2]);
+        await world.stop();
+    });
+
     it("never reverts and commits one change per revision, under faults, cuts and races", async () => {
         const step = fc.record({
             node: fc.nat(3),
--- a/src/daemon/createHttpPlatform.ts
+++ b/src/daemon/createHttpPlatform.ts
@@ -1,6 +1,7 @@
 import { HttpCloud } from "../platform/HttpCloud";
 import { HttpObjectStore } from "../platform/HttpObjectStore";
 import { HttpTableService } from "../platform/HttpTableService";
+import { HttpWeightStore } from "../platform/HttpWeightStore";
 import type { Settings } from "../settings/settingsSchema";
 import { HttpEngineClient } from "../upstreams/HttpEngineClient";
 import { HttpPlainClient } from "../upstreams/HttpPlainClient";
@@ -19,7 +20,11 @@
     const tables = new HttpTableService({ url: settings.platform.tables, timeoutMs });
     const objects = new HttpObjectStore({ url: settings.platform.objects, timeoutMs });
     const cloud = new HttpCloud({ url: settings.platform.cloud, timeoutMs });
+    const weights = settings.platform.weights === undefined
+        ? undefined
+        : new HttpWeightStore({ url: settings.platform.weights, timeoutMs });
     return {
+        weights,
         tables,
         objects,
         cloud,
@@ -28,7 +33,7 @@
             createPlain: vm => new HttpPlainClient({ url: vm.url, connectTimeoutMs: upstreamTimeoutMs }),
         },
         close: async () => {
-            await Promise.all([tables.close(), objects.close(), cloud.close()]);
+            await Promise.all([tables.close(), objects.close(), cloud.close(), weights?.close()]);
         },
     };
 };
--- a/src/daemon/registerServices.ts
+++ b/src/daemon/registerServices.ts
@@ -1,11 +1,14 @@
 import { CallerServer, callerServerName } from "../callers/CallerServer";
 import { Configuration, configurationName } from "../configuration/Configuration";
 import { ConfigurationStore } from "../configuration/ConfigurationStore";
+import { CheapestFleetPolicy } from "../fleet/CheapestFleetPolicy";
+import { FleetManager, fleetManagerName } from "../fleet/FleetManager";
 import { GroupCommitter } from "../idempotency/GroupCommitter";
 import { PlainCalls, plainCallsName } from "../idempotency/PlainCalls";
 import { SendRecords, sendRecordsName } from "../idempotency/SendRecords";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Kernel } from "../kernel/Kernel";
+import { Lease } from "../leases/Lease";
 import { CloudWatch, cloudWatchName } from "../membership/CloudWatch";
 import { Membership, membershipName } from "../membership/Membership";
 import { selectWatchers } from "../membership/selectWatchers";
@@ -48,6 +51,9 @@
     registerStores(kernel, options);
     registerRouting(kernel, options);
     registerReclaim(kernel, options);
+    if (options.settings.fleet.enabled) {
+        registerFleet(kernel, options);
+    }
 };
 
 const registerTelemetry = (
@@ -326,3 +332,38 @@
             }),
     });
 };
+
+const registerFleet = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    kernel.register({
+        name: fleetManagerName,
+        requires: [serviceDispatchersName, configurationName],
+        create: find => {
+            const events = find(eventLogName);
+            const listLiveIds = (): string[] => find(membershipName).listLive().map(member => member.nodeId);
+            const lease = new Lease({
+                duty: "fleet",
+                nodeId: settings.nodeId,
+                tables: platform.tables,
+                clock,
+                random,
+                events,
+                isCandidate: () =>
+                    selectWatchers({ duty: "fleet", memberIds: listLiveIds() }).includes(settings.nodeId),
+            });
+            return new FleetManager({
+                nodeId: settings.nodeId,
+                clock,
+                events,
+                gossip: find(gossipMapName),
+                registry: find(upstreamRegistryName),
+                cloud: platform.cloud,
+                weights: platform.weights,
+                lease,
+                policy: new CheapestFleetPolicy(),
+                readDeclaration: () => find(configurationName).current.value?.declaration,
+                readQueueSizes: () => find(serviceDispatchersName).readQueueSizes(),
+                minVms: settings.fleet.minRunners,
+            });
+        },
+    });
+};
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -2,7 +2,7 @@
 
 import type { Logger } from "loglevel";
 import type { Clock, RandomSource } from "../kernel/types";
-import type { Cloud, ObjectStore, TableService } from "../platform/types";
+import type { Cloud, ObjectStore, TableService, WeightStore } from "../platform/types";
 import type { Settings } from "../settings/settingsSchema";
 import type { UpstreamClientFactory } from "../upstreams/UpstreamRegistry";
 
@@ -11,6 +11,8 @@
     readonly tables: TableService;
     readonly objects: ObjectStore;
     readonly cloud: Cloud;
+    /** Undefined when models need no transfers. */
+    readonly weights?: WeightStore;
     readonly upstreams: UpstreamClientFactory;
     /** Closes the adapters' connections. */
     close(): Promise<void>;
--- /dev/null
+++ b/src/fleet/CheapestFleetPolicy.ts
@@ -0,0 +1,96 @@
+import type { VmOffer } from "../platform/types";
+import { computeEffectivePrice } from "./computeEffectivePrice";
+import { nameOffer } from "./nameOffer";
+import type { FleetInput, FleetPlan, FleetPolicy, FleetVm } from "./types";
+
+/** Options of {@link CheapestFleetPolicy}. */
+export interface CheapestFleetPolicyOptions {
+    /** Most VMs requested by one plan; default 4. */
+    readonly maxRequests?: number;
+    /** VMs are released only while this many times the needed slots would stay; default 1.3. */
+    readonly releaseMargin?: number;
+}
+
+interface Capacity {
+    readonly dataCentre: string;
+    readonly slots: number;
+}
+
+const defaultMaxRequests = 4;
+const defaultReleaseMargin = 1.3;
+
+/**
+ * Keeps the cheapest VMs that carry the load after the loss of any one data centre. Requests come in order of
+ * the price of an hour of service; releases need a margin, so that the fleet does not flap.
+ */
+export class CheapestFleetPolicy implements FleetPolicy {
+    readonly name = "cheapest";
+    private readonly maxRequests: number;
+    private readonly releaseMargin: number;
+
+    constructor(options: CheapestFleetPolicyOptions = {}) {
+        this.maxRequests = options.maxRequests ?? defaultMaxRequests;
+        this.releaseMargin = options.releaseMargin ?? defaultReleaseMargin;
+    }
+
+    plan(input: FleetInput): FleetPlan {
+        const staying = input.vms.filter(vm => !vm.leaving);
+        const requests = this.planRequests(input, staying);
+        const capacity = [...staying, ...requests.map(offer => toCapacity(offer, input))];
+        const releases = requests.length > 0 ? [] : this.planReleases(input, staying);
+        return { requests, releases, survivesLoss: countSurvivingSlots(capacity) >= input.neededSlots };
+    }
+
+    private planRequests(input: FleetInput, staying: readonly FleetVm[]): VmOffer[] {
+        const offers = input.offers
+            .filter(offer => !input.refusedOffers.has(nameOffer(offer)))
+            .map(offer => ({ offer, price: computeEffectivePrice(offer, input.reclaimsPerHour) }))
+            .sort((a, b) => a.price - b.price);
+        const requests: VmOffer[] = [];
+        let capacity: Capacity[] = [...staying];
+        while (requests.length < this.maxRequests && !isEnough(capacity, input)) {
+            const before = countSurvivingSlots(capacity);
+            const useful = offers.find(({ offer }) =>
+                countSurvivingSlots([...capacity, toCapacity(offer, input)]) > before
+            ) ?? offers[0];
+            if (!useful) {
+                break;
+            }
+            requests.push(useful.offer);
+            capacity = [...capacity, toCapacity(useful.offer, input)];
+        }
+        return requests;
+    }
+
+    /** Releases at most one VM, the dearest that is not needed. */
+    private planReleases(input: FleetInput, staying: readonly FleetVm[]): string[] {
+        if (staying.length <= input.minVms) {
+            return [];
+        }
+        const dearestFirst = [...staying].sort((a, b) => b.pricePerHour - a.pricePerHour || a.load - b.load);
+        const spare = dearestFirst.find(vm =>
+            countSurvivingSlots(staying.filter(other => other !== vm))
+                >= input.neededSlots * this.releaseMargin
+        );
+        return spare ? [spare.id] : [];
+    }
+}
+
+const isEnough = (capacity: readonly Capacity[], input: FleetInput): boolean =>
+    capacity.length >= input.minVms && countSurvivingSlots(capacity) >= input.neededSlots;
+
+const toCapacity = (offer: VmOffer, input: FleetInput): Capacity => ({
+    dataCentre: offer.dataCentre,
+    slots: input.slotsPerVm,
+});
+
+/** Slots that are left after the loss of the data centre with the most. */
+const countSurvivingSlots = (capacity: readonly Capacity[]): number => {
+    const byDataCentre = new Map<string, number>();
+    let total = 0;
+    for (const { dataCentre, slots } of capacity) {
+        byDataCentre.set(dataCentre, (byDataCentre.get(dataCentre) ?? 0) + slots);
+        total += slots;
+    }
+    return total - Math.max(0, ...byDataCentre.values());
+};
--- /dev/null
+++ b/src/leases/Lease.test.ts
@@ -0,0 +1,114 @@
+import fc from "fast-check";
+import { FaultyTables } from "../../standins/FaultyTables";
+import { FakeClock } from "../kernel/FakeClock";
+import { SeededRandom } from "../kernel/SeededRandom";
+import type { Clock } from "../kernel/types";
+import { EventLog } from "../telemetry/EventLog";
+import { Lease } from "./Lease";
+
+/** Clock of a process that can be paused: time goes on, its sleeps end late. */
+class PausableClock implements Clock {
+    private resumed: Promise<void> = Promise.resolve();
+    private resume: () => void = () => {};
+
+    constructor(private readonly inner: FakeClock) {}
+
+    readWallMs(): number {
+        return this.inner.readWallMs();
+    }
+
+    readMonotonicMs(): number {
+        return this.inner.readMonotonicMs();
+    }
+
+    async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+        await this.inner.sleep(delayMs, signal);
+        await this.resumed;
+    }
+
+    setPaused(paused: boolean): void {
+        this.resume();
+        this.resumed = paused ? new Promise(resolve => this.resume = resolve) : Promise.resolve();
+    }
+}
+
+const createLeases = (
+    seed: number,
+): { clock: FakeClock; clocks: PausableClock[]; leases: Lease[]; tables: FaultyTables; } => {
+    const clock = new FakeClock();
+    const random = new SeededRandom(seed);
+    const tables = new FaultyTables({ clock, random, faults: { outage: 0, lostAnswer: 0, lateEffect: 0 } });
+    const clocks = ["a", "b", "c"].map(() => new PausableClock(clock));
+    const leases = ["a", "b", "c"].map((nodeId, index) =>
+        new Lease({
+            duty: "fleet",
+            nodeId,
+            tables,
+            clock: clocks[index],
+            random,
+            events: new EventLog({ node: nodeId, clock }),
+            isCandidate: () => true,
+        })
+    );
+    return { clock, clocks, leases, tables };
+};
+
+describe("Lease", () => {
+    it("passes on from a paused holder, which finds on waking that it no longer holds it", async () => {
+        const { clock, clocks, leases } = createLeases(1);
+        leases.forEach(lease => void lease.start());
+        await clock.advance(5_000);
+        const holder = leases.findIndex(lease => lease.readHeld());
+        const { fencing } = leases[holder].readHeld()!;
+        clocks[holder].setPaused(true);
+        await clock.advance(20_000);
+        const heir = leases.findIndex((lease, index) => index !== holder && lease.readHeld());
+        expect(leases[heir].readHeld()!.fencing).toBeGreaterThan(fencing);
+        expect(leases[holder].readHeld()).toBeUndefined();
+        clocks[holder].setPaused(false);
+        await clock.advance(5_000);
+        expect(leases[holder].readHeld()).toBeUndefined();
+        await Promise.all(leases.map(lease => lease.stop()));
+    });
+
+    it("has at most one holder at any moment, and fencing numbers that grow, under faults and pauses", async () => {
+        const step = fc.record({
+            paused: fc.option(fc.nat(2), { nil: undefined }),
+            outage: fc.double({ min: 0, max: 0.5, noNaN: true }),
+            lostAnswer: fc.double({ min: 0, max: 0.4, noNaN: true }),
+            steps: fc.integer({ min: 1, max: 20 }),
+        });
+        let held = 0;
+        await fc.assert(
+            fc.asyncProperty(
+                fc.integer(),
+                fc.array(step, { minLength: 1, maxLength: 8 }),
+                async (seed, steps) => {
+                    const { clock, clocks, leases, tables } = createLeases(seed);
+                    leases.forEach(lease => void lease.start());
+                    let highest = 0;
+                    for (const { paused, outage, lostAnswer, steps: count } of steps) {
+                        clocks.forEach((own, index) => own.setPaused(index === paused));
+                        tables.faults = { outage, lostAnswer, lateEffect: 0 };
+                        for (let index = 0; index < count; index += 1) {
+                            await clock.advance(700);
+                            const holders = leases.flatMap(lease => lease.readHeld() ?? []);
+                            expect(holders.length).toBeLessThanOrEqual(1);
+                            for (const holder of holders) {
+                                expect(holder.fencing).toBeGreaterThanOrEqual(highest);
+                                highest = holder.fencing;
+                                held += 1;
+                            }
+                        }
+                    }
+                    clocks.forEach(own => own.setPaused(false));
+                    const stopped = Promise.all(leases.map(lease => lease.stop()));
+                    await clock.advance(100);
+                    await stopped;
+                },
+            ),
+            { seed: 12, numRuns: 25 },
+        );
+        expect(held).toBeGreaterThan(50);
+    });
+});
--- /dev/null
+++ b/src/platform/HttpWeightStore.ts
@@ -0,0 +1,32 @@
+import { Agent } from "undici";
+import { sendJson } from "./sendJson";
+import type { WeightStore } from "./types";
+
+/** Options of {@link HttpWeightStore}. */
+export interface HttpWeightStoreOptions {
+    readonly url: string;
+    readonly timeoutMs: number;
+}
+
+/** Weight store over HTTP and JSON, as the stand-in speaks it. */
+export class HttpWeightStore implements WeightStore {
+    private readonly agent = new Agent({ connections: 1 });
+
+    constructor(private readonly options: HttpWeightStoreOptions) {}
+
+    async reserveTransfer(model: string): Promise<number> {
+        const answer = await sendJson({
+            dispatcher: this.agent,
+            url: `${this.options.url}/transfers`,
+            method: "POST",
+            body: { model },
+            timeoutMs: this.options.timeoutMs,
+        });
+        return (answer.body as { waitMs: number; }).waitMs;
+    }
+
+    /** Closes the connection. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+}
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -26,6 +26,12 @@
         /** Weight store; only the fleet service uses it. */
         weights: urlSchema.optional(),
     }).strict(),
+    fleet: z.object({
+        /** Whether this node may hold the lease under which the fleet is sized. */
+        enabled: z.boolean().default(false),
+        /** Fewest model runners of a service. */
+        minRunners: z.number().int().positive().default(2),
+    }).strict().default({}),
     logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
     limits: z.object({
         maxBodyBytes: z.number().int().positive().default(1_048_576),
--- a/src/upstreams/UpstreamRegistry.ts
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -114,6 +114,7 @@
             }
         }
         this.adoptNotices();
+        this.adoptDrains();
         this.changed.set(this.changed.value + 1);
     }
 
@@ -186,6 +187,16 @@
         }
     }
 
+    /** Runners that the fleet's holder drains get no new work, and their streams end in place. */
+    private adoptDrains(): void {
+        for (const { vmId } of this.options.gossip.listValues<{ vmId: string; }>("drain/")) {
+            const runner = this.runners.get(vmId);
+            if (runner) {
+                this.markLeaving(runner, undefined);
+            }
+        }
+    }
+
     private markLeaving(runner: Runner, takenAtMs: number | undefined): void {
         const isNews = !runner.isLeaving || (takenAtMs !== undefined && runner.takenAtMs === undefined);
         runner.markLeaving(takenAtMs);
--- a/standins/LocalCluster.ts
+++ b/standins/LocalCluster.ts
@@ -37,6 +37,8 @@
     readonly services: readonly LocalService[];
     readonly timing?: Partial<Settings["timing"]>;
     readonly limits?: Partial<Settings["limits"]>;
+    /** Whether the nodes size the fleet; default false. */
+    readonly fleet?: boolean;
     readonly seed?: number;
     readonly onBrokenInvariant?: (name: string, detail: string) => void;
     /** Level of the nodes' logs; default silent. */
@@ -206,6 +208,7 @@
                 objects: this.standIns.objects.server.url,
                 cloud: this.standIns.cloud.server.url,
             },
+            fleet: { enabled: this.options.fleet ?? false },
             timing: this.options.timing ?? {},
             limits: this.options.limits ?? {},
         })).unsafeCoerce();
--- a/standins/StandInCluster.ts
+++ b/standins/StandInCluster.ts
@@ -1,4 +1,4 @@
-import type { Vm, VmOffer } from "../src/platform/types";
+import type { Vm, VmMarket, VmOffer } from "../src/platform/types";
 import { CloudStandIn } from "./CloudStandIn";
 import { EngineStandIn, type EngineStandInOptions } from "./EngineStandIn";
 import { ObjectStandIn } from "./ObjectStandIn";
@@ -36,6 +36,8 @@
         this.cloud = new CloudStandIn({
             listLagMs: options.listLagMs,
             offers: options.offers,
+            createVm: async request =>
+                (await this.addEngine(request.service, request.dataCentre, request.market)).vm,
             onVmEnd: vm => this.endVm(vm),
         });
     }
@@ -78,10 +80,14 @@
         return this.cloud.isLive(vmId);
     }
 
-    async addEngine(service: string, dataCentre: string): Promise<StandInRunner> {
+    async addEngine(
+        service: string,
+        dataCentre: string,
+        market: VmMarket = "reclaimable",
+    ): Promise<StandInRunner> {
         const engine = new EngineStandIn(this.options.engine);
         await engine.server.start();
-        const runner = { vm: this.createVm(service, dataCentre, engine.server.url, "gpu-a"), engine };
+        const runner = { vm: this.createVm(service, dataCentre, engine.server.url, "gpu-a", market), engine };
         engine.server.onReclaim = fault => this.cloud.reclaim(runner.vm.id, fault.ms ?? 0);
         return this.list(runner);
     }
@@ -100,7 +106,13 @@
         return runner;
     }
 
-    private createVm(service: string, dataCentre: string, url: string, machineClass: string): Vm {
+    private createVm(
+        service: string,
+        dataCentre: string,
+        url: string,
+        machineClass: string,
+        market: VmMarket = "reclaimable",
+    ): Vm {
         const id = `vm-${service}-${this.runners.length}`;
         return {
             id,
@@ -109,7 +121,7 @@
             dataCentre,
             url,
             state: "live",
-            market: "reclaimable",
+            market,
             machineClass,
         };
     }
