Measure slopes; sharpen a check that a trial had left green

Cause: with leaving runners kept usable on purpose, the test of new work for them stayed green: it waited until the runner was gone. The slopes bench measures routing, state, records, hand-over, polls and peers.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { formatPathFigures, runPathBench } from "./path/runPathBench";
+import { formatSlopes, runSlopesBench } from "./slopes/runSlopesBench";
 
 const defaultSeed = 1;
 
@@ -17,6 +18,11 @@
             console.log(asJson ? JSON.stringify(figures) : formatPathFigures(figures));
             return;
         }
+        case "slopes": {
+            const slopes = await runSlopesBench();
+            console.log(asJson ? JSON.stringify(slopes) : formatSlopes(slopes));
+            return;
+        }
     }
     console.error("usage: npm run bench path|policy|slopes -- [--json] [--seed N]");
     process.exitCode = 2;
--- /dev/null
+++ b/bench/slopes/fitSlope.ts
@@ -0,0 +1,35 @@
+import type { Slope, SlopePoint } from "./types";
+
+/**
+ * Fits a straight line by least squares.
+ *
+ * @param figure - what was measured, with its unit
+ * @param per - what the size counts
+ * @param points - at three sizes or more
+ * @returns line, fit and spread
+ */
+export const fitSlope = (figure: string, per: string, points: readonly SlopePoint[]): Slope => {
+    const count = points.length;
+    const meanSize = points.reduce((sum, point) => sum + point.size, 0) / count;
+    const meanValue = points.reduce((sum, point) => sum + point.value, 0) / count;
+    const covariance = points.reduce(
+        (sum, point) => sum + (point.size - meanSize) * (point.value - meanValue),
+        0,
+    );
+    const variance = points.reduce((sum, point) => sum + (point.size - meanSize) ** 2, 0);
+    const slope = covariance / variance;
+    const intercept = meanValue - slope * meanSize;
+    const residuals = points.map(point => point.value - intercept - slope * point.size);
+    const unexplained = residuals.reduce((sum, residual) => sum + residual ** 2, 0);
+    const total = points.reduce((sum, point) => sum + (point.value - meanValue) ** 2, 0);
+    const largest = Math.max(...points.map(point => Math.abs(point.value)), Number.MIN_VALUE);
+    return {
+        figure,
+        per,
+        points,
+        slope,
+        intercept,
+        fit: total === 0 ? 1 : 1 - unexplained / total,
+        spread: Math.max(...residuals.map(Math.abs)) / largest,
+    };
+};
--- /dev/null
+++ b/bench/slopes/measureHandOver.ts
@@ -0,0 +1,47 @@
+import { packFrame } from "../../src/peers/packFrame";
+import { generateToken } from "../../standins/generateToken";
+import { fitSlope } from "./fitSlope";
+import { measureCall } from "./measureUsage";
+import type { Slope, SlopePoint } from "./types";
+
+const tokenCounts: readonly number[] = [50, 200, 800];
+const promptBytes = 4_000;
+const rounds = 5;
+
+/** Measures the size of a handed-over request and the processor time to encode it. */
+export const measureHandOver = (): Slope[] => {
+    const bytes: SlopePoint[] = [];
+    const cpu: SlopePoint[] = [];
+    for (const size of tokenCounts) {
+        const bundle = createBundle(size);
+        bytes.push({ size, value: packFrame(bundle).length });
+        cpu.push({ size, value: measureCall(rounds, 500, () => packFrame(bundle)) });
+    }
+    return [
+        fitSlope("hand-over bytes", "produced token", bytes),
+        fitSlope("hand-over processor microseconds", "produced token", cpu),
+    ];
+};
+
+const createBundle = (tokens: number): unknown => {
+    let events = "";
+    for (let index = 0; index < tokens; index += 1) {
+        const content = JSON.stringify(generateToken(1, index));
+        events +=
+            `id: ${index}\ndata: {"id":"chatcmpl-entry-1.0123456789abcdef01234567","object":"chat.completion.chunk",`
+            + `"created":0,"model":"llm","choices":[{"index":0,"delta":{"content":${content}},"finish_reason":null}]}\n\n`;
+    }
+    return {
+        id: "entry-1.0123456789abcdef01234567",
+        accountId: "account",
+        service: "llm",
+        className: "drafting",
+        body: { model: "llm", messages: [{ role: "user", content: "x".repeat(promptBytes) }] },
+        acceptedAtMs: 0,
+        kept: false,
+        events: Buffer.from(events),
+        nextOffset: tokens,
+        ended: false,
+        attempts: 1,
+    };
+};
--- /dev/null
+++ b/bench/slopes/measureRouting.ts
@@ -0,0 +1,78 @@
+import { SeededRandom } from "../../src/kernel/SeededRandom";
+import { hashPromptBlocks, PrefixIndex } from "../../src/routing/PrefixIndex";
+import { TargetRoutingPolicy } from "../../src/routing/TargetRoutingPolicy";
+import type { RoutingRequest, RunnerView } from "../../src/routing/types";
+import { fitSlope } from "./fitSlope";
+import { measureCall, measureHeap } from "./measureUsage";
+import type { Slope } from "./types";
+
+const runnerCounts: readonly number[] = [10, 24, 100, 1_000];
+const blockCounts: readonly number[] = [4_096, 16_384, 65_536];
+const rounds = 5;
+const calls = 2_000;
+
+const request: RoutingRequest = {
+    promptTokens: 1_000,
+    expectedTokens: 200,
+    firstTokenMs: 1_100,
+    betweenTokensMs: 40,
+    waitedMs: 0,
+};
+
+/** Measures a routing decision over runners, and the prefix index over blocks. */
+export const measureRouting =
+    (): Slope[] => [measureDecision(), measureDecisionMemory(), ...measurePrefixIndex()];
+
+const createViews = (count: number): RunnerView[] =>
+    Array.from({ length: count }, (_, index) => ({
+        id: `runner-${index}`,
+        dataCentre: `dc-${index % 5}`,
+        pricePerHour: 1 + index % 3,
+        running: index % 16,
+        queued: 0,
+        reportedLoad: index % 16,
+        slots: 16,
+        cachedTokens: index % 7 === 0 ? 640 : 0,
+        prefillMsPerToken: 0.1,
+        betweenTokensMs: 20,
+        serviceMs: 4_000,
+        admitShare: 1,
+    }));
+
+const measureDecision = (): Slope => {
+    const policy = new TargetRoutingPolicy({ random: new SeededRandom(1) });
+    const points = runnerCounts.map(size => {
+        const views = createViews(size);
+        return { size, value: measureCall(rounds, calls, () => policy.choose(request, views)) };
+    });
+    return fitSlope("routing decision microseconds", "runner", points);
+};
+
+const measureDecisionMemory = (): Slope => {
+    const points = runnerCounts.map(size => ({ size, value: measureHeap(() => createViews(size)) }));
+    return fitSlope("routing view heap bytes", "runner", points);
+};
+
+const createIndex = (blocks: number): PrefixIndex => {
+    const index = new PrefixIndex({ maxBlocks: blocks });
+    for (let block = 0; block < blocks; block += 1) {
+        index.add(`runner-${block % 24}`, [`${block % 64}-${(block * 7919).toString(16)}`]);
+    }
+    return index;
+};
+
+const measurePrefixIndex = (): Slope[] => {
+    const memory: { size: number; value: number; }[] = [];
+    const lookUps: { size: number; value: number; }[] = [];
+    for (const size of blockCounts) {
+        memory.push({ size, value: measureHeap(() => createIndex(size)) });
+        const index = createIndex(size);
+        const prompt = hashPromptBlocks("x".repeat(16_384));
+        index.add("runner-1", prompt);
+        lookUps.push({ size, value: measureCall(rounds, calls, () => index.countCachedTokens(prompt)) });
+    }
+    return [
+        fitSlope("prefix index heap bytes", "block", memory),
+        fitSlope("prefix look-up microseconds (64 blocks)", "block", lookUps),
+    ];
+};
--- /dev/null
+++ b/bench/slopes/measureState.ts
@@ -0,0 +1,150 @@
+import { selectEntries } from "../../src/callers/selectEntries";
+import { parseDeclaration } from "../../src/declaration/parseDeclaration";
+import { findAccountByKey } from "../../src/declaration/findAccountByKey";
+import { FakeClock } from "../../src/kernel/FakeClock";
+import { SeededRandom } from "../../src/kernel/SeededRandom";
+import type { Member } from "../../src/membership/types";
+import { GossipMap } from "../../src/peers/GossipMap";
+import { packFrame } from "../../src/peers/packFrame";
+import { EventLog } from "../../src/telemetry/EventLog";
+import { eventKinds } from "../../src/telemetry/eventKinds";
+import { HybridClock } from "../../src/telemetry/HybridClock";
+import { fitSlope } from "./fitSlope";
+import { measureCall, measureHeap } from "./measureUsage";
+import type { Slope, SlopePoint } from "./types";
+
+const entryCounts: readonly number[] = [100, 400, 1_600];
+const memberCounts: readonly number[] = [8, 64, 320];
+const accountCounts: readonly number[] = [5, 50, 500];
+const eventCounts: readonly number[] = [1_024, 4_096, 16_384];
+const rounds = 5;
+
+/** Measures state that grows with VMs, members, accounts and events. */
+export const measureState = (): Slope[] => [
+    ...measureGossip(),
+    measureEntries(),
+    ...measureDeclaration(),
+    ...measureEvents(),
+];
+
+const createVm = (index: number): unknown => ({
+    id: `vm-bhatti-llm-${index}`,
+    role: "upstream",
+    service: "bhatti-llm",
+    dataCentre: `guj-west-${index % 5}`,
+    url: `http://10.0.${index % 250}.${index % 200}:8080`,
+    state: "live",
+    market: "reclaimable",
+    machineClass: "gpu-a",
+});
+
+const measureGossip = (): Slope[] => {
+    const memory: SlopePoint[] = [];
+    const exchange: SlopePoint[] = [];
+    const merge: SlopePoint[] = [];
+    for (const size of entryCounts) {
+        const source = createMap();
+        source.setAll(
+            Array.from({ length: size }, (_, index) => ({ key: `vm/vm-${index}`, value: createVm(index) })),
+        );
+        const text = JSON.stringify(source.listEntries());
+        const copied = JSON.parse(text) as ReturnType<GossipMap["listEntries"]>;
+        const fill = (): GossipMap => {
+            const map = createMap();
+            map.merge(JSON.parse(text) as typeof copied);
+            return map;
+        };
+        memory.push({ size, value: measureHeap(fill) });
+        exchange.push({ size, value: packFrame({ entries: copied }).length });
+        merge.push({ size, value: measureCall(rounds, 5, () => createMap().merge(copied)) });
+    }
+    return [
+        fitSlope("gossip map heap bytes", "VM", memory),
+        fitSlope("gossip exchange bytes", "VM", exchange),
+        fitSlope("gossip merge microseconds", "VM", merge),
+    ];
+};
+
+const createMap = (): GossipMap =>
+    new GossipMap({ nodeId: "bench", hybridClock: new HybridClock(new FakeClock()) });
+
+const measureEntries = (): Slope => {
+    const random = new SeededRandom(1);
+    const points = memberCounts.map(size => {
+        const members = Array.from({ length: size }, (_, index): Member => ({
+            nodeId: `entry-${index}`,
+            dataCentre: `dc-${index % 5}`,
+            callersUrl: `http://10.0.0.${index}:8080`,
+            peersUrl: "ws://10.0.0.1:1",
+            state: "live",
+            incarnation: 1,
+        }));
+        return {
+            size,
+            value: measureCall(rounds, 500, () => JSON.stringify(selectEntries({ members, random }))),
+        };
+    });
+    return fitSlope("address answer microseconds", "member", points);
+};
+
+const createDeclaration = (accounts: number): unknown => ({
+    classes: [{
+        name: "c",
+        durability: "none",
+        latency: { firstTokenMs: 1_100, betweenTokensMs: 40, wholeMs: 60_000 },
+    }],
+    services: [{ name: "s", kind: "model", checksFencing: true, defaultClass: "c" }],
+    clientAccounts: Array.from({ length: accounts }, (_, index) => ({
+        id: `account-${index}`,
+        keyHashes: [index.toString(16).padStart(64, "0")],
+        services: ["s"],
+    })),
+});
+
+const measureDeclaration = (): Slope[] => {
+    const bytes: SlopePoint[] = [];
+    const check: SlopePoint[] = [];
+    const authenticate: SlopePoint[] = [];
+    for (const size of accountCounts) {
+        const document = createDeclaration(size);
+        const declaration = parseDeclaration(document).unsafeCoerce();
+        bytes.push({ size, value: packFrame(declaration).length });
+        check.push({ size, value: measureCall(rounds, 20, () => parseDeclaration(document)) });
+        const { clientAccounts } = declaration;
+        authenticate.push({
+            size,
+            value: measureCall(rounds, 500, () => findAccountByKey(clientAccounts, "key")),
+        });
+    }
+    return [
+        fitSlope("configuration bytes", "account", bytes),
+        fitSlope("configuration check microseconds", "account", check),
+        fitSlope("authentication microseconds", "account", authenticate),
+    ];
+};
+
+const writeEvent = (log: EventLog, index: number): void =>
+    log.emit(eventKinds.requestAccepted, { requestId: `entry-1.${index}`, account: "a", service: "s" });
+
+const fillLog = (events: number): EventLog => {
+    const log = new EventLog({ node: "bench", clock: new FakeClock(), keptEvents: events });
+    for (let index = 0; index < events; index += 1) {
+        writeEvent(log, index);
+    }
+    return log;
+};
+
+const measureEvents = (): Slope[] => {
+    const memory: SlopePoint[] = [];
+    const emit: SlopePoint[] = [];
+    for (const size of eventCounts) {
+        const log = new EventLog({ node: "bench", clock: new FakeClock(), keptEvents: size });
+        const write = (index: number): void => writeEvent(log, index);
+        memory.push({ size, value: measureHeap(() => fillLog(size)) });
+        emit.push({ size, value: measureCall(rounds, 5_000, write) });
+    }
+    return [
+        fitSlope("time line heap bytes", "kept event", memory),
+        fitSlope("event microseconds", "kept event", emit),
+    ];
+};
--- /dev/null
+++ b/bench/slopes/measureUpstreams.ts
@@ -0,0 +1,76 @@
+import { EngineStandIn } from "../../standins/EngineStandIn";
+import { CloudStandIn } from "../../standins/CloudStandIn";
+import { HttpCloud } from "../../src/platform/HttpCloud";
+import { HttpEngineClient } from "../../src/upstreams/HttpEngineClient";
+import { fitSlope } from "./fitSlope";
+import { readUsage } from "./measureUsage";
+import type { Slope, SlopePoint } from "./types";
+
+const pollCounts: readonly number[] = [200, 400, 800];
+const vmCounts: readonly number[] = [100, 400, 1_260];
+const listPolls = 20;
+const httpHeadBytes = 260; // request line, status line and headers of one load poll, both ways
+
+/** Measures load polls and the VM list. Processor time holds the stand-in's half as well, an upper bound. */
+export const measureUpstreams = async (): Promise<
+    Slope[]
+> => [...await measureLoadPolls(), ...await measureVmList()];
+
+const measureLoadPolls = async (): Promise<Slope[]> => {
+    const engine = new EngineStandIn();
+    await engine.server.start();
+    const client = new HttpEngineClient({ url: engine.server.url, timeoutMs: 1_000 });
+    const points: SlopePoint[] = [];
+    let bytes = 0;
+    await client.readLoad();
+    for (const size of pollCounts) {
+        const before = readUsage().cpuMicroseconds;
+        for (let poll = 0; poll < size; poll += 1) {
+            bytes = JSON.stringify(await client.readLoad()).length + httpHeadBytes;
+        }
+        points.push({ size, value: readUsage().cpuMicroseconds - before });
+    }
+    await client.close();
+    await engine.stop();
+    const byteSlope = fitSlope(
+        "load poll bytes, both ways",
+        "poll",
+        pollCounts.map(size => ({ size, value: size * bytes })),
+    );
+    return [fitSlope("load poll processor microseconds", "poll", points), byteSlope];
+};
+
+const measureVmList = async (): Promise<Slope[]> => {
+    const cpu: SlopePoint[] = [];
+    const bytes: SlopePoint[] = [];
+    for (const size of vmCounts) {
+        const cloud = new CloudStandIn({ listLagMs: 0 });
+        await cloud.server.start();
+        for (let index = 0; index < size; index += 1) {
+            cloud.addVm({
+                id: `vm-bhatti-llm-${index}`,
+                role: "upstream",
+                service: "bhatti-llm",
+                dataCentre: `guj-west-${index % 5}`,
+                url: `http://10.0.0.${index % 250}:8080`,
+                state: "live",
+                market: "reclaimable",
+                machineClass: "gpu-a",
+            });
+        }
+        const client = new HttpCloud({ url: cloud.server.url, timeoutMs: 5_000 });
+        const list = await client.listVms();
+        const before = readUsage().cpuMicroseconds;
+        for (let poll = 0; poll < listPolls; poll += 1) {
+            await client.listVms();
+        }
+        cpu.push({ size, value: (readUsage().cpuMicroseconds - before) / listPolls });
+        bytes.push({ size, value: JSON.stringify(list).length });
+        await client.close();
+        await cloud.stop();
+    }
+    return [
+        fitSlope("VM list poll processor microseconds", "VM", cpu),
+        fitSlope("VM list bytes", "VM", bytes),
+    ];
+};
--- a/src/reclaim/UpstreamReclaim.test.ts
+++ b/src/reclaim/UpstreamReclaim.test.ts
@@ -3,6 +3,7 @@
 import type { LocalCluster } from "../../standins/LocalCluster";
 import type { StandInRunner } from "../../standins/StandInCluster";
 import { TestCaller } from "../../standins/TestCaller";
+import { upstreamRegistryName } from "../upstreams/UpstreamRegistry";
 
 const caller = new TestCaller(testKeys.large);
 const tokens = 400;
@@ -27,6 +28,11 @@
     return stats.reduce((sum, entry) => sum + entry.recomputedTokens, 0);
 };
 
+const readGenerated = async (runner: StandInRunner): Promise<number> => {
+    const answer = await fetch(`${runner.vm.url}/stats`);
+    return (await answer.json() as { generatedTokens: number; }).generatedTokens;
+};
+
 describe("reclaims and faults of runners", () => {
     let cluster: LocalCluster;
 
@@ -54,15 +60,17 @@
 
     it("gives a leaving runner no new work", async () => {
         const [leaving] = listEngines(cluster);
-        cluster.standIns.cloud.reclaim(leaving.vm.id, 5_000);
+        cluster.standIns.cloud.reclaim(leaving.vm.id, 8_000);
         await cluster.waitUntil(
-            () => cluster.nodes.every(node => node.countRunners("llm") === 2),
+            () =>
+                cluster.nodes.every(node =>
+                    node.kernel.find(upstreamRegistryName).find(leaving.vm.id)?.isLeaving
+                ),
             "all nodes know the notice",
         );
-        const done = openStreams(cluster, 6);
-        await cluster.clock.sleep(100);
-        expect(leaving.engine!.load).toBe(0);
-        expect(await done).toEqual(new Array(6).fill(true));
+        const before = await readGenerated(leaving);
+        expect(await openStreams(cluster, 12)).toEqual(new Array(12).fill(true));
+        expect(await readGenerated(leaving)).toBe(before);
     });
 
     it("resumes streams of a runner that dies without notice", async () => {
