Measure the policies in virtual time and mend what they show

Cause, by the new policy bench (real queues, routing, streams, reclaim and fleet over engines in memory): 1. Choosing by price filled the cheapest data centre's runners first; a running machine is paid whether it is used or not, so that this saved nothing. 2. When no runner met the target, all nodes chose the very fastest, the same one. 3. All nodes see the same late report and filled the same free slot. 4. A request that waited in an engine's queue was taken for silent and moved, which computed its prompt again. 5. The predicted wait left out that other nodes share the runners, so that everybody waited past the target. Change: the price is weighed by the fleet alone; the choice is one of two random near-best runners; the last free slots of a runner are left to nodes with less than an equal share; a fresh report of a queue is no silence; the wait is predicted from the gaps between this node's dispatches; fleet headroom 1.25 to 1.15. Arrivals got random numbers of their own, since policies drew from the same source.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,6 @@
+import { join } from "node:path";
 import { formatPathFigures, runPathBench } from "./path/runPathBench";
+import { formatPolicyFigures, runPolicyBench, writePlots } from "./policy/runPolicyBench";
 import { formatSlopes, runSlopesBench } from "./slopes/runSlopesBench";
 
 const defaultSeed = 1;
@@ -18,6 +20,13 @@
             console.log(asJson ? JSON.stringify(figures) : formatPathFigures(figures));
             return;
         }
+        case "policy": {
+            const figures = await runPolicyBench(seed);
+            await writePlots(figures, readOption("--plots") ?? join("docs", "measurements", "policy"));
+            console.log(asJson ? JSON.stringify(figures) : formatPolicyFigures(figures));
+            process.exit();
+            break;
+        }
         case "slopes": {
             const slopes = await runSlopesBench();
             console.log(asJson ? JSON.stringify(slopes) : formatSlopes(slopes));
--- /dev/null
+++ b/bench/policy/PolicyWorld.ts
@@ -0,0 +1,284 @@
+import type { WorkClass } from "../../src/declaration/declarationSchema";
+import { FleetManager } from "../../src/fleet/FleetManager";
+import type { FleetVm } from "../../src/fleet/types";
+import { SeededRandom } from "../../src/kernel/SeededRandom";
+import { Lease } from "../../src/leases/Lease";
+import { GossipMap } from "../../src/peers/GossipMap";
+import type { VmOffer } from "../../src/platform/types";
+import { UpstreamReclaim } from "../../src/reclaim/UpstreamReclaim";
+import { toFailure } from "../../src/results/toFailure";
+import { ChatRequests } from "../../src/streams/ChatRequests";
+import type { RequestRecord } from "../../src/streams/RequestRecord";
+import { ServiceDispatchers } from "../../src/streams/ServiceDispatchers";
+import { StreamMemory } from "../../src/streams/StreamMemory";
+import { EventLog } from "../../src/telemetry/EventLog";
+import { HybridClock } from "../../src/telemetry/HybridClock";
+import { Invariants } from "../../src/telemetry/Invariants";
+import { Metrics } from "../../src/telemetry/Metrics";
+import { UpstreamRegistry } from "../../src/upstreams/UpstreamRegistry";
+import { Observed } from "../../src/_lib/Observed";
+import { FaultyTables } from "../../standins/FaultyTables";
+import { FakeEngine } from "./FakeEngine";
+import { PolicyCloud } from "./PolicyCloud";
+import type { Deployment, PolicySet } from "./types";
+import { VirtualClock } from "./VirtualClock";
+
+/** Targets of the bench's class of work; those of letter 1. */
+export const benchClass: WorkClass = {
+    name: "drafting",
+    latency: { firstTokenMs: 1_100, betweenTokensMs: 40, wholeMs: 30_000 },
+    durability: "survives-reclaim",
+    urgency: "interactive",
+};
+
+/** Speed of the bench's engines. */
+export const engineSpeed = { slots: 16, stepMs: 18, prefillMsPerToken: 0.15 } as const;
+
+interface PolicyNode {
+    readonly chats: ChatRequests;
+    readonly registry: UpstreamRegistry;
+    readonly dispatchers: ServiceDispatchers;
+    readonly reclaim: UpstreamReclaim | undefined;
+}
+
+const onDemandFactor = 3;
+const startMs = 12_000;
+const reportLagMs = 700;
+const cacheLagMs = 1_500;
+const cacheBlocks = 400;
+const loadPollMs = 250;
+const unlimited = 1_000_000_000;
+
+/** Nodes of one deployment with real routing, queues, streams and fleet, over engines in virtual time. */
+export class PolicyWorld {
+    readonly clock = new VirtualClock();
+    /** Random numbers of the arrivals; apart, so that every policy gets the same requests. */
+    readonly arrivals: SeededRandom;
+    private readonly random: SeededRandom;
+    readonly cloud: PolicyCloud;
+    readonly tables: FaultyTables;
+    readonly broken: string[] = [];
+    private readonly gossip: GossipMap;
+    private readonly nodes: PolicyNode[] = [];
+    private readonly offers: readonly VmOffer[];
+    private readonly produced = new Map<string, number>();
+    private fleet: FleetManager | undefined;
+
+    constructor(private readonly deployment: Deployment, private readonly policies: PolicySet, seed: number) {
+        this.arrivals = new SeededRandom(seed);
+        this.random = new SeededRandom(seed + 1);
+        this.gossip = new GossipMap({ nodeId: "bench", hybridClock: new HybridClock(this.clock) });
+        this.offers = deployment.dataCentres.flatMap((dataCentre, index): VmOffer[] => {
+            const pricePerHour = deployment.prices[index];
+            const machineClass = "gpu-a";
+            return [
+                { dataCentre, machineClass, market: "reclaimable", pricePerHour },
+                {
+                    dataCentre,
+                    machineClass,
+                    market: "on-demand",
+                    pricePerHour: pricePerHour * onDemandFactor,
+                },
+            ];
+        });
+        this.cloud = new PolicyCloud({
+            clock: this.clock,
+            gossip: this.gossip,
+            offers: this.offers,
+            startMs,
+            createEngine: () =>
+                new FakeEngine({
+                    ...engineSpeed,
+                    clock: this.clock,
+                    cacheBlocks,
+                    reportLagMs,
+                    cacheLagMs,
+                    produced: this.produced,
+                }),
+        });
+        this.tables = new FaultyTables({
+            clock: this.clock,
+            random: this.random,
+            faults: { outage: 0, lostAnswer: 0, lateEffect: 0 },
+        });
+    }
+
+    /** Starts the first fleet, the nodes and the fleet manager. */
+    async start(): Promise<void> {
+        this.startFleet();
+        for (let index = 0; index < this.deployment.nodes; index += 1) {
+            this.nodes.push(await this.startNode(`entry-${index}`));
+        }
+        this.fleet = this.createFleetManager();
+        await this.fleet.start();
+        await this.clock.advance(1_000);
+    }
+
+    async stop(): Promise<void> {
+        const stopped = Promise.all([
+            this.fleet!.stop(),
+            ...this.nodes.flatMap(node => [node.chats.stop(), node.registry.stop(), node.reclaim?.stop()]),
+        ]);
+        await this.clock.advance(1_000);
+        await stopped;
+    }
+
+    /**
+     * Sends a request to a random node.
+     *
+     * @returns its record, or the name of the refusal
+     */
+    async ask(accountId: string, prompt: string, maxTokens: number): Promise<RequestRecord | string> {
+        const node = this.nodes[this.random.drawInt(this.nodes.length)];
+        try {
+            const body = {
+                model: "llm",
+                messages: [{ role: "user", content: prompt }],
+                max_tokens: maxTokens,
+            };
+            return await node.chats.accept({ accountId, service: "llm", workClass: benchClass, body });
+        }
+        catch (error) {
+            return toFailure(error).result.name;
+        }
+    }
+
+    /** Tokens that were computed more than once. */
+    countRecomputed(): number {
+        return [...this.cloud.engines.values()].reduce(
+            (sum, engine) => sum + engine.stats.recomputedTokens,
+            0,
+        );
+    }
+
+    /** The fleet that the policy would have settled on for this load. */
+    private startFleet(): void {
+        const policy = this.policies.createFleet();
+        const vms: FleetVm[] = [];
+        const neededSlots = computeNeededSlots(this.deployment);
+        for (;;) {
+            const { requests } = policy.plan({
+                vms,
+                offers: this.offers,
+                neededSlots,
+                slotsPerVm: engineSpeed.slots,
+                reclaimsPerHour: new Map(),
+                refusedOffers: new Set(),
+                minVms: this.deployment.runners,
+            });
+            if (requests.length === 0) {
+                return;
+            }
+            for (const offer of requests) {
+                const { id } = this.cloud.addVm(offer.dataCentre, offer.market);
+                vms.push({ ...offer, id, slots: engineSpeed.slots, load: 0, leaving: false });
+            }
+        }
+    }
+
+    private async startNode(nodeId: string): Promise<PolicyNode> {
+        const { clock, gossip, random } = this;
+        const events = new EventLog({ node: nodeId, clock, keptEvents: 16 });
+        const invariants = new Invariants({
+            events,
+            onBroken: (name, detail) => this.broken.push(`${name}: ${detail}`),
+        });
+        const registry = new UpstreamRegistry({
+            nodeId,
+            clock,
+            events,
+            gossip,
+            readServiceKind: () => "model",
+            loadPollMs,
+            countSharers: () => this.deployment.nodes,
+            clients: {
+                createEngine: vm => this.cloud.engines.get(vm.id)!,
+                createPlain: () => {
+                    throw new Error("the bench has no plain services");
+                },
+            },
+        });
+        const dispatchers = new ServiceDispatchers({
+            clock,
+            random,
+            registry,
+            maxQueuedRequests: 2_000,
+            maxQueuedBytes: unlimited,
+            createPolicy: () => this.policies.createRouting(random),
+        });
+        const chats = new ChatRequests({
+            nodeId,
+            clock,
+            random,
+            events,
+            invariants,
+            metrics: new Metrics(),
+            memory: new StreamMemory(unlimited),
+            configuration: { current: new Observed(undefined) },
+            registry,
+            dispatchers,
+            kept: { store: async () => "stored", finish: async () => {} },
+            recovery: this.policies.recovery,
+            streamSilenceMs: 4_000,
+            resumeWindowMs: 1_000,
+        });
+        await registry.start();
+        await chats.start();
+        const reclaim = this.policies.movesStreams
+            ? new UpstreamReclaim({ clock, events, registry, chats })
+            : undefined;
+        await reclaim?.start();
+        return { chats, registry, dispatchers, reclaim };
+    }
+
+    private createFleetManager(): FleetManager {
+        const { clock, random, gossip } = this;
+        const [node] = this.nodes;
+        const events = new EventLog({ node: "entry-0", clock, keptEvents: 16 });
+        const lease = new Lease({
+            duty: "fleet",
+            nodeId: "entry-0",
+            tables: this.tables,
+            clock,
+            random,
+            events,
+            isCandidate: () => true,
+        });
+        return new FleetManager({
+            nodeId: "entry-0",
+            clock,
+            events,
+            gossip,
+            registry: node.registry,
+            cloud: this.cloud,
+            lease,
+            policy: this.policies.createFleet(),
+            readDeclaration: () => ({
+                classes: [benchClass],
+                services: [{
+                    name: "llm",
+                    kind: "model",
+                    checksFencing: true,
+                    defaultClass: "drafting",
+                    models: [],
+                }],
+                clientAccounts: [],
+            }),
+            readQueueSizes: () => node.dispatchers.readQueueSizes(),
+            minVms: this.deployment.runners,
+        });
+    }
+}
+
+/** Slots that the load holds on average, with headroom. */
+export const computeNeededSlots = (deployment: Deployment): number => {
+    const headroom = 1.15;
+    return deployment.requestsPerSecond * computeServiceSeconds(deployment) * headroom;
+};
+
+/** Mean time for which a request holds a slot, in seconds, at a load that is just within the target. */
+export const computeServiceSeconds = (deployment: Deployment): number => {
+    const promptTokens = (deployment.sharedCharacters + deployment.ownCharacters) / 4;
+    const stepMs = engineSpeed.stepMs * 1.6;
+    return (promptTokens * engineSpeed.prefillMsPerToken * 0.5 + deployment.answerTokens * stepMs) / 1_000;
+};
--- /dev/null
+++ b/bench/policy/createPlot.ts
@@ -0,0 +1,48 @@
+import type { RunFigures } from "./types";
+
+/** Options of {@link createPlot}. */
+export interface CreatePlotOptions {
+    readonly title: string;
+    readonly figures: readonly RunFigures[];
+    readonly read: (figures: RunFigures) => number;
+    readonly axis: string;
+}
+
+const width = 1_000; // pixels
+const height = 420; // pixels
+
+/**
+ * Draws one figure of all runs as bars, by scenario and policy.
+ *
+ * @param options - what to draw
+ * @returns SVG text
+ */
+export const createPlot = async (options: CreatePlotOptions): Promise<string> => {
+    const echarts = await import("echarts"); // an ES module
+    const groups = [...new Set(options.figures.map(nameGroup))];
+    const policies = [...new Set(options.figures.map(figures => figures.policy))];
+    const chart = echarts.init(null, null, { renderer: "svg", ssr: true, width, height });
+    chart.setOption({
+        animation: false,
+        title: { text: options.title },
+        legend: { top: 28 },
+        grid: { top: 70, bottom: 90, left: 70, right: 20 },
+        xAxis: { type: "category", data: groups, axisLabel: { rotate: 20, interval: 0 } },
+        yAxis: { type: "value", name: options.axis },
+        series: policies.map(policy => ({
+            name: policy,
+            type: "bar",
+            data: groups.map(group => {
+                const run = options.figures.find(figures =>
+                    nameGroup(figures) === group && figures.policy === policy
+                );
+                return run ? options.read(run) : undefined;
+            }),
+        })),
+    });
+    const svg = chart.renderToSVGString();
+    chart.dispose();
+    return svg;
+};
+
+const nameGroup = (figures: RunFigures): string => `${figures.deployment}: ${figures.scenario}`;
--- a/bench/slopes/measureRouting.ts
+++ b/bench/slopes/measureRouting.ts
@@ -31,6 +31,8 @@
         running: index % 16,
         queued: 0,
         reportedLoad: index % 16,
+        own: 1,
+        sharers: 8,
         slots: 16,
         cachedTokens: index % 7 === 0 ? 640 : 0,
         prefillMsPerToken: 0.1,
--- a/src/daemon/registerServices.ts
+++ b/src/daemon/registerServices.ts
@@ -208,6 +208,7 @@
                     configuration.current.value?.declaration.services
                         .find(candidate => candidate.name === service)?.kind,
                 loadPollMs: timing.loadPollMs,
+                countSharers: () => Math.max(1, find(membershipName).listLive().length),
             });
             configuration.current.changes.observe(() => registry.refresh()).catch(() => {});
             return registry;
--- a/src/fleet/FleetManager.ts
+++ b/src/fleet/FleetManager.ts
@@ -50,10 +50,10 @@
 const orderDeadlineMs = 2_000; // an order is given only while the lease lasts longer than this
 const startLimitMs = 600_000; // an ordered VM that is not listed by then is given up
 const refusedOfferMs = 60_000;
-const headroom = 1.25;
+const headroom = 1.15;
 const defaultSlots = 16;
-const loadSmoothing = 0.3;
-const fallSmoothing = 0.05; // capacity follows a falling load slowly
+const loadSmoothing = 0.2;
+const fallSmoothing = 0.1; // capacity follows a falling load slowly
 
 /** Sizes the fleet of each model service and places models. Only the holder of the lease gives orders. */
 export class FleetManager {
--- a/src/routing/Dispatcher.ts
+++ b/src/routing/Dispatcher.ts
@@ -34,8 +34,6 @@
     readonly createViews: (blocks: readonly string[]) => readonly RunnerView[];
     /** Called when a runner is chosen, before the waiting request hears of it. */
     readonly onChosen: (runnerId: string) => void;
-    /** Requests that may wait at a runner beyond its slots, as a share of its slots; default 0. */
-    readonly runnerQueueShare?: number;
 }
 
 interface Waiting {
@@ -45,6 +43,9 @@
     readonly reject: (error: FailureError) => void;
 }
 
+const commonShare = 0.2; // of a runner's slots; while more are free, any node may use them
+const gapSmoothing = 0.1;
+const longestGapMs = 1_000; // a quiet time says nothing of the capacity
 const shortestRetryAfterMs = 250;
 const maxTakenPerPump = 1_000;
 
@@ -52,6 +53,8 @@
 export class Dispatcher {
     private readonly queue: FairQueue<Waiting>;
     private readonly overflow: Waiting[] = [];
+    private meanGapMs: number | undefined;
+    private lastDispatchMs: number | undefined;
 
     constructor(private readonly options: DispatcherOptions) {
         this.queue = new FairQueue({
@@ -115,12 +118,27 @@
         }
     }
 
-    /** Predicted wait of a request that joins the queue now, in milliseconds. */
+    /**
+     * Predicted wait of a request that joins the queue now, in milliseconds: the gap between this node's
+     * dispatches, which shows what share of the runners the other nodes leave to it.
+     */
     predictWaitMs(): number {
         const views = this.options.createViews([]);
         const slots = views.reduce((sum, view) => sum + view.slots, 0);
-        const serviceMs = views.reduce((sum, view) => sum + view.serviceMs, 0) / Math.max(1, views.length);
-        return slots === 0 ? Infinity : (this.size + 1) * serviceMs / slots;
+        if (slots === 0) {
+            return Infinity;
+        }
+        const serviceMs = views.reduce((sum, view) => sum + view.serviceMs, 0) / views.length;
+        return (this.size + 1) * (this.meanGapMs ?? serviceMs / slots);
+    }
+
+    private recordDispatch(): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        if (this.lastDispatchMs !== undefined) {
+            const gapMs = Math.min(nowMs - this.lastDispatchMs, longestGapMs);
+            this.meanGapMs = (this.meanGapMs ?? gapMs) + gapSmoothing * (gapMs - (this.meanGapMs ?? gapMs));
+        }
+        this.lastDispatchMs = nowMs;
     }
 
     /** Requests that were accepted before go first and wait without bounds. */
@@ -191,14 +209,22 @@
         };
         const { runnerId } = this.options.policy.choose(routed, views);
         if (runnerId !== undefined) {
+            this.recordDispatch();
             this.options.onChosen(runnerId);
         }
         return runnerId;
     }
 
+    /**
+     * Whether a request may go to a runner. All nodes see the same late report; the last free slots are left to
+     * the nodes that have less than an equal share of the runner, so that not all of them fill the same slot.
+     */
     private hasRoom(view: RunnerView, request: DispatchRequest): boolean {
-        const room = view.slots * (1 + (this.options.runnerQueueShare ?? 0));
-        return view.running + view.queued < room && !request.excluded.has(view.id);
+        if (request.excluded.has(view.id)) {
+            return false;
+        }
+        const free = view.slots - view.running - view.queued;
+        return free >= view.slots * commonShare || (free > 0 && view.own < view.slots / view.sharers);
     }
 }
 
--- a/src/routing/TargetRoutingPolicy.ts
+++ b/src/routing/TargetRoutingPolicy.ts
@@ -19,8 +19,10 @@
 }
 
 const defaultMargin = 0.8;
+const betweenMargin = 0.95; // the time between tokens is predicted more closely than the first token
 const defaultSampleSize = 12;
 const defaultAffinitySize = 3;
+const nearFirstToken = 0.25; // of the target; candidates within it of the fastest count as equal
 const nearCost = 1.1; // candidates within 10 % of the cheapest count as equal
 
 /**
@@ -51,7 +53,7 @@
             return toChoice(this.pickCheapest(meeting), true);
         }
         const withRoom = candidates.filter(({ runner }) => runner.running + runner.queued < runner.slots);
-        return toChoice(pickFastest(withRoom.length > 0 ? withRoom : candidates), false);
+        return toChoice(this.pickFast(withRoom.length > 0 ? withRoom : candidates, request), false);
     }
 
     private admits(runner: RunnerView): boolean {
@@ -74,25 +76,35 @@
 
     private meetsTarget(request: RoutingRequest, prediction: LatencyPrediction): boolean {
         return request.waitedMs + prediction.firstTokenMs <= request.firstTokenMs * this.margin
-            && prediction.betweenTokensMs <= request.betweenTokensMs * this.margin;
+            && prediction.betweenTokensMs <= request.betweenTokensMs * betweenMargin;
     }
 
     private pickCheapest(candidates: readonly Candidate[]): Candidate {
         const lowest = Math.min(...candidates.map(candidate => candidate.prediction.cost));
-        const near = candidates.filter(candidate => candidate.prediction.cost <= lowest * nearCost);
-        const first = near[this.options.random.drawInt(near.length)];
-        const second = near[this.options.random.drawInt(near.length)];
+        return this.pickLessLoaded(
+            candidates.filter(candidate => candidate.prediction.cost <= lowest * nearCost),
+        );
+    }
+
+    /** Takes one of the fastest; always taking the very fastest would send all nodes to the same runner. */
+    private pickFast(candidates: readonly Candidate[], request: RoutingRequest): Candidate {
+        const fastestMs = Math.min(...candidates.map(candidate => candidate.prediction.firstTokenMs));
+        const limitMs = fastestMs + request.firstTokenMs * nearFirstToken;
+        return this.pickLessLoaded(
+            candidates.filter(candidate => candidate.prediction.firstTokenMs <= limitMs),
+        );
+    }
+
+    /** Takes the less loaded of two random candidates (Mitzenmacher 2001). */
+    private pickLessLoaded(candidates: readonly Candidate[]): Candidate {
+        const first = candidates[this.options.random.drawInt(candidates.length)];
+        const second = candidates[this.options.random.drawInt(candidates.length)];
         return readLoad(first) <= readLoad(second) ? first : second;
     }
 }
 
 const readLoad = ({ runner }: Candidate): number => (runner.running + runner.queued) / runner.slots;
 
-const pickFastest = (candidates: readonly Candidate[]): Candidate =>
-    candidates.reduce((best, next) =>
-        next.prediction.firstTokenMs < best.prediction.firstTokenMs ? next : best
-    );
-
 const toChoice = (candidate: Candidate, meetsTarget: boolean): RoutingChoice => ({
     runnerId: candidate.runner.id,
     meetsTarget,
--- a/src/routing/predictLatency.ts
+++ b/src/routing/predictLatency.ts
@@ -6,18 +6,17 @@
     readonly firstTokenMs: number;
     /** Time between tokens, in milliseconds. */
     readonly betweenTokensMs: number;
-    /** Cost of the slot for the time that the request holds it, in the unit of the cloud's prices. */
+    /** Time for which the request holds a share of the machine, in milliseconds. */
     readonly cost: number;
 }
 
-const msPerHour = 3_600_000;
-
 /**
  * Predicts how a runner would serve a request.
  *
  * @param request - the request
  * @param runner - the runner
- * @returns latency and cost
+ * @returns latency and the machine time that the request takes; the price of a running machine is paid whether it is
+ * used or not, so that it is weighed by the fleet and not here
  */
 export const predictLatency = (request: RoutingRequest, runner: RunnerView): LatencyPrediction => {
     const uncachedTokens = Math.max(0, request.promptTokens - runner.cachedTokens);
@@ -28,6 +27,6 @@
     return {
         firstTokenMs: queueMs + prefillMs + runner.betweenTokensMs,
         betweenTokensMs: runner.betweenTokensMs,
-        cost: (prefillMs + decodeMs) * runner.pricePerHour / runner.slots / msPerHour,
+        cost: (prefillMs + decodeMs) / runner.slots,
     };
 };
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -12,6 +12,10 @@
     readonly queued: number;
     /** As {@link running} and {@link queued} in the last report, not corrected. */
     readonly reportedLoad: number;
+    /** Requests that this node has at the runner. */
+    readonly own: number;
+    /** Number of nodes that use the runner. */
+    readonly sharers: number;
     /** Requests that the runner decodes at once. */
     readonly slots: number;
     /** Tokens of this request's prompt that the runner is believed to have cached. */
--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -22,6 +22,7 @@
 import { RequestRunner } from "./RequestRunner";
 import { StreamLog } from "./StreamLog";
 import type { StreamMemory } from "./StreamMemory";
+import type { RecoveryPolicy } from "./RecoveryPolicy";
 import type { ServiceDispatchers } from "./ServiceDispatchers";
 
 /** Options of {@link ChatRequests}. */
@@ -33,10 +34,12 @@
     readonly invariants: Invariants;
     readonly metrics: Metrics;
     readonly memory: StreamMemory;
-    readonly configuration: Configuration;
+    readonly configuration: Pick<Configuration, "current">;
     readonly registry: UpstreamRegistry;
     readonly dispatchers: ServiceDispatchers;
-    readonly kept: KeptRequests;
+    readonly kept: Pick<KeptRequests, "store" | "finish">;
+    /** How an answer goes on at another runner; default {@link ResumeRecovery}. */
+    readonly recovery?: RecoveryPolicy;
     readonly streamSilenceMs: number;
     readonly resumeWindowMs: number;
 }
@@ -310,6 +313,9 @@
         const { streamSilenceMs } = this.options;
         const waitsForFirst = attempt.firstBatchMs === undefined;
         const firstTokenMs = record.description.workClass.latency.firstTokenMs;
+        if (waitsForFirst && attempt.runner.hasFreshQueue) {
+            return;
+        }
         const limitMs = waitsForFirst ? Math.max(streamSilenceMs * 2, firstTokenMs * 3) : streamSilenceMs;
         if (this.options.clock.readMonotonicMs() - attempt.lastHeardMs > limitMs) {
             attempt.stop({ kind: "silent" });
--- /dev/null
+++ b/src/streams/RecoveryPolicy.ts
@@ -0,0 +1,11 @@
+import type { EngineStart } from "../upstreams/types";
+import type { RequestRecord } from "./RequestRecord";
+
+/** Where an answer goes on at the next runner. */
+export type RecoveryPoint = Pick<EngineStart, "offset" | "producedText">;
+
+/** Decides from where an answer goes on after its runner was lost. */
+export interface RecoveryPolicy {
+    readonly name: string;
+    describe(record: RequestRecord): RecoveryPoint;
+}
--- a/src/streams/RequestRunner.ts
+++ b/src/streams/RequestRunner.ts
@@ -11,9 +11,10 @@
 import { Attempt, type AttemptOutcome } from "./Attempt";
 import type { ChatBody } from "./chatBodySchema";
 import type { ChatRequestsOptions } from "./ChatRequests";
-import { decodeEvents } from "./decodeEvents";
 import { extractPromptText } from "./extractPromptText";
+import type { RecoveryPolicy } from "./RecoveryPolicy";
 import type { RequestRecord } from "./RequestRecord";
+import { ResumeRecovery } from "./ResumeRecovery";
 
 const charactersPerToken = 4;
 const defaultExpectedTokens = 256;
@@ -22,6 +23,7 @@
 const maxAttempts = 16;
 const firstRetryPauseMs = 50;
 const maxRetryPauseMs = 1_000;
+const waitShare = 0.75; // of the target for the first token; the rest is for the prefill
 const frozenPauseMs = 20;
 const leavingBoundMs = 1_000; // a leaving runner gets no new work later than this
 
@@ -29,7 +31,11 @@
 export class RequestRunner {
     private readonly meanTokens = new Map<string, number>();
 
-    constructor(private readonly options: ChatRequestsOptions) {}
+    private readonly recovery: RecoveryPolicy;
+
+    constructor(private readonly options: ChatRequestsOptions) {
+        this.recovery = options.recovery ?? new ResumeRecovery();
+    }
 
     /**
      * Runs a request until its answer is whole, it was ended from outside, or it cannot be answered.
@@ -103,7 +109,7 @@
             expectedTokens: this.expectTokens(record),
             firstTokenMs: latency.firstTokenMs,
             betweenTokensMs: latency.betweenTokensMs,
-            maxWaitMs: urgency === "interactive" ? latency.firstTokenMs * 2 : latency.wholeMs,
+            maxWaitMs: urgency === "interactive" ? latency.firstTokenMs * waitShare : latency.wholeMs,
             excluded: usable > excluded.size ? excluded : new Set(),
             accepted: record.attempts > 0 || record.log.nextOffset > 0 || description.kept,
         };
@@ -152,8 +158,7 @@
             attempt: attempt.number,
             attemptId: `${this.options.nodeId}:${record.id}:${attempt.number}`,
             body: record.description.body,
-            offset: record.log.nextOffset,
-            producedText: record.log.nextOffset > 0 ? decodeEvents(record.log.read(0)).text : "",
+            ...this.recovery.describe(record),
             priority: record.description.workClass.urgency === "interactive" ? 0 : 1,
         }, attempt);
         const outcome = yield* waitFor(attempt.done);
--- a/src/streams/ServiceDispatchers.ts
+++ b/src/streams/ServiceDispatchers.ts
@@ -3,6 +3,7 @@
 import { RetryBudget } from "../retries/RetryBudget";
 import { Dispatcher } from "../routing/Dispatcher";
 import { TargetRoutingPolicy } from "../routing/TargetRoutingPolicy";
+import type { RoutingPolicy } from "../routing/types";
 import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
 
 /** Options of {@link ServiceDispatchers}. */
@@ -12,6 +13,8 @@
     readonly registry: UpstreamRegistry;
     readonly maxQueuedRequests: number;
     readonly maxQueuedBytes: number;
+    /** Makes a service's routing policy; default {@link TargetRoutingPolicy}. */
+    readonly createPolicy?: () => RoutingPolicy;
 }
 
 /** One dispatcher and one retry budget for each service. */
@@ -60,7 +63,7 @@
         return new Dispatcher({
             service,
             clock,
-            policy: new TargetRoutingPolicy({ random }),
+            policy: this.options.createPolicy?.() ?? new TargetRoutingPolicy({ random }),
             maxQueuedRequests: this.options.maxQueuedRequests,
             maxQueuedBytes: this.options.maxQueuedBytes,
             createViews: blocks => registry.createViews(service, blocks),
--- a/src/upstreams/Runner.ts
+++ b/src/upstreams/Runner.ts
@@ -3,6 +3,8 @@
 import { LatencyModel } from "../routing/LatencyModel";
 import type { EngineClient, LoadReport, PlainClient } from "./types";
 
+const freshReportMs = 2_000;
+
 /** One upstream VM: its client, what was reported of it and what this node did with it since. */
 export class Runner {
     readonly latency = new LatencyModel();
@@ -13,6 +15,7 @@
     /** Wall-clock time at which the runner is taken, in milliseconds. */
     takenAtMs: number | undefined;
     private report: LoadReport | undefined;
+    private reportedAtMs = -Infinity;
     private sentSinceReport = 0;
     private endedSinceReport = 0;
 
@@ -35,6 +38,12 @@
         return this.report ? this.report.running + this.report.queued : 0;
     }
 
+    /** Whether the runner reported lately that requests wait there, so that a late first token is no silence. */
+    get hasFreshQueue(): boolean {
+        const ageMs = this.clock.readMonotonicMs() - this.reportedAtMs;
+        return this.report !== undefined && this.report.queued > 0 && ageMs < freshReportMs;
+    }
+
     /** Slots of the last report; 8 before the first. */
     get slots(): number {
         return this.report?.slots ?? 8;
@@ -61,6 +70,7 @@
     /** Takes in a load report. */
     adoptReport(report: LoadReport): void {
         this.report = report;
+        this.reportedAtMs = this.clock.readMonotonicMs();
         this.sentSinceReport = 0;
         this.endedSinceReport = 0;
     }
--- a/src/upstreams/UpstreamRegistry.ts
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -31,6 +31,8 @@
     /** Kind of a declared service, or undefined. */
     readonly readServiceKind: (service: string) => "model" | "plain" | undefined;
     readonly loadPollMs: number;
+    /** Number of nodes that use the same runners; default 1. */
+    readonly countSharers?: () => number;
     /** Runners of one service that this node uses and polls; default 24. */
     readonly followedRunners?: number;
 }
@@ -257,6 +259,8 @@
             running,
             queued: load - running,
             reportedLoad: runner.reportedLoad,
+            own: runner.inFlight,
+            sharers: this.options.countSharers?.() ?? 1,
             slots: runner.slots,
             cachedTokens: cachedTokens - cachedTokens % blockTokens,
             prefillMsPerToken: runner.latency.prefillMsPerToken,
