--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -23,14 +23,21 @@
     private readonly pending = new Map<number, PendingCall>();
     private nextCallId = 1;
     lastHeardMs: number;
+    /** Monotonic time of the last call in either direction, in milliseconds. */
+    lastUsedMs: number;
+    /** Whether the end of the link is expected and no sign of a lost member. */
+    isClosing = false;
 
     constructor(
         readonly nodeId: string,
         private readonly socket: WebSocket,
         private readonly clock: Clock,
         private readonly counters: LinkCounters,
+        /** Whether the link was made for a call and is closed when it is not used. */
+        readonly isOnDemand: boolean,
     ) {
         this.lastHeardMs = clock.readMonotonicMs();
+        this.lastUsedMs = this.lastHeardMs;
     }
 
     /** Sends a message; a closed socket drops it. */
@@ -54,6 +61,7 @@
      * @throws PeerError when the link is lost, the time is over or the member refuses
      */
     call(method: string, payload: unknown, timeoutMs: number): Promise<unknown> {
+        this.lastUsedMs = this.clock.readMonotonicMs();
         const callId = this.nextCallId;
         this.nextCallId += 1;
         const stopTimer = new AbortController();
@@ -85,6 +93,11 @@
         }
     }
 
+    /** Closes the socket after what was sent has left. */
+    closeAfterFlush(): void {
+        this.socket.close();
+    }
+
     /** Closes the socket and fails every open call. */
     close(): void {
         this.socket.terminate();
--- /dev/null
+++ b/src/peers/PeerNetwork.test.ts
@@ -0,0 +1,165 @@
+import { WebSocket } from "ws";
+import { FakeClock } from "../kernel/FakeClock";
+import { SeededRandom } from "../kernel/SeededRandom";
+import { SystemClock } from "../kernel/SystemClock";
+import { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { computeProof } from "./computeProof";
+import { GossipMap } from "./GossipMap";
+import { packFrame } from "./packFrame";
+import { PeerNetwork } from "./PeerNetwork";
+
+interface TestPeer {
+    readonly network: PeerNetwork;
+    readonly events: EventLog;
+    readonly gossip: GossipMap;
+    readonly url: string;
+}
+
+const clusterKey = "cluster-key-0123456789";
+const opened: PeerNetwork[] = [];
+
+const startPeer = async (nodeId: string, key = clusterKey): Promise<TestPeer> => {
+    const clock = new SystemClock();
+    const events = new EventLog({ node: nodeId, clock });
+    const gossip = new GossipMap({ nodeId, hybridClock: events.hybridClock });
+    const network = new PeerNetwork({
+        nodeId,
+        clusterKey: key,
+        host: "127.0.0.1",
+        port: 0,
+        heartbeatMs: 50,
+        silenceMs: 400,
+        maxFrameBytes: 10_000,
+        clock,
+        random: new SeededRandom(nodeId.charCodeAt(0)),
+        events,
+        gossip,
+        readRevision: () => 1,
+        unusedLinkMs: 200,
+    });
+    await network.start();
+    opened.push(network);
+    return { network, events, gossip, url: `ws://127.0.0.1:${network.port}` };
+};
+
+const waitUntil = async (holds: () => boolean): Promise<void> => {
+    for (let turn = 0; turn < 500 && !holds(); turn += 1) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    expect(holds()).toBe(true);
+};
+
+const link = (a: TestPeer, b: TestPeer): void => {
+    const members = [{ nodeId: "a", url: a.url }, { nodeId: "b", url: b.url }];
+    a.network.setMembers(members);
+    b.network.setMembers(members);
+};
+
+/** Connects as a member that knows the cluster key. */
+const connectRaw = async (peer: TestPeer): Promise<WebSocket> => {
+    const socket = new WebSocket(peer.url);
+    const nonce = await new Promise<string>(resolve => {
+        socket.once("message", data => {
+            const text = (data as Buffer).toString("latin1");
+            resolve(/[0-9a-f]{32}/.exec(text)![0]);
+        });
+    });
+    socket.send(packFrame({ kind: "hello", nodeId: "raw", nonce: "0".repeat(32) }));
+    socket.send(
+        packFrame({ kind: "proof", mac: computeProof({ clusterKey, side: "dialer", nodeId: "raw", nonce }) }),
+    );
+    await waitUntil(() => peer.network.linkedNodes.includes("raw"));
+    return socket;
+};
+
+describe("PeerNetwork", () => {
+    afterEach(async () => {
+        await Promise.all(opened.splice(0).map(network => network.stop()));
+    });
+
+    it("links members, answers calls and spreads hints", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b")];
+        b.network.handle("double", async payload => (payload as number) * 2);
+        link(a, b);
+        await waitUntil(() => a.network.linkedNodes.length === 1 && b.network.linkedNodes.length === 1);
+        expect(await a.network.call("b", "double", 21, 1_000)).toBe(42);
+        await expect(a.network.call("b", "nope", 1, 1_000)).rejects.toThrow("method \"nope\" does not exist");
+        a.gossip.set("hint", { x: 1 });
+        await waitUntil(() => JSON.stringify(b.gossip.get("hint")) === "{\"x\":1}");
+    });
+
+    it("repairs hints that were lost, by the digests of the heartbeats", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b")];
+        a.gossip.set("before", 1);
+        link(a, b);
+        await waitUntil(() => b.gossip.get("before") === 1);
+        expect(a.gossip.digest).toBe(b.gossip.digest);
+    });
+
+    it("makes a link for a call and closes it quietly when it is not used", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b")];
+        const lost: string[] = [];
+        [a, b].forEach(peer => peer.network.onLoss(nodeId => lost.push(nodeId)));
+        a.network.handle("ping", async () => "pong");
+        b.network.setMembers([{ nodeId: "a", url: a.url }]);
+        expect(b.network.linkedNodes).toEqual([]);
+        expect(await b.network.call("a", "ping", {}, 1_000)).toBe("pong");
+        await waitUntil(() => b.network.linkedNodes.length === 0 && a.network.linkedNodes.length === 0);
+        expect(lost).toEqual([]);
+    });
+
+    it("counts no message of a peer that does not know the cluster key", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b", "another-key-0123456789")];
+        link(a, b);
+        await waitUntil(() =>
+            a.events.count(eventKinds.peerRejected) > 0 && b.events.count(eventKinds.peerRejected) > 0
+        );
+        expect(a.network.linkedNodes).toEqual([]);
+        expect(b.network.linkedNodes).toEqual([]);
+    });
+
+    it("does not take its own proof back", async () => {
+        const a = await startPeer("a");
+        const socket = new WebSocket(a.url);
+        socket.on("message", data => socket.send(data as Buffer));
+        await waitUntil(() => a.events.count(eventKinds.peerRejected) > 0);
+        expect(a.network.linkedNodes).toEqual([]);
+    });
+
+    it("drops garbled frames and messages of a wrong shape, and ends a link that sends many", async () => {
+        const a = await startPeer("a");
+        const socket = await connectRaw(a);
+        socket.send(Buffer.from([0xc1, 0xc1, 0xff]));
+        socket.send(packFrame({ kind: "heartbeat", time: "now" }));
+        await waitUntil(() => a.events.count(eventKinds.peerRejected) === 2);
+        expect(a.network.linkedNodes).toEqual(["raw"]);
+        for (let index = 0; index < 3; index += 1) {
+            socket.send(packFrame({ kind: "unknown" }));
+        }
+        await waitUntil(() => a.network.linkedNodes.length === 0);
+    });
+
+    it("ends a link that sends a frame over the limit", async () => {
+        const a = await startPeer("a");
+        const socket = await connectRaw(a);
+        socket.on("error", () => {});
+        socket.send(Buffer.alloc(20_000));
+        await waitUntil(() => a.network.linkedNodes.length === 0);
+    });
+
+    it("replaces a link that went silent", async () => {
+        const a = await startPeer("a");
+        const lost: string[] = [];
+        a.network.onLoss(nodeId => lost.push(nodeId));
+        await connectRaw(a);
+        await waitUntil(() => lost.includes("raw"));
+        expect(a.network.linkedNodes).toEqual([]);
+    });
+
+    it("keeps time by the injected clock alone", () => {
+        const events = new EventLog({ node: "a", clock: new FakeClock(5) });
+        events.hybridClock.merge({ wallMs: 9, counter: 3 });
+        expect(events.hybridClock.tick()).toEqual({ wallMs: 9, counter: 4 });
+    });
+});
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -35,6 +35,8 @@
     readonly silenceMs: number;
     readonly maxFrameBytes: number;
     readonly fullMeshUpTo?: number;
+    /** A link made for a call is closed when no call used it for this long; default 30,000 ms. */
+    readonly unusedLinkMs?: number;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly events: EventLog;
@@ -47,6 +49,7 @@
 const exchangeTimeoutMs = 2_000;
 const firstRedialMs = 100;
 const maxRedialMs = 2_000;
+const defaultUnusedLinkMs = 30_000;
 const garbledPerLink = 3; // a link with more unreadable frames is closed
 
 /** Links to other members: heartbeats, calls, and the spreading of the gossip map. */
@@ -183,7 +186,7 @@
         const dialled = await dialPeer({ url, timeoutMs, maxFrameBytes, clock });
         const handle = this.scope.run(
             `peer-${nodeId}`,
-            signal => this.serveSocket(dialled, "dialer", signal),
+            signal => this.serveSocket(dialled, "dialer", signal, true),
         );
         const deadlineMs = this.options.clock.readMonotonicMs() + timeoutMs;
         while (!this.links.has(nodeId) && this.options.clock.readMonotonicMs() < deadlineMs) {
@@ -227,7 +230,12 @@
     }
 
     /** Serves one connection from the handshake to its end. */
-    private *serveSocket(dialled: DialledPeer, side: "dialer" | "acceptor", signal: AbortSignal): Task<void> {
+    private *serveSocket(
+        dialled: DialledPeer,
+        side: "dialer" | "acceptor",
+        signal: AbortSignal,
+        isOnDemand = false,
+    ): Task<void> {
         const { socket, queue } = dialled;
         let link: PeerLink | undefined;
         try {
@@ -246,7 +254,7 @@
                 this.options.events.emit(eventKinds.peerRejected, { reason: "handshake failed", side });
                 return;
             }
-            link = new PeerLink(proven, socket, this.options.clock, this.counters);
+            link = new PeerLink(proven, socket, this.options.clock, this.counters, isOnDemand);
             this.links.get(proven)?.close();
             this.links.set(proven, link);
             this.options.events.emit(eventKinds.peerConnected, { peer: proven, side });
@@ -290,8 +298,12 @@
                     this.options.gossip.merge(message.entries as GossipEntry[], link.nodeId);
                     break;
                 case "call":
+                    link.lastUsedMs = link.lastHeardMs;
                     void this.answerCall(link, message.callId, message.method, message.payload);
                     break;
+                case "goodbye":
+                    link.isClosing = true;
+                    return;
                 case "reply":
                     link.settle(message.callId, message.ok, message.payload);
                     break;
@@ -321,6 +333,8 @@
     private *sendHeartbeats(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
+            const unusedSinceMs = this.options.clock.readMonotonicMs()
+                - (this.options.unusedLinkMs ?? defaultUnusedLinkMs);
             const oldestMs = this.options.clock.readMonotonicMs() - this.options.silenceMs;
             for (const link of [...this.links.values()]) {
                 if (link.lastHeardMs < oldestMs) {
@@ -328,11 +342,23 @@
                     this.dropLink(link);
                     continue;
                 }
+                if (link.isOnDemand && link.lastUsedMs < unusedSinceMs) {
+                    this.closeUnused(link);
+                    continue;
+                }
                 this.sendHeartbeat(link);
             }
         }
     }
 
+    /** Closes a link that was made for a call; at a large size idle links would cost more than the calls. */
+    private closeUnused(link: PeerLink): void {
+        link.isClosing = true;
+        link.send({ kind: "goodbye" });
+        link.closeAfterFlush();
+        this.dropLink(link);
+    }
+
     private sendHeartbeat(link: PeerLink): void {
         link.send({
             kind: "heartbeat",
@@ -388,6 +414,9 @@
             return;
         }
         this.links.delete(link.nodeId);
+        if (link.isClosing) {
+            return;
+        }
         link.close();
         this.options.events.emit(eventKinds.peerLost, { peer: link.nodeId });
         this.lossListeners.forEach(listener => listener(link.nodeId));
--- a/src/peers/messageSchema.ts
+++ b/src/peers/messageSchema.ts
@@ -50,12 +50,16 @@
     payload: z.unknown(),
 }).strict();
 
+/** Last message of a link that is closed because it is not needed, so that its end is no loss. */
+const goodbyeSchema = z.object({ kind: z.literal("goodbye") }).strict();
+
 /** Any message on an authenticated link. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
     heartbeatSchema,
     gossipSchema,
     callSchema,
     replySchema,
+    goodbyeSchema,
 ]);
 
 /** A message on an authenticated link. */
