--- a/src/daemon/registerServices.ts
+++ b/src/daemon/registerServices.ts
@@ -5,6 +5,7 @@
 import { FleetManager, fleetManagerName } from "../fleet/FleetManager";
 import { GroupCommitter } from "../idempotency/GroupCommitter";
 import { PlainCalls, plainCallsName } from "../idempotency/PlainCalls";
+import { RecordExpiry, recordExpiryName } from "../idempotency/RecordExpiry";
 import { SendRecords, sendRecordsName } from "../idempotency/SendRecords";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Kernel } from "../kernel/Kernel";
@@ -51,6 +52,7 @@
     registerStores(kernel, options);
     registerRouting(kernel, options);
     registerReclaim(kernel, options);
+    registerExpiry(kernel, options);
     if (options.settings.fleet.enabled) {
         registerFleet(kernel, options);
     }
@@ -247,6 +249,37 @@
     });
 };
 
+const registerExpiry = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
+    kernel.register({
+        name: recordExpiryName,
+        requires: [groupCommitterName, membershipName],
+        create: find =>
+            new RecordExpiry({
+                tables: platform.tables,
+                committer: find(groupCommitterName),
+                clock,
+                events: find(eventLogName),
+                lease: createLease(kernel, "expiry", { settings, platform, clock, random }),
+                retentionMs: settings.timing.answerRetentionMs,
+            }),
+    });
+};
+
+/** Creates the lease of a duty, for which two members in rotation are candidates. */
+const createLease = (kernel: Kernel, duty: string, options: NodeOptions): Lease => {
+    const { settings, platform, clock, random } = options;
+    const listLiveIds = (): string[] => kernel.find(membershipName).listLive().map(member => member.nodeId);
+    return new Lease({
+        duty,
+        nodeId: settings.nodeId,
+        tables: platform.tables,
+        clock,
+        random,
+        events: kernel.find(eventLogName),
+        isCandidate: () => selectWatchers({ duty, memberIds: listLiveIds() }).includes(settings.nodeId),
+    });
+};
+
 const registerReclaim = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
     const isWatcher = (duty: string, count: number): boolean => {
         const memberIds = kernel.find(membershipName).listLive().map(member => member.nodeId);
@@ -339,27 +372,15 @@
         name: fleetManagerName,
         requires: [serviceDispatchersName, configurationName],
         create: find => {
-            const events = find(eventLogName);
-            const listLiveIds = (): string[] => find(membershipName).listLive().map(member => member.nodeId);
-            const lease = new Lease({
-                duty: "fleet",
-                nodeId: settings.nodeId,
-                tables: platform.tables,
-                clock,
-                random,
-                events,
-                isCandidate: () =>
-                    selectWatchers({ duty: "fleet", memberIds: listLiveIds() }).includes(settings.nodeId),
-            });
             return new FleetManager({
                 nodeId: settings.nodeId,
                 clock,
-                events,
+                events: find(eventLogName),
                 gossip: find(gossipMapName),
                 registry: find(upstreamRegistryName),
                 cloud: platform.cloud,
                 weights: platform.weights,
-                lease,
+                lease: createLease(kernel, "fleet", { settings, platform, clock, random }),
                 policy: new CheapestFleetPolicy(),
                 readDeclaration: () => find(configurationName).current.value?.declaration,
                 readQueueSizes: () => find(serviceDispatchersName).readQueueSizes(),
--- a/src/platform/HttpTableService.ts
+++ b/src/platform/HttpTableService.ts
@@ -26,8 +26,8 @@
         return answer.rows.map(row => "absent" in row ? undefined : row);
     }
 
-    async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
-        const answer = await this.post("/list", { table, prefix, limit }) as { rows: Row[]; };
+    async list(table: string, prefix: string, limit: number, after?: string): Promise<readonly Row[]> {
+        const answer = await this.post("/list", { table, prefix, limit, after }) as { rows: Row[]; };
         return answer.rows;
     }
 
--- a/src/platform/MemoryTableService.ts
+++ b/src/platform/MemoryTableService.ts
@@ -19,10 +19,10 @@
         return addresses.map(address => this.openTable(address.table).get(address.key));
     }
 
-    async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
+    async list(table: string, prefix: string, limit: number, after = ""): Promise<readonly Row[]> {
         this.reads += 1;
         return [...this.openTable(table).values()]
-            .filter(row => row.key.startsWith(prefix))
+            .filter(row => row.key.startsWith(prefix) && row.key > after)
             .sort((a, b) => a.key < b.key ? -1 : 1)
             .slice(0, limit);
     }
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -38,8 +38,8 @@
     transact(operations: readonly RowOperation[]): Promise<TransactionOutcome>;
     /** Reads rows; the result has one place per address. */
     read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]>;
-    /** Lists rows whose keys start with `prefix`, in key order. */
-    list(table: string, prefix: string, limit: number): Promise<readonly Row[]>;
+    /** Lists rows whose keys start with `prefix` and come after `after`, in key order. */
+    list(table: string, prefix: string, limit: number, after?: string): Promise<readonly Row[]>;
 }
 
 /** The object store. Every call may reject with {@link StoreError}. */
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -58,6 +58,8 @@
         entriesValidMs: positiveMs.default(10_000),
         /** How long the answer of a finished request can be resumed. */
         resumeWindowMs: positiveMs.default(60_000),
+        /** How long answers of non-idempotent calls and of kept requests are kept. */
+        answerRetentionMs: positiveMs.default(604_800_000),
         /** Longest planned stop before the process ends regardless. */
         drainMs: positiveMs.default(600_000),
     }).strict().default({}),
--- a/standins/FaultyTables.ts
+++ b/standins/FaultyTables.ts
@@ -59,9 +59,9 @@
         return this.memory.read(addresses);
     }
 
-    async list(table: string, prefix: string, limit: number): Promise<readonly Row[]> {
+    async list(table: string, prefix: string, limit: number, after?: string): Promise<readonly Row[]> {
         await this.failOrDelay();
-        return this.memory.list(table, prefix, limit);
+        return this.memory.list(table, prefix, limit, after);
     }
 
     private async failOrDelay(): Promise<void> {
--- a/standins/TableStandIn.ts
+++ b/standins/TableStandIn.ts
@@ -22,6 +22,7 @@
                         message.table as string,
                         message.prefix as string,
                         message.limit as number,
+                        message.after as string | undefined,
                     ),
                 };
         }
