Keep control within its budget as members and runners grow; one fake clock, one reporting scope

Cause, from the slopes: 24 followed runners polled four times a second cost 30 KB/s and 6 % of a core; each node read the whole VM list every 5 s, 234 KB at 1,260 VMs; a key was compared with every account's hash, 277 us a request at 500 accounts. Change: at most 6 load polls a second over all runners; only two members in rotation read the cloud, notices at every poll and the list within 8 KB/s; keys are found by the beginning of their hash and then compared in constant time. The bench's clock and the tests' clock were the same logic twice, and thirteen services made their scope by the same lines: one piece each now.

--- a/bench/policy/PolicyWorld.ts
+++ b/bench/policy/PolicyWorld.ts
@@ -1,3 +1,4 @@
+import { FakeClock } from "../../src/kernel/FakeClock";
 import type { WorkClass } from "../../src/declaration/declarationSchema";
 import { FleetManager } from "../../src/fleet/FleetManager";
 import type { FleetVm } from "../../src/fleet/types";
@@ -21,7 +22,6 @@
 import { FakeEngine } from "./FakeEngine";
 import { PolicyCloud } from "./PolicyCloud";
 import type { Deployment, PolicySet } from "./types";
-import { VirtualClock } from "./VirtualClock";
 
 /** Targets of the bench's class of work; those of letter 1. */
 export const benchClass: WorkClass = {
@@ -51,7 +51,7 @@
 
 /** Nodes of one deployment with real routing, queues, streams and fleet, over engines in virtual time. */
 export class PolicyWorld {
-    readonly clock = new VirtualClock();
+    readonly clock = new FakeClock({ turns: 1 });
     /** Random numbers of the arrivals; apart, so that every policy gets the same requests. */
     readonly arrivals: SeededRandom;
     private readonly random: SeededRandom;
--- a/bench/slopes/measureState.ts
+++ b/bench/slopes/measureState.ts
@@ -1,6 +1,6 @@
 import { selectEntries } from "../../src/callers/selectEntries";
 import { parseDeclaration } from "../../src/declaration/parseDeclaration";
-import { findAccountByKey } from "../../src/declaration/findAccountByKey";
+import { AccountIndex } from "../../src/declaration/AccountIndex";
 import { FakeClock } from "../../src/kernel/FakeClock";
 import { SeededRandom } from "../../src/kernel/SeededRandom";
 import type { Member } from "../../src/membership/types";
@@ -110,10 +110,10 @@
         const declaration = parseDeclaration(document).unsafeCoerce();
         bytes.push({ size, value: packFrame(declaration).length });
         check.push({ size, value: measureCall(rounds, 20, () => parseDeclaration(document)) });
-        const { clientAccounts } = declaration;
+        const index = new AccountIndex(declaration.clientAccounts);
         authenticate.push({
             size,
-            value: measureCall(rounds, 500, () => findAccountByKey(clientAccounts, "key")),
+            value: measureCall(rounds, 500, () => index.find("key")),
         });
     }
     return [
--- a/src/callers/authenticateCaller.ts
+++ b/src/callers/authenticateCaller.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { ActiveConfiguration } from "../configuration/types";
-import { findAccountByKey } from "../declaration/findAccountByKey";
+import type { Configuration } from "../configuration/Configuration";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
@@ -11,27 +10,26 @@
  * Finds the client account of a request by its key.
  *
  * @param request - the incoming request
- * @param configuration - the configuration in force
+ * @param configuration - the node's configuration
  * @returns the account, with the configuration that its request is served under
  * @throws FailureError when there is no configuration, no key or no such account
  */
 export const authenticateCaller = (
     request: IncomingMessage,
-    configuration: ActiveConfiguration | undefined,
+    configuration: Pick<Configuration, "current" | "accounts">,
 ): AuthenticatedCaller => {
-    if (!configuration) {
+    const current = configuration.current.value;
+    if (!current) {
         const message = "no configuration has been applied yet";
         throw new FailureError(createFailure(resultCodes.noConfiguration, message, { retryAfterMs: 1_000 }));
     }
     const key = readBearerKey(request);
-    const account = key === undefined
-        ? undefined
-        : findAccountByKey(configuration.declaration.clientAccounts, key);
+    const account = key === undefined ? undefined : configuration.accounts.find(key);
     if (!account) {
         const message = key === undefined
             ? "the Authorization header has no bearer key"
             : "the key is not known";
         throw new FailureError(createFailure(resultCodes.unauthorized, message));
     }
-    return { account, configuration };
+    return { account, configuration: current };
 };
--- a/src/callers/handleChat.ts
+++ b/src/callers/handleChat.ts
@@ -31,7 +31,7 @@
 export function* handleChat(context: CallerContext, exchange: Exchange): Task<void> {
     const { account, configuration } = authenticateCaller(
         exchange.request,
-        context.configuration.current.value,
+        context.configuration,
     );
     const bytes = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
     checkAdmission(context);
--- a/src/callers/handleRequest.ts
+++ b/src/callers/handleRequest.ts
@@ -32,7 +32,7 @@
  * @throws FailureError when no node knows this request of this account
  */
 export function* handleRequest(context: CallerContext, exchange: Exchange): Task<void> {
-    const { account } = authenticateCaller(exchange.request, context.configuration.current.value);
+    const { account } = authenticateCaller(exchange.request, context.configuration);
     const [requestId, part, ...rest] = exchange.path.slice("/v1/requests/".length).split("/");
     if (rest.length > 0 || (part !== undefined && part !== "events")) {
         throw new FailureError(createFailure(resultCodes.notFound, `path "${exchange.path}" does not exist`));
--- a/src/callers/handleService.ts
+++ b/src/callers/handleService.ts
@@ -25,7 +25,7 @@
  * @throws FailureError when the call is refused, with what is known of its run
  */
 export function* handleService(context: CallerContext, exchange: Exchange): Task<void> {
-    const caller = authenticateCaller(exchange.request, context.configuration.current.value);
+    const caller = authenticateCaller(exchange.request, context.configuration);
     const { name, path } = splitTarget(exchange.target);
     const service = findPlainService(caller, name);
     const method = exchange.request.method ?? "GET";
--- a/src/configuration/Configuration.ts
+++ b/src/configuration/Configuration.ts
@@ -1,15 +1,17 @@
 import type { Either } from "purify-ts";
 import { z } from "zod";
 import { Observed } from "../_lib/Observed";
+import { AccountIndex } from "../declaration/AccountIndex";
 import { parseDeclaration } from "../declaration/parseDeclaration";
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Membership } from "../membership/Membership";
 import { selectWatchers } from "../membership/selectWatchers";
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import type { Failure } from "../results/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
@@ -48,6 +50,8 @@
 /** Keeps the committed configuration in force on this node and spreads changes to the members. */
 export class Configuration {
     readonly current = new Observed<ActiveConfiguration | undefined>(undefined);
+    /** Accounts of the revision in force, by their keys. */
+    accounts = new AccountIndex([]);
     private readonly scope: Scope;
     private lastStoreMs = -Infinity;
     private lastMemberMs = -Infinity;
@@ -56,10 +60,7 @@
     private readonly wavesSeen = new Set<number>();
 
     constructor(private readonly options: ConfigurationOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
         const { network } = options;
         network.handle(waveMethod, (payload, fromNode) => this.receiveWave(payload, fromNode));
         network.handle(readMethod, async () => this.current.value);
@@ -137,6 +138,7 @@
             return;
         }
         const before = this.revision;
+        this.accounts = new AccountIndex(next.declaration.clientAccounts);
         this.current.set(next);
         this.options.invariants.assert(
             "configuration-revision-grows",
--- a/src/fleet/FleetManager.ts
+++ b/src/fleet/FleetManager.ts
@@ -1,6 +1,6 @@
 import type { Declaration, ModelService } from "../declaration/declarationSchema";
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Lease } from "../leases/Lease";
@@ -8,6 +8,7 @@
 import type { KnownNotice } from "../membership/CloudWatch";
 import type { GossipMap } from "../peers/GossipMap";
 import type { Cloud, Vm, VmOffer, VmRequest, WeightStore } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Runner } from "../upstreams/Runner";
@@ -66,10 +67,7 @@
 
     constructor(private readonly options: FleetManagerOptions) {
         this.rates = new ReclaimRates(options.clock);
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
--- a/src/idempotency/RecordExpiry.test.ts
+++ b/src/idempotency/RecordExpiry.test.ts
@@ -30,7 +30,7 @@
             clock,
             random: new SeededRandom(1),
             events,
-            isCandidate: () => true
+            isCandidate: () => true,
         });
         const expiry = new RecordExpiry({
             tables,
@@ -39,15 +39,21 @@
             events,
             lease,
             retentionMs: 60_000,
-            pageRows: 3
+            pageRows: 3,
         });
         await expiry.start();
         await clock.advance(100_000);
         await expiry.stop();
-        const records = (await tables.list("sends", "", 100)).map(row => [row.key, row.value as SendRecord] as const);
+        const records = (await tables.list("sends", "", 100)).map(row =>
+            [row.key, row.value as SendRecord] as const
+        );
         const states = new Map(records.map(([key, record]) => [key, record.state]));
         expect([...states.keys()].filter(key => key.startsWith("old-")).length).toBe(7);
-        expect(records.filter(([key]) => key.startsWith("old-")).every(([, record]) => record.state === "expired" && !record.answer)).toBe(true);
+        expect(
+            records.filter(([key]) => key.startsWith("old-")).every(([, record]) =>
+                record.state === "expired" && !record.answer
+            ),
+        ).toBe(true);
         expect(states.get("sending")).toBe("sending");
         expect(states.get("young")).toBe("done");
         expect((await tables.list("kept-requests", "", 100)).map(row => row.key)).toEqual(["open"]);
--- a/src/idempotency/RecordExpiry.ts
+++ b/src/idempotency/RecordExpiry.ts
@@ -1,11 +1,11 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Lease } from "../leases/Lease";
 import type { Row, TableService } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
-import { eventKinds } from "../telemetry/eventKinds";
 import type { GroupCommitter } from "./GroupCommitter";
 import type { SendRecord } from "./types";
 
@@ -39,9 +39,7 @@
     private readonly cursors = new Map<string, string>();
 
     constructor(private readonly options: RecordExpiryOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) => options.events.emit(eventKinds.taskFailed, { task, error: String(error) })
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
@@ -88,7 +86,7 @@
             table: sendsTable,
             key: row.key,
             condition: { kind: "revision", revision: row.revision },
-            value: { ...rest, state: "expired" }
+            value: { ...rest, state: "expired" },
         });
     }
 
@@ -101,7 +99,7 @@
             table: keptTable,
             key: row.key,
             condition: { kind: "revision", revision: row.revision },
-            value: undefined
+            value: undefined,
         });
     }
 
--- a/src/idempotency/SendRecords.ts
+++ b/src/idempotency/SendRecords.ts
@@ -1,8 +1,9 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Row, RowCondition, TableService } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
@@ -51,10 +52,7 @@
     private repairs: Repair[] = [];
 
     constructor(private readonly options: SendRecordsOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     /** Number of records waiting to be marked not run. */
--- a/src/kernel/FakeClock.ts
+++ b/src/kernel/FakeClock.ts
@@ -4,14 +4,31 @@
     readonly wakeAtMs: number;
     readonly order: number;
     readonly wake: () => void;
+    ended: boolean;
 }
 
-/** Clock for tests that moves only when told to. */
+/** Options of {@link FakeClock}. */
+export interface FakeClockOptions {
+    /** Time at the start, in milliseconds; default 1,000,000. */
+    readonly startMs?: number;
+    /** Turns of the event loop given to the woken tasks before time moves on; default 3. */
+    readonly turns?: number;
+}
+
+const defaultStartMs = 1_000_000;
+const defaultTurns = 3;
+
+/** Clock that moves only when told to. Its sleepers wake in order; they are kept in a binary heap. */
 export class FakeClock implements Clock {
-    private sleepers: Sleeper[] = [];
+    private readonly heap: Sleeper[] = [];
+    private readonly turns: number;
+    private currentMs: number;
     private order = 0;
 
-    constructor(private currentMs = 1_000_000) {}
+    constructor(options: FakeClockOptions = {}) {
+        this.currentMs = options.startMs ?? defaultStartMs;
+        this.turns = options.turns ?? defaultTurns;
+    }
 
     readWallMs(): number {
         return this.currentMs;
@@ -27,48 +44,92 @@
                 resolve();
                 return;
             }
-            this.order += 1;
             const finish = (): void => {
+                sleeper.ended = true;
                 signal?.removeEventListener("abort", finish);
-                this.sleepers = this.sleepers.filter(candidate => candidate !== sleeper);
                 resolve();
             };
-            const sleeper: Sleeper = { wakeAtMs: this.currentMs + delayMs, order: this.order, wake: finish };
-            this.sleepers.push(sleeper);
+            this.order += 1;
+            const wakeAtMs = this.currentMs + Math.max(0, delayMs);
+            const sleeper: Sleeper = { wakeAtMs, order: this.order, wake: finish, ended: false };
+            this.push(sleeper);
             signal?.addEventListener("abort", finish);
         });
     }
 
     /**
-     * Moves time forward and wakes due sleepers in order, letting each one's tasks run.
+     * Moves time forward and wakes due sleepers, those of one moment together, letting their tasks run.
      *
      * @param durationMs - how far to move, in milliseconds
      */
     async advance(durationMs: number): Promise<void> {
         const endMs = this.currentMs + durationMs;
-        await flushMicrotasks();
-        let next = this.takeNext(endMs);
-        while (next) {
-            this.currentMs = Math.max(this.currentMs, next.wakeAtMs);
-            next.wake();
-            await flushMicrotasks();
-            next = this.takeNext(endMs);
+        await this.flush();
+        while (this.heap.length > 0 && this.heap[0].wakeAtMs <= endMs) {
+            const dueMs = this.heap[0].wakeAtMs;
+            this.currentMs = Math.max(this.currentMs, dueMs);
+            while (this.heap.length > 0 && this.heap[0].wakeAtMs <= dueMs) {
+                const sleeper = this.pop();
+                if (!sleeper.ended) {
+                    sleeper.wake();
+                }
+            }
+            await this.flush();
         }
         this.currentMs = endMs;
-        await flushMicrotasks();
+        await this.flush();
     }
 
-    private takeNext(endMs: number): Sleeper | undefined {
-        this.sleepers.sort((a, b) => a.wakeAtMs - b.wakeAtMs || a.order - b.order);
-        if (this.sleepers.length === 0 || this.sleepers[0].wakeAtMs > endMs) {
-            return undefined;
+    private async flush(): Promise<void> {
+        for (let turn = 0; turn < this.turns; turn += 1) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    private push(sleeper: Sleeper): void {
+        const { heap } = this;
+        heap.push(sleeper);
+        let index = heap.length - 1;
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            if (!isBefore(heap[index], heap[parent])) {
+                return;
+            }
+            [heap[index], heap[parent]] = [heap[parent], heap[index]];
+            index = parent;
         }
-        return this.sleepers.shift();
     }
-}
 
-const flushMicrotasks = async (): Promise<void> => {
-    for (let turn = 0; turn < 3; turn += 1) {
-        await new Promise(resolve => setImmediate(resolve));
+    private pop(): Sleeper {
+        const { heap } = this;
+        const top = heap[0];
+        const last = heap.pop()!;
+        if (heap.length > 0) {
+            heap[0] = last;
+            this.sink(0);
+        }
+        return top;
     }
-};
+
+    /** Moves the sleeper at an index down until none below it is earlier. */
+    private sink(start: number): void {
+        const { heap } = this;
+        let index = start;
+        for (;;) {
+            let least = index;
+            for (const child of [2 * index + 1, 2 * index + 2]) {
+                if (child < heap.length && isBefore(heap[child], heap[least])) {
+                    least = child;
+                }
+            }
+            if (least === index) {
+                return;
+            }
+            [heap[index], heap[least]] = [heap[least], heap[index]];
+            index = least;
+        }
+    }
+}
+
+const isBefore = (a: Sleeper, b: Sleeper): boolean =>
+    a.wakeAtMs < b.wakeAtMs || (a.wakeAtMs === b.wakeAtMs && a.order < b.order);
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -1,7 +1,8 @@
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Row, RowCondition, TableService } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { HeldLease, LeaseRow } from "./types";
@@ -60,10 +61,7 @@
     constructor(private readonly options: LeaseOptions) {
         this.durationMs = options.durationMs ?? 6_000;
         this.orderDeadlineMs = options.orderDeadlineMs ?? 2_000;
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
--- a/src/membership/CloudWatch.ts
+++ b/src/membership/CloudWatch.ts
@@ -1,9 +1,10 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { GossipMap } from "../peers/GossipMap";
 import type { Cloud, ReclaimNotice, Vm, VmOffer } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Membership } from "./Membership";
@@ -28,7 +29,7 @@
     readonly takenAtMs: number;
 }
 
-const idlePollFactor = 10; // nodes that do not watch poll this many times less often
+const listPauseMsPerVm = 23; // a listed VM has 186 bytes; this keeps the list within 8 KB/s at any size
 const offersPollFactor = 20; // prices change slowly
 
 /** Reads the cloud's VM list, notices and prices on a few nodes and spreads them to all. */
@@ -36,13 +37,11 @@
     private readonly scope: Scope;
     private offers: readonly VmOffer[] = [];
     private pollsSinceOffers = 0;
+    private nextListMs = -Infinity;
     private failing = false;
 
     constructor(private readonly options: CloudWatchOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     /** Reads the list once, if it can be had, and goes on in the background. */
@@ -56,12 +55,9 @@
     }
 
     private *watch(signal: AbortSignal): Task<void> {
-        let skipped = 0;
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.pollMs, signal));
-            skipped += 1;
-            if (this.isWatcher() || skipped >= idlePollFactor) {
-                skipped = 0;
+            if (this.isWatcher()) {
                 yield* waitFor(this.poll());
             }
         }
@@ -72,13 +68,19 @@
         return selectWatchers({ duty: "cloud", memberIds }).includes(this.options.nodeId);
     }
 
+    /** Reads the notices, and the VM list when it is due. */
     private async poll(): Promise<void> {
         try {
-            const [vms, notices] = await Promise.all([
-                this.options.cloud.listVms(),
-                this.options.cloud.listNotices(),
+            const { cloud, clock } = this.options;
+            const listIsDue = clock.readMonotonicMs() >= this.nextListMs;
+            const [notices, vms] = await Promise.all([
+                cloud.listNotices(),
+                listIsDue ? cloud.listVms() : undefined,
             ]);
-            this.adoptVms(vms);
+            if (vms) {
+                this.nextListMs = clock.readMonotonicMs() + vms.length * listPauseMsPerVm;
+                this.adoptVms(vms);
+            }
             this.adoptNotices(notices);
             await this.pollOffers();
             if (this.failing) {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,11 +1,12 @@
 import { Observed } from "../_lib/Observed";
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { GossipMap } from "../peers/GossipMap";
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import type { Vm } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Member, MemberState } from "./types";
@@ -37,10 +38,7 @@
     private state: MemberState = "live";
 
     constructor(private readonly options: MembershipOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
         options.network.handle(pingMethod, async () => ({ nodeId: options.self.nodeId }));
         options.network.onLoss(nodeId => {
             if (!this.lostSinceMs.has(nodeId)) {
--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -158,7 +158,7 @@
     });
 
     it("keeps time by the injected clock alone", () => {
-        const events = new EventLog({ node: "a", clock: new FakeClock(5) });
+        const events = new EventLog({ node: "a", clock: new FakeClock({ startMs: 5 }) });
         events.hybridClock.merge({ wallMs: 9, counter: 3 });
         expect(events.hybridClock.tick()).toEqual({ wallMs: 9, counter: 4 });
     });
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -1,9 +1,10 @@
 import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { type DialledPeer, dialPeer } from "./dialPeer";
@@ -71,10 +72,7 @@
     private readonly digestMismatches = new Map<string, number>();
 
     constructor(private readonly options: PeerNetworkOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
         this.handle(exchangeMethod, (payload, fromNode) => this.answerExchange(payload, fromNode));
     }
 
--- a/src/reclaim/EntryReclaim.ts
+++ b/src/reclaim/EntryReclaim.ts
@@ -2,7 +2,7 @@
 import { pack, unpack } from "msgpackr";
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { KnownNotice } from "../membership/CloudWatch";
@@ -14,6 +14,7 @@
 import { type HandOverBundle, handOverSchema } from "../streams/HandOverBundle";
 import type { RequestLocator } from "../streams/RequestLocator";
 import type { RequestRecord } from "../streams/RequestRecord";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
@@ -53,10 +54,7 @@
     private started = false;
 
     constructor(private readonly options: EntryReclaimOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
         options.network.handle(takeMethod, async payload => this.take(payload));
     }
 
--- a/src/reclaim/UpstreamReclaim.ts
+++ b/src/reclaim/UpstreamReclaim.ts
@@ -1,9 +1,10 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { ChatRequests } from "../streams/ChatRequests";
 import type { RequestRecord } from "../streams/RequestRecord";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Runner } from "../upstreams/Runner";
@@ -32,10 +33,7 @@
     private readonly scope: Scope;
 
     constructor(private readonly options: UpstreamReclaimOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -1,5 +1,5 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Configuration } from "../configuration/Configuration";
@@ -9,6 +9,7 @@
 import { resultCodes } from "../results/resultCodes";
 import { toFailure } from "../results/toFailure";
 import type { Failure } from "../results/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
@@ -66,10 +67,7 @@
     constructor(private readonly options: ChatRequestsOptions) {
         this.balance = new RequestBalance(options.invariants);
         this.runner = new RequestRunner(options);
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
--- a/src/streams/KeptRequests.ts
+++ b/src/streams/KeptRequests.ts
@@ -1,9 +1,10 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { GroupCommitter, WriteOutcome } from "../idempotency/GroupCommitter";
 import type { Row, TableService } from "../platform/types";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { decodeEvents } from "./decodeEvents";
@@ -61,10 +62,7 @@
     private readonly missingSinceMs = new Map<string, number>();
 
     constructor(private readonly options: KeptRequestsOptions) {
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
--- /dev/null
+++ b/src/telemetry/createReportingScope.ts
@@ -0,0 +1,14 @@
+import { Scope } from "../kernel/Scope";
+import type { EventLog } from "./EventLog";
+import { eventKinds } from "./eventKinds";
+
+/**
+ * Creates a scope that reports tasks which end with an unexpected error.
+ *
+ * @param events - receives event 2004
+ * @returns the scope
+ */
+export const createReportingScope = (events: EventLog): Scope =>
+    new Scope({
+        onTaskError: (task, error) => events.emit(eventKinds.taskFailed, { task, error: String(error) }),
+    });
--- a/src/upstreams/UpstreamRegistry.ts
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -1,5 +1,5 @@
 import { createServiceName } from "../kernel/createServiceName";
-import { Scope } from "../kernel/Scope";
+import type { Scope } from "../kernel/Scope";
 import type { Clock, Task, TaskHandle } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { KnownNotice } from "../membership/CloudWatch";
@@ -10,6 +10,7 @@
 import { EjectionTracker } from "../retries/EjectionTracker";
 import { Observed } from "../_lib/Observed";
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
+import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { Runner } from "./Runner";
@@ -31,6 +32,8 @@
     /** Kind of a declared service, or undefined. */
     readonly readServiceKind: (service: string) => "model" | "plain" | undefined;
     readonly loadPollMs: number;
+    /** Most load polls a second over all runners; more runners are polled less often each. Default 6. */
+    readonly maxPollsPerSecond?: number;
     /** Number of nodes that use the same runners; default 1. */
     readonly countSharers?: () => number;
     /** Runners of one service that this node uses and polls; default 24. */
@@ -38,6 +41,8 @@
 }
 
 const defaultFollowedRunners = 24;
+const defaultMaxPollsPerSecond = 6; // at 320 bytes and 0.7 ms each: 1.9 KB/s and 0.4 % of a core
+const msPerSecond = 1_000;
 const cachePollEvery = 4; // cache events are read once for this many load polls
 const defaultPricePerHour = 1;
 
@@ -55,10 +60,7 @@
 
     constructor(private readonly options: UpstreamRegistryOptions) {
         this.ejections = new EjectionTracker({ clock: options.clock });
-        this.scope = new Scope({
-            onTaskError: (task, error) =>
-                options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
-        });
+        this.scope = createReportingScope(options.events);
     }
 
     async start(): Promise<void> {
@@ -228,10 +230,16 @@
                 // The report is late; routing goes on with the last one and with own counts.
             }
             polls += 1;
-            yield* waitFor(this.options.clock.sleep(this.options.loadPollMs, signal));
+            yield* waitFor(this.options.clock.sleep(this.computePollMs(), signal));
         }
     }
 
+    /** Pause between polls of one runner, so that all runners together stay within the budget. */
+    private computePollMs(): number {
+        const maxPolls = this.options.maxPollsPerSecond ?? defaultMaxPollsPerSecond;
+        return Math.max(this.options.loadPollMs, this.pollTasks.size * msPerSecond / maxPolls);
+    }
+
     private adoptCacheEvents(runner: Runner, events: readonly CacheEvent[], lastSequence: number): number {
         let last = lastSequence;
         for (const event of events) {
