--- a/standins/CloudStandIn.ts
+++ b/standins/CloudStandIn.ts
@@ -74,11 +74,13 @@
         await this.server.stop();
     }
 
+    /** Reclaims one VM, or a data centre's; without a name, the data centre of the first VM that is live. */
     private reclaimMatching(fault: Fault): void {
+        const firstLive = [...this.vms.values()].find(({ vm }) => this.isLive(vm.id));
+        const isNamed = fault.vmId !== undefined || fault.dataCentre !== undefined;
+        const dataCentre = isNamed ? fault.dataCentre : firstLive?.vm.dataCentre;
         for (const { vm } of this.vms.values()) {
-            if (
-                vm.id === fault.vmId || (fault.dataCentre !== undefined && vm.dataCentre === fault.dataCentre)
-            ) {
+            if (vm.id === fault.vmId || vm.dataCentre === dataCentre) {
                 this.reclaim(vm.id, fault.ms ?? 0);
             }
         }
