Call one piece for the watching members; drop what earlier changes left dead

Cause, on reading the change again: four places worked out for themselves whether a node watches a duty; each routing decision still looked up the price of every runner, which the policy stopped using when the fleet took the prices over; three soak files and a bench had their own pause; a dependency and a bench method had no caller. Change: isWatcher in src/membership, pause in standins, the price and its look-up gone from the routing view, xxhash-wasm and readMetric removed. Behaviour and tests are as they were. Conclusion: one place to change how watchers are chosen.

--- a/bench/BenchCluster.ts
+++ b/bench/BenchCluster.ts
@@ -69,13 +69,6 @@
         return readProcessUsage(this.node.pid);
     }
 
-    /** Reads a metric's value from the node. */
-    async readMetric(name: string): Promise<number> {
-        const text = await (await fetch(`${this.node.ready.callers}/metrics`)).text();
-        const line = text.split("\n").find(candidate => candidate.startsWith(`${name} `));
-        return Number(line?.split(" ")[1]);
-    }
-
     async stop(): Promise<void> {
         await this.node.stop(profileFolder === undefined ? "SIGKILL" : "SIGTERM");
         await this.standIns.stop();
--- a/bench/slopes/measurePeers.ts
+++ b/bench/slopes/measurePeers.ts
@@ -4,6 +4,7 @@
 import { GossipMap } from "../../src/peers/GossipMap";
 import { PeerNetwork } from "../../src/peers/PeerNetwork";
 import { EventLog } from "../../src/telemetry/EventLog";
+import { pause } from "../../standins/pause";
 import { fitSlope } from "./fitSlope";
 import { readUsage } from "./measureUsage";
 import type { Slope } from "./types";
@@ -37,7 +38,7 @@
         const peers = await startPeers(size);
         const idle = readUsage();
         const counted = peers.map(peer => ({ ...peer.network.counters }));
-        await wait(measureMs);
+        await pause(measureMs);
         const after = readUsage();
         const seconds = measureMs / msPerSecond;
         const sent = peers.map((peer, index) => peer.network.counters.bytesSent - counted[index].bytesSent);
@@ -77,7 +78,7 @@
     }
     const entries = peers.flatMap(peer => peer.gossip.listEntries());
     peers.forEach(peer => peer.gossip.merge(entries, "bench"));
-    await wait(settleMs);
+    await pause(settleMs);
     return peers;
 };
 
@@ -123,7 +124,7 @@
     const startedMs = performance.now();
     peers[0].gossip.set("bench", startedMs);
     while (!peers.every(peer => peer.gossip.get("bench") === startedMs)) {
-        await wait(1);
+        await pause(1);
     }
     return performance.now() - startedMs;
 };
@@ -132,5 +133,3 @@
     await peer.membership.stop();
     await peer.network.stop();
 };
-
-const wait = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
--- a/bench/slopes/measureRouting.ts
+++ b/bench/slopes/measureRouting.ts
@@ -27,7 +27,6 @@
     Array.from({ length: count }, (_, index) => ({
         id: `runner-${index}`,
         dataCentre: `dc-${index % 5}`,
-        pricePerHour: 1 + index % 3,
         running: index % 16,
         queued: 0,
         reportedLoad: index % 16,
--- a/soak/FaultMaker.ts
+++ b/soak/FaultMaker.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from "../src/kernel/types";
+import { pause } from "../standins/pause";
 import type { StandInRunner } from "../standins/StandInCluster";
 import type { Fault, StandInServer } from "../standins/StandInServer";
 import type { SoakCluster } from "./SoakCluster";
@@ -147,5 +148,3 @@
         return pause(shortestFaultMs + this.options.random.drawInt(faultSpreadMs));
     }
 }
-
-const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from "../src/kernel/types";
 import type { FailureBody } from "../src/results/formatFailure";
 import type { RunState } from "../src/results/types";
+import { pause } from "../standins/pause";
 import { generateAnswer } from "../standins/generateToken";
 import type { ReceivedStream } from "../standins/readEventStream";
 import { type TestAnswer, TestCaller } from "../standins/TestCaller";
@@ -267,8 +268,6 @@
     }
 };
 
-const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
-
 /** Gives up after a while, and on a broken connection, as a caller does. */
 const waitAtMost = <T>(pending: Promise<T>, limitMs: number): Promise<T | undefined> => {
     let timer: NodeJS.Timeout;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "../src/kernel/SeededRandom";
 import type { RandomSource } from "../src/kernel/types";
 import type { RunState } from "../src/results/types";
+import { pause } from "../standins/pause";
 import { FaultMaker } from "./FaultMaker";
 import { SoakCaller } from "./SoakCaller";
 import { SoakCluster } from "./SoakCluster";
@@ -100,5 +101,3 @@
 };
 
 const createRandom = (random: RandomSource): RandomSource => new SeededRandom(random.drawInt(0x7fffffff));
-
-const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
--- a/src/configuration/Configuration.ts
+++ b/src/configuration/Configuration.ts
@@ -8,7 +8,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Membership } from "../membership/Membership";
-import { selectWatchers } from "../membership/selectWatchers";
+import { isWatcher } from "../membership/isWatcher";
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import type { Failure } from "../results/types";
 import { createReportingScope } from "../telemetry/createReportingScope";
@@ -213,18 +213,13 @@
     private *watch(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.pollMs, signal));
-            if (this.isWatcher() || !this.isCurrent()) {
+            if (isWatcher({ ...this.options, duty: "configuration" }) || !this.isCurrent()) {
                 yield* waitFor(this.poll());
             }
             this.isCurrent();
         }
     }
 
-    private isWatcher(): boolean {
-        const memberIds = this.options.membership.listLive().map(member => member.nodeId);
-        return selectWatchers({ duty: "configuration", memberIds }).includes(this.options.nodeId);
-    }
-
     private async poll(): Promise<void> {
         try {
             const stored = await this.options.store.read();
--- a/src/daemon/registerServices.ts
+++ b/src/daemon/registerServices.ts
@@ -11,8 +11,8 @@
 import type { Kernel } from "../kernel/Kernel";
 import { Lease } from "../leases/Lease";
 import { CloudWatch, cloudWatchName } from "../membership/CloudWatch";
+import { isWatcher } from "../membership/isWatcher";
 import { Membership, membershipName } from "../membership/Membership";
-import { selectWatchers } from "../membership/selectWatchers";
 import { GossipMap, gossipMapName } from "../peers/GossipMap";
 import { PeerNetwork, peerNetworkName } from "../peers/PeerNetwork";
 import { EntryReclaim, entryReclaimName } from "../reclaim/EntryReclaim";
@@ -269,7 +269,6 @@
 /** Creates the lease of a duty, for which two members in rotation are candidates. */
 const createLease = (kernel: Kernel, duty: string, options: NodeOptions): Lease => {
     const { settings, platform, clock, random } = options;
-    const listLiveIds = (): string[] => kernel.find(membershipName).listLive().map(member => member.nodeId);
     return new Lease({
         duty,
         nodeId: settings.nodeId,
@@ -277,15 +276,13 @@
         clock,
         random,
         events: kernel.find(eventLogName),
-        isCandidate: () => selectWatchers({ duty, memberIds: listLiveIds() }).includes(settings.nodeId),
+        isCandidate: () =>
+            isWatcher({ membership: kernel.find(membershipName), nodeId: settings.nodeId, duty }),
     });
 };
 
 const registerReclaim = (kernel: Kernel, { settings, platform, clock, random }: NodeOptions): void => {
-    const isWatcher = (duty: string, count: number): boolean => {
-        const memberIds = kernel.find(membershipName).listLive().map(member => member.nodeId);
-        return selectWatchers({ duty, memberIds, count }).includes(settings.nodeId);
-    };
+    const { nodeId } = settings;
     kernel.register({
         name: keptRequestsName,
         requires: [groupCommitterName, membershipName],
@@ -300,7 +297,8 @@
                     find(membershipName).members.value
                         .filter(member => member.state !== "gone")
                         .map(member => member.nodeId),
-                isWatcher: () => isWatcher("kept-requests", 2),
+                isWatcher: () =>
+                    isWatcher({ membership: find(membershipName), nodeId, duty: "kept-requests" }),
                 adopt: bundle => find(chatRequestsName).adopt(bundle),
             }),
     });
@@ -363,7 +361,8 @@
                 objects: platform.objects,
                 chats: find(chatRequestsName),
                 locator: find(requestLocatorName),
-                isWatcher: () => isWatcher("hand-over", 1),
+                isWatcher: () =>
+                    isWatcher({ membership: find(membershipName), nodeId, duty: "hand-over", count: 1 }),
             }),
     });
 };
--- a/src/membership/CloudWatch.ts
+++ b/src/membership/CloudWatch.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Membership } from "./Membership";
-import { selectWatchers } from "./selectWatchers";
+import { isWatcher } from "./isWatcher";
 
 /** Options of {@link CloudWatch}. */
 export interface CloudWatchOptions {
@@ -57,17 +57,12 @@
     private *watch(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.pollMs, signal));
-            if (this.isWatcher()) {
+            if (isWatcher({ ...this.options, duty: "cloud" })) {
                 yield* waitFor(this.poll());
             }
         }
     }
 
-    private isWatcher(): boolean {
-        const memberIds = this.options.membership.listLive().map(member => member.nodeId);
-        return selectWatchers({ duty: "cloud", memberIds }).includes(this.options.nodeId);
-    }
-
     /** Reads the notices, and the VM list when it is due. */
     private async poll(): Promise<void> {
         try {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -4,8 +4,6 @@
 export interface RunnerView {
     readonly id: string;
     readonly dataCentre: string;
-    /** Price per hour, in the unit of the cloud's offers. */
-    readonly pricePerHour: number;
     /** Requests decoding at the runner: its last report, corrected by what was sent and ended since. */
     readonly running: number;
     /** Requests waiting at the runner, corrected likewise. */
--- a/src/upstreams/UpstreamRegistry.ts
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -4,7 +4,7 @@
 import { waitFor } from "../kernel/waitFor";
 import type { KnownNotice } from "../membership/CloudWatch";
 import type { GossipMap } from "../peers/GossipMap";
-import type { Vm, VmOffer } from "../platform/types";
+import type { Vm } from "../platform/types";
 import { blockTokens, PrefixIndex } from "../routing/PrefixIndex";
 import type { RunnerView } from "../routing/types";
 import { EjectionTracker } from "../retries/EjectionTracker";
@@ -44,7 +44,6 @@
 const defaultMaxPollsPerSecond = 12; // at 320 bytes and 0.7 ms each: 3.8 KB/s and 0.8 % of a core
 const msPerSecond = 1_000;
 const cachePollEvery = 4; // cache events are read once for this many load polls
-const defaultPricePerHour = 1;
 
 /** The upstream VMs that this node uses, with their state. */
 export class UpstreamRegistry {
@@ -266,7 +265,6 @@
         return {
             id: runner.id,
             dataCentre: runner.vm.dataCentre,
-            pricePerHour: this.readPrice(runner.vm),
             running,
             queued: load - running,
             reportedLoad: runner.reportedLoad,
@@ -286,15 +284,6 @@
         const members = this.options.countMembers?.() ?? 1;
         return Math.max(1, members * (this.followedShares.get(service) ?? 1));
     }
-
-    private readPrice(vm: Vm): number {
-        const offers = this.options.gossip.get("offers") as readonly VmOffer[] | undefined;
-        const offer = offers?.find(candidate =>
-            candidate.dataCentre === vm.dataCentre && candidate.machineClass === vm.machineClass
-            && candidate.market === vm.market
-        );
-        return offer?.pricePerHour ?? defaultPricePerHour;
-    }
 }
 
 /** Name of the upstream registry service. */
