Take an answer without a length as broken when its connection was reset

The HTTP client library takes a reset as the end of such an answer (ECONNRESET), and in half of the cases the end is read in order and the reset follows at once, seen by a connection without a peer at its end. Ruled out: a short chunked answer (the library reports it), a wrong length (likewise).

--- /dev/null
+++ b/src/upstreams/ForwardClient.test.ts
@@ -0,0 +1,85 @@
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { ForwardClient } from "./ForwardClient";
+import type { ExchangeEnd, ExchangeStart } from "./UpstreamExchange";
+
+interface Served {
+    readonly start: ExchangeStart;
+    readonly end: ExchangeEnd;
+    readonly body: string;
+}
+
+let server: Server;
+let client: ForwardClient;
+
+/** Starts an upstream that writes the same bytes to each request. */
+const serveBytes = async (answer: (socket: Socket) => void): Promise<void> => {
+    server = createServer(socket => {
+        socket.on("error", () => {});
+        socket.once("data", () => answer(socket));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    client = new ForwardClient({ address: `127.0.0.1:${port}`, maxConnections: 2 });
+};
+
+const callOnce = async (): Promise<Served> => {
+    const exchange = client.send({ method: "GET", path: "/a/", headers: ["host", "h"], body: undefined });
+    let body = "";
+    exchange.listen(chunk => {
+        body += chunk.toString("latin1");
+    });
+    return { start: await exchange.started, end: await exchange.ended, body };
+};
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
+const unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+
+describe("ForwardClient", () => {
+    afterEach(async () => {
+        await client.close();
+        await new Promise(resolve => server.close(resolve));
+    });
+
+    it("takes an answer without length as whole when its connection ends", async () => {
+        await serveBytes(socket => socket.end(`${unframedHead}whole`));
+        expect(await callOnce()).toMatchObject({ end: { isWhole: true }, body: "whole" });
+    });
+
+    it("takes an answer without length as broken when its connection is reset", async () => {
+        await serveBytes(socket => {
+            socket.write(`${unframedHead}part`);
+            setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+        expect((await callOnce()).end.isWhole).toBe(false);
+    });
+
+    it("takes a chunked answer as broken when its connection ends before the last chunk", async () => {
+        await serveBytes(socket => socket.end(`${chunkedHead}4\r\npart\r\n`));
+        expect((await callOnce()).end.isWhole).toBe(false);
+    });
+
+    it("takes a chunked answer with its last chunk as whole", async () => {
+        await serveBytes(socket => socket.end(`${chunkedHead}5\r\nwhole\r\n0\r\n\r\n`));
+        expect(await callOnce()).toMatchObject({ end: { isWhole: true }, body: "whole" });
+    });
+
+    it("takes an answer shorter than its length as broken", async () => {
+        await serveBytes(socket =>
+            socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\npart")
+        );
+        expect((await callOnce()).end.isWhole).toBe(false);
+    });
+
+    it("tells a call that was never written from one that was", async () => {
+        await serveBytes(socket => socket.resetAndDestroy());
+        expect((await callOnce()).start).toMatchObject({ kind: "failed", isSent: true });
+        const { port } = server.address() as AddressInfo;
+        await new Promise(resolve => server.close(resolve));
+        const closed = new ForwardClient({ address: `127.0.0.1:${port}`, maxConnections: 1 });
+        const exchange = closed.send({ method: "GET", path: "/", headers: ["host", "h"], body: undefined });
+        expect(await exchange.started).toMatchObject({ kind: "failed", isSent: false });
+        await closed.close();
+        await serveBytes(socket => socket.end());
+    });
+});
--- a/src/upstreams/ForwardClient.ts
+++ b/src/upstreams/ForwardClient.ts
@@ -1,4 +1,5 @@
-import { Pool } from "undici";
+import { type Client, Pool } from "undici";
+import { TrackedClient, type TrackedDispatchOptions } from "./TrackedClient";
 import { UpstreamExchange } from "./UpstreamExchange";
 
 /** A call as it is sent to an upstream. */
@@ -30,6 +31,7 @@
     private readonly pool: Pool;
 
     constructor(options: ForwardClientOptions) {
+        const connectTimeoutMs = options.connectTimeoutMs ?? defaultConnectTimeoutMs;
         this.pool = new Pool(`http://${options.address}`, {
             connections: options.maxConnections,
             pipelining: 1,
@@ -37,7 +39,8 @@
             keepAliveTimeoutThreshold: keepAliveMarginMs,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
+            factory: (origin, clientOptions) =>
+                new TrackedClient(String(origin), clientOptions as Client.Options, connectTimeoutMs),
         });
     }
 
@@ -49,12 +52,14 @@
      */
     send(call: ForwardCall): UpstreamExchange {
         const exchange = new UpstreamExchange();
-        this.pool.dispatch({
+        const options: TrackedDispatchOptions = {
             method: call.method as "GET",
             path: call.path,
             headers: call.headers,
             body: call.body,
-        }, exchange);
+            onConnection: isReset => exchange.track(isReset),
+        };
+        this.pool.dispatch(options, exchange);
         return exchange;
     }
 
--- /dev/null
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -0,0 +1,58 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import { UpstreamExchange } from "./UpstreamExchange";
+
+const controller = {
+    abort: jest.fn(),
+    pause: jest.fn(),
+    resume: jest.fn(),
+} as unknown as Dispatcher.DispatchController & { readonly abort: jest.Mock; };
+
+/** Plays a whole answer into an exchange. */
+const playAnswer = async (headers: IncomingHttpHeaders, isReset: boolean): Promise<boolean> => {
+    const exchange = new UpstreamExchange();
+    exchange.track(() => isReset);
+    exchange.onRequestStart(controller);
+    exchange.onResponseStart(controller, 200, headers);
+    exchange.onResponseData(controller, Buffer.from("bytes"));
+    exchange.onResponseEnd();
+    return (await exchange.ended).isWhole;
+};
+
+describe("UpstreamExchange", () => {
+    it("takes an answer that ends with its connection as broken when the connection was reset", async () => {
+        expect(await playAnswer({}, true)).toBe(false);
+        expect(await playAnswer({}, false)).toBe(true);
+    });
+
+    it("takes an answer with a length or chunks as whole even if its connection was reset afterwards", async () => {
+        expect(await playAnswer({ "content-length": "5" }, true)).toBe(true);
+        expect(await playAnswer({ "transfer-encoding": "chunked" }, true)).toBe(true);
+    });
+
+    it("keeps bytes that arrive before somebody listens, in their order", () => {
+        const exchange = new UpstreamExchange();
+        exchange.onRequestStart(controller);
+        exchange.onResponseStart(controller, 200, {});
+        exchange.onResponseData(controller, Buffer.from("a"));
+        const heard: string[] = [];
+        exchange.listen(chunk => heard.push(chunk.toString()));
+        exchange.onResponseData(controller, Buffer.from("b"));
+        expect(heard).toEqual(["a", "b"]);
+    });
+
+    it("never writes a call that was given up before it had a connection", async () => {
+        const exchange = new UpstreamExchange();
+        exchange.abort("left");
+        exchange.onRequestStart(controller);
+        expect(controller.abort).toHaveBeenCalled();
+        expect(await exchange.started).toMatchObject({ kind: "failed", isSent: false });
+    });
+
+    it("says that a call may have run once it was begun", async () => {
+        const exchange = new UpstreamExchange();
+        exchange.onRequestStart(controller);
+        exchange.onResponseError(controller, new Error("reset"));
+        expect(await exchange.started).toMatchObject({ kind: "failed", isSent: true });
+    });
+});
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import type { ConnectionCheck } from "./TrackedClient";
 
 /** Status and headers of an upstream's answer. */
 export interface AnswerHead {
@@ -32,6 +33,9 @@
     private isAborted = false;
     private isEnded = false;
     private hasHead = false;
+    /** Whether the answer has neither a length nor chunks and ends with its connection. */
+    private endsWithConnection = false;
+    private isReset: ConnectionCheck = () => false;
     private listener: ((chunk: Buffer) => void) | undefined;
     private waiting: Buffer[] = [];
 
@@ -61,6 +65,11 @@
         waiting.forEach(chunk => listener(chunk));
     }
 
+    /** Sets how to learn whether the call's connection was reset. */
+    track(isReset: ConnectionCheck): void {
+        this.isReset = isReset;
+    }
+
     /** Ends the call by closing its connection, so that the upstream stops work. */
     abort(reason: string): void {
         if (this.isAborted || this.isEnded) {
@@ -97,6 +106,8 @@
             return;
         }
         this.hasHead = true;
+        this.endsWithConnection = headers["content-length"] === undefined
+            && headers["transfer-encoding"] === undefined;
         this.settleStart({ kind: "answered", head: { status, headers } });
     }
 
@@ -114,7 +125,10 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        this.settleEnd({ isWhole: true });
+        const isBroken = this.endsWithConnection && this.isReset();
+        this.settleEnd(
+            isBroken ? { isWhole: false, message: "the connection was reset" } : { isWhole: true },
+        );
     }
 
     onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
