Test the platform's path on stand-ins of its store, upstreams and cloud

Found by them: a quota counted in requests granted one more than its burst (level above zero instead of one whole request); mended.

--- /dev/null
+++ b/src/forwarding/EventCutter.test.ts
@@ -0,0 +1,55 @@
+import fc from "fast-check";
+import { EventCutter } from "./EventCutter";
+
+const createEvents = (first: number, last: number): string => {
+    let text = "";
+    for (let id = first; id <= last; id += 1) {
+        text += id % 5 === 0
+            ? `versions: 2\nid: ${id}\ndata: x\n\n`
+            : `id: ${id}\ndata: ${"y".repeat(id % 7)}\n\n`;
+    }
+    return text;
+};
+
+describe("EventCutter", () => {
+    it("gives the same bytes however the stream is cut", () => {
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 1, max: 30 }), { maxLength: 60 }), sizes => {
+                const whole = Buffer.from(createEvents(1, 40));
+                const cutter = new EventCutter();
+                const parts: Buffer[] = [];
+                let position = 0;
+                for (const size of [...sizes, whole.length]) {
+                    parts.push(cutter.push(whole.subarray(position, position + size)).bytes);
+                    position = Math.min(whole.length, position + size);
+                }
+                expect(Buffer.concat(parts).equals(whole)).toBe(true);
+                expect(cutter.lastId).toBe(40);
+                expect(cutter.rest.length).toBe(0);
+            }),
+            { seed: 11 },
+        );
+    });
+
+    it("keeps back an event that has not ended", () => {
+        const cutter = new EventCutter();
+        expect(cutter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda")).bytes.toString()).toBe(
+            "id: 1\ndata: a\n\n",
+        );
+        expect(cutter.lastId).toBe(1);
+        expect(cutter.rest.toString()).toBe("id: 2\nda");
+    });
+
+    it("leaves out events that were passed on before", () => {
+        const cutter = new EventCutter(3);
+        const batch = cutter.push(Buffer.from(createEvents(2, 5)));
+        expect(batch.bytes.toString()).toBe(createEvents(4, 5));
+        expect(batch.count).toBe(2);
+    });
+
+    it("takes carriage returns as part of a line's end", () => {
+        const cutter = new EventCutter();
+        cutter.push(Buffer.from("id: 1\r\ndata: a\r\n\r\n"));
+        expect(cutter.lastId).toBe(1);
+    });
+});
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -81,8 +81,8 @@
         const cost = computeCost(quota, tokens);
         const bucket = this.openBucket(account.name, quota);
         this.fill(bucket, quota);
-        const least = quota.unit === "tokens" ? -(this.options.slackTokens ?? 0) * slackShare : 0;
-        if (bucket.level <= least) {
+        const least = this.computeLeastLevel(quota);
+        if (bucket.level < least) {
             const waitMs = (least - bucket.level + cost) / quota.ratePerS * msPerSecond;
             const retryAfterMs = Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, waitMs));
             return { kind: "exceeded", retryAfterMs };
@@ -101,6 +101,19 @@
         }
     }
 
+    /** Units that an account may use now over all nodes; undefined before it was used. */
+    readLevel(accountName: string): number | undefined {
+        return this.buckets.get(accountName)?.level;
+    }
+
+    /**
+     * Level below which nothing is granted. Requests of many tokens may take the bucket into debt, as a caller cannot
+     * split them.
+     */
+    private computeLeastLevel(quota: AccountQuota): number {
+        return quota.unit === "requests" ? 1 : 1 - (this.options.slackTokens ?? 0) * slackShare;
+    }
+
     private openBucket(name: string, quota: AccountQuota): Bucket {
         let bucket = this.buckets.get(name);
         if (!bucket) {
--- /dev/null
+++ b/src/routes/RouteTable.test.ts
@@ -0,0 +1,70 @@
+import { SeededRandom } from "../kernel/SeededRandom";
+import { chooseTarget } from "./chooseTarget";
+import { RouteTable } from "./RouteTable";
+import type { Route, ServingConfiguration } from "./types";
+
+const createRoute = (name: string, host: string, pathPrefix: string): Route => ({
+    name,
+    host,
+    pathPrefix,
+    repeat: "once",
+    isStream: false,
+    timeoutMs: 1_000,
+    targetMs: 100,
+    priority: 0,
+    maxRuns: 1,
+    targets: [{ service: "app", weight: 1 }],
+    isOpen: false,
+});
+
+const configuration: ServingConfiguration = {
+    version: 3,
+    routes: [
+        createRoute("short", "one.example", "/a/"),
+        createRoute("long", "one.example", "/a/b/"),
+        createRoute("other", "two.example", "/"),
+    ],
+    services: [{ name: "app", maxConnections: 10 }],
+    accounts: [{ name: "alpha", keys: ["k1", "k2"] }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+describe("RouteTable", () => {
+    const table = new RouteTable(configuration);
+
+    it("finds the route with the longest prefix of the host", () => {
+        expect(table.findRoute("one.example", "/a/b/c?x=1")?.name).toBe("long");
+        expect(table.findRoute("ONE.example:8080", "/a/c")?.name).toBe("short");
+        expect(table.findRoute("two.example", "/a/b/")?.name).toBe("other");
+    });
+
+    it("finds none for another host, another path or a prefix without its slash", () => {
+        expect(table.findRoute("three.example", "/a/")).toBeUndefined();
+        expect(table.findRoute("one.example", "/b/")).toBeUndefined();
+        expect(table.findRoute("one.example", "/a")).toBeUndefined();
+    });
+
+    it("finds accounts by each of their keys", () => {
+        expect(table.findAccount("k2")?.name).toBe("alpha");
+        expect(table.findAccount("k3")).toBeUndefined();
+        expect(table.findAccountByName("alpha")?.keys).toEqual(["k1", "k2"]);
+    });
+});
+
+describe("chooseTarget", () => {
+    it("splits by weight and never chooses a target without weight", () => {
+        const random = new SeededRandom(5);
+        const targets = [{ service: "a", weight: 90 }, { service: "b", weight: 10 }, {
+            service: "c",
+            weight: 0,
+        }];
+        const counts = new Map<string, number>();
+        for (let index = 0; index < 2_000; index += 1) {
+            const chosen = chooseTarget(targets, random)!;
+            counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+        }
+        expect(counts.get("a")! / 2_000).toBeCloseTo(0.9, 1);
+        expect(counts.get("c")).toBeUndefined();
+        expect(chooseTarget([], random)).toBeUndefined();
+    });
+});
--- a/src/upstreams/ForwardClient.test.ts
+++ b/src/upstreams/ForwardClient.test.ts
@@ -13,7 +13,7 @@
 let client: ForwardClient;
 
 /** Starts an upstream that writes the same bytes to each request. */
-const serveBytes = async (answer: (socket: Socket) => void): Promise<void> => {
+const startUpstream = async (answer: (socket: Socket) => void): Promise<void> => {
     server = createServer(socket => {
         socket.on("error", () => {});
         socket.once("data", () => answer(socket));
@@ -42,12 +42,12 @@
     });
 
     it("takes an answer without length as whole when its connection ends", async () => {
-        await serveBytes(socket => socket.end(`${unframedHead}whole`));
+        await startUpstream(socket => socket.end(`${unframedHead}whole`));
         expect(await callOnce()).toMatchObject({ end: { isWhole: true }, body: "whole" });
     });
 
     it("takes an answer without length as broken when its connection is reset", async () => {
-        await serveBytes(socket => {
+        await startUpstream(socket => {
             socket.write(`${unframedHead}part`);
             setTimeout(() => socket.resetAndDestroy(), 20);
         });
@@ -55,24 +55,24 @@
     });
 
     it("takes a chunked answer as broken when its connection ends before the last chunk", async () => {
-        await serveBytes(socket => socket.end(`${chunkedHead}4\r\npart\r\n`));
+        await startUpstream(socket => socket.end(`${chunkedHead}4\r\npart\r\n`));
         expect((await callOnce()).end.isWhole).toBe(false);
     });
 
     it("takes a chunked answer with its last chunk as whole", async () => {
-        await serveBytes(socket => socket.end(`${chunkedHead}5\r\nwhole\r\n0\r\n\r\n`));
+        await startUpstream(socket => socket.end(`${chunkedHead}5\r\nwhole\r\n0\r\n\r\n`));
         expect(await callOnce()).toMatchObject({ end: { isWhole: true }, body: "whole" });
     });
 
     it("takes an answer shorter than its length as broken", async () => {
-        await serveBytes(socket =>
+        await startUpstream(socket =>
             socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\npart")
         );
         expect((await callOnce()).end.isWhole).toBe(false);
     });
 
     it("tells a call that was never written from one that was", async () => {
-        await serveBytes(socket => socket.resetAndDestroy());
+        await startUpstream(socket => socket.resetAndDestroy());
         expect((await callOnce()).start).toMatchObject({ kind: "failed", isSent: true });
         const { port } = server.address() as AddressInfo;
         await new Promise(resolve => server.close(resolve));
@@ -80,6 +80,6 @@
         const exchange = closed.send({ method: "GET", path: "/", headers: ["host", "h"], body: undefined });
         expect(await exchange.started).toMatchObject({ kind: "failed", isSent: false });
         await closed.close();
-        await serveBytes(socket => socket.end());
+        await startUpstream(socket => socket.end());
     });
 });
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -46,13 +46,13 @@
     return (options, callback) =>
         connect(options, (...outcome) => {
             tracked.socket = outcome[1] ?? undefined;
-            tracked.socket?.prependListener("error", renameReset);
+            tracked.socket?.prependListener("error", markReset);
             callback(...outcome);
         });
 };
 
 /** Gives a reset a code that the library does not take for an orderly end. */
-const renameReset = (error: NodeJS.ErrnoException): void => {
+const markReset = (error: NodeJS.ErrnoException): void => {
     error.code = error.code === resetCode ? trackedResetCode : error.code;
 };
 
--- /dev/null
+++ b/standins/platform/ServingTestbed.ts
@@ -0,0 +1,224 @@
+import { request as httpRequest } from "node:http";
+import { createServingPlatform } from "../../platform/createServingPlatform";
+import { Faces } from "../../platform/Faces";
+import { ServingNode } from "../../src/daemon/ServingNode";
+import { SystemClock } from "../../src/kernel/SystemClock";
+import { SystemRandom } from "../../src/kernel/SystemRandom";
+import { servingSettingsSchema } from "../../src/settings/servingSettingsSchema";
+import { DutyCloudStandIn } from "./DutyCloudStandIn";
+import { findFreeAddresses } from "./findFreeAddresses";
+import { RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
+import { StoreStandIn } from "./StoreStandIn";
+
+/** One node with the addresses of its faces. */
+export interface TestNode {
+    readonly node: ServingNode;
+    readonly faces: Faces;
+    readonly callers: string;
+    readonly ready: string;
+    readonly directory: string;
+}
+
+/** A caller's request. */
+export interface TestCall {
+    readonly path: string;
+    readonly method?: string;
+    readonly requestId?: string;
+    readonly key?: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Closes the connection when this many bytes have arrived. */
+    readonly leaveAfterBytes?: number;
+}
+
+/** What a caller got. */
+export interface TestAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    /** Whether the answer ended in order. */
+    readonly isWhole: boolean;
+}
+
+/** The operator's document with three routes: `/plain/` (not repeatable), `/read/` and `/stream/` (resumable). */
+export const createTestDocument = (version: number): Record<string, unknown> => ({
+    version,
+    routes: [
+        createRoute("r-once", "/plain/", { kind: "unsafe", service: "app", maxAttempts: 3 }),
+        createRoute("r-read", "/read/", { kind: "safe", service: "app", maxAttempts: 2 }),
+        createRoute("r-stream", "/stream/", {
+            kind: "streaming",
+            service: "llm",
+            maxAttempts: 2,
+            streamResume: true,
+        }),
+        createRoute("r-strict", "/strict/", { kind: "streaming", service: "llm", maxAttempts: 2 }),
+        createRoute("r-open", "/plain/open/", { kind: "safe", service: "app", authExempt: true }),
+        createRoute("r-short", "/short/", { kind: "safe", service: "app", timeoutMs: 300 }),
+    ],
+    services: [
+        { name: "app", maxConnections: 50 },
+        {
+            name: "llm",
+            maxConnections: 50,
+            engine: { slots: 8, kvCapacityTokens: 100_000 },
+            scaling: { min: 1, max: 4, bootS: 1, zonePrices: { "zone-a": 1, "zone-b": 0.8 } },
+        },
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    tenants: [
+        { name: "alpha", apiKeys: ["key-alpha"], priority: 1 },
+        { name: "small", apiKeys: ["key-small"], unit: "requests", ratePerS: 0.01, burst: 3 },
+    ],
+});
+
+const createRoute = (
+    name: string,
+    prefix: string,
+    fields: Record<string, unknown>,
+): Record<string, unknown> => ({
+    name,
+    host: "host.example",
+    prefix,
+    timeoutMs: 5_000,
+    targetLatencyMs: 200,
+    ...fields,
+});
+
+const tickMs = 10;
+const longestWaitMs = 15_000;
+
+/** Nodes in one process before the platform's stand-ins. */
+export class ServingTestbed {
+    readonly store = new StoreStandIn();
+    readonly cloud = new DutyCloudStandIn();
+    readonly nodes: TestNode[] = [];
+    readonly runners: RunnerStandIn[] = [];
+    private requests = 0;
+
+    /** Starts the store and the cloud, and writes the first configuration. */
+    async start(): Promise<void> {
+        await this.store.server.start();
+        await this.cloud.server.start();
+        this.store.put("op", "config", createTestDocument(1));
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.nodes.map(async ({ node, faces }) => {
+            await faces.stop();
+            await node.kernel.stop();
+        }));
+        await Promise.all(this.runners.map(runner => runner.server.stop()));
+        await this.cloud.server.stop();
+        await this.store.server.stop();
+    }
+
+    /** Starts an upstream and lists it in the store. */
+    async addRunner(service: string, options: RunnerStandInOptions): Promise<RunnerStandIn> {
+        const runner = new RunnerStandIn(options);
+        await runner.server.start();
+        this.runners.push(runner);
+        this.listRunner(runner, service);
+        return runner;
+    }
+
+    /** Writes an upstream's entry. */
+    listRunner(runner: RunnerStandIn, service: string, state = "ready"): void {
+        const { id, address } = runner;
+        this.store.put("servers", id, { service, address, zone: "zone-a", slots: 8, state, seq: 1, born: 1 });
+    }
+
+    /** Starts a node and waits until it is ready. */
+    async addNode(settings: Record<string, unknown> = {}): Promise<TestNode> {
+        const [callers, peers, metrics, ready, directory] = await findFreeAddresses(5);
+        const nodeSettings = servingSettingsSchema.parse({
+            nodeId: `node-${this.nodes.length + 1}`,
+            dataCentre: "zone-a",
+            callers,
+            peers,
+            metrics,
+            store: this.store.address,
+            cloud: this.cloud.address,
+            logLevel: "silent",
+            usage: { windowMs: 1_000, dueMs: 5_000 },
+            leaseMs: 2_000,
+            ...settings,
+        });
+        const random = new SystemRandom();
+        const platform = createServingPlatform({ settings: nodeSettings, onUnreadable: () => {} });
+        const node = new ServingNode({ settings: nodeSettings, platform, clock: new SystemClock(), random });
+        let isStarted = false;
+        const faces = new Faces({
+            readyAddress: ready,
+            directoryAddress: directory,
+            entriesValidMs: nodeSettings.entriesValidMs,
+            random,
+            findReadiness: () => isStarted ? node.readiness : undefined,
+        });
+        await faces.start();
+        await node.start();
+        isStarted = true;
+        const added = { node, faces, callers, ready, directory };
+        this.nodes.push(added);
+        await this.waitUntil(() => node.readiness.isReady());
+        return added;
+    }
+
+    /** Waits until something holds. */
+    async waitUntil(holds: () => boolean | Promise<boolean>): Promise<void> {
+        const endMs = performance.now() + longestWaitMs;
+        while (!(await holds())) {
+            if (performance.now() > endMs) {
+                throw new Error("what was waited for did not come about");
+            }
+            await new Promise(resolve => setTimeout(resolve, tickMs));
+        }
+    }
+
+    /** Sends a request to a node, on a connection of its own. */
+    call(target: TestNode, call: TestCall): Promise<TestAnswer> {
+        this.requests += 1;
+        const [host, port] = target.callers.split(":");
+        const headers = {
+            "host": "host.example",
+            "connection": "close",
+            "x-sequoiagrade-attempt-id": call.requestId ?? `request-${this.requests}`,
+            "x-sequoiagrade-deadline-ms": "4000",
+            "x-sequoiagrade-credential": call.key ?? "key-alpha",
+            ...call.headers,
+        };
+        return new Promise((resolve, reject) => {
+            const sent = httpRequest(
+                { host, port, path: call.path, method: call.method ?? "GET", headers },
+                response => {
+                    let body = "";
+                    response.on("data", (chunk: Buffer) => {
+                        body += chunk.toString("utf8");
+                        if (call.leaveAfterBytes !== undefined && body.length >= call.leaveAfterBytes) {
+                            sent.destroy();
+                        }
+                    });
+                    response.on("error", () => {});
+                    response.on("close", () =>
+                        resolve({
+                            status: response.statusCode!,
+                            headers: response.headers,
+                            body,
+                            isWhole: response.complete,
+                        }));
+                },
+            );
+            sent.on("error", reject);
+            sent.end(call.body);
+        });
+    }
+}
+
+/** Reads a JSON answer of a small interface. */
+export const readJson = async (
+    address: string,
+    path: string,
+): Promise<{ status: number; body: unknown; }> => {
+    const response = await fetch(`http://${address}${path}`, { headers: { connection: "close" } });
+    return { status: response.status, body: await response.json() };
+};
