One HTTP listener, one upstream transport for plain calls; split gossip spreading from the links

Cause: duplicates showed the listening and closing of four servers and the hop-by-hop header lists written twice; plain calls had a client of their own beside the forwarding one; PeerNetwork was long. Plain calls now pass through ForwardClient, which also knows exactly whether a byte was written, where the former client judged by error codes.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -1,5 +1,5 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 import { Scope } from "../kernel/Scope";
 import type { Task } from "../kernel/types";
@@ -34,20 +34,25 @@
 
 /** HTTP server for callers and operators; one task per exchange. */
 export class CallerServer {
-    private readonly server: Server;
+    private readonly listener: HttpListener;
     private readonly scope = new Scope();
     private context: CallerContext | undefined;
     private handleOperator: OperatorHandler | undefined;
 
-    constructor(private readonly options: CallerServerOptions) {
-        this.server = createServer({
-            maxHeaderSize: options.maxHeaderBytes,
-            headersTimeout: headersTimeoutMs,
-            keepAliveTimeout: keepAliveTimeoutMs,
-            requestTimeout: 0,
-            noDelay: true,
-        }, (request, response) => this.serve(request, response));
-        this.server.on("clientError", (_error, socket) => {
+    constructor(options: CallerServerOptions) {
+        this.listener = new HttpListener({
+            host: options.host,
+            port: options.port,
+            server: {
+                maxHeaderSize: options.maxHeaderBytes,
+                headersTimeout: headersTimeoutMs,
+                keepAliveTimeout: keepAliveTimeoutMs,
+                requestTimeout: 0,
+                noDelay: true,
+            },
+            onExchange: (request, response) => this.serve(request, response),
+        });
+        this.listener.server.on("clientError", (_error, socket) => {
             if (socket.writable) {
                 socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
             }
@@ -56,7 +61,7 @@
 
     /** Port on which callers connect; known after {@link listen}. */
     get port(): number {
-        return (this.server.address() as AddressInfo).port;
+        return this.listener.port;
     }
 
     /** Number of exchanges that have not ended. */
@@ -66,10 +71,7 @@
 
     /** Binds the port. Until {@link setContext}, every exchange is refused. */
     async listen(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.options.port, this.options.host, () => resolve());
-        });
+        await this.listener.start();
     }
 
     /** Gives the handlers what they work with. */
@@ -80,15 +82,10 @@
 
     /** Closes the server and the connections that are left. */
     async close(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        this.server.closeIdleConnections();
-        await this.scope.cancel();
-        this.server.closeAllConnections();
-        await closed;
+        await this.listener.stop(() => this.scope.cancel());
     }
 
     private serve(request: IncomingMessage, response: ServerResponse): void {
-        response.on("error", () => response.destroy());
         const target = request.url ?? "/";
         const queryStart = target.indexOf("?");
         const path = queryStart < 0 ? target : target.slice(0, queryStart);
--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -9,13 +9,13 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitForward";
-import { collectWhole } from "./collectWhole";
+import { collectWhole } from "../upstreams/collectWhole";
 import { decideNextSend } from "./decideNextSend";
 import { EventCutter } from "./EventCutter";
 import type { ForwardContext } from "./ForwardContext";
 import { relayEvents } from "./relayEvents";
 import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
-import { selectAnswerHeaders } from "./selectAnswerHeaders";
+import { selectAnswerHeaders } from "../http/selectAnswerHeaders";
 
 /** Options of {@link ForwardRun}. */
 export interface ForwardRunOptions {
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -1,7 +1,7 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { readBody } from "../callers/readBody";
 import { sendFailure } from "../callers/sendFailure";
+import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 import { Scope } from "../kernel/Scope";
 import type { Clock, Task } from "../kernel/types";
@@ -38,7 +38,7 @@
 
 /** HTTP server for forwarded requests; one task per exchange. */
 export class ForwardServer {
-    private readonly server: Server;
+    private readonly listener: HttpListener;
     private readonly scope: Scope;
     private context: ForwardContext | undefined;
     private isLeaving = false;
@@ -51,18 +51,23 @@
             onTaskError: (task, error) =>
                 options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
         });
-        this.server = createServer({
-            maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
-            connectionsCheckingInterval: checkIntervalMs,
-            requestTimeout: 0,
-            noDelay: true,
-        }, (request, response) => this.serve(request, response));
+        this.listener = new HttpListener({
+            host: options.host,
+            port: options.port,
+            server: {
+                maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+                connectionsCheckingInterval: checkIntervalMs,
+                requestTimeout: 0,
+                noDelay: true,
+            },
+            onExchange: (request, response) => this.serve(request, response),
+        });
         this.applyLimits(firstLimits);
     }
 
     /** Port on which callers connect; known after {@link start}. */
     get port(): number {
-        return (this.server.address() as AddressInfo).port;
+        return this.listener.port;
     }
 
     /** Number of exchanges that have not ended. */
@@ -72,10 +77,7 @@
 
     /** Binds the port. Until {@link setContext}, every request is refused as not run. */
     async start(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.options.port, this.options.host, () => resolve());
-        });
+        await this.listener.start();
     }
 
     /** Gives the exchanges what they work with. */
@@ -85,8 +87,8 @@
 
     /** Applies the configuration's limits on callers' connections. */
     applyLimits(limits: Pick<CallerLimits, "headerTimeoutMs" | "idleTimeoutMs">): void {
-        this.server.keepAliveTimeout = limits.idleTimeoutMs;
-        this.server.headersTimeout = limits.headerTimeoutMs + headerGraceMs;
+        this.listener.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.listener.server.headersTimeout = limits.headerTimeoutMs + headerGraceMs;
     }
 
     /** Ends every kept connection after its next answer; requests are still served. */
@@ -106,18 +108,12 @@
     }
 
     async stop(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        this.server.closeIdleConnections();
-        await this.scope.cancel();
-        this.server.closeAllConnections();
-        await closed;
+        await this.listener.stop(() => this.scope.cancel());
     }
 
     private serve(request: IncomingMessage, response: ServerResponse): void {
         const arrivedMs = this.options.clock.readMonotonicMs();
         this.lastArrivalMs = arrivedMs;
-        response.on("error", () => response.destroy());
-        request.on("error", () => response.destroy());
         if (this.isLeaving) {
             response.shouldKeepAlive = false;
         }
@@ -125,12 +121,11 @@
     }
 
     private *handle(request: IncomingMessage, response: ServerResponse, arrivedMs: number): Task<void> {
-        const refusal = this.findRefusal();
-        if (refusal || !this.context) {
-            this.refuse(request, response, refusal!);
+        const { context } = this;
+        if (!context || this.isRefusing) {
+            this.refuse(request, response, this.createRefusal());
             return;
         }
-        const context = this.context;
         let admitted: AdmittedRequest | undefined;
         let run: ForwardRun | undefined;
         try {
@@ -160,16 +155,14 @@
         }
     }
 
-    private findRefusal(): Failure | undefined {
-        if (this.isRefusing) {
-            const options = { retryAfterMs: leavingRetryAfterMs };
-            return createFailure(resultCodes.nodeLeaving, "the node is stopping", options);
-        }
-        if (!this.context) {
-            const options = { retryAfterMs: startingRetryAfterMs };
-            return createFailure(resultCodes.noConfiguration, "the node is starting", options);
-        }
-        return undefined;
+    private createRefusal(): Failure {
+        return this.isRefusing
+            ? createFailure(resultCodes.nodeLeaving, "the node is stopping", {
+                retryAfterMs: leavingRetryAfterMs,
+            })
+            : createFailure(resultCodes.noConfiguration, "the node is starting", {
+                retryAfterMs: startingRetryAfterMs,
+            });
     }
 
     private refuse(request: IncomingMessage, response: ServerResponse, failure: Failure): void {
--- a/src/_lib/filterEndToEnd.ts
+++ b/src/http/filterEndToEnd.ts
@@ -1,16 +1,6 @@
-const hopByHop: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-]);
+import { connectionHeaders } from "./connectionHeaders";
+
+const expectation = "expect"; // answered by the server that received it
 
 /**
  * Leaves out the headers that concern one connection only, and the length, which is set anew.
@@ -27,7 +17,7 @@
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
         const name = rawHeaders[index].toLowerCase();
-        if (!hopByHop.has(name) && !named.has(name) && !isDropped(name)) {
+        if (!connectionHeaders.has(name) && name !== expectation && !named.has(name) && !isDropped(name)) {
             kept.push(rawHeaders[index], rawHeaders[index + 1]);
         }
     }
--- a/src/forwarding/selectAnswerHeaders.ts
+++ b/src/http/selectAnswerHeaders.ts
@@ -1,15 +1,5 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from "node:http";
-
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "content-length",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+import { connectionHeaders } from "./connectionHeaders";
 
 /**
  * Selects the headers of an upstream's answer that are passed on: all that do not concern its connection.
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -9,9 +9,9 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { type DialledPeer, dialPeer } from "./dialPeer";
 import { FrameQueue } from "./FrameQueue";
-import type { GossipChange, GossipMap } from "./GossipMap";
-import type { GossipEntry, Heartbeat } from "./messageSchema";
-import { gossipEntrySchema, peerMessageSchema } from "./messageSchema";
+import type { GossipMap } from "./GossipMap";
+import { gossipExchangeMethod, GossipSpreader } from "./GossipSpreader";
+import { type GossipEntry, type Heartbeat, peerMessageSchema } from "./messageSchema";
 import { PeerError } from "./PeerError";
 import { type LinkCounters, PeerLink } from "./PeerLink";
 import { proveIdentity } from "./proveIdentity";
@@ -46,8 +46,6 @@
     readonly readRevision: () => number;
 }
 
-const exchangeMethod = "gossip.exchange";
-const exchangeTimeoutMs = 2_000;
 const firstRedialMs = 100;
 const maxRedialMs = 2_000;
 const defaultUnusedLinkMs = 30_000;
@@ -70,11 +68,19 @@
     private readonly heartbeatListeners: ((nodeId: string, heartbeat: Heartbeat) => void)[] = [];
     private readonly lossListeners: ((nodeId: string) => void)[] = [];
     private readonly reportListeners = new Map<string, (nodeId: string, payload: unknown) => void>();
-    private readonly digestMismatches = new Map<string, number>();
+    private readonly spreader: GossipSpreader;
 
     constructor(private readonly options: PeerNetworkOptions) {
         this.scope = createReportingScope(options.events);
-        this.handle(exchangeMethod, (payload, fromNode) => this.answerExchange(payload, fromNode));
+        this.spreader = new GossipSpreader({
+            gossip: options.gossip,
+            events: options.events,
+            listLinks: () => this.links.values(),
+        });
+        this.handle(
+            gossipExchangeMethod,
+            async (payload, fromNode) => this.spreader.answerExchange(payload, fromNode),
+        );
     }
 
     /** Port on which members connect; known after {@link start}. */
@@ -104,7 +110,7 @@
             server.once("error", reject);
         });
         this.scope.run("heartbeats", signal => this.sendHeartbeats(signal));
-        this.options.gossip.changed.changes.observe(change => this.spread(change)).catch(() => {});
+        this.spreader.start();
     }
 
     /** Closes every link. */
@@ -303,10 +309,12 @@
             const message = parsed.data;
             switch (message.kind) {
                 case "heartbeat":
-                    this.receiveHeartbeat(link, message);
+                    this.options.events.hybridClock.merge(message.time);
+                    this.heartbeatListeners.forEach(listener => listener(link.nodeId, message));
+                    this.spreader.compareDigest(link, message.digest);
                     break;
                 case "gossip":
-                    this.options.gossip.merge(message.entries as GossipEntry[], link.nodeId);
+                    this.spreader.merge(message.entries as GossipEntry[], link.nodeId);
                     break;
                 case "call":
                     link.lastUsedMs = link.lastHeardMs;
@@ -382,47 +390,6 @@
         });
     }
 
-    private receiveHeartbeat(link: PeerLink, heartbeat: Heartbeat): void {
-        this.options.events.hybridClock.merge(heartbeat.time);
-        this.heartbeatListeners.forEach(listener => listener(link.nodeId, heartbeat));
-        if (heartbeat.digest === this.options.gossip.digest) {
-            this.digestMismatches.delete(link.nodeId);
-            return;
-        }
-        const mismatches = (this.digestMismatches.get(link.nodeId) ?? 0) + 1;
-        this.digestMismatches.set(link.nodeId, mismatches);
-        if (mismatches >= 2) {
-            this.digestMismatches.delete(link.nodeId);
-            void this.exchangeGossip(link);
-        }
-    }
-
-    /** Exchanges whole gossip maps after the digests differed twice in a row. */
-    private async exchangeGossip(link: PeerLink): Promise<void> {
-        try {
-            const mine = this.options.gossip.listEntries();
-            const theirs = await link.call(exchangeMethod, { entries: mine }, exchangeTimeoutMs);
-            this.options.gossip.merge(parseEntries(theirs), link.nodeId);
-        }
-        catch (error) {
-            this.options.events.emit(eventKinds.peerRejected, { reason: String(error), peer: link.nodeId });
-        }
-    }
-
-    private async answerExchange(payload: unknown, fromNode: string): Promise<unknown> {
-        const mine = this.options.gossip.listEntries();
-        this.options.gossip.merge(parseEntries(payload), fromNode);
-        return { entries: mine };
-    }
-
-    private spread(change: GossipChange): void {
-        for (const link of this.links.values()) {
-            if (link.nodeId !== change.source) {
-                link.send({ kind: "gossip", entries: [...change.entries] });
-            }
-        }
-    }
-
     private dropLink(link: PeerLink | undefined): void {
         if (!link || this.links.get(link.nodeId) !== link) {
             return;
@@ -437,10 +404,5 @@
     }
 }
 
-const parseEntries = (payload: unknown): GossipEntry[] => {
-    const entries = (payload as { entries?: unknown; }).entries;
-    return gossipEntrySchema.array().parse(entries) as GossipEntry[];
-};
-
 /** Name of the peer network service. */
 export const peerNetworkName = createServiceName<PeerNetwork>("peer-network");
--- a/src/telemetry/MetricsServer.ts
+++ b/src/telemetry/MetricsServer.ts
@@ -1,5 +1,6 @@
-import { createServer, type Server } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Registry } from "prom-client";
+import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 
 /** Options of {@link MetricsServer}. */
@@ -11,13 +12,13 @@
 
 /** Serves the metrics as text on an address of their own, at any path. */
 export class MetricsServer {
-    private readonly server: Server;
+    private readonly listener: HttpListener;
 
-    constructor(private readonly options: MetricsServerOptions) {
-        this.server = createServer((_request, response) => {
-            options.registry.metrics().then(
+    constructor({ host, port, registry }: MetricsServerOptions) {
+        const onExchange = (_request: IncomingMessage, response: ServerResponse): void => {
+            registry.metrics().then(
                 text => {
-                    response.writeHead(200, { "content-type": options.registry.contentType });
+                    response.writeHead(200, { "content-type": registry.contentType });
                     response.end(text);
                 },
                 (error: unknown) => {
@@ -25,19 +26,16 @@
                     response.end(String(error));
                 },
             );
-        });
+        };
+        this.listener = new HttpListener({ host, port, onExchange });
     }
 
     async start(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.options.port, this.options.host, () => resolve());
-        });
+        await this.listener.start();
     }
 
     async stop(): Promise<void> {
-        this.server.closeAllConnections();
-        await new Promise<void>(resolve => this.server.close(() => resolve()));
+        await this.listener.stop();
     }
 }
 
--- a/src/upstreams/HttpPlainClient.ts
+++ b/src/upstreams/HttpPlainClient.ts
@@ -1,5 +1,8 @@
-import { Pool } from "undici";
+import { selectAnswerHeaders } from "../http/selectAnswerHeaders";
+import { collectWhole } from "./collectWhole";
+import { ForwardClient } from "./ForwardClient";
 import type { PlainAnswer, PlainCall, PlainClient, PlainFailure } from "./types";
+import type { AnswerHead, UpstreamExchange } from "./UpstreamExchange";
 
 /** Options of {@link HttpPlainClient}. */
 export interface HttpPlainClientOptions {
@@ -10,54 +13,65 @@
 }
 
 const defaultMaxConnections = 64;
-const neverSentCodes: readonly string[] = ["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH"];
-const droppedHeaders: readonly string[] = ["connection", "keep-alive", "transfer-encoding", "content-length"];
+const maxAnswerBytes = 67_108_864;
 
 /** Plain service over HTTP. */
 export class HttpPlainClient implements PlainClient {
-    private readonly pool: Pool;
+    private readonly client: ForwardClient;
 
     constructor(options: HttpPlainClientOptions) {
-        this.pool = new Pool(options.url, {
-            connections: options.maxConnections ?? defaultMaxConnections,
-            pipelining: 1,
-            connect: { timeout: options.connectTimeoutMs },
+        this.client = new ForwardClient({
+            address: new URL(options.url).host,
+            maxConnections: options.maxConnections ?? defaultMaxConnections,
+            connectTimeoutMs: options.connectTimeoutMs,
         });
     }
 
     async call(
         call: PlainCall,
     ): Promise<{ readonly answer: PlainAnswer; } | { readonly failure: PlainFailure; }> {
+        const exchange = this.client.send({
+            method: call.method,
+            path: call.path,
+            headers: Object.entries(call.headers).flat(),
+            body: call.body,
+        });
+        const timer = setTimeout(
+            () => exchange.abort(`no whole answer came in ${call.timeoutMs} ms`),
+            call.timeoutMs,
+        );
         try {
-            const answer = await this.pool.request({
-                method: call.method as "GET",
-                path: call.path,
-                headers: call.headers,
-                body: call.body,
-                idempotent: false,
-                headersTimeout: call.timeoutMs,
-                bodyTimeout: call.timeoutMs,
-            });
-            const body = Buffer.from(await answer.body.arrayBuffer());
-            return { answer: { status: answer.statusCode, headers: pickHeaders(answer.headers), body } };
+            return await collectAnswer(exchange);
         }
-        catch (error) {
-            const code = (error as { code?: string; }).code ?? "";
-            return { failure: { sent: !neverSentCodes.includes(code), message: (error as Error).message } };
+        finally {
+            clearTimeout(timer);
         }
     }
 
     async close(): Promise<void> {
-        await this.pool.destroy();
+        await this.client.close();
     }
 }
 
-const pickHeaders = (headers: Record<string, string | string[] | undefined>): Record<string, string> => {
-    const picked: Record<string, string> = {};
-    for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined && !droppedHeaders.includes(name)) {
-            picked[name] = Array.isArray(value) ? value.join(", ") : value;
+const collectAnswer = async (
+    exchange: UpstreamExchange,
+): Promise<{ readonly answer: PlainAnswer; } | { readonly failure: PlainFailure; }> => {
+    const start = await exchange.started;
+    if (start.kind === "failed") {
+        return { failure: { sent: start.isSent, message: start.message } };
+    }
+    const collected = await collectWhole(exchange, maxAnswerBytes);
+    return collected.kind === "whole"
+        ? { answer: { status: start.head.status, headers: joinHeaders(start.head), body: collected.body } }
+        : { failure: { sent: true, message: collected.message } };
+};
+
+const joinHeaders = (head: AnswerHead): Record<string, string> => {
+    const joined: Record<string, string> = {};
+    for (const [name, value] of Object.entries(selectAnswerHeaders(head.headers))) {
+        if (value !== undefined) {
+            joined[name] = Array.isArray(value) ? value.join(", ") : String(value);
         }
     }
-    return picked;
+    return joined;
 };
--- a/src/forwarding/collectWhole.ts
+++ b/src/upstreams/collectWhole.ts
@@ -1,4 +1,4 @@
-import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
+import type { UpstreamExchange } from "./UpstreamExchange";
 
 /** A whole body, or why there is none. */
 export type CollectedBody =
