Reload settings with or without a signal; keep usage counts for the next holder

A report that is too late no longer holds up the next ones. Found by a test while writing it: with the cloud refusing one window for good, no later window was ever sent.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -4,12 +4,21 @@
 import { nodeRecordsName } from "../membership/NodeRecords";
 import { type Readiness, readinessName } from "../membership/Readiness";
 import { servingStateName } from "../routes/ServingState";
+import type { ServingSettings } from "../settings/servingSettingsSchema";
 import { eventLogName } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import type { EventFields, EventKind } from "../telemetry/types";
 import { createForwardContext } from "./createForwardContext";
 import { registerServingServices } from "./registerServingServices";
 import type { ServingNodeOptions } from "./servingTypes";
 
+/** Settings that count as soon as they change. */
+const liveSettings: readonly (keyof ServingSettings)[] = [
+    "keyRevocationMs",
+    "stopGraceMs",
+    "entriesValidMs",
+    "quotaSlackTokens",
+];
 const drainPollMs = 50;
 const endMarginMs = 400; // of the grace; closing and the last log lines take some of it
 const refuseAfterShare = 3 / 8; // of the grace; a request begun later might not end within it
@@ -45,6 +54,32 @@
         });
     }
 
+    /**
+     * Takes over changed settings. Addresses and names count from the next start on.
+     *
+     * @param next - the checked settings
+     */
+    reload(next: ServingSettings): void {
+        const { settings } = this.options;
+        const changed = (Object.keys(next) as (keyof ServingSettings)[])
+            .filter(name => JSON.stringify(next[name]) !== JSON.stringify(settings[name]));
+        for (const name of liveSettings) {
+            Object.assign(settings, { [name]: next[name] });
+        }
+        const waiting = changed.filter(name => !liveSettings.includes(name));
+        this.emit(eventKinds.settingsReloaded, {
+            changed: changed.join(","),
+            fromNextStart: waiting.length > 0 ? waiting.join(",") : undefined,
+        });
+    }
+
+    /** Logs an event that an adapter saw. */
+    emit(kind: EventKind, fields: EventFields): void {
+        if (this.kernel.isStarted(eventLogName)) {
+            this.kernel.find(eventLogName).emit(kind, fields);
+        }
+    }
+
     /** Planned stop: tells callers to go elsewhere, lets every request end, then stops. */
     async stop(): Promise<void> {
         const { clock, settings } = this.options;
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -249,7 +249,7 @@
                 processId,
                 countNodes: () => find(readinessName).countLive(),
                 findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
-                slackTokens: settings.quotaSlackTokens,
+                readSlackTokens: () => settings.quotaSlackTokens,
             }),
     });
     kernel.register({
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -15,7 +15,7 @@
     /** Finds an account's quota in the configuration in force. */
     readonly findQuota: (accountName: string) => AccountQuota | undefined;
     /** Tokens by which the limit may be passed over all nodes in a short time; default 0. */
-    readonly slackTokens?: number;
+    readonly readSlackTokens?: () => number;
 }
 
 /** Outcome of a request for a part of an account's quota. */
@@ -111,7 +111,7 @@
      * split them.
      */
     private computeLeastLevel(quota: AccountQuota): number {
-        return quota.unit === "requests" ? 1 : 1 - (this.options.slackTokens ?? 0) * slackShare;
+        return quota.unit === "requests" ? 1 : 1 - (this.options.readSlackTokens?.() ?? 0) * slackShare;
     }
 
     private openBucket(name: string, quota: AccountQuota): Bucket {
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -14,6 +14,13 @@
     nodeStopped: define(2003, "node-stopped", "info", "The node has ended every request and connection."),
     taskFailed: define(2004, "task-failed", "error", "A task ended with an unexpected error."),
     invariantBroken: define(2005, "invariant-broken", "error", "An assertion of the program failed."),
+    settingsReloaded: define(2006, "settings-reloaded", "info", "Changed settings were taken over."),
+    settingsRejected: define(
+        2007,
+        "settings-rejected",
+        "error",
+        "The changed settings file is not valid; the settings before stay in force.",
+    ),
     requestAccepted: define(2101, "request-accepted", "info", "A request was accepted."),
     requestAnswered: define(2102, "request-answered", "info", "A request got its whole answer."),
     requestRefused: define(2103, "request-refused", "info", "A request was refused."),
@@ -96,5 +103,11 @@
     usageReported: define(2706, "usage-reported", "info", "The usage of a window was told to the platform."),
     dutyFailed: define(2707, "duty-failed", "warn", "A call that one node at a time makes got no answer."),
     storeFailed: define(2801, "store-failed", "warn", "A call to the platform's stores failed."),
+    rowUnreadable: define(
+        2803,
+        "row-unreadable",
+        "warn",
+        "A row of the platform cannot be read and is left out.",
+    ),
     storeRecovered: define(2802, "store-recovered", "info", "The platform's stores answer again."),
 } as const;
--- a/src/usage/UsageLedger.ts
+++ b/src/usage/UsageLedger.ts
@@ -72,6 +72,21 @@
         return totals;
     }
 
+    /** Lists a window's counts by process. */
+    listProcesses(window: number): Readonly<Record<string, UsageCounts>> {
+        return Object.fromEntries(this.windows.get(window) ?? []);
+    }
+
+    /** Takes in counts by process that were kept elsewhere; higher counts than these are kept. */
+    restore(window: number, processes: Readonly<Record<string, UsageCounts>>): void {
+        for (const [processId, counts] of Object.entries(processes)) {
+            const known = this.openCounts(window, processId);
+            for (const [account, count] of Object.entries(counts)) {
+                known[account] = Math.max(known[account] ?? 0, count);
+            }
+        }
+    }
+
     private readOwn(): ProcessUsage {
         const { processId, trueTime } = this.options;
         this.dropOld(this.toWindow(trueTime.readMs()));
@@ -87,7 +102,7 @@
 
     private merge(usage: ProcessUsage): void {
         for (const [window, counts] of Object.entries(usage.windows)) {
-            Object.assign(this.openCounts(Number(window), usage.processId), counts);
+            this.restore(Number(window), { [usage.processId]: counts });
         }
     }
 
--- /dev/null
+++ b/src/usage/UsageReporter.test.ts
@@ -0,0 +1,106 @@
+import { FakeClock } from "../kernel/FakeClock";
+import type { TrueTime } from "../feeds/TrueTime";
+import type { Lease } from "../leases/Lease";
+import { MemoryTableService } from "../platform/MemoryTableService";
+import type { PeerReports } from "../peers/PeerReports";
+import { EventLog } from "../telemetry/EventLog";
+import type { UsageReport } from "./types";
+import { UsageLedger } from "./UsageLedger";
+import { UsageReporter } from "./UsageReporter";
+
+const windowMs = 5_000;
+
+interface Setup {
+    readonly ledger: UsageLedger;
+    readonly reporter: UsageReporter;
+    readonly sent: UsageReport[];
+    isHolder: boolean;
+    isCloudDown: boolean;
+}
+
+const createSetup = (processId: string, clock: FakeClock, tables: MemoryTableService): Setup => {
+    const trueTime = { readMs: () => clock.readWallMs() } as TrueTime;
+    const reports = { exchange: () => {} } as unknown as PeerReports;
+    const ledger = new UsageLedger({ trueTime, reports, processId, windowMs });
+    const setup: Setup = { ledger, sent: [], isHolder: true, isCloudDown: false } as unknown as Setup;
+    const held = { fencing: 1, remainingMs: 2_000 };
+    const reporter = new UsageReporter({
+        ledger,
+        trueTime,
+        lease: {
+            readHeld: () => setup.isHolder ? held : undefined,
+            readHeldFor: () => setup.isHolder ? held : undefined,
+        } as unknown as Lease,
+        cloud: {
+            reportUsage: async (report: UsageReport) => {
+                setup.sent.push(report);
+                if (setup.isCloudDown) {
+                    throw new Error("no answer");
+                }
+            },
+            orderUpstreams: async () => true,
+        },
+        tables,
+        clock,
+        events: new EventLog({ node: processId, clock }),
+        dueMs: 10_000,
+        callMs: 800,
+    });
+    return Object.assign(setup, { reporter });
+};
+
+const useTimes = (ledger: UsageLedger, account: string, times: number): void => {
+    Array.from({ length: times }).forEach(() => ledger.record(account));
+};
+
+describe("UsageReporter", () => {
+    it("reports each window once, some time after its end", async () => {
+        const clock = new FakeClock();
+        const { ledger, reporter, sent } = createSetup("a", clock, new MemoryTableService());
+        await reporter.start();
+        useTimes(ledger, "alpha", 3);
+        await clock.advance(windowMs + 2_500);
+        const window = 1_000_000 / windowMs;
+        expect(sent.filter(report => report.window === window)).toEqual([{ window, counts: { alpha: 3 } }]);
+        await reporter.stop();
+    });
+
+    it("repeats a report without an answer with the very same counts, also by another holder", async () => {
+        const clock = new FakeClock();
+        const tables = new MemoryTableService();
+        const first = createSetup("a", clock, tables);
+        await first.reporter.start();
+        useTimes(first.ledger, "alpha", 3);
+        await clock.advance(2_000);
+        first.isCloudDown = true;
+        await clock.advance(windowMs + 2_500);
+        await first.reporter.stop();
+        const second = createSetup("b", clock, tables);
+        useTimes(second.ledger, "beta", 1);
+        await second.reporter.start();
+        await clock.advance(1_500);
+        await second.reporter.stop();
+        const window = 1_000_000 / windowMs;
+        const all = [...first.sent, ...second.sent].filter(report => report.window === window);
+        expect(all.length).toBeGreaterThan(1);
+        expect(new Set(all.map(report => JSON.stringify(report.counts)))).toEqual(new Set(["{\"alpha\":3}"]));
+    });
+
+    it("knows after all nodes were killed what was counted up to a second before", async () => {
+        const clock = new FakeClock();
+        const tables = new MemoryTableService();
+        const first = createSetup("a", clock, tables);
+        await first.reporter.start();
+        useTimes(first.ledger, "alpha", 7);
+        await clock.advance(2_000);
+        await first.reporter.stop();
+        const second = createSetup("b", clock, tables);
+        await second.reporter.start();
+        await clock.advance(1_000);
+        useTimes(second.ledger, "alpha", 2);
+        await clock.advance(windowMs);
+        await second.reporter.stop();
+        const window = 1_000_000 / windowMs;
+        expect(second.sent.find(report => report.window === window)?.counts).toEqual({ alpha: 9 });
+    });
+});
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -27,10 +27,13 @@
 }
 
 const table = "usage-reports";
+/** Counts by process of windows that have not been reported, for the next holder. */
+const countsTable = "usage-counts";
 const tickMs = 500;
 const settleMs = 1_500; // the last counts of all nodes arrive within a few report intervals
 const keyDigits = 12;
 const keptReports = 12;
+const saveMs = 1_000; // what is lost when all nodes are killed at once
 
 /**
  * Reports the usage of each window once, by the holder of the lease. What is reported is recorded before it is sent, so
@@ -39,6 +42,8 @@
 export class UsageReporter {
     private readonly scope: Scope;
     private nextWindow: number | undefined;
+    private savedAtMs = -Infinity;
+    private savedText = "";
 
     constructor(private readonly options: UsageReporterOptions) {
         this.scope = createReportingScope(options.events);
@@ -53,35 +58,83 @@
     }
 
     private *run(signal: AbortSignal): Task<void> {
-        const startWindow = this.options.ledger.toWindow(this.options.trueTime.readMs());
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(tickMs, signal));
             if (!this.options.lease.readHeld()) {
                 this.nextWindow = undefined;
                 continue;
             }
-            this.nextWindow ??= this.findFirstDue(startWindow);
+            if (this.nextWindow === undefined) {
+                yield* this.takeOver();
+            }
             yield* this.reportEnded();
+            yield* this.saveCounts();
         }
     }
 
-    /** The oldest window whose report is not late yet; this process knows nothing of those before its start. */
-    private findFirstDue(startWindow: number): number {
-        const { ledger, trueTime, dueMs } = this.options;
-        return Math.max(startWindow, ledger.toWindow(trueTime.readMs() - dueMs));
+    /** Begins with the oldest window whose report is not late yet, and with what the last holder knew of it. */
+    private *takeOver(): Task<void> {
+        const { ledger, trueTime, dueMs, tables, events } = this.options;
+        const nowMs = trueTime.readMs();
+        const first = ledger.toWindow(nowMs - dueMs);
+        try {
+            for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
+                const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
+                ledger.restore(window, (row?.value ?? {}) as Record<string, UsageCounts>);
+            }
+            this.nextWindow = first;
+        }
+        catch (error) {
+            events.emit(eventKinds.dutyFailed, { duty: "usage", window: first, error: String(error) });
+        }
+    }
+
+    /** Saves the counts of the current window and the one before, when they have changed. */
+    private *saveCounts(): Task<void> {
+        const { ledger, trueTime, tables, clock, events } = this.options;
+        const nowMs = clock.readMonotonicMs();
+        const current = ledger.toWindow(trueTime.readMs());
+        const writes = [current - 1, current].map(window => ({
+            table: countsTable,
+            key: formatKey(window),
+            condition: { kind: "any" } as const,
+            value: ledger.listProcesses(window),
+        }));
+        const text = JSON.stringify(writes);
+        if (nowMs - this.savedAtMs < saveMs || text === this.savedText) {
+            return;
+        }
+        this.savedAtMs = nowMs;
+        try {
+            const old = { table: countsTable, key: formatKey(current - keptReports) };
+            const drop = { ...old, condition: { kind: "any" } as const, value: undefined };
+            yield* waitFor(tables.transact([...writes, drop]));
+            this.savedText = text;
+        }
+        catch (error) {
+            events.emit(eventKinds.dutyFailed, { duty: "usage", window: current, error: String(error) });
+        }
     }
 
     private *reportEnded(): Task<void> {
         const { ledger, trueTime } = this.options;
-        while (ledger.readEndMs(this.nextWindow!) + settleMs <= trueTime.readMs()) {
-            const window = this.nextWindow!;
-            if (!(yield* this.tryReport(window))) {
+        while (
+            this.nextWindow !== undefined && ledger.readEndMs(this.nextWindow) + settleMs <= trueTime.readMs()
+        ) {
+            const window = this.nextWindow;
+            if (!(yield* this.tryReport(window)) && !this.isTooLate(window)) {
                 return;
             }
             this.nextWindow = window + 1;
         }
     }
 
+    /** Whether a report of a window counts for nothing any more, so that it must not hold up the next ones. */
+    private isTooLate(window: number): boolean {
+        const { ledger, trueTime, dueMs } = this.options;
+        return ledger.readEndMs(window) + dueMs < trueTime.readMs();
+    }
+
     /** Reports one window; returns false when it must be tried again. */
     private *tryReport(window: number): Task<boolean> {
         const { ledger, trueTime, events, lease, callMs } = this.options;
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -151,7 +151,7 @@
         const faces = new Faces({
             readyAddress: ready,
             directoryAddress: directory,
-            entriesValidMs: nodeSettings.entriesValidMs,
+            readEntriesValidMs: () => nodeSettings.entriesValidMs,
             random,
             findReadiness: () => isStarted ? node.readiness : undefined,
         });
