--- a/src/feeds/FollowedFeed.ts
+++ b/src/feeds/FollowedFeed.ts
@@ -23,7 +23,7 @@
 const firstRetryMs = 100;
 const maxRetryMs = 800; // the store's return is noticed within a second
 
-/** Follows a feed: lists its records once, then waits for changes, and lists again after a gap in the history. */
+/** Follows a feed: lists its records once, then waits for changes, and lists again after a gap in the history or a lost answer. */
 export class FollowedFeed<T> {
     /** The records as last read; undefined before the first listing. */
     readonly records = new Observed<ReadonlyMap<string, T> | undefined>(undefined);
@@ -67,6 +67,10 @@
             }
             catch (error) {
                 this.report(error as Error);
+                if (isListed) {
+                    isListed = false;
+                    continue; // a read is answered soon where only the wait for changes got lost
+                }
                 yield* waitFor(this.options.clock.sleep(retryMs, signal));
                 retryMs = Math.min(maxRetryMs, retryMs * 2);
             }
