Leave an upstream that gives no sign of an answer, where the request may run again

Cause: connections can go silent and upstreams dark without a reset; lookups waited for their whole time. A repeatable request goes on after three targets, a resumable one after two if nothing at all was heard of its upstream since, both only while the budget and the route's runs allow. Splits the counting of a request from its run.

--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { abortReason } from "../_lib/abortReason";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { KnownInstance } from "../placement/InstanceRegistry";
@@ -7,12 +8,14 @@
 import { resultCodes } from "../results/resultCodes";
 import { repeatRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
-import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
+import type { AnswerHead, ExchangeStart, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitForward";
 import { collectWhole } from "../upstreams/collectWhole";
+import { computePatienceMs } from "./computePatienceMs";
 import { decideNextSend } from "./decideNextSend";
 import { EventCutter } from "./EventCutter";
 import type { ForwardContext } from "./ForwardContext";
+import { ForwardTally } from "./ForwardTally";
 import { relayEvents } from "./relayEvents";
 import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import { selectAnswerHeaders } from "../http/selectAnswerHeaders";
@@ -28,17 +31,6 @@
     readonly arrivedMs: number;
 }
 
-/** What was done for a request, for its log line. */
-export interface ForwardTrace {
-    sends: number;
-    runs: number;
-    upstream: string | undefined;
-    /** Requests at the chosen upstream when it was chosen. */
-    upstreamLoad: number | undefined;
-    firstByteMs: number | undefined;
-    status: number | undefined;
-}
-
 type SendResult =
     | { readonly kind: "answered"; }
     | { readonly kind: "interrupted"; readonly by: InterruptKind; }
@@ -54,29 +46,23 @@
 const maxWholeBytes = 16_777_216; // larger answers are streams
 const streamSilenceMs = 1_500; // callers leave a silent stream after 2 s or more
 const unlimitedSilenceMs = 86_400_000; // longer than any stream; its own deadline ends it
+const recheckMs = 200; // how soon after the first look an upstream is looked at again
 const fullRetryAfterMs = 300; // requests of plain services take tens of ms, streams a few seconds
 const leastRemainingMs = 10; // no upstream answers faster
 
 /** Carries one admitted request to an upstream and its answer back, over several upstreams where that is allowed. */
 export class ForwardRun {
-    readonly trace: ForwardTrace = {
-        sends: 0,
-        runs: 0,
-        upstream: undefined,
-        upstreamLoad: undefined,
-        firstByteMs: undefined,
-        status: undefined,
-    };
+    readonly tally: ForwardTally;
     private readonly interrupt: RequestInterrupt;
     private readonly endsMs: number;
     private readonly tried = new Set<string>();
     private lastEventId: number | undefined;
-    private isUsageCounted = false;
 
     constructor(private readonly options: ForwardRunOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.marks.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.endsMs = arrivedMs + allowedMs;
+        this.tally = new ForwardTally(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.computeRemainingMs());
     }
 
@@ -115,9 +101,9 @@
             }
             const next = decideNextSend(result, {
                 repeat: admitted.route.repeat,
-                runs: this.trace.runs,
+                runs: this.tally.trace.runs,
                 maxRuns: admitted.route.maxRuns,
-                sends: this.trace.sends,
+                sends: this.tally.trace.sends,
                 takeRepeat: () => budget.take(),
             });
             this.reportFailedSend(known, result, next);
@@ -134,14 +120,14 @@
         const fresh = usable.filter(known => !this.tried.has(known.instance.id));
         const views = context.instances.createViews(fresh);
         const view = context.placement.choose({ affinityKey: createAffinityKey(admitted) }, views);
-        this.trace.upstreamLoad = view?.inFlight;
+        this.tally.trace.upstreamLoad = view?.inFlight;
         return fresh.find(known => known.instance.id === view?.id);
     }
 
     private *send(known: KnownInstance): Task<SendResult> {
         const { context, request, body } = this.options;
-        this.trace.sends += 1;
-        this.trace.upstream = known.instance.id;
+        this.tally.trace.sends += 1;
+        this.tally.trace.upstream = known.instance.id;
         this.tried.add(known.instance.id);
         const exchange = known.client.send({
             method: request.method!,
@@ -152,7 +138,7 @@
         context.instances.begin(known);
         try {
             const result = yield* this.followExchange(known, exchange);
-            this.countSend(result);
+            this.tally.countSend(toSendOutcome(result));
             return result;
         }
         finally {
@@ -174,20 +160,26 @@
 
     private *followExchange(known: KnownInstance, exchange: UpstreamExchange): Task<SendResult> {
         const { context, admitted } = this.options;
-        const start = yield* waitFor(Promise.race([exchange.started, this.interrupt.happened]));
+        const start = yield* this.waitForStart(known, exchange);
+        if (start === "silent") {
+            this.tally.countRun(exchange.isSent);
+            context.instances.putAside(known, "it gave no sign of an answer");
+            return { kind: "failed", isSent: exchange.isSent, isNotRun: !exchange.isSent, message: "silent" };
+        }
         if (typeof start === "string") {
-            this.countRun(exchange.isSent);
+            this.tally.countRun(exchange.isSent);
             return { kind: "interrupted", by: start };
         }
         if (start.kind === "failed") {
-            this.countRun(start.isSent);
+            this.tally.countRun(start.isSent);
             context.instances.putAside(known, start.message);
             return { kind: "failed", isSent: start.isSent, isNotRun: !start.isSent, message: start.message };
         }
         const { head } = start;
+        known.heardMs = context.clock.readMonotonicMs();
         const marks = context.protocol.decodeAnswer(head.status, head.headers);
         if (marks.requestId !== undefined && marks.requestId !== admitted.marks.requestId) {
-            this.countRun(true);
+            this.tally.countRun(true);
             return {
                 kind: "failed",
                 isSent: true,
@@ -199,12 +191,53 @@
             yield* waitFor(Promise.race([collectWhole(exchange, maxWholeBytes), this.interrupt.happened]));
             return { kind: "failed", isSent: true, isNotRun: true, message: `refused with ${head.status}` };
         }
-        this.countRun(true);
+        this.tally.countRun(true);
         return admitted.route.isStream && head.status === 200
-            ? yield* this.relayStream(exchange, head)
+            ? yield* this.relayStream(known, exchange, head)
             : yield* this.relayWhole(exchange, head);
     }
 
+    /** Waits for the head of the answer, the request's end, or until another upstream is the better choice. */
+    private *waitForStart(
+        known: KnownInstance,
+        exchange: UpstreamExchange,
+    ): Task<ExchangeStart | InterruptKind | "silent"> {
+        const { context, admitted } = this.options;
+        const { repeat, targetMs, maxRuns } = admitted.route;
+        const mayRunAgain = this.tally.trace.runs + 1 < maxRuns;
+        const patienceMs = computePatienceMs({ repeat, targetMs, mayRunAgain });
+        const outcomes: Promise<ExchangeStart | InterruptKind | "silent">[] = [
+            exchange.started,
+            this.interrupt.happened,
+        ];
+        if (patienceMs === undefined) {
+            return yield* waitFor(Promise.race(outcomes));
+        }
+        const timer = new AbortController();
+        const sentMs = context.clock.readMonotonicMs();
+        for (let waitMs = patienceMs;; waitMs = recheckMs) {
+            const slept = context.clock.sleep(waitMs, timer.signal).then(() => "silent" as const);
+            const first = yield* waitFor(Promise.race([...outcomes, slept]));
+            if (first !== "silent" || (this.isSilent(known, sentMs) && this.hasAlternative(known))) {
+                timer.abort(abortReason);
+                return first;
+            }
+        }
+    }
+
+    /** Whether nothing was heard of an upstream since a call was sent; a busy engine is slow but not silent. */
+    private isSilent(known: KnownInstance, sentMs: number): boolean {
+        return this.options.admitted.route.repeat === repeatRules.repeatable || known.heardMs < sentMs;
+    }
+
+    private hasAlternative(known: KnownInstance): boolean {
+        const { context, admitted } = this.options;
+        return context.budgets.get(admitted.service).hasRepeat()
+            && context.instances.listUsable(admitted.service).some(other =>
+                other !== known && !this.tried.has(other.instance.id)
+            );
+    }
+
     private *relayWhole(exchange: UpstreamExchange, head: AnswerHead): Task<SendResult> {
         const { response } = this.options;
         const collected = yield* waitFor(
@@ -216,7 +249,7 @@
         if (collected.kind === "broken") {
             return { kind: "failed", isSent: true, isNotRun: false, message: collected.message };
         }
-        this.countUsage();
+        this.tally.countUsage();
         const answer = { head, body: collected.body };
         if (head.status >= 500 || response.headersSent) {
             const message = `answered ${head.status}`;
@@ -228,8 +261,8 @@
 
     private sendWhole(head: AnswerHead, body: Buffer): void {
         const { response, request } = this.options;
-        this.recordFirstByte();
-        this.trace.status = head.status;
+        this.tally.recordFirstByte();
+        this.tally.trace.status = head.status;
         const headers = selectAnswerHeaders(head.headers);
         headers["content-length"] = request.method === "HEAD"
             ? head.headers["content-length"]
@@ -238,10 +271,14 @@
         response.end(body);
     }
 
-    private *relayStream(exchange: UpstreamExchange, head: AnswerHead): Task<SendResult> {
+    private *relayStream(
+        known: KnownInstance,
+        exchange: UpstreamExchange,
+        head: AnswerHead,
+    ): Task<SendResult> {
         const { context, response, admitted } = this.options;
         if (!response.headersSent) {
-            this.trace.status = head.status;
+            this.tally.trace.status = head.status;
             const headers: OutgoingHttpHeaders = selectAnswerHeaders(head.headers);
             response.writeHead(head.status, headers);
             response.flushHeaders();
@@ -255,9 +292,12 @@
             interrupt: this.interrupt,
             clock: context.clock,
             silenceMs: isResumable ? streamSilenceMs : unlimitedSilenceMs,
+            onBytes: () => {
+                known.heardMs = context.clock.readMonotonicMs();
+            },
             onFirstEvent: () => {
-                this.recordFirstByte();
-                this.countUsage();
+                this.tally.recordFirstByte();
+                this.tally.countUsage();
             },
         });
         this.lastEventId = cutter.lastId;
@@ -294,7 +334,7 @@
     private createFailure(result: Exclude<SendResult, { kind: "answered"; }>): FailureError {
         const isTimeout = result.kind === "interrupted";
         const message = isTimeout ? "the request's time is over" : result.message;
-        if (this.trace.runs === 0) {
+        if (this.tally.trace.runs === 0) {
             const code = isTimeout ? resultCodes.deadlineUnreachable : resultCodes.noRunner;
             return new FailureError(createFailure(code, message, { retryAfterMs: fullRetryAfterMs }));
         }
@@ -307,36 +347,13 @@
         return this.endsMs - this.options.context.clock.readMonotonicMs();
     }
 
-    private countRun(mayHaveRun: boolean): void {
-        this.trace.runs += mayHaveRun ? 1 : 0;
-    }
-
-    private countSend(result: SendResult): void {
-        const outcome = result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
-        this.options.context.metrics.sends.inc({ service: this.options.admitted.service, outcome });
-    }
-
-    /** Counts a request for its account once, when it begins to run. */
-    private countUsage(): void {
-        const { context, admitted } = this.options;
-        if (!this.isUsageCounted && admitted.account) {
-            this.isUsageCounted = true;
-            context.usage.record(admitted.account.name);
-        }
-    }
-
     private giveBackQuota(): void {
         const { context, admitted } = this.options;
-        if (this.trace.runs === 0 && admitted.account) {
+        if (this.tally.trace.runs === 0 && admitted.account) {
             context.quotas.giveBack(admitted.account.name, admitted.quotaCost);
         }
     }
 
-    private recordFirstByte(): void {
-        const { context, arrivedMs } = this.options;
-        this.trace.firstByteMs ??= context.clock.readMonotonicMs() - arrivedMs;
-    }
-
     private reportFailedSend(
         known: KnownInstance,
         result: SendResult & { kind: "failed"; },
@@ -350,14 +367,17 @@
             reason: result.message,
             isSent: result.isSent,
             isNotRun: result.isNotRun,
-            sends: this.trace.sends,
-            runs: this.trace.runs,
+            sends: this.tally.trace.sends,
+            runs: this.tally.trace.runs,
             remainingMs: Math.round(this.computeRemainingMs()),
             next,
         });
     }
 }
 
+const toSendOutcome = (result: SendResult): string =>
+    result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
+
 /** The longest part of a prompt that other requests share: all parts but the request's own. */
 const createAffinityKey = ({ marks }: AdmittedRequest): string | undefined => {
     if (marks.promptParts.length === 0) {
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -15,7 +15,8 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { admitForward, type AdmittedRequest } from "./admitForward";
 import type { ForwardContext } from "./ForwardContext";
-import { ForwardRun, type ForwardTrace } from "./ForwardRun";
+import { ForwardRun } from "./ForwardRun";
+import type { ForwardTrace } from "./ForwardTally";
 
 /** Options of {@link ForwardServer}. */
 export interface ForwardServerOptions {
@@ -133,7 +134,7 @@
             const body = yield* waitFor(readBody(request, admitted.maxBodyBytes));
             run = new ForwardRun({ context, request, response, admitted, body, arrivedMs });
             const outcome = yield* run.run();
-            this.report(context, { request, response, arrivedMs, admitted, trace: run.trace, outcome });
+            this.report(context, { request, response, arrivedMs, admitted, trace: run.tally.trace, outcome });
         }
         catch (error) {
             const failure = toFailure(error);
@@ -148,7 +149,7 @@
                 response,
                 arrivedMs,
                 admitted,
-                trace: run?.trace,
+                trace: run?.tally.trace,
                 outcome,
                 reason,
             });
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -15,6 +15,8 @@
     readonly clock: Clock;
     /** Silence of the upstream after which the stream is given up there, in milliseconds. */
     readonly silenceMs: number;
+    /** Called whenever bytes arrive. */
+    readonly onBytes: () => void;
     /** Called once with the first whole event. */
     readonly onFirstEvent: () => void;
 }
@@ -43,6 +45,7 @@
     response.on("drain", resume);
     exchange.listen(chunk => {
         heardMs = clock.readMonotonicMs();
+        options.onBytes();
         const batch = cutter.push(chunk);
         if (batch.count > 0 && !hasEvent) {
             hasEvent = true;
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -28,6 +28,8 @@
     inFlight: number;
     /** Monotonic time until which it gets no request, in milliseconds. */
     asideUntilMs: number;
+    /** Monotonic time at which a byte of it last arrived, in milliseconds. */
+    heardMs: number;
 }
 
 const loadTopic: ReportTopic<Record<string, number>> = {
@@ -168,7 +170,13 @@
         const maxConnections = this.options.readMaxConnections(instance.service);
         const client = this.options.createClient?.(instance.address, maxConnections)
             ?? new ForwardClient({ address: instance.address, maxConnections });
-        this.known.set(instance.id, { instance, client, inFlight: 0, asideUntilMs: -Infinity });
+        this.known.set(instance.id, {
+            instance,
+            client,
+            inFlight: 0,
+            asideUntilMs: -Infinity,
+            heardMs: -Infinity,
+        });
     }
 
     private remove(known: KnownInstance): void {
--- a/src/retries/RetryWindow.ts
+++ b/src/retries/RetryWindow.ts
@@ -39,21 +39,26 @@
         this.openSlot().requests += 1;
     }
 
+    /** Whether a repeat is left in this window. */
+    hasRepeat(): boolean {
+        this.openSlot();
+        const { ratio, extra, countNodes } = this.options;
+        const requests = this.slots.reduce((sum, each) => sum + each.requests, 0);
+        const repeats = this.slots.reduce((sum, each) => sum + each.repeats, 0);
+        const allowed = requests * ratio + extra / Math.max(1, countNodes());
+        return repeats + 1 <= allowed * safetyShare;
+    }
+
     /**
      * Takes one repeat out of the budget.
      *
      * @returns false when none is left in this window
      */
     take(): boolean {
-        const slot = this.openSlot();
-        const { ratio, extra, countNodes } = this.options;
-        const requests = this.slots.reduce((sum, each) => sum + each.requests, 0);
-        const repeats = this.slots.reduce((sum, each) => sum + each.repeats, 0);
-        const allowed = requests * ratio + extra / Math.max(1, countNodes());
-        if (repeats + 1 > allowed * safetyShare) {
+        if (!this.hasRepeat()) {
             return false;
         }
-        slot.repeats += 1;
+        this.openSlot().repeats += 1;
         return true;
     }
 
