Log what was known when a request is refused; give its quota back when its body does not arrive

Cause: lines of refused requests named neither route nor account nor the quota's level, and those of broken streams no reason. A request whose body was cut or too large kept its cost in the quota.

--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -53,6 +53,8 @@
 /** Carries one admitted request to an upstream and its answer back, over several upstreams where that is allowed. */
 export class ForwardRun {
     readonly tally: ForwardTally;
+    /** Why the request ended without a whole answer, for its log line. */
+    endReason: string | undefined;
     private readonly interrupt: RequestInterrupt;
     private readonly endsMs: number;
     private readonly tried = new Set<string>();
@@ -66,6 +68,11 @@
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.computeRemainingMs());
     }
 
+    /** Service that the request goes to. */
+    get service(): string {
+        return this.options.admitted.service;
+    }
+
     /**
      * Runs until the answer is delivered.
      *
@@ -317,6 +324,7 @@
         result: Exclude<SendResult, { kind: "answered"; }>,
     ): "answered" | "left" | "broken" {
         const { response } = this.options;
+        this.endReason = result.kind === "interrupted" ? result.by : result.message;
         if (result.kind === "interrupted" && result.by === "left") {
             return "left";
         }
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -16,7 +16,6 @@
 import { admitForward, type AdmittedRequest } from "./admitForward";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRun } from "./ForwardRun";
-import type { ForwardTrace } from "./ForwardTally";
 
 /** Options of {@link ForwardServer}. */
 export interface ForwardServerOptions {
@@ -35,6 +34,7 @@
 const checkIntervalMs = 1_000; // how exactly the timeouts of callers are kept
 const headerGraceMs = 1_000; // a connection may be idle before its first request
 const startingRetryAfterMs = 300;
+const msPerSecond = 1_000;
 const leavingRetryAfterMs = 50; // another node can answer at once
 
 /** HTTP server for forwarded requests; one task per exchange. */
@@ -127,14 +127,14 @@
             this.refuse(request, response, this.createRefusal());
             return;
         }
-        let admitted: AdmittedRequest | undefined;
+        const admission: AdmissionTrace = {};
         let run: ForwardRun | undefined;
         try {
-            admitted = admitForward(context, request);
-            const body = yield* waitFor(readBody(request, admitted.maxBodyBytes));
+            const admitted = admitForward(context, request, admission);
+            const body = yield* this.readWhole(context, request, admitted);
             run = new ForwardRun({ context, request, response, admitted, body, arrivedMs });
             const outcome = yield* run.run();
-            this.report(context, { request, response, arrivedMs, admitted, trace: run.tally.trace, outcome });
+            this.report(context, { response, arrivedMs, admission, run, outcome });
         }
         catch (error) {
             const failure = toFailure(error);
@@ -142,17 +142,25 @@
                 context.events.emit(eventKinds.taskFailed, { task: "forward", error: describeError(error) });
             }
             this.refuse(request, response, failure);
-            const outcome = failure.result.name;
-            const reason = failure.message;
-            this.report(context, {
-                request,
-                response,
-                arrivedMs,
-                admitted,
-                trace: run?.tally.trace,
-                outcome,
-                reason,
-            });
+            const { name: outcome } = failure.result;
+            this.report(context, { response, arrivedMs, admission, run, outcome, reason: failure.message });
+        }
+    }
+
+    /** Reads a request's body; what its account was charged is given back when it does not arrive. */
+    private *readWhole(
+        context: ForwardContext,
+        request: IncomingMessage,
+        admitted: AdmittedRequest,
+    ): Task<Buffer> {
+        try {
+            return yield* waitFor(readBody(request, admitted.maxBodyBytes));
+        }
+        catch (error) {
+            if (admitted.account) {
+                context.quotas.giveBack(admitted.account.name, admitted.quotaCost);
+            }
+            throw error;
         }
     }
 
@@ -177,43 +185,43 @@
     }
 
     private report(context: ForwardContext, ended: EndedExchange): void {
-        const { admitted, trace, outcome, response } = ended;
+        const { admission, run, outcome, response } = ended;
         const wholeMs = this.options.clock.readMonotonicMs() - ended.arrivedMs;
-        const route = admitted?.route.name ?? "none";
+        const route = admission.route ?? "none";
+        const trace = run?.tally.trace;
         context.metrics.requests.inc({ route, outcome });
         if (outcome === "answered") {
-            context.metrics.whole.observe({ route }, wholeMs / 1_000);
-            context.metrics.firstByte.observe({ route }, (trace?.firstByteMs ?? wholeMs) / 1_000);
+            context.metrics.whole.observe({ route }, wholeMs / msPerSecond);
+            context.metrics.firstByte.observe({ route }, (trace?.firstByteMs ?? wholeMs) / msPerSecond);
         }
         context.events.emit(eventKinds.requestForwarded, {
-            requestId: (admitted?.marks ?? context.protocol.decodeRequest(ended.request.headers)).requestId,
+            requestId: admission.requestId,
             route,
-            account: admitted?.account?.name,
-            service: admitted?.service,
-            version: admitted?.version ?? context.state.table.value?.configuration.version,
-            versionAgeMs: roundMs(context.state.readAgeMs()),
+            account: admission.account,
+            quotaLevel: roundNumber(admission.quotaLevel),
+            service: run?.service,
+            version: context.state.table.value?.configuration.version,
+            versionAgeMs: roundNumber(context.state.readAgeMs()),
             ...trace,
-            firstByteMs: roundMs(trace?.firstByteMs),
-            upstreamLoad: trace?.upstreamLoad,
+            firstByteMs: roundNumber(trace?.firstByteMs),
             status: response.headersSent ? response.statusCode : undefined,
             outcome,
-            reason: ended.reason,
-            wholeMs: roundMs(wholeMs),
+            reason: ended.reason ?? run?.endReason,
+            wholeMs: roundNumber(wholeMs),
         });
     }
 }
 
 interface EndedExchange {
-    readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly arrivedMs: number;
-    readonly admitted: AdmittedRequest | undefined;
-    readonly trace: ForwardTrace | undefined;
+    readonly admission: AdmissionTrace;
+    readonly run: ForwardRun | undefined;
     readonly outcome: string;
     readonly reason?: string;
 }
 
-const roundMs = (value: number | undefined): number | undefined =>
+const roundNumber = (value: number | undefined): number | undefined =>
     value === undefined || !Number.isFinite(value) ? undefined : Math.round(value);
 
 const describeError = (error: unknown): string =>
--- a/src/forwarding/admitForward.ts
+++ b/src/forwarding/admitForward.ts
@@ -22,6 +22,15 @@
     readonly maxBodyBytes: number;
 }
 
+/** What the decision came to know, filled in as it goes, for the log line of a refused request. */
+export interface AdmissionTrace {
+    requestId?: string;
+    route?: string;
+    account?: string;
+    /** Units that the account could use over all nodes when the quota was asked. */
+    quotaLevel?: number;
+}
+
 const startingRetryAfterMs = 300; // a process reads its configuration within a few hundred ms of its start
 const staleRetryAfterMs = 500; // another node that reaches the store can answer at once
 
@@ -30,10 +39,17 @@
  *
  * @param context - the node's services
  * @param request - the incoming request; its body has not been read
+ * @param trace - receives what is known when the request is refused
  * @returns what was decided
  * @throws FailureError when it is refused; it has then not run
  */
-export const admitForward = (context: ForwardContext, request: IncomingMessage): AdmittedRequest => {
+export const admitForward = (
+    context: ForwardContext,
+    request: IncomingMessage,
+    trace: AdmissionTrace = {},
+): AdmittedRequest => {
+    const marks = context.protocol.decodeRequest(request.headers);
+    trace.requestId = marks.requestId;
     const table = context.state.table.value;
     if (!table) {
         throw createRefusal(
@@ -42,9 +58,10 @@
             startingRetryAfterMs,
         );
     }
-    const marks = context.protocol.decodeRequest(request.headers);
     const route = findRoute(table, request);
+    trace.route = route.name;
     const account = authenticate(context, table, route, marks.key);
+    trace.account = account?.name;
     const service = chooseTarget(route.targets, context.random);
     if (service === undefined) {
         throw createRefusal("noRunner", `route "${route.name}" leads to no service`, staleRetryAfterMs);
@@ -54,7 +71,7 @@
         route,
         account,
         service,
-        quotaCost: takeQuota(context, account, marks),
+        quotaCost: takeQuota(context, account, marks, trace),
         version: table.configuration.version,
         maxBodyBytes: table.configuration.limits.maxBodyBytes,
     };
@@ -93,12 +110,14 @@
     context: ForwardContext,
     account: ServedAccount | undefined,
     marks: RequestMarks,
+    trace: AdmissionTrace,
 ): number => {
     if (!account) {
         return 0;
     }
     const tokens = marks.promptTokens === undefined ? undefined : marks.promptTokens + marks.outputTokens;
     const grant = context.quotas.take(account, tokens);
+    trace.quotaLevel = context.quotas.readLevel(account.name);
     if (grant.kind === "exceeded") {
         const message = `account "${account.name}" has used its quota`;
         throw createRefusal("quotaExceeded", message, grant.retryAfterMs);
