--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -13,7 +13,7 @@
 import type { CallerLimits } from "../routes/types";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import { admitForward, type AdmittedRequest } from "./admitForward";
+import { type AdmissionTrace, admitForward, type AdmittedRequest } from "./admitForward";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRun } from "./ForwardRun";
 
