Order reclaimable upstreams where they are cheaper, bridged by on-demand ones; one transport for all upstream calls

The cheapest data centre stays on demand, the others take reclaimable upstreams; on-demand ones stand in until these are ready and when none are to be had. Chat requests' engine client now uses the forwarding transport, so that only one way leads to upstreams.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -103,6 +103,7 @@
             }
         }
         this.kernel.find(membershipName).depart();
+        await server.stop(); // first, so that what is cut does not go on at another upstream
         await this.kernel.stop();
         await this.options.platform.close();
         events.emit(eventKinds.nodeStopped, { lastedMs: Math.round(clock.readMonotonicMs() - startMs) });
--- /dev/null
+++ b/src/fleet/InstanceOrders.test.ts
@@ -0,0 +1,114 @@
+import { FakeClock } from "../kernel/FakeClock";
+import type { Lease } from "../leases/Lease";
+import type { InstanceRegistry } from "../placement/InstanceRegistry";
+import type { UpstreamOrder } from "../platform/types";
+import type { ServingState } from "../routes/ServingState";
+import { EventLog } from "../telemetry/EventLog";
+import { InstanceOrders } from "./InstanceOrders";
+
+interface Listed {
+    readonly dataCentre: string;
+    readonly market: string;
+}
+
+class Setup {
+    readonly clock = new FakeClock();
+    readonly orders: UpstreamOrder[] = [];
+    listed: Listed[] = [];
+    inFlight = 0;
+    isHolder = true;
+    readonly dry = new Set<string>();
+    readonly running: InstanceOrders;
+
+    constructor() {
+        const held = { fencing: 4, remainingMs: 2_000 };
+        const scaling = { min: 1, max: 4, bootMs: 4_000, reclaimableShare: 0.2, prices: { a: 1, b: 0.5 } };
+        const services = [{
+            name: "llm",
+            maxConnections: 10,
+            engine: { slots: 10, cacheTokens: 1 },
+            scaling,
+        }];
+        this.running = new InstanceOrders({
+            lease: {
+                readHeldFor: () => this.isHolder ? held : undefined,
+                readHeld: () => this.isHolder ? held : undefined,
+            } as unknown as Lease,
+            cloud: {
+                reportUsage: async () => {},
+                orderUpstreams: async (order: UpstreamOrder) => {
+                    this.orders.push(order);
+                    return !(order.market === "reclaimable" && this.dry.has(order.dataCentre));
+                },
+            },
+            state: { table: { value: { configuration: { services } } } } as unknown as ServingState,
+            instances: {
+                countInFlight: () => this.inFlight,
+                listInService: () => this.listed.map(instance => ({ instance })),
+            } as unknown as InstanceRegistry,
+            clock: this.clock,
+            events: new EventLog({ node: "n", clock: this.clock }),
+            callMs: 800,
+        });
+    }
+
+    /** The last order of a data centre and market. */
+    findLast(dataCentre: string, market: string): number | undefined {
+        return this.orders.filter(order => order.dataCentre === dataCentre && order.market === market).at(-1)
+            ?.count;
+    }
+}
+
+describe("InstanceOrders", () => {
+    let setup: Setup;
+    beforeEach(async () => {
+        setup = new Setup();
+        await setup.running.start();
+    });
+    afterEach(() => setup.running.stop());
+
+    it("keeps on-demand upstreams until the reclaimable ones are ready", async () => {
+        await setup.clock.advance(1_000);
+        expect([setup.findLast("a", "reclaimable"), setup.findLast("a", "on-demand")]).toEqual([1, 1]);
+        expect([setup.findLast("b", "reclaimable"), setup.findLast("b", "on-demand")]).toEqual([
+            undefined,
+            1,
+        ]);
+        setup.listed = [{ dataCentre: "a", market: "reclaimable" }];
+        await setup.clock.advance(1_000);
+        expect(setup.findLast("a", "on-demand")).toBe(0);
+    });
+
+    it("orders on-demand upstreams again when the reclaimable ones are taken and none can be had", async () => {
+        setup.listed = [{ dataCentre: "a", market: "reclaimable" }];
+        await setup.clock.advance(1_000);
+        setup.listed = [];
+        setup.dry.add("a");
+        await setup.clock.advance(1_000);
+        expect(setup.findLast("a", "on-demand")).toBe(1);
+        await setup.clock.advance(20_000);
+        expect(setup.findLast("a", "on-demand")).toBe(1);
+        setup.dry.clear();
+        setup.listed = [{ dataCentre: "a", market: "reclaimable" }];
+        await setup.clock.advance(20_000);
+        expect([setup.findLast("a", "reclaimable"), setup.findLast("a", "on-demand")]).toEqual([1, 0]);
+    });
+
+    it("follows the load up at once and down after a while", async () => {
+        await setup.clock.advance(1_000);
+        setup.inFlight = 20;
+        await setup.clock.advance(1_000);
+        expect(setup.findLast("b", "on-demand")).toBe(4);
+        setup.inFlight = 0;
+        await setup.clock.advance(10_000);
+        expect(setup.findLast("b", "on-demand")).toBe(4);
+        await setup.clock.advance(15_000);
+        expect(setup.findLast("b", "on-demand")).toBe(1);
+    });
+
+    it("gives no order without the lease", async () => {
+        setup.isHolder = false;
+        await setup.clock.advance(5_000);
+        expect(setup.orders).toEqual([]);
+    });
+});
--- a/src/fleet/planInstanceCounts.ts
+++ b/src/fleet/planInstances.ts
@@ -1,10 +1,18 @@
 import type { ScalingBounds } from "../routes/types";
 
+/** Upstreams of one service in one data centre, by how they are paid for. */
+export interface InstanceCounts {
+    readonly onDemand: number;
+    readonly reclaimable: number;
+}
+
 /** What the size of a service's fleet is planned from. */
 export interface InstancePlanInput {
     readonly scaling: ScalingBounds;
     /** Data centres in which the service may run. */
     readonly dataCentres: readonly string[];
+    /** Data centres in which no reclaimable upstreams can be had now. */
+    readonly withoutReclaimable: ReadonlySet<string>;
     /** Requests in progress at all upstreams, at its recent highest. */
     readonly peakInFlight: number;
     /** Requests that one upstream works on at once. */
@@ -16,17 +24,41 @@
 
 /**
  * Plans how many upstreams a service needs in each data centre: the fewest allowed everywhere, and what the load needs
- * beyond that in the cheapest data centres. The load must still fit when the data centre with most upstreams is lost.
+ * beyond that in the cheapest data centres, so that the load still fits when the data centre with most upstreams is
+ * lost. The cheapest data centre has on-demand upstreams, the others reclaimable ones where these are cheaper and can
+ * be had: a reclaim takes all of them in one data centre, never in all at once.
  *
  * @param input - bounds, prices and load
  * @returns upstreams by data centre
  */
-export const planInstanceCounts = (input: InstancePlanInput): ReadonlyMap<string, number> => {
-    const { scaling, peakInFlight, slots } = input;
-    const counts = new Map(input.dataCentres.map(name => [name, scaling.min]));
-    const cheapestFirst = [...input.dataCentres].sort((a, b) =>
-        (scaling.prices[a] ?? defaultPrice) - (scaling.prices[b] ?? defaultPrice) || (a < b ? -1 : 1)
+export const planInstances = (input: InstancePlanInput): ReadonlyMap<string, InstanceCounts> => {
+    const { scaling, withoutReclaimable } = input;
+    const cheapestFirst = sortByPrice(input.dataCentres, scaling);
+    const counts = planCounts(input, cheapestFirst);
+    const isCheaper = (scaling.reclaimableShare ?? defaultPrice) < defaultPrice;
+    const planned = new Map<string, InstanceCounts>();
+    for (const [dataCentre, count] of counts) {
+        const isReclaimable = isCheaper
+            && dataCentre !== cheapestFirst[0]
+            && !withoutReclaimable.has(dataCentre);
+        planned.set(dataCentre, {
+            onDemand: isReclaimable ? 0 : count,
+            reclaimable: isReclaimable ? count : 0,
+        });
+    }
+    return planned;
+};
+
+const sortByPrice = (dataCentres: readonly string[], { prices }: ScalingBounds): string[] =>
+    [...dataCentres].sort((a, b) =>
+        (prices[a] ?? defaultPrice) - (prices[b] ?? defaultPrice) || (a < b ? -1 : 1)
     );
+
+const planCounts = (
+    { scaling, peakInFlight, slots }: InstancePlanInput,
+    cheapestFirst: readonly string[],
+): ReadonlyMap<string, number> => {
+    const counts = new Map(cheapestFirst.map(name => [name, scaling.min]));
     const needed = Math.ceil(peakInFlight / (slots * targetShare));
     while (countAfterLoss(counts) < needed) {
         const next = pickSmallest(cheapestFirst, counts, scaling.max);
--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -46,6 +46,8 @@
 const maxWholeBytes = 16_777_216; // larger answers are streams
 const streamSilenceMs = 1_500; // callers leave a silent stream after 2 s or more
 const unlimitedSilenceMs = 86_400_000; // longer than any stream; its own deadline ends it
+const resumeTries = 8; // with the pause, less than the silence after which callers leave a stream
+const resumePauseMs = 150;
 const recheckMs = 200; // how soon after the first look an upstream is looked at again
 const fullRetryAfterMs = 300; // requests of plain services take tens of ms, streams a few seconds
 const leastRemainingMs = 10; // no upstream answers faster
@@ -98,7 +100,7 @@
         const budget = context.budgets.get(admitted.service);
         budget.countRequest();
         for (;;) {
-            const known = this.choose();
+            const known = this.choose() ?? (yield* this.waitForInstance());
             if (!known) {
                 return { kind: "failed", isSent: false, isNotRun: true, message: "no upstream is available" };
             }
@@ -120,6 +122,23 @@
         }
     }
 
+    /** A stream that has begun waits a moment for an upstream to go on at; any other request is refused at once. */
+    private *waitForInstance(): Task<KnownInstance | undefined> {
+        const { context, response } = this.options;
+        for (let tries = 0; response.headersSent && tries < resumeTries; tries += 1) {
+            const slept = context.clock.sleep(resumePauseMs).then(() => undefined);
+            if (yield* waitFor(Promise.race([slept, this.interrupt.happened]))) {
+                return undefined;
+            }
+            this.tried.clear();
+            const known = this.choose();
+            if (known) {
+                return known;
+            }
+        }
+        return undefined;
+    }
+
     /** Chooses an upstream that has not failed this request, or a tried one when there is no other. */
     private choose(): KnownInstance | undefined {
         const { context, admitted } = this.options;
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -58,7 +58,9 @@
     readonly max: number;
     /** Time from an order to the first request served, in milliseconds. */
     readonly bootMs: number;
-    /** Price of an upstream by data centre, per second. */
+    /** Price of a reclaimable upstream as a share of an on-demand one's; undefined where there are none. */
+    readonly reclaimableShare?: number;
+    /** Price of an on-demand upstream by data centre, per second. */
     readonly prices: Readonly<Record<string, number>>;
 }
 
--- a/src/upstreams/ForwardClient.ts
+++ b/src/upstreams/ForwardClient.ts
@@ -1,4 +1,4 @@
-import { type Client, Pool } from "undici";
+import { type Client, type Dispatcher, Pool } from "undici";
 import { TrackedClient, type TrackedDispatchOptions } from "./TrackedClient";
 import { UpstreamExchange } from "./UpstreamExchange";
 
@@ -20,10 +20,12 @@
     readonly maxConnections: number;
     /** Longest wait for a new connection; default 400 ms. */
     readonly connectTimeoutMs?: number;
+    /** Idle time of a connection where the upstream names none; default 4,000 ms. */
+    readonly keepAliveMs?: number;
 }
 
 const defaultConnectTimeoutMs = 400; // a first packet in one data centre takes 1 to 3 ms
-const keepAliveMs = 4_000; // used where the upstream names no idle timeout
+const defaultKeepAliveMs = 4_000; // shorter than the usual idle timeout of servers
 const keepAliveMarginMs = 1_200; // upstreams name whole seconds
 
 /** Connections to one upstream; each carries one call at a time. */
@@ -35,7 +37,7 @@
         this.pool = new Pool(`http://${options.address}`, {
             connections: options.maxConnections,
             pipelining: 1,
-            keepAliveTimeout: keepAliveMs,
+            keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -44,6 +46,11 @@
         });
     }
 
+    /** The connections, for calls whose answers are read by the library's own means. */
+    get dispatcher(): Dispatcher {
+        return this.pool;
+    }
+
     /**
      * Sends a call.
      *
--- a/src/upstreams/HttpEngineClient.ts
+++ b/src/upstreams/HttpEngineClient.ts
@@ -1,6 +1,8 @@
-import { type Dispatcher, Pool, request } from "undici";
+import { request } from "undici";
 import { sendJson } from "../platform/sendJson";
+import { collectWhole } from "./collectWhole";
 import { EventSplitter } from "./EventSplitter";
+import { ForwardClient } from "./ForwardClient";
 import type {
     CacheEvent,
     CacheExport,
@@ -14,6 +16,7 @@
     LoadReport,
     OrderOutcome,
 } from "./types";
+import type { AnswerHead, UpstreamExchange } from "./UpstreamExchange";
 
 /** Options of {@link HttpEngineClient}. */
 export interface HttpEngineClientOptions {
@@ -25,24 +28,22 @@
 
 const defaultMaxConnections = 2_048;
 const keepAliveMs = 30_000;
+const maxRefusalBytes = 65_536;
 
 /** Engine over HTTP: chat completions with numbered events, and the control calls of the stand-in. */
 export class HttpEngineClient implements EngineClient {
-    private readonly pool: Pool;
+    private readonly client: ForwardClient;
 
     constructor(private readonly options: HttpEngineClientOptions) {
-        this.pool = new Pool(options.url, {
-            connections: options.maxConnections ?? defaultMaxConnections,
-            pipelining: 1,
-            keepAliveTimeout: keepAliveMs,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            connect: { timeout: options.timeoutMs },
+        this.client = new ForwardClient({
+            address: new URL(options.url).host,
+            maxConnections: options.maxConnections ?? defaultMaxConnections,
+            connectTimeoutMs: options.timeoutMs,
+            keepAliveMs,
         });
     }
 
     start(start: EngineStart, sink: EngineSink): EngineStream {
-        const exchange = new EngineExchange(sink, () => this.cancelRemote(start));
         const body = {
             ...start.body,
             stream: true,
@@ -52,13 +53,13 @@
             priority: start.priority,
             resume: start.offset > 0 ? { offset: start.offset, text: start.producedText } : undefined,
         };
-        this.pool.dispatch({
+        const exchange = this.client.send({
             method: "POST",
             path: "/v1/chat/completions",
-            headers: { "content-type": "application/json" },
-            body: JSON.stringify(body),
-        }, exchange);
-        return exchange;
+            headers: ["content-type", "application/json"],
+            body: Buffer.from(JSON.stringify(body)),
+        });
+        return new EngineExchange(exchange, sink, () => this.cancelRemote(start));
     }
 
     async exportCache(requestId: string): Promise<CacheExport | undefined> {
@@ -95,12 +96,12 @@
     }
 
     async close(): Promise<void> {
-        await this.pool.destroy();
+        await this.client.close();
     }
 
     private cancelRemote(start: EngineStart): void {
         request(`${this.options.url}/attempts/${encodeURIComponent(start.attemptId)}/cancel`, {
-            dispatcher: this.pool,
+            dispatcher: this.client.dispatcher,
             method: "POST",
             signal: AbortSignal.timeout(this.options.timeoutMs),
         }).then(answer => answer.body.dump(), () => {});
@@ -108,59 +109,81 @@
 
     private get(path: string): ReturnType<typeof sendJson> {
         const { timeoutMs, url } = this.options;
-        return sendJson({ dispatcher: this.pool, url: `${url}${path}`, method: "GET", timeoutMs });
+        return sendJson({
+            dispatcher: this.client.dispatcher,
+            url: `${url}${path}`,
+            method: "GET",
+            timeoutMs,
+        });
     }
 
     private post(path: string, body: unknown): ReturnType<typeof sendJson> {
         const { timeoutMs, url } = this.options;
-        return sendJson({ dispatcher: this.pool, url: `${url}${path}`, method: "POST", body, timeoutMs });
+        return sendJson({
+            dispatcher: this.client.dispatcher,
+            url: `${url}${path}`,
+            method: "POST",
+            body,
+            timeoutMs,
+        });
     }
 }
 
 /** One streamed answer of an engine. Batches go to the sink without a promise for each. */
-class EngineExchange implements Dispatcher.DispatchHandler, EngineStream {
+class EngineExchange implements EngineStream {
     private readonly splitter = new EventSplitter();
-    private controller: Dispatcher.DispatchController | undefined;
-    private status = 0;
-    private refusal = "";
-    private closed = false;
+    private isClosed = false;
 
-    constructor(private readonly sink: EngineSink, private readonly cancelRemote: () => void) {}
+    constructor(
+        private readonly exchange: UpstreamExchange,
+        private readonly sink: EngineSink,
+        private readonly cancelRemote: () => void,
+    ) {
+        void this.follow();
+    }
 
     cancel(): void {
-        if (this.closed) {
+        if (this.isClosed) {
             return;
         }
-        this.closed = true;
-        this.controller?.abort(new Error("the attempt was cancelled"));
+        this.isClosed = true;
+        this.exchange.abort("the attempt was cancelled");
         this.cancelRemote();
     }
 
     pause(): void {
-        this.controller?.pause();
+        this.exchange.pause();
     }
 
     resume(): void {
-        this.controller?.resume();
+        this.exchange.resume();
     }
 
-    onRequestStart(controller: Dispatcher.DispatchController): void {
-        this.controller = controller;
-        if (this.closed) {
-            controller.abort(new Error("the attempt was cancelled"));
+    /** Follows the answer to its end; the exchange's promises never reject. */
+    private async follow(): Promise<void> {
+        const start = await this.exchange.started;
+        if (start.kind === "failed") {
+            this.fail({ kind: "unreachable", message: start.message });
+            return;
         }
-    }
-
-    onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
-        this.status = statusCode;
-    }
-
-    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (this.closed) {
+        if (start.head.status !== 200) {
+            await this.refuse(start.head);
+            return;
+        }
+        this.exchange.listen(chunk => this.receive(chunk));
+        const end = await this.exchange.ended;
+        if (!end.isWhole || !this.splitter.ended) {
+            this.fail({ kind: "cut", message: end.message ?? "the engine ended the stream early" });
             return;
         }
-        if (this.status !== 200) {
-            this.refusal += chunk.toString("utf8");
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.sink.onEnd();
+        }
+    }
+
+    private receive(chunk: Buffer): void {
+        if (this.isClosed) {
             return;
         }
         try {
@@ -171,38 +194,25 @@
         }
         catch (error) {
             this.fail({ kind: "cut", message: (error as Error).message });
-            this.controller?.abort(error as Error);
-        }
-    }
-
-    onResponseEnd(): void {
-        if (this.closed) {
-            return;
-        }
-        if (this.status !== 200) {
-            const kind = this.status >= 400 && this.status < 500 && this.status !== 429
-                ? "bad-request"
-                : "refused";
-            this.fail({ kind, message: `the engine answered ${this.status}: ${this.refusal.slice(0, 200)}` });
-            return;
+            this.exchange.abort("the stream cannot be read");
         }
-        if (!this.splitter.ended) {
-            this.fail({ kind: "cut", message: "the engine ended the stream early" });
-            return;
-        }
-        this.closed = true;
-        this.sink.onEnd();
     }
 
-    onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-        this.fail({ kind: this.status === 0 ? "unreachable" : "cut", message: error.message });
+    private async refuse({ status }: AnswerHead): Promise<void> {
+        const collected = await collectWhole(this.exchange, maxRefusalBytes);
+        const text = collected.kind === "whole" ? collected.body.toString("utf8") : collected.message;
+        const isBadRequest = status >= 400 && status < 500 && status !== 429;
+        this.fail({
+            kind: isBadRequest ? "bad-request" : "refused",
+            message: `the engine answered ${status}: ${text.slice(0, 200)}`,
+        });
     }
 
     private fail(error: EngineError): void {
-        if (this.closed) {
+        if (this.isClosed) {
             return;
         }
-        this.closed = true;
+        this.isClosed = true;
         this.sink.onError(error);
     }
 }
