--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
-import { abortReason } from "../_lib/abortReason";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { KnownInstance } from "../placement/InstanceRegistry";
@@ -8,10 +7,11 @@
 import { resultCodes } from "../results/resultCodes";
 import { repeatRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
-import type { AnswerHead, ExchangeStart, UpstreamExchange } from "../upstreams/UpstreamExchange";
+import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitForward";
 import { collectWhole } from "../upstreams/collectWhole";
 import { computePatienceMs } from "./computePatienceMs";
+import { createAffinityKey } from "./createAffinityKey";
 import { decideNextSend } from "./decideNextSend";
 import { EventCutter } from "./EventCutter";
 import type { ForwardContext } from "./ForwardContext";
@@ -19,6 +19,7 @@
 import { relayEvents } from "./relayEvents";
 import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import { selectAnswerHeaders } from "../http/selectAnswerHeaders";
+import { type AwaitedStart, waitForStart } from "./waitForStart";
 
 /** Options of {@link ForwardRun}. */
 export interface ForwardRunOptions {
@@ -48,7 +49,6 @@
 const unlimitedSilenceMs = 86_400_000; // longer than any stream; its own deadline ends it
 const resumeTries = 8; // with the pause, less than the silence after which callers leave a stream
 const resumePauseMs = 150;
-const recheckMs = 200; // how soon after the first look an upstream is looked at again
 const fullRetryAfterMs = 300; // requests of plain services take tens of ms, streams a few seconds
 const leastRemainingMs = 10; // no upstream answers faster
 
@@ -139,13 +139,16 @@
         return undefined;
     }
 
-    /** Chooses an upstream that has not failed this request, or a tried one when there is no other. */
+    /** Chooses an upstream that has not failed this request. */
     private choose(): KnownInstance | undefined {
         const { context, admitted } = this.options;
         const usable = context.instances.listUsable(admitted.service);
         const fresh = usable.filter(known => !this.tried.has(known.instance.id));
         const views = context.instances.createViews(fresh);
-        const view = context.placement.choose({ affinityKey: createAffinityKey(admitted) }, views);
+        const view = context.placement.choose(
+            { affinityKey: createAffinityKey(admitted.marks.promptParts) },
+            views,
+        );
         this.tally.trace.upstreamLoad = view?.inFlight;
         return fresh.find(known => known.instance.id === view?.id);
     }
@@ -186,7 +189,7 @@
 
     private *followExchange(known: KnownInstance, exchange: UpstreamExchange): Task<SendResult> {
         const { context, admitted } = this.options;
-        const start = yield* this.waitForStart(known, exchange);
+        const start = yield* this.waitForHead(known, exchange);
         if (start === "silent") {
             this.tally.countRun(exchange.isSent);
             context.instances.putAside(known, "it gave no sign of an answer");
@@ -224,31 +227,18 @@
     }
 
     /** Waits for the head of the answer, the request's end, or until another upstream is the better choice. */
-    private *waitForStart(
-        known: KnownInstance,
-        exchange: UpstreamExchange,
-    ): Task<ExchangeStart | InterruptKind | "silent"> {
+    private *waitForHead(known: KnownInstance, exchange: UpstreamExchange): Task<AwaitedStart> {
         const { context, admitted } = this.options;
         const { repeat, targetMs, maxRuns } = admitted.route;
         const mayRunAgain = this.tally.trace.runs + 1 < maxRuns;
-        const patienceMs = computePatienceMs({ repeat, targetMs, mayRunAgain });
-        const outcomes: Promise<ExchangeStart | InterruptKind | "silent">[] = [
-            exchange.started,
-            this.interrupt.happened,
-        ];
-        if (patienceMs === undefined) {
-            return yield* waitFor(Promise.race(outcomes));
-        }
-        const timer = new AbortController();
         const sentMs = context.clock.readMonotonicMs();
-        for (let waitMs = patienceMs;; waitMs = recheckMs) {
-            const slept = context.clock.sleep(waitMs, timer.signal).then(() => "silent" as const);
-            const first = yield* waitFor(Promise.race([...outcomes, slept]));
-            if (first !== "silent" || (this.isSilent(known, sentMs) && this.hasAlternative(known))) {
-                timer.abort(abortReason);
-                return first;
-            }
-        }
+        return yield* waitForStart({
+            exchange,
+            interrupt: this.interrupt,
+            clock: context.clock,
+            patienceMs: computePatienceMs({ repeat, targetMs, mayRunAgain }),
+            mayLeave: () => this.isSilent(known, sentMs) && this.hasAlternative(known),
+        });
     }
 
     /** Whether nothing was heard of an upstream since a call was sent; a busy engine is slow but not silent. */
@@ -404,11 +394,3 @@
 
 const toSendOutcome = (result: SendResult): string =>
     result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
-
-/** The longest part of a prompt that other requests share: all parts but the request's own. */
-const createAffinityKey = ({ marks }: AdmittedRequest): string | undefined => {
-    if (marks.promptParts.length === 0) {
-        return undefined;
-    }
-    return marks.promptParts.at(-2)?.id ?? marks.promptParts[0].id;
-};
