Take back nodes that were taken for gone; keep limits over nodes that are out of sight

Cause 1, found by reading who dials whom: each pair is dialled by the smaller id, and a gone member was dialled by nobody. A node with the largest id that was restarted, moved to another address or cut off for more than a second stayed apart for good, with a directory that named only itself. Recorded nodes are now dialled also while they count as gone. Cause 2: a node cut off from the others counted itself as the only one after a second and granted whole quotas and repeats. Members that went within 20 s still count where limits are shared.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -32,6 +32,10 @@
         registerServingServices(this.kernel, options);
     }
 
+    get nodeId(): string {
+        return this.options.settings.nodeId;
+    }
+
     /** Which nodes can take requests; known after {@link start}. */
     get readiness(): Readiness {
         return this.kernel.find(readinessName);
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -234,7 +234,7 @@
                 reports: find(peerReportsName),
                 readMaxConnections: service => {
                     const declared = find(servingStateName).table.value?.findService(service)?.maxConnections;
-                    const share = (declared ?? 0) * connectionShare / find(readinessName).countLive();
+                    const share = (declared ?? 0) * connectionShare / find(readinessName).countExpected();
                     return Math.max(leastConnections, Math.floor(share));
                 },
             }),
@@ -247,7 +247,7 @@
                 clock,
                 reports: find(peerReportsName),
                 processId,
-                countNodes: () => find(readinessName).countLive(),
+                countNodes: () => find(readinessName).countExpected(),
                 findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
                 readSlackTokens: () => settings.quotaSlackTokens,
             }),
@@ -259,7 +259,7 @@
             new RetryBudgets({
                 clock,
                 ...settings.retries,
-                countNodes: () => find(readinessName).countLive(),
+                countNodes: () => find(readinessName).countExpected(),
             }),
     });
     kernel.register({
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -37,6 +37,8 @@
     private readonly lostSinceMs = new Map<string, number>();
     private state: MemberState = "live";
     private recorded: readonly PeerAddress[] = [];
+    /** Monotonic time at which each gone member was first seen as gone, in milliseconds. */
+    private readonly goneSinceMs = new Map<string, number>();
 
     constructor(private readonly options: MembershipOptions) {
         this.scope = createReportingScope(options.events);
@@ -71,6 +73,20 @@
         return this.members.value.filter(member => member.state === "live");
     }
 
+    /**
+     * Counts the members that take requests or may do so unseen: live ones, and those that went lately, which may live
+     * behind a cut.
+     *
+     * @param withinMs - how lately a member went
+     */
+    countExpected(withinMs: number): number {
+        const oldestMs = this.options.clock.readMonotonicMs() - withinMs;
+        const lately = this.members.value.filter(member =>
+            member.state === "gone" && (this.goneSinceMs.get(member.nodeId) ?? -Infinity) >= oldestMs
+        );
+        return this.listLive().length + lately.length;
+    }
+
     /** Finds a member by name. */
     find(nodeId: string): Member | undefined {
         return this.members.value.find(member => member.nodeId === nodeId);
@@ -112,25 +128,32 @@
         }
         this.reportChanges(announced);
         this.members.set(announced);
-        this.options.network.setMembers([
-            ...announced.filter(member => member.state !== "gone")
-                .map(member => ({ nodeId: member.nodeId, url: member.peersUrl })),
-            ...this.listUnannouncedEntries(announced),
-        ]);
+        this.options.network.setMembers(this.listDialled(announced));
     }
 
-    /** Nodes of the cloud's list and of the records that have not announced themselves yet. */
-    private listUnannouncedEntries(announced: readonly Member[]): PeerAddress[] {
-        const known = new Set(announced.map(member => member.nodeId));
+    /**
+     * Members to keep links to. A member that is gone is still dialled where a record names it: it may have come back at
+     * another address, or live behind a cut that has healed, and nobody else may dial it.
+     */
+    private listDialled(announced: readonly Member[]): PeerAddress[] {
+        const present = announced.filter(member => member.state !== "gone")
+            .map(member => ({ nodeId: member.nodeId, url: member.peersUrl }));
+        const known = new Set(present.map(address => address.nodeId));
         const listed = this.options.gossip.listValues<Vm>(vmPrefix)
             .filter(vm => vm.role === "entry")
             .map(vm => ({ nodeId: vm.service, url: vm.url }));
-        return [...listed, ...this.recorded].filter(address => !known.has(address.nodeId));
+        return [...present, ...[...listed, ...this.recorded].filter(address => !known.has(address.nodeId))];
     }
 
     private reportChanges(announced: readonly Member[]): void {
         for (const member of announced) {
             const before = this.find(member.nodeId);
+            if (member.state !== "gone") {
+                this.goneSinceMs.delete(member.nodeId);
+            }
+            else if (before && before.state !== "gone") {
+                this.goneSinceMs.set(member.nodeId, this.options.clock.readMonotonicMs());
+            }
             if (before?.state !== member.state || before.incarnation !== member.incarnation) {
                 this.options.events.emit(eventKinds.memberChanged, {
                     member: member.nodeId,
--- a/src/membership/Readiness.ts
+++ b/src/membership/Readiness.ts
@@ -13,6 +13,7 @@
     readonly reports: PeerReports;
 }
 
+const unseenMs = 20_000; // cuts between nodes last for seconds; a node that is back is live again
 const readyTopic: ReportTopic<boolean> = { name: "ready", schema: z.boolean() };
 
 /** Which nodes can take requests: live ones that have a configuration and can rely on its keys. */
@@ -40,6 +41,11 @@
         );
     }
 
+    /** Number of nodes that may take requests now, also those that this node may only have lost sight of. */
+    countExpected(): number {
+        return Math.max(1, this.options.membership.countExpected(unseenMs));
+    }
+
     /** Number of live members, this node included. */
     countLive(): number {
         return Math.max(1, this.options.membership.listLive().length);
