--- a/src/leases/Lease.test.ts
+++ b/src/leases/Lease.test.ts
@@ -10,6 +10,8 @@
 class PausableClock implements Clock {
     private resumed: Promise<void> = Promise.resolve();
     private resume: () => void = () => {};
+    /** Time that the steady clock has not counted, in milliseconds. */
+    uncountedMs = 0;
 
     constructor(private readonly inner: FakeClock) {}
 
@@ -18,7 +20,7 @@
     }
 
     readMonotonicMs(): number {
-        return this.inner.readMonotonicMs();
+        return this.inner.readMonotonicMs() - this.uncountedMs;
     }
 
     async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
@@ -71,6 +73,20 @@
         await Promise.all(leases.map(lease => lease.stop()));
     });
 
+    it("is not held after a suspension that the steady clock does not count", async () => {
+        const { clock, clocks, leases } = createLeases(2);
+        leases.forEach(lease => void lease.start());
+        await clock.advance(5_000);
+        const holder = leases.findIndex(lease => lease.readHeld());
+        clocks[holder].setPaused(true);
+        await clock.advance(20_000);
+        clocks[holder].uncountedMs = 20_000;
+        expect(leases.filter(lease => lease.readHeld())).toHaveLength(1);
+        expect(leases[holder].readHeld()).toBeUndefined();
+        clocks[holder].setPaused(false);
+        await Promise.all(leases.map(lease => lease.stop()));
+    });
+
     it("has at most one holder at any moment, and fencing numbers that grow, under faults and pauses", async () => {
         const step = fc.record({
             paused: fc.option(fc.nat(2), { nil: undefined }),
