Bound how old the list of upstreams can be by the time within which a leaving one must be idle

The wait for changes was 1,500 ms and a lost one was given up 700 ms later, so that a node whose connection fell silent, or that stood still, could act on a list 2.2 s old.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -1,4 +1,5 @@
 import { splitAddress } from "../_lib/splitAddress";
+import { computeFeedWaitMs } from "../feeds/computeFeedWaitMs";
 import { FollowedFeed } from "../feeds/FollowedFeed";
 import { StoreClock, storeClockName } from "../feeds/StoreClock";
 import { TrueTime, trueTimeName } from "../feeds/TrueTime";
@@ -27,6 +28,7 @@
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { Metrics, metricsName } from "../telemetry/Metrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
+import { connectTimeoutMs } from "../upstreams/ForwardClient";
 import { UsageLedger, usageLedgerName } from "../usage/UsageLedger";
 import { UsageReporter, usageReporterName } from "../usage/UsageReporter";
 import type { ServingNodeOptions, ServingPlatform } from "./servingTypes";
@@ -41,7 +43,6 @@
 const goneAfterMs = 400; // after the link was lost and could not be dialled again
 const maxPeerFrameBytes = 1_048_576;
 const configurationWaitMs = 1_000; // keys are confirmed once a second
-const instanceWaitMs = 1_500; // a connection that went silent is left before a leaving upstream must be idle
 const nodeWaitMs = 20_000;
 const freshShare = 0.8; // of the time within which a key must no longer be accepted
 const leaseFactor = 1.2; // of the time within which two holders must not act by turns
@@ -96,9 +97,14 @@
     });
 };
 
-const registerStore = (kernel: Kernel, { platform, clock, random }: ServingNodeOptions): void => {
+const registerStore = (kernel: Kernel, { settings, platform, clock, random }: ServingNodeOptions): void => {
     kernel.register({ name: storeClockName, requires: [], create: () => new StoreClock({ clock }) });
     registerFeed(kernel, configurationFeedName, platform.configurations, configurationWaitMs, clock);
+    const instanceWaitMs = computeFeedWaitMs({
+        boundMs: settings.upstreamDrainMs,
+        answerMs: platform.storeAnswerMs,
+        effectMs: connectTimeoutMs,
+    });
     registerFeed(kernel, instanceFeedName, platform.instances, instanceWaitMs, clock);
     const nodes = platform.openFeed(nodeRecordsTable, decodeNodeRecord);
     registerFeed(kernel, nodeFeedName, nodes, nodeWaitMs, clock);
--- a/src/daemon/servingTypes.ts
+++ b/src/daemon/servingTypes.ts
@@ -21,6 +21,8 @@
     readonly protocol: ForwardProtocol;
     /** Formats a wait for the `Retry-After` header; whole seconds by default. */
     readonly formatRetryAfter?: (retryAfterMs: number) => string;
+    /** Longest wait for an answer of the store, in milliseconds. */
+    readonly storeAnswerMs: number;
     /** Longest time that a call to the cloud takes, in milliseconds. */
     readonly dutyCallMs: number;
     /** Closes the adapters' connections. */
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -22,6 +22,8 @@
     keyRevocationMs: positiveMs.default(5_000),
     /** Time between a planned stop's signal and the end of the process by force. */
     stopGraceMs: positiveMs.default(8_000),
+    /** Time after which an upstream that is leaving must get no request. */
+    upstreamDrainMs: positiveMs.default(2_000),
     /** How long callers keep the addresses that they were told. */
     entriesValidMs: positiveMs.default(2_000),
     /** Repeats of requests to one service that all nodes together may send. */
--- a/src/upstreams/ForwardClient.ts
+++ b/src/upstreams/ForwardClient.ts
@@ -24,7 +24,8 @@
     readonly keepAliveMs?: number;
 }
 
-const defaultConnectTimeoutMs = 400; // a first packet in one data centre takes 1 to 3 ms
+/** Longest wait for a new connection, in milliseconds, where the options name none. */
+export const connectTimeoutMs = 400; // a first packet in one data centre takes 1 to 3 ms
 const defaultKeepAliveMs = 4_000; // shorter than the usual idle timeout of servers
 const keepAliveMarginMs = 1_200; // upstreams name whole seconds
 
@@ -33,7 +34,7 @@
     private readonly pool: Pool;
 
     constructor(options: ForwardClientOptions) {
-        const connectTimeoutMs = options.connectTimeoutMs ?? defaultConnectTimeoutMs;
+        const timeoutMs = options.connectTimeoutMs ?? connectTimeoutMs;
         this.pool = new Pool(`http://${options.address}`, {
             connections: options.maxConnections,
             pipelining: 1,
@@ -42,7 +43,7 @@
             headersTimeout: 0,
             bodyTimeout: 0,
             factory: (origin, clientOptions) =>
-                new TrackedClient(String(origin), clientOptions as Client.Options, connectTimeoutMs),
+                new TrackedClient(String(origin), clientOptions as Client.Options, timeoutMs),
         });
     }
 
