Drop a cache that never hit, work done before its time check, and writes to a ring of no slots

Found by reading the change. InstanceRegistry kept the other nodes' load under the exact time of its reading, which the next request never shares; it is summed each time, as it was in effect. UsageReporter built the counts' text twice a second and looked only then whether a second had passed. EventLog without kept events wrote each event under an index that is no number.

--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -46,8 +46,6 @@
 export class InstanceRegistry {
     private readonly known = new Map<string, KnownInstance>();
     private readonly closing = new Set<KnownInstance>();
-    private remoteLoad: ReadonlyMap<string, number> = new Map();
-    private remoteLoadAtMs = -Infinity;
 
     constructor(private readonly options: InstanceRegistryOptions) {}
 
@@ -76,7 +74,7 @@
 
     /** Describes upstreams for a placement policy. */
     createViews(instances: readonly KnownInstance[]): UpstreamView[] {
-        const remote = this.readRemoteLoad();
+        const remote = this.sumRemoteLoad();
         return instances.map(({ instance, inFlight }) => ({
             id: instance.id,
             dataCentre: instance.dataCentre,
@@ -123,19 +121,13 @@
         return load;
     }
 
-    private readRemoteLoad(): ReadonlyMap<string, number> {
-        const nowMs = this.options.clock.readMonotonicMs();
-        if (nowMs === this.remoteLoadAtMs) {
-            return this.remoteLoad;
-        }
+    private sumRemoteLoad(): ReadonlyMap<string, number> {
         const sums = new Map<string, number>();
         for (const report of this.options.reports.listFresh(loadTopic)) {
             for (const [id, count] of Object.entries(report.value)) {
                 sums.set(id, (sums.get(id) ?? 0) + count);
             }
         }
-        this.remoteLoad = sums;
-        this.remoteLoadAtMs = nowMs;
         return sums;
     }
 
--- a/src/telemetry/EventLog.ts
+++ b/src/telemetry/EventLog.ts
@@ -10,7 +10,7 @@
     readonly clock: Clock;
     /** Logger that receives one JSON line an event; none keeps events in memory only. */
     readonly logger?: Logger;
-    /** Number of events kept for the time line; default 4,096. */
+    /** Number of events kept for the time line; 0 keeps none. Default 4,096. */
     readonly keptEvents?: number;
 }
 
@@ -53,8 +53,10 @@
             fields,
         };
         this.counts.set(kind.name, (this.counts.get(kind.name) ?? 0) + 1);
-        this.kept[this.nextSlot] = record;
-        this.nextSlot = (this.nextSlot + 1) % this.keptEvents;
+        if (this.keptEvents > 0) {
+            this.kept[this.nextSlot] = record;
+            this.nextSlot = (this.nextSlot + 1) % this.keptEvents;
+        }
         const logger = this.options.logger;
         if (logger && logger.getLevel() <= logger.levels[kind.level.toUpperCase() as "INFO"]) {
             logger[kind.level](JSON.stringify(record));
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -93,6 +93,9 @@
     private *saveCounts(): Task<void> {
         const { ledger, trueTime, tables, clock, events } = this.options;
         const nowMs = clock.readMonotonicMs();
+        if (nowMs - this.savedAtMs < saveMs) {
+            return;
+        }
         const current = ledger.toWindow(trueTime.readMs());
         const writes = [current - 1, current].map(window => ({
             table: countsTable,
@@ -101,7 +104,7 @@
             value: ledger.listProcesses(window),
         }));
         const text = JSON.stringify(writes);
-        if (nowMs - this.savedAtMs < saveMs || text === this.savedText) {
+        if (text === this.savedText) {
             return;
         }
         this.savedAtMs = nowMs;
