Count connections to upstreams before sending instead of in the library's queue

A node that read the entries before its first configuration fixed it at 8. The library kept every further call in a queue of its own, unseen and unbounded, and sent it when a connection became free, though its upstream had said meanwhile that it leaves.

--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -163,6 +163,7 @@
             path: request.url!,
             headers: this.createHeaders(known),
             body: body.length > 0 ? body : undefined,
+            isWanted: () => context.instances.isReceiving(known),
         });
         context.instances.begin(known);
         try {
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -23,6 +23,7 @@
     readonly records = new Observed<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     readonly closed: string[] = [];
     sinceRecoveryMs = Infinity;
+    maxConnections = 4;
     remote: Record<string, number>[] = [];
     readonly registry = new InstanceRegistry({
         feed: {
@@ -35,7 +36,7 @@
             exchange: () => {},
             listFresh: (_topic: ReportTopic<unknown>) => this.remote.map(value => ({ value })),
         } as unknown as PeerReports,
-        readMaxConnections: () => 4,
+        readMaxConnections: () => this.maxConnections,
         createClient: address =>
             ({ close: async () => void this.closed.push(address) }) as unknown as ForwardClient,
     });
@@ -69,6 +70,26 @@
         expect(setup.closed).toEqual(["10.0.0.1:80"]);
     });
 
+    it("uses no upstream to which all of this node's connections are taken", () => {
+        const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
+        for (let count = 0; count < 4; count += 1) {
+            setup.registry.begin(one);
+        }
+        expect(setup.listIds()).toEqual(["two"]);
+        setup.registry.end(one);
+        expect(setup.listIds()).toEqual(["one", "two"]);
+    });
+
+    it("follows a limit of connections that was not known when the upstream was listed", () => {
+        setup.maxConnections = 1;
+        setup.list(createInstance("one"));
+        const [one] = setup.registry.listUsable("app");
+        setup.registry.begin(one);
+        expect(setup.listIds()).toEqual([]);
+        setup.maxConnections = 2;
+        expect(setup.listIds()).toEqual(["one"]);
+    });
+
     it("goes on using an entry that is missing right after the store came back, for a moment", async () => {
         setup.sinceRecoveryMs = 10;
         setup.list(createInstance("two", second));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -14,10 +14,10 @@
     readonly clock: Clock;
     readonly events: EventLog;
     readonly reports: PeerReports;
-    /** Connections that this node may have to one upstream of a service. */
+    /** Connections that this node may have to one upstream of a service at the moment. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the connections to an upstream; default: over HTTP. */
-    readonly createClient?: (address: string, maxConnections: number) => ForwardClient;
+    readonly createClient?: (address: string) => ForwardClient;
 }
 
 /** An upstream that this node knows, with what it does there. */
@@ -59,10 +59,18 @@
         await Promise.all([...this.known.values(), ...this.closing].map(known => known.client.close()));
     }
 
-    /** Lists the upstreams of a service that may get a request now. */
+    /** Lists the upstreams of a service that may get a request now, and to which a connection is left for it. */
     listUsable(service: string): KnownInstance[] {
         const nowMs = this.options.clock.readMonotonicMs();
-        return this.listInService(service).filter(known => known.asideUntilMs <= nowMs);
+        const maxConnections = this.options.readMaxConnections(service);
+        return this.listInService(service).filter(known =>
+            known.asideUntilMs <= nowMs && known.inFlight < maxConnections
+        );
+    }
+
+    /** Whether an upstream may still get a request that was meant for it. */
+    isReceiving(known: KnownInstance): boolean {
+        return this.known.get(known.instance.id) === known && !known.instance.isLeaving;
     }
 
     /** Lists the upstreams of a service that are not leaving, those put aside included. */
@@ -183,9 +191,8 @@
             Object.assign(before, { instance });
             return;
         }
-        const maxConnections = this.options.readMaxConnections(instance.service);
-        const client = this.options.createClient?.(instance.address, maxConnections)
-            ?? new ForwardClient({ address: instance.address, maxConnections });
+        const client = this.options.createClient?.(instance.address)
+            ?? new ForwardClient({ address: instance.address });
         this.known.set(instance.id, {
             instance,
             client,
--- a/src/upstreams/ForwardClient.test.ts
+++ b/src/upstreams/ForwardClient.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { ForwardClient } from "./ForwardClient";
-import type { ExchangeEnd, ExchangeStart } from "./UpstreamExchange";
+import type { ExchangeEnd, ExchangeStart, UpstreamExchange } from "./UpstreamExchange";
 
 interface Served {
     readonly start: ExchangeStart;
@@ -71,6 +71,35 @@
         expect((await callOnce()).end.isWhole).toBe(false);
     });
 
+    it("does not write a call that is no longer wanted when it gets its connection", async () => {
+        const received: string[] = [];
+        await startUpstream(() => {});
+        server.on("connection", socket => socket.on("data", data => received.push(String(data))));
+        const single = new ForwardClient({
+            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            maxConnections: 1,
+        });
+        let isWanted = true;
+        const send = (path: string): UpstreamExchange =>
+            single.send({
+                method: "GET",
+                path,
+                headers: ["host", "h"],
+                body: undefined,
+                isWanted: () => isWanted,
+            });
+        const first = send("/first/");
+        const second = send("/second/");
+        while (received.length === 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        isWanted = false;
+        first.abort("the request has ended");
+        expect(await second.started).toMatchObject({ kind: "failed", isSent: false });
+        expect(received.join()).not.toContain("/second/");
+        await single.close();
+    });
+
     it("tells a call that was never written from one that was", async () => {
         await startUpstream(socket => socket.resetAndDestroy());
         expect((await callOnce()).start).toMatchObject({ kind: "failed", isSent: true });
--- a/src/upstreams/ForwardClient.ts
+++ b/src/upstreams/ForwardClient.ts
@@ -10,14 +10,16 @@
     /** Names and values by turns. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
+    /** Asked right before the call is written; where it says no, nothing is written. Default: always wanted. */
+    readonly isWanted?: () => boolean;
 }
 
 /** Options of {@link ForwardClient}. */
 export interface ForwardClientOptions {
     /** Host and port. */
     readonly address: string;
-    /** Connections open at once. */
-    readonly maxConnections: number;
+    /** Connections open at once; calls beyond them wait. Default: no limit, for callers that count their calls. */
+    readonly maxConnections?: number;
     /** Longest wait for a new connection; default 400 ms. */
     readonly connectTimeoutMs?: number;
     /** Idle time of a connection where the upstream names none; default 4,000 ms. */
@@ -36,7 +38,7 @@
     constructor(options: ForwardClientOptions) {
         const timeoutMs = options.connectTimeoutMs ?? connectTimeoutMs;
         this.pool = new Pool(`http://${options.address}`, {
-            connections: options.maxConnections,
+            connections: options.maxConnections ?? null,
             pipelining: 1,
             keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
@@ -59,7 +61,7 @@
      * @returns the exchange
      */
     send(call: ForwardCall): UpstreamExchange {
-        const exchange = new UpstreamExchange();
+        const exchange = new UpstreamExchange({ isWanted: call.isWanted });
         const options: TrackedDispatchOptions = {
             method: call.method as "GET",
             path: call.path,
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -21,6 +21,12 @@
     readonly message?: string;
 }
 
+/** Options of {@link UpstreamExchange}. */
+export interface UpstreamExchangeOptions {
+    /** Asked right before the call is written; where it says no, nothing is written. Default: always wanted. */
+    readonly isWanted?: () => boolean;
+}
+
 /** One call to an upstream and its answer. Body bytes go to a listener without a promise for each. */
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
     /** Settles with the head of the answer or a failure; never rejects. */
@@ -39,7 +45,7 @@
     private listener: ((chunk: Buffer) => void) | undefined;
     private waiting: Buffer[] = [];
 
-    constructor() {
+    constructor(private readonly options: UpstreamExchangeOptions = {}) {
         this.started = new Promise(resolve => {
             this.settleStart = resolve;
         });
@@ -94,6 +100,10 @@
             controller.abort(new Error("the call was given up"));
             return;
         }
+        if (this.options.isWanted?.() === false) {
+            controller.abort(new Error("the call is no longer wanted"));
+            return;
+        }
         this.controller = controller;
     }
 
