Carry the load by reclaimable upstreams in all data centres; on-demand ones stand in only where refused

Ruled out: fewer upstreams as such (the burst needs them). Change: the plan starts from what serves and what boots; reclaimable ones carry the need after any one reclaim, on-demand ones fill what was refused, cheapest first, and stay until others serve; nothing is given back in a holder's first 20 s.

--- a/src/fleet/InstanceOrders.ts
+++ b/src/fleet/InstanceOrders.ts
@@ -7,10 +7,11 @@
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { DutyCloud, UpstreamOrder } from "../platform/types";
 import type { ServingState } from "../routes/ServingState";
-import type { ServedService } from "../routes/types";
+import type { ScalingBounds, ServedService } from "../routes/types";
 import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { computeNeededUpstreams } from "./computeNeededUpstreams";
 import { type InstanceCounts, planInstances } from "./planInstances";
 
 /** Options of {@link InstanceOrders}. */
@@ -30,10 +31,24 @@
     readonly inFlight: number;
 }
 
+interface AcceptedOrder {
+    readonly count: number;
+    readonly atMs: number;
+}
+
+/** What was there when this process first saw upstreams of a service. */
+interface FirstSight {
+    readonly atMs: number;
+    readonly need: number;
+}
+
+const markets = { reclaimable: "reclaimable", onDemand: "on-demand" } as const;
+
 const tickMs = 500;
 const peakMemoryMs = 20_000; // an upstream that is given back costs a boot to get again
 const dryMs = 6_000; // a refusal lasts for seconds; an on-demand upstream is ready sooner
-const repeatMs = 15_000; // an order that was lost or refused is given again
+const repeatMs = 15_000; // an order that was lost is given again
+const bootMarginMs = 1_500; // an upstream is listed some time after its start
 
 /** Sizes the upstreams of each service by data centre, as the holder of the lease. */
 export class InstanceOrders {
@@ -41,8 +56,11 @@
     private readonly samples = new Map<string, PeakSample[]>();
     /** Time until which no reclaimable upstreams are asked for, by service and data centre. */
     private readonly dryUntilMs = new Map<string, number>();
-    /** Last order by service, data centre and market. */
-    private readonly ordered = new Map<string, { readonly count: number; readonly atMs: number; }>();
+    /** Last accepted order by service, data centre and market. */
+    private readonly ordered = new Map<string, AcceptedOrder>();
+    private readonly firstSights = new Map<string, FirstSight>();
+    /** Reclaimable upstreams that served at the last look, by service and data centre. */
+    private readonly lastServing = new Map<string, number>();
 
     constructor(private readonly options: InstanceOrdersOptions) {
         this.scope = createReportingScope(options.events);
@@ -78,35 +96,102 @@
         this.samples.set(service, kept);
     }
 
+    /** Orders reclaimable upstreams first, so that on-demand ones stand in only for those that were refused. */
     private *orderFor(service: ServedService): Task<void> {
-        const peakInFlight = Math.max(...this.samples.get(service.name)!.map(sample => sample.inFlight));
         const scaling = service.scaling!;
+        this.forgetTaken(service.name, scaling);
+        for (const market of ["reclaimable", "onDemand"] as const) {
+            const { plan, needed } = this.plan(service, scaling);
+            for (const [dataCentre, counts] of plan) {
+                const order = {
+                    service: service.name,
+                    dataCentre,
+                    market: markets[market],
+                    count: counts[market],
+                };
+                yield* this.giveIfDue(order, needed);
+            }
+        }
+    }
+
+    /** Forgets an order whose upstreams were taken away, so that it is given again and found refused or not. */
+    private forgetTaken(service: string, { prices }: ScalingBounds): void {
+        const serving = this.countServing(service);
+        for (const dataCentre of Object.keys(prices)) {
+            const order = { service, dataCentre, market: markets.reclaimable, count: 0 };
+            const { reclaimable } = serving.get(dataCentre) ?? noInstances;
+            if (reclaimable < (this.lastServing.get(nameOrder(order)) ?? 0)) {
+                this.ordered.delete(nameOrder(order));
+            }
+            this.lastServing.set(nameOrder(order), reclaimable);
+        }
+    }
+
+    private plan(service: ServedService, scaling: ScalingBounds): SizedPlan {
+        const serving = this.countServing(service.name);
+        const needed = computeNeededUpstreams({
+            peakInFlight: Math.max(...this.samples.get(service.name)!.map(sample => sample.inFlight)),
+            slots: service.engine?.slots ?? 1,
+            earlierNeed: this.readEarlierNeed(service.name, serving),
+        });
         const plan = planInstances({
             scaling,
             dataCentres: Object.keys(scaling.prices),
             withoutReclaimable: this.listDry(service.name),
-            peakInFlight,
-            slots: service.engine?.slots ?? 1,
+            needed,
+            serving,
+            booting: this.countBooting(service.name, scaling, serving),
         });
-        for (const [dataCentre, counts] of plan) {
-            const bridged = this.bridge(service.name, dataCentre, counts);
-            const markets = { "reclaimable": counts.reclaimable, "on-demand": bridged } as const;
-            for (const market of ["reclaimable", "on-demand"] as const) {
-                yield* this.giveIfDue(
-                    { service: service.name, dataCentre, market, count: markets[market] },
-                    peakInFlight,
-                );
-            }
+        return { plan, needed };
+    }
+
+    private countServing(service: string): ReadonlyMap<string, InstanceCounts> {
+        const counts = new Map<string, InstanceCounts>();
+        for (const { instance } of this.options.instances.listInService(service)) {
+            const { onDemand, reclaimable } = counts.get(instance.dataCentre) ?? noInstances;
+            counts.set(
+                instance.dataCentre,
+                instance.market === "reclaimable"
+                    ? { onDemand, reclaimable: reclaimable + 1 }
+                    : { onDemand: onDemand + 1, reclaimable },
+            );
         }
+        return counts;
     }
 
-    /** On-demand upstreams that stand in for planned reclaimable ones until these are ready. */
-    private bridge(service: string, dataCentre: string, counts: InstanceCounts): number {
-        const ready = this.options.instances.listInService(service)
-            .filter(({ instance }) =>
-                instance.dataCentre === dataCentre && instance.market === "reclaimable"
+    /** Reclaimable upstreams that were ordered and may still be starting. */
+    private countBooting(
+        service: string,
+        { prices, bootMs }: ScalingBounds,
+        serving: ReadonlyMap<string, InstanceCounts>,
+    ): ReadonlyMap<string, number> {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const booting = new Map<string, number>();
+        for (const dataCentre of Object.keys(prices)) {
+            const last = this.ordered.get(
+                nameOrder({ service, dataCentre, market: markets.reclaimable, count: 0 }),
             );
-        return counts.onDemand + Math.max(0, counts.reclaimable - ready.length);
+            if (last && nowMs - last.atMs <= bootMs + bootMarginMs) {
+                const { reclaimable } = serving.get(dataCentre) ?? noInstances;
+                booting.set(dataCentre, Math.max(0, last.count - reclaimable));
+            }
+        }
+        return booting;
+    }
+
+    /** Need that the upstreams tell of which were there at first, until the load has been observed for long enough. */
+    private readEarlierNeed(service: string, serving: ReadonlyMap<string, InstanceCounts>): number {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const first = this.firstSights.get(service);
+        if (first) {
+            return nowMs - first.atMs < peakMemoryMs ? first.need : 0;
+        }
+        const counts = [...serving.values()].map(({ onDemand, reclaimable }) => onDemand + reclaimable);
+        const need = counts.reduce((sum, count) => sum + count, 0) - Math.max(0, ...counts);
+        if (counts.length > 0) {
+            this.firstSights.set(service, { atMs: nowMs, need });
+        }
+        return need;
     }
 
     private listDry(service: string): ReadonlySet<string> {
@@ -116,7 +201,7 @@
         return new Set(dry.filter(name => name.startsWith(prefix)).map(name => name.slice(prefix.length)));
     }
 
-    private *giveIfDue(order: UpstreamOrder, peakInFlight: number): Task<void> {
+    private *giveIfDue(order: UpstreamOrder, needed: number): Task<void> {
         const lease = this.options.lease.readHeldFor(this.options.callMs);
         const last = this.ordered.get(nameOrder(order));
         const isNeverNeeded = last === undefined && order.market === "reclaimable" && order.count === 0;
@@ -125,29 +210,44 @@
         }
         const nowMs = this.options.clock.readMonotonicMs();
         if (last?.count !== order.count || nowMs - last.atMs > repeatMs) {
-            yield* this.give(order, lease, peakInFlight);
+            yield* this.give(order, lease, needed);
         }
     }
 
-    private *give(order: UpstreamOrder, lease: HeldLease, peakInFlight: number): Task<void> {
+    private *give(order: UpstreamOrder, lease: HeldLease, needed: number): Task<void> {
         const { events, clock, cloud } = this.options;
         const { service, dataCentre, market, count } = order;
         const atMs = clock.readMonotonicMs();
         try {
             const isAccepted = yield* waitFor(cloud.orderUpstreams(order, lease.fencing));
-            this.ordered.set(nameOrder(order), { count, atMs });
-            if (!isAccepted && market === "reclaimable") {
-                this.dryUntilMs.set(nameSubject(order), atMs + dryMs);
-            }
+            this.recordOutcome(order, isAccepted, atMs);
             const kind = isAccepted ? eventKinds.fleetSized : eventKinds.fleetRefused;
-            events.emit(kind, { service, dataCentre, market, count, peakInFlight, fencing: lease.fencing });
+            events.emit(kind, { service, dataCentre, market, count, needed, fencing: lease.fencing });
         }
         catch (error) {
             events.emit(eventKinds.dutyFailed, { duty: "fleet", service, dataCentre, error: String(error) });
         }
     }
+
+    private recordOutcome(order: UpstreamOrder, isAccepted: boolean, atMs: number): void {
+        if (isAccepted) {
+            this.ordered.set(nameOrder(order), { count: order.count, atMs });
+            return;
+        }
+        this.ordered.delete(nameOrder(order));
+        if (order.market === markets.reclaimable) {
+            this.dryUntilMs.set(nameSubject(order), atMs + dryMs);
+        }
+    }
+}
+
+interface SizedPlan {
+    readonly plan: ReadonlyMap<string, InstanceCounts>;
+    readonly needed: number;
 }
 
+const noInstances: InstanceCounts = { onDemand: 0, reclaimable: 0 };
+
 const nameOrder = (order: UpstreamOrder): string => `${nameSubject(order)} ${order.market}`;
 
 const nameSubject = (order: UpstreamOrder): string => `${order.service} ${order.dataCentre}`;
--- /dev/null
+++ b/src/fleet/computeNeededUpstreams.ts
@@ -0,0 +1,20 @@
+/** What the need for upstreams follows from. */
+export interface UpstreamNeedInput {
+    /** Requests in progress at all upstreams, at their recent highest. */
+    readonly peakInFlight: number;
+    /** Requests that one upstream works on at once. */
+    readonly slots: number;
+    /** Need that an earlier holder of the duty saw; 0 when the load has been observed long enough. */
+    readonly earlierNeed: number;
+}
+
+const targetShare = 0.4; // of an engine's slots; beyond it the time between tokens grows past its target
+
+/**
+ * Computes how many upstreams the load of a service needs.
+ *
+ * @param input - the load
+ * @returns upstreams
+ */
+export const computeNeededUpstreams = (input: UpstreamNeedInput): number =>
+    Math.max(input.earlierNeed, Math.ceil(input.peakInFlight / (input.slots * targetShare)));
--- a/src/fleet/planInstances.ts
+++ b/src/fleet/planInstances.ts
@@ -11,42 +11,45 @@
     readonly scaling: ScalingBounds;
     /** Data centres in which the service may run. */
     readonly dataCentres: readonly string[];
-    /** Data centres in which no reclaimable upstreams can be had now. */
+    /** Data centres in which no further reclaimable upstreams can be had now. */
     readonly withoutReclaimable: ReadonlySet<string>;
-    /** Requests in progress at all upstreams, at its recent highest. */
-    readonly peakInFlight: number;
-    /** Requests that one upstream works on at once. */
-    readonly slots: number;
+    /** Upstreams that the load needs. */
+    readonly needed: number;
+    /** Upstreams that serve now, those that are leaving left out, by data centre. */
+    readonly serving: ReadonlyMap<string, InstanceCounts>;
+    /** Reclaimable upstreams that were ordered and do not serve yet, by data centre. */
+    readonly booting: ReadonlyMap<string, number>;
 }
 
-const targetShare = 0.4; // of an engine's slots; beyond it the time between tokens grows past its target
+type Counts = ReadonlyMap<string, number>;
+
 const defaultPrice = 1;
 
 /**
- * Plans how many upstreams a service needs in each data centre: the fewest allowed everywhere, and what the load needs
- * beyond that in the cheapest data centres, so that the load still fits when the data centre with most upstreams is
- * lost. The cheapest data centre has on-demand upstreams, the others reclaimable ones where these are cheaper and can
- * be had: a reclaim takes all of them in one data centre, never in all at once.
+ * Plans how many upstreams a service has in each data centre. Reclaimable upstreams carry the load where they are
+ * cheaper, spread so that enough are left when the data centre with most of them is reclaimed. On-demand upstreams stand
+ * in where reclaimable ones cannot be had, and are given back only when reclaimable ones serve in their place.
  *
- * @param input - bounds, prices and load
+ * @param input - bounds, prices, need and what there is
  * @returns upstreams by data centre
  */
 export const planInstances = (input: InstancePlanInput): ReadonlyMap<string, InstanceCounts> => {
-    const { scaling, withoutReclaimable } = input;
-    const cheapestFirst = sortByPrice(input.dataCentres, scaling);
-    const counts = planCounts(input, cheapestFirst);
-    const isCheaper = (scaling.reclaimableShare ?? defaultPrice) < defaultPrice;
-    const planned = new Map<string, InstanceCounts>();
-    for (const [dataCentre, count] of counts) {
-        const isReclaimable = isCheaper
-            && dataCentre !== cheapestFirst[0]
-            && !withoutReclaimable.has(dataCentre);
-        planned.set(dataCentre, {
-            onDemand: isReclaimable ? 0 : count,
-            reclaimable: isReclaimable ? count : 0,
-        });
-    }
-    return planned;
+    const cheapestFirst = sortByPrice(input.dataCentres, input.scaling);
+    const reclaimable = planReclaimable(input, cheapestFirst);
+    const ready = countEach(
+        cheapestFirst,
+        name => Math.min(reclaimable.get(name)!, countServing(input, name)),
+    );
+    const expected = countEach(
+        cheapestFirst,
+        name => Math.min(reclaimable.get(name)!, countServing(input, name) + (input.booting.get(name) ?? 0)),
+    );
+    const wanted = planOnDemand(input, cheapestFirst, expected, () => input.scaling.max);
+    const kept = planOnDemand(input, cheapestFirst, ready, name => input.serving.get(name)?.onDemand ?? 0);
+    return new Map(cheapestFirst.map(name => [name, {
+        onDemand: Math.max(wanted.get(name)!, kept.get(name)!),
+        reclaimable: reclaimable.get(name)!,
+    }]));
 };
 
 const sortByPrice = (dataCentres: readonly string[], { prices }: ScalingBounds): string[] =>
@@ -54,35 +57,67 @@
         (prices[a] ?? defaultPrice) - (prices[b] ?? defaultPrice) || (a < b ? -1 : 1)
     );
 
-const planCounts = (
-    { scaling, peakInFlight, slots }: InstancePlanInput,
-    cheapestFirst: readonly string[],
-): ReadonlyMap<string, number> => {
+const countEach = (names: readonly string[], count: (name: string) => number): Counts =>
+    new Map(names.map(name => [name, count(name)]));
+
+const countServing = (input: InstancePlanInput, name: string): number =>
+    input.serving.get(name)?.reclaimable ?? 0;
+
+/** Spreads reclaimable upstreams evenly; where no further ones can be had, none that serves is given back. */
+const planReclaimable = (input: InstancePlanInput, cheapestFirst: readonly string[]): Counts => {
+    const { scaling, needed, withoutReclaimable } = input;
+    if ((scaling.reclaimableShare ?? defaultPrice) >= defaultPrice) {
+        return countEach(cheapestFirst, () => 0);
+    }
     const counts = new Map(cheapestFirst.map(name => [name, scaling.min]));
-    const needed = Math.ceil(peakInFlight / (slots * targetShare));
-    while (countAfterLoss(counts) < needed) {
-        const next = pickSmallest(cheapestFirst, counts, scaling.max);
+    while (countAfterReclaim(counts) < needed) {
+        const next = pickSmallest(cheapestFirst.filter(name => counts.get(name)! < scaling.max), counts);
         if (next === undefined) {
             break;
         }
         counts.set(next, counts.get(next)! + 1);
     }
-    return counts;
+    return countEach(
+        cheapestFirst,
+        name =>
+            withoutReclaimable.has(name)
+                ? Math.min(scaling.max, countServing(input, name))
+                : counts.get(name)!,
+    );
 };
 
-/** Upstreams that are left when the data centre with most of them is lost. */
-const countAfterLoss = (counts: ReadonlyMap<string, number>): number => {
-    const all = [...counts.values()];
-    return all.reduce((sum, count) => sum + count, 0) - Math.max(0, ...all);
+/** Adds on-demand upstreams to reclaimable ones until the fewest are everywhere and the load fits after a reclaim. */
+const planOnDemand = (
+    { scaling, needed }: InstancePlanInput,
+    cheapestFirst: readonly string[],
+    reclaimable: Counts,
+    readMax: (name: string) => number,
+): Counts => {
+    const counts = new Map(
+        cheapestFirst.map(
+            name => [name, Math.min(readMax(name), Math.max(0, scaling.min - reclaimable.get(name)!))],
+        ),
+    );
+    const hasRoom = (name: string): boolean =>
+        counts.get(name)! < Math.min(readMax(name), scaling.max - reclaimable.get(name)!);
+    while (countAfterReclaim(reclaimable) + sum(counts) < needed) {
+        const next = pickSmallest(cheapestFirst.filter(hasRoom), counts);
+        if (next === undefined) {
+            break;
+        }
+        counts.set(next, counts.get(next)! + 1);
+    }
+    return counts;
 };
 
-/** The data centre with fewest upstreams, the cheaper one of equals. */
-const pickSmallest = (
-    cheapestFirst: readonly string[],
-    counts: ReadonlyMap<string, number>,
-    max: number,
-): string | undefined => {
-    const open = cheapestFirst.filter(name => counts.get(name)! < max);
-    const least = Math.min(...open.map(name => counts.get(name)!));
-    return open.find(name => counts.get(name) === least);
+/** Reclaimable upstreams that are left when the data centre with most of them is reclaimed. */
+const countAfterReclaim = (reclaimable: Counts): number =>
+    sum(reclaimable) - Math.max(0, ...reclaimable.values());
+
+const sum = (counts: Counts): number => [...counts.values()].reduce((total, count) => total + count, 0);
+
+/** The data centre with fewest upstreams, the first of equals. */
+const pickSmallest = (names: readonly string[], counts: Counts): string | undefined => {
+    const least = Math.min(...names.map(name => counts.get(name)!));
+    return names.find(name => counts.get(name) === least);
 };
