--- a/src/configuration/Configuration.test.ts
+++ b/src/configuration/Configuration.test.ts
@@ -5,7 +5,7 @@
 import type { Member } from "../membership/types";
 import type { Heartbeat } from "../peers/messageSchema";
 import { PeerError } from "../peers/PeerError";
-import type { PeerHandler } from "../peers/PeerNetwork";
+import type { PeerHandler } from "../peers/PeerMessageRouter";
 import { StoreError } from "../platform/StoreError";
 import { EventLog } from "../telemetry/EventLog";
 import { Invariants } from "../telemetry/Invariants";
--- a/src/idempotency/PlainCalls.test.ts
+++ b/src/idempotency/PlainCalls.test.ts
@@ -4,7 +4,7 @@
 import { runTask } from "../kernel/runTask";
 import { SeededRandom } from "../kernel/SeededRandom";
 import { PeerError } from "../peers/PeerError";
-import type { PeerHandler } from "../peers/PeerNetwork";
+import type { PeerHandler } from "../peers/PeerMessageRouter";
 import type { Vm } from "../platform/types";
 import { toFailure } from "../results/toFailure";
 import { EjectionTracker } from "../retries/EjectionTracker";
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -11,15 +11,18 @@
 import { FrameQueue } from "./FrameQueue";
 import type { GossipMap } from "./GossipMap";
 import { gossipExchangeMethod, GossipSpreader } from "./GossipSpreader";
-import { type GossipEntry, type Heartbeat, peerMessageSchema } from "./messageSchema";
+import { peerMessageSchema } from "./messageSchema";
 import { PeerError } from "./PeerError";
 import { type LinkCounters, PeerLink } from "./PeerLink";
+import {
+    type HeartbeatListener,
+    type PeerHandler,
+    PeerMessageRouter,
+    type ReportListener,
+} from "./PeerMessageRouter";
 import { proveIdentity } from "./proveIdentity";
 import { selectDialTargets } from "./selectDialTargets";
 
-/** Handles a call of a member; what it returns is the reply. */
-export type PeerHandler = (payload: unknown, fromNode: string) => Promise<unknown>;
-
 /** A member that can be dialled. */
 export interface PeerAddress {
     readonly nodeId: string;
@@ -60,15 +63,13 @@
         bytesReceived: 0,
     };
     private readonly links = new Map<string, PeerLink>();
-    private readonly handlers = new Map<string, PeerHandler>();
     private readonly dialTasks = new Map<string, () => void>();
     private readonly addresses = new Map<string, string>();
     private readonly scope: Scope;
     private server: WebSocketServer | undefined;
-    private readonly heartbeatListeners: ((nodeId: string, heartbeat: Heartbeat) => void)[] = [];
     private readonly lossListeners: ((nodeId: string) => void)[] = [];
-    private readonly reportListeners = new Map<string, (nodeId: string, payload: unknown) => void>();
     private readonly spreader: GossipSpreader;
+    private readonly router: PeerMessageRouter;
 
     constructor(private readonly options: PeerNetworkOptions) {
         this.scope = createReportingScope(options.events);
@@ -77,6 +78,7 @@
             events: options.events,
             listLinks: () => this.links.values(),
         });
+        this.router = new PeerMessageRouter({ events: options.events, spreader: this.spreader });
         this.handle(
             gossipExchangeMethod,
             async (payload, fromNode) => this.spreader.answerExchange(payload, fromNode),
@@ -127,12 +129,12 @@
 
     /** Registers the handler of a method. */
     handle(method: string, handler: PeerHandler): void {
-        this.handlers.set(method, handler);
+        this.router.handle(method, handler);
     }
 
     /** Registers the listener for the reports of a topic. */
-    onReport(topic: string, listener: (nodeId: string, payload: unknown) => void): void {
-        this.reportListeners.set(topic, listener);
+    onReport(topic: string, listener: ReportListener): void {
+        this.router.onReport(topic, listener);
     }
 
     /** Tells a reading to every member to which a link is up. Nothing is sent again. */
@@ -143,8 +145,8 @@
     }
 
     /** Registers a listener for heartbeats. */
-    onHeartbeat(listener: (nodeId: string, heartbeat: Heartbeat) => void): void {
-        this.heartbeatListeners.push(listener);
+    onHeartbeat(listener: HeartbeatListener): void {
+        this.router.onHeartbeat(listener);
     }
 
     /** Registers a listener for lost links. */
@@ -306,49 +308,10 @@
             }
             this.counters.messagesReceived += 1;
             this.counters.bytesReceived += frame.bytes;
-            const message = parsed.data;
-            switch (message.kind) {
-                case "heartbeat":
-                    this.options.events.hybridClock.merge(message.time);
-                    this.heartbeatListeners.forEach(listener => listener(link.nodeId, message));
-                    this.spreader.compareDigest(link, message.digest);
-                    break;
-                case "gossip":
-                    this.spreader.merge(message.entries as GossipEntry[], link.nodeId);
-                    break;
-                case "call":
-                    link.lastUsedMs = link.lastHeardMs;
-                    void this.answerCall(link, message.callId, message.method, message.payload);
-                    break;
-                case "report":
-                    this.reportListeners.get(message.topic)?.(link.nodeId, message.payload);
-                    break;
-                case "goodbye":
-                    link.isClosing = true;
-                    return;
-                case "reply":
-                    link.settle(message.callId, message.ok, message.payload);
-                    break;
-            }
-        }
-    }
-
-    private async answerCall(
-        link: PeerLink,
-        callId: number,
-        method: string,
-        payload: unknown,
-    ): Promise<void> {
-        const handler = this.handlers.get(method);
-        try {
-            if (!handler) {
-                throw new Error(`method "${method}" does not exist`);
+            this.router.route(link, parsed.data);
+            if (parsed.data.kind === "goodbye") {
+                return;
             }
-            const reply = await handler(payload, link.nodeId);
-            link.send({ kind: "reply", callId, ok: true, payload: reply });
-        }
-        catch (error) {
-            link.send({ kind: "reply", callId, ok: false, payload: (error as Error).message });
         }
     }
 
