--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -1,4 +1,4 @@
-import { type Dispatcher, request } from "undici";
+import type { Dispatcher } from "undici";
 import { StoreError } from "./StoreError";
 
 /** Options of {@link sendJson}. */
@@ -31,8 +31,10 @@
 export const sendJson = async (options: SendJsonOptions): Promise<JsonAnswer> => {
     const name = `${options.method} ${options.url}`;
     try {
-        const answer = await request(options.url, {
-            dispatcher: options.dispatcher,
+        const { origin, pathname, search } = new URL(options.url);
+        const answer = await options.dispatcher.request({
+            origin,
+            path: `${pathname}${search}`,
             method: options.method,
             headers: { "content-type": "application/json", ...options.headers },
             body: options.body === undefined ? undefined : JSON.stringify(options.body),
