Prepare for a second reclaim while the cloud has no more reclaimable upstreams

Change: while any reclaimable upstreams are refused, on-demand ones are ordered for the loss of two data centres.

--- a/src/fleet/planInstances.ts
+++ b/src/fleet/planInstances.ts
@@ -24,6 +24,8 @@
 type Counts = ReadonlyMap<string, number>;
 
 const defaultPrice = 1;
+const calmLosses = 1; // a reclaim takes one data centre's
+const scarceLosses = 2; // where the cloud has no more, further data centres are reclaimed before others boot
 
 /**
  * Plans how many upstreams a service has in each data centre. Reclaimable upstreams carry the load where they are
@@ -70,7 +72,7 @@
         return countEach(cheapestFirst, () => 0);
     }
     const counts = new Map(cheapestFirst.map(name => [name, scaling.min]));
-    while (countAfterReclaim(counts) < needed) {
+    while (countAfterReclaims(counts, calmLosses) < needed) {
         const next = pickSmallest(cheapestFirst.filter(name => counts.get(name)! < scaling.max), counts);
         if (next === undefined) {
             break;
@@ -88,7 +90,7 @@
 
 /** Adds on-demand upstreams to reclaimable ones until the fewest are everywhere and the load fits after a reclaim. */
 const planOnDemand = (
-    { scaling, needed }: InstancePlanInput,
+    { scaling, needed, withoutReclaimable }: InstancePlanInput,
     cheapestFirst: readonly string[],
     reclaimable: Counts,
     readMax: (name: string) => number,
@@ -100,7 +102,8 @@
     );
     const hasRoom = (name: string): boolean =>
         counts.get(name)! < Math.min(readMax(name), scaling.max - reclaimable.get(name)!);
-    while (countAfterReclaim(reclaimable) + sum(counts) < needed) {
+    const losses = withoutReclaimable.size > 0 ? scarceLosses : calmLosses;
+    while (countAfterReclaims(reclaimable, losses) + sum(counts) < needed) {
         const next = pickSmallest(cheapestFirst.filter(hasRoom), counts);
         if (next === undefined) {
             break;
@@ -110,9 +113,9 @@
     return counts;
 };
 
-/** Reclaimable upstreams that are left when the data centre with most of them is reclaimed. */
-const countAfterReclaim = (reclaimable: Counts): number =>
-    sum(reclaimable) - Math.max(0, ...reclaimable.values());
+/** Reclaimable upstreams that are left when the data centres with most of them are reclaimed. */
+const countAfterReclaims = (reclaimable: Counts, losses: number): number =>
+    [...reclaimable.values()].sort((a, b) => b - a).slice(losses).reduce((total, count) => total + count, 0);
 
 const sum = (counts: Counts): number => [...counts.values()].reduce((total, count) => total + count, 0);
 
