Count quotas over the window instead of in a bucket

Its bucket stayed at the bottom, so that it got its rate alone, while the users' rules allow rate x window + burst in any window and count what is refused below that as owed. Ruled out: over-counting of unheard members (levels agree between nodes), slow reports. Change: use is counted over the last window in shares of the limit, told as such, and remembered for one window after a process ends; a process that has just started is taken to have used the rate and half of the burst. The tests hold every window to the limit instead of the whole run; the setting for the slack went.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -17,7 +17,6 @@
     "keyRevocationMs",
     "stopGraceMs",
     "entriesValidMs",
-    "quotaSlackTokens",
 ];
 const drainPollMs = 50;
 const endMarginMs = 400; // of the grace; closing and the last log lines take some of it
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -255,7 +255,7 @@
                 processId,
                 countNodes: () => find(readinessName).countExpected(),
                 findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
-                readSlackTokens: () => settings.quotaSlackTokens,
+                windowMs: settings.quotaWindowMs,
             }),
     });
     kernel.register({
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -198,7 +198,7 @@
             requestId: admission.requestId,
             route,
             account: admission.account,
-            quotaLevel: roundNumber(admission.quotaLevel),
+            quotaLeft: roundNumber(admission.quotaLeft),
             service: run?.service,
             version: context.state.table.value?.configuration.version,
             versionAgeMs: roundNumber(context.state.readAgeMs()),
--- a/src/forwarding/admitForward.ts
+++ b/src/forwarding/admitForward.ts
@@ -27,8 +27,8 @@
     requestId?: string;
     route?: string;
     account?: string;
-    /** Units that the account could use over all nodes when the quota was asked. */
-    quotaLevel?: number;
+    /** Units that the account may use over all nodes after the request. */
+    quotaLeft?: number;
 }
 
 const startingRetryAfterMs = 300; // a process reads its configuration within a few hundred ms of its start
@@ -117,7 +117,7 @@
     }
     const tokens = marks.promptTokens === undefined ? undefined : marks.promptTokens + marks.outputTokens;
     const grant = context.quotas.take(account, tokens);
-    trace.quotaLevel = context.quotas.readLevel(account.name);
+    trace.quotaLeft = context.quotas.readLeft(account);
     if (grant.kind === "exceeded") {
         const message = `account "${account.name}" has used its quota`;
         throw createRefusal("quotaExceeded", message, grant.retryAfterMs);
--- a/src/quotas/QuotaLimiter.test.ts
+++ b/src/quotas/QuotaLimiter.test.ts
@@ -36,6 +36,15 @@
     }
 }
 
+const windowMs = 8_000;
+const limit = 1_000 * 8 + 2_000;
+const tickMs = 250;
+
+interface Granted {
+    readonly atMs: number;
+    readonly cost: number;
+}
+
 const createLimiters = async (
     count: number,
     clock: FakeClock,
@@ -48,74 +57,121 @@
             processId: `process-${index}`,
             countNodes: () => count,
             findQuota: () => account.quota,
+            windowMs,
         }));
     await Promise.all(limiters.map(limiter => limiter.start()));
     reports.exchange();
     return limiters;
 };
 
-describe("QuotaLimiter", () => {
-    it("grants over all nodes what the rate and the burst allow, and what is granted before nodes hear", async () => {
-        const clock = new FakeClock();
-        const reports = new FakeReports();
-        const limiters = await createLimiters(4, clock, reports);
-        let granted = 0;
-        const seconds = 10;
-        const ticksPerS = 4;
-        for (let tick = 0; tick < seconds * ticksPerS; tick += 1) {
-            for (const limiter of limiters) {
-                const grant = limiter.take(account, 400);
-                granted += grant.kind === "granted" ? grant.cost : 0;
+/** Creates limiters that have run for longer than a window. */
+const createSettled = async (
+    count: number,
+    clock: FakeClock,
+    reports = new FakeReports(),
+): Promise<QuotaLimiter[]> => {
+    const limiters = await createLimiters(count, clock, reports);
+    await clock.advance(windowMs);
+    return limiters;
+};
+
+/** Asks every limiter for the same cost at each tick, and notes what was granted. */
+const askAll = async (
+    limiters: readonly QuotaLimiter[],
+    clock: FakeClock,
+    options: { cost: number; ticks: number; afterTick: () => void; account?: ServedAccount; },
+): Promise<Granted[]> => {
+    const granted: Granted[] = [];
+    for (let tick = 0; tick < options.ticks; tick += 1) {
+        for (const limiter of limiters) {
+            if (limiter.take(options.account ?? account, options.cost).kind === "granted") {
+                granted.push({ atMs: clock.readMonotonicMs(), cost: options.cost });
             }
-            reports.exchange();
-            await clock.advance(1_000 / ticksPerS);
         }
-        const allowed = 1_000 * seconds + 2_000;
-        expect(granted).toBeGreaterThan(allowed * 0.9);
-        expect(granted).toBeLessThanOrEqual(allowed + 4 * 400);
+        options.afterTick();
+        await clock.advance(tickMs);
+    }
+    return granted;
+};
+
+const sumWindow = (granted: readonly Granted[], fromMs: number): number =>
+    granted.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + windowMs)
+        .reduce((sum, { cost }) => sum + cost, 0);
+
+const findMostInWindow = (granted: readonly Granted[]): number =>
+    Math.max(...granted.map(({ atMs }) => sumWindow(granted, atMs)));
+
+describe("QuotaLimiter", () => {
+    let clock: FakeClock;
+    beforeEach(() => {
+        clock = new FakeClock();
+    });
+
+    it("grants in every window what the rate and the burst allow, and what is granted before nodes hear", async () => {
+        const reports = new FakeReports();
+        const limiters = await createSettled(4, clock, reports);
+        const afterTick = (): void => reports.exchange();
+        const granted = await askAll(limiters, clock, { cost: 400, ticks: 120, afterTick });
+        expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit + 4 * 400);
+        const lastFullMs = clock.readMonotonicMs() - windowMs;
+        expect(sumWindow(granted, lastFullMs)).toBeGreaterThan(limit * 0.9);
     });
 
     it("lets one node use the whole quota while the others have no demand", async () => {
-        const clock = new FakeClock();
-        const [busy] = await createLimiters(8, clock, new FakeReports());
-        const grants = [1, 2, 3, 4].map(() => busy.take(account, 500).kind);
-        expect(grants).toEqual(["granted", "granted", "granted", "granted"]);
+        const [busy] = await createSettled(8, clock);
+        const grants = Array.from({ length: 20 }, () => busy.take(account, limit / 20).kind);
+        expect(new Set(grants)).toEqual(new Set(["granted"]));
         expect(busy.take(account, 500)).toMatchObject({ kind: "exceeded" });
     });
 
     it("keeps nodes that do not hear each other within the quota together", async () => {
-        const clock = new FakeClock();
         const reports = new FakeReports();
-        const limiters = await createLimiters(4, clock, reports);
+        const limiters = await createSettled(4, clock, reports);
         reports.heard = 0;
-        let granted = 0;
-        for (let tick = 0; tick < 100; tick += 1) {
-            for (const limiter of limiters) {
-                const grant = limiter.take(account, 100);
-                granted += grant.kind === "granted" ? grant.cost : 0;
-            }
-            await clock.advance(100);
-        }
-        expect(granted).toBeLessThanOrEqual((1_000 * 10 + 2_000) * 1.1);
+        const granted = await askAll(limiters, clock, { cost: 100, ticks: 120, afterTick: () => {} });
+        expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit * 1.1);
     });
 
     it("gives back the cost of a request that did not run", async () => {
-        const clock = new FakeClock();
-        const [limiter] = await createLimiters(1, clock, new FakeReports());
-        const grant = limiter.take(account, 2_000);
+        const [limiter] = await createSettled(1, clock);
+        const grant = limiter.take(account, limit);
         expect(limiter.take(account, 100).kind).toBe("exceeded");
         limiter.giveBack(account.name, grant.kind === "granted" ? grant.cost : 0);
         expect(limiter.take(account, 100).kind).toBe("granted");
     });
 
-    it("binds a lowered burst at once and names a time to come back", async () => {
-        const clock = new FakeClock();
-        const [limiter] = await createLimiters(1, clock, new FakeReports());
-        limiter.take(account, 100);
-        const lowered = { ...account, quota: { ...account.quota!, ratePerS: 10, burst: 50 } };
+    it("counts earlier use as the same share of a lowered limit, and names a time to come back", async () => {
+        const [limiter] = await createSettled(1, clock);
+        limiter.take(account, limit / 2);
+        const lowered = { ...account, quota: { ...account.quota!, ratePerS: 10, burst: 20 } };
+        expect(limiter.readLeft(lowered)).toBeCloseTo(50);
         expect(limiter.take(lowered, 60).kind).toBe("granted");
         const refused = limiter.take(lowered, 60);
         expect(refused).toMatchObject({ kind: "exceeded" });
         expect(refused.kind === "exceeded" && refused.retryAfterMs > 0).toBe(true);
     });
+
+    it("takes a process that has just started to have used the rate and half of the burst before", async () => {
+        const limiters = await createLimiters(4, clock, new FakeReports());
+        expect(limiters[0].readLeft(account)).toBeCloseTo(account.quota!.burst / 2);
+    });
+
+    it("remembers the use of a process that has ended for a window", async () => {
+        const reports = new FakeReports();
+        const [ended, other] = await createSettled(2, clock, reports);
+        ended.take(account, limit / 2);
+        reports.exchange();
+        await clock.advance(windowMs / 2);
+        expect(other.readLeft(account)).toBeCloseTo(limit * 0.75);
+        await clock.advance(windowMs / 2);
+        expect(other.readLeft(account)).toBeCloseTo(limit);
+    });
+
+    it("never grants part of a request where requests are counted", async () => {
+        const quota = { unit: "requests", ratePerS: 1, burst: 2, plainCost: 1 } as const;
+        const [limiter] = await createSettled(1, clock);
+        const counted = { ...account, quota };
+        const grants = Array.from({ length: 12 }, () => limiter.take(counted, undefined).kind);
+        expect(grants.filter(kind => kind === "granted")).toHaveLength(10);
+    });
 });
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../kernel/types";
 import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import type { AccountQuota, ServedAccount } from "../routes/types";
+import { SlidingSum } from "./SlidingSum";
 
 /** Options of {@link QuotaLimiter}. */
 export interface QuotaLimiterOptions {
@@ -14,8 +15,8 @@
     readonly countNodes: () => number;
     /** Finds an account's quota in the configuration in force. */
     readonly findQuota: (accountName: string) => AccountQuota | undefined;
-    /** Tokens by which the limit may be passed over all nodes in a short time; default 0. */
-    readonly readSlackTokens?: () => number;
+    /** Window over which the rate and the burst are counted, in milliseconds. */
+    readonly windowMs: number;
 }
 
 /** Outcome of a request for a part of an account's quota. */
@@ -23,40 +24,42 @@
     | { readonly kind: "granted"; readonly cost: number; }
     | { readonly kind: "exceeded"; readonly retryAfterMs: number; };
 
-interface Bucket {
-    /** Units that all nodes may use now; below 0 after they used more at the same time. */
-    level: number;
-    filledAtMs: number;
-    /** Units that this process has used since its start. */
-    used: number;
-}
-
 interface UseReport {
     readonly processId: string;
-    /** Units used since the process's start, by account. */
+    /** Time since the process's start, in milliseconds. */
+    readonly ageMs: number;
+    /** Share of the limit that the process has used in the last window, by account. */
     readonly used: Readonly<Record<string, number>>;
 }
 
+interface HeardUse extends UseReport {
+    /** Monotonic time of the report's arrival, in milliseconds. */
+    readonly atMs: number;
+}
+
 const useTopic: ReportTopic<UseReport> = {
     name: "quota-use",
-    schema: z.object({ processId: z.string(), used: z.record(z.number()) }),
+    schema: z.object({ processId: z.string(), ageMs: z.number(), used: z.record(z.number()) }),
 };
-const slackShare = 0.25; // the rest is for what nodes grant before they hear of each other
+const assumedBurstShare = 0.5; // of the burst, that an earlier process may have used right before its end
 const msPerSecond = 1_000;
 const leastRetryAfterMs = 100;
 const longestRetryAfterMs = 2_000;
 
 /**
- * Keeps each client account within its quota over all nodes. Every node has a copy of one token bucket for the account:
- * it takes out its own grants at once, and those of the others when it hears of them. What nodes grant at the same time
- * is a debt that later grants wait for. A live member that was not heard lately is taken to use as much as this node.
+ * Keeps each client account within its quota over all nodes: in any window, no more than its rate allows plus its burst.
+ * Use is counted in shares of that limit, so that it stays comparable when the limit changes. Every node tells its own
+ * use of the last window and adds what it heard of the others. A live member that was not heard lately is taken to use
+ * as much as this node. A process that has just started is taken to have used its part before, as nothing is kept.
  */
 export class QuotaLimiter {
-    private readonly buckets = new Map<string, Bucket>();
-    /** Use that each process last told, by account. */
-    private readonly heard = new Map<string, Readonly<Record<string, number>>>();
+    private readonly sums = new Map<string, SlidingSum>();
+    private readonly heard = new Map<string, HeardUse>();
+    private readonly startedAtMs: number;
 
-    constructor(private readonly options: QuotaLimiterOptions) {}
+    constructor(private readonly options: QuotaLimiterOptions) {
+        this.startedAtMs = options.clock.readMonotonicMs();
+    }
 
     async start(): Promise<void> {
         this.options.reports.exchange(
@@ -79,55 +82,70 @@
             return { kind: "granted", cost: 0 };
         }
         const cost = computeCost(quota, tokens);
-        const bucket = this.openBucket(account.name, quota);
-        this.fill(bucket, quota);
-        const least = this.computeLeastLevel(quota);
-        if (bucket.level < least) {
-            const waitMs = (least - bucket.level + cost) / quota.ratePerS * msPerSecond;
+        const share = cost / this.computeLimit(quota);
+        const used = this.readUsedShare(account.name, quota);
+        const leastLeft = quota.unit === "requests" ? share : 0; // callers cannot split a request of many tokens
+        if (1 - used <= 0 || 1 - used < leastLeft) {
+            const waitMs = (used - 1 + share) * this.options.windowMs;
             const retryAfterMs = Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, waitMs));
             return { kind: "exceeded", retryAfterMs };
         }
-        bucket.level -= cost * (1 + this.countUnheard());
-        bucket.used += cost;
+        this.openSum(account.name).add(this.options.clock.readMonotonicMs(), share);
         return { kind: "granted", cost };
     }
 
     /** Gives back the cost of a request that did not run. */
     giveBack(accountName: string, cost: number): void {
-        const bucket = this.buckets.get(accountName);
-        if (bucket) {
-            bucket.level += cost;
-            bucket.used -= cost;
+        const quota = this.options.findQuota(accountName);
+        if (quota) {
+            const nowMs = this.options.clock.readMonotonicMs();
+            this.openSum(accountName).add(nowMs, -cost / this.computeLimit(quota));
         }
     }
 
-    /** Units that an account may use now over all nodes; undefined before it was used. */
-    readLevel(accountName: string): number | undefined {
-        return this.buckets.get(accountName)?.level;
+    /** Units that an account may use now over all nodes; undefined where it has no quota. */
+    readLeft({ name, quota }: ServedAccount): number | undefined {
+        return quota ? (1 - this.readUsedShare(name, quota)) * this.computeLimit(quota) : undefined;
     }
 
-    /**
-     * Level below which nothing is granted. Requests of many tokens may take the bucket into debt, as a caller cannot
-     * split them.
-     */
-    private computeLeastLevel(quota: AccountQuota): number {
-        return quota.unit === "requests" ? 1 : 1 - (this.options.readSlackTokens?.() ?? 0) * slackShare;
+    /** Units that an account may use in one window. */
+    private computeLimit(quota: AccountQuota): number {
+        return Math.max(1, quota.ratePerS * this.options.windowMs / msPerSecond + quota.burst);
     }
 
-    private openBucket(name: string, quota: AccountQuota): Bucket {
-        let bucket = this.buckets.get(name);
-        if (!bucket) {
-            bucket = { level: quota.burst, filledAtMs: this.options.clock.readMonotonicMs(), used: 0 };
-            this.buckets.set(name, bucket);
+    /** Share of its limit that an account has used over all nodes in the last window. */
+    private readUsedShare(name: string, quota: AccountQuota): number {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const assumed = this.computeAssumedShare(quota);
+        const own = this.openSum(name).read(nowMs) + assumed * this.computeWeight(nowMs - this.startedAtMs);
+        let used = own * (1 + this.countUnheard());
+        for (const report of this.heard.values()) {
+            const sinceMs = nowMs - report.atMs;
+            used += (report.used[name] ?? 0) * this.computeWeight(sinceMs);
+            used += assumed * this.computeWeight(report.ageMs + sinceMs);
         }
-        return bucket;
+        return used;
     }
 
-    private fill(bucket: Bucket, quota: AccountQuota): void {
-        const nowMs = this.options.clock.readMonotonicMs();
-        const earned = quota.ratePerS * (nowMs - bucket.filledAtMs) / msPerSecond;
-        bucket.level = Math.min(quota.burst, bucket.level + earned);
-        bucket.filledAtMs = nowMs;
+    /** Share of the limit that a process is taken to have used in the window before its start. */
+    private computeAssumedShare(quota: AccountQuota): number {
+        const rateShare = quota.ratePerS * this.options.windowMs / msPerSecond;
+        const assumed = (rateShare + quota.burst * assumedBurstShare) / this.computeLimit(quota);
+        return assumed / Math.max(1, this.options.countNodes());
+    }
+
+    /** Part of a past window's use that still lies in the present window, taken as spread evenly. */
+    private computeWeight(ageMs: number): number {
+        return Math.max(0, 1 - ageMs / this.options.windowMs);
+    }
+
+    private openSum(name: string): SlidingSum {
+        let sum = this.sums.get(name);
+        if (!sum) {
+            sum = new SlidingSum({ windowMs: this.options.windowMs });
+            this.sums.set(name, sum);
+        }
+        return sum;
     }
 
     private countUnheard(): number {
@@ -136,23 +154,20 @@
     }
 
     private readUse(): UseReport {
+        const nowMs = this.options.clock.readMonotonicMs();
         const used: Record<string, number> = {};
-        for (const [name, bucket] of this.buckets) {
-            used[name] = bucket.used;
+        for (const [name, sum] of this.sums) {
+            used[name] = sum.read(nowMs);
         }
-        return { processId: this.options.processId, used };
+        return { processId: this.options.processId, ageMs: nowMs - this.startedAtMs, used };
     }
 
-    /** Takes out what a process has used since its last report; its first one is where counting begins. */
     private merge(report: UseReport): void {
-        const before = this.heard.get(report.processId);
-        this.heard.set(report.processId, report.used);
-        for (const [name, used] of Object.entries(report.used)) {
-            const quota = this.options.findQuota(name);
-            if (quota && before) {
-                const bucket = this.openBucket(name, quota);
-                this.fill(bucket, quota);
-                bucket.level -= used - (before[name] ?? 0);
+        const nowMs = this.options.clock.readMonotonicMs();
+        this.heard.set(report.processId, { ...report, atMs: nowMs });
+        for (const [processId, { atMs }] of this.heard) {
+            if (this.computeWeight(nowMs - atMs) === 0) {
+                this.heard.delete(processId);
             }
         }
     }
--- /dev/null
+++ b/src/quotas/SlidingSum.test.ts
@@ -0,0 +1,36 @@
+import * as fc from "fast-check";
+import { SlidingSum } from "./SlidingSum";
+
+describe("SlidingSum", () => {
+    it("counts what was added in the last window, and at most one slot more", () => {
+        const additions = fc.array(fc.record({ gapMs: fc.nat(900), amount: fc.nat(10) }), { maxLength: 60 });
+        fc.assert(
+            fc.property(additions, steps => {
+                const sum = new SlidingSum({ windowMs: 1_000, slots: 10 });
+                const added: { atMs: number; amount: number; }[] = [];
+                let nowMs = 0;
+                for (const { gapMs, amount } of steps) {
+                    nowMs += gapMs;
+                    sum.add(nowMs, amount);
+                    added.push({ atMs: nowMs, amount });
+                    const countSince = (fromMs: number): number =>
+                        added.filter(({ atMs }) => atMs > fromMs).reduce(
+                            (total, each) => total + each.amount,
+                            0,
+                        );
+                    const read = sum.read(nowMs);
+                    expect(read).toBeGreaterThanOrEqual(countSince(nowMs - 1_000));
+                    expect(read).toBeLessThanOrEqual(countSince(nowMs - 1_101));
+                }
+            }),
+            { seed: 3 },
+        );
+    });
+
+    it("takes back", () => {
+        const sum = new SlidingSum({ windowMs: 1_000 });
+        sum.add(0, 5);
+        sum.add(40, -5);
+        expect(sum.read(50)).toBe(0);
+    });
+});
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -32,8 +32,8 @@
         windowMs: positiveMs.default(10_000),
         extra: z.number().min(0).default(20),
     }).strict().default({}),
-    /** Tokens by which an account's quota may be passed over all nodes in a short time. */
-    quotaSlackTokens: z.number().min(0).default(0),
+    /** Window over which an account's rate and burst are counted. */
+    quotaWindowMs: positiveMs.default(8_000),
     /** Time for which a duty's holder counts after it was last heard. */
     leaseMs: positiveMs.default(3_000),
     usage: z.object({
