--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -198,6 +198,7 @@
             requestId: admission.requestId,
             route,
             account: admission.account,
+            quotaCost: admission.quotaCost,
             quotaLeft: roundNumber(admission.quotaLeft),
             service: run?.service,
             version: context.state.table.value?.configuration.version,
--- a/src/forwarding/admitForward.ts
+++ b/src/forwarding/admitForward.ts
@@ -27,6 +27,8 @@
     requestId?: string;
     route?: string;
     account?: string;
+    /** Units that the request takes out of the account's quota. */
+    quotaCost?: number;
     /** Units that the account may use over all nodes after the request. */
     quotaLeft?: number;
 }
@@ -117,6 +119,7 @@
     }
     const tokens = marks.promptTokens === undefined ? undefined : marks.promptTokens + marks.outputTokens;
     const grant = context.quotas.take(account, tokens);
+    trace.quotaCost = grant.cost;
     trace.quotaLeft = context.quotas.readLeft(account);
     if (grant.kind === "exceeded") {
         const message = `account "${account.name}" has used its quota`;
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -22,7 +22,7 @@
 /** Outcome of a request for a part of an account's quota. */
 export type QuotaGrant =
     | { readonly kind: "granted"; readonly cost: number; }
-    | { readonly kind: "exceeded"; readonly retryAfterMs: number; };
+    | { readonly kind: "exceeded"; readonly cost: number; readonly retryAfterMs: number; };
 
 interface UseReport {
     readonly processId: string;
@@ -88,7 +88,7 @@
         if (1 - used <= 0 || 1 - used < leastLeft) {
             const waitMs = (used - 1 + share) * this.options.windowMs;
             const retryAfterMs = Math.min(longestRetryAfterMs, Math.max(leastRetryAfterMs, waitMs));
-            return { kind: "exceeded", retryAfterMs };
+            return { kind: "exceeded", cost, retryAfterMs };
         }
         this.openSum(account.name).add(this.options.clock.readMonotonicMs(), share);
         return { kind: "granted", cost };
