Serve the metrics of a forwarding node alone, with gauges of its state

Chat metrics were registered on nodes that never use them; the version in force and its age, members, upstreams and open exchanges were missing for the on-call engineer. addGauge is shared by both kinds of node.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -9,6 +9,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import type { EventFields, EventKind } from "../telemetry/types";
 import { createForwardContext } from "./createForwardContext";
+import { registerForwardGauges } from "./registerForwardGauges";
 import { registerServingServices } from "./registerServingServices";
 import type { ServingNodeOptions } from "./servingTypes";
 
@@ -49,6 +50,7 @@
         if (state.table.value) {
             server.applyLimits(state.table.value.configuration.limits);
         }
+        registerForwardGauges(this.kernel.find);
         server.setContext(createForwardContext(this.kernel.find, this.options));
         this.kernel.find(eventLogName).emit(eventKinds.nodeStarted, {
             callers: this.options.settings.callers,
--- /dev/null
+++ b/src/daemon/registerForwardGauges.ts
@@ -0,0 +1,68 @@
+import { forwardServerName } from "../forwarding/ForwardServer";
+import type { FindService } from "../kernel/types";
+import { membershipName } from "../membership/Membership";
+import { instanceRegistryName } from "../placement/InstanceRegistry";
+import { servingStateName } from "../routes/ServingState";
+import { addGauge, type GaugeValue } from "../telemetry/addGauge";
+import { forwardMetricsName } from "../telemetry/ForwardMetrics";
+
+const msPerSecond = 1_000;
+
+/**
+ * Adds the gauges that read the state of a forwarding node's services.
+ *
+ * @param find - finds the node's services
+ */
+export const registerForwardGauges = (find: FindService): void => {
+    const { registry } = find(forwardMetricsName);
+    const state = find(servingStateName);
+    const instances = find(instanceRegistryName);
+    const addValue = (name: string, help: string, read: () => number): void =>
+        addGauge({ registry, name, help, read: () => [{ value: read() }] });
+    const addByService = (name: string, help: string, read: (service: string) => number): void =>
+        addGauge({
+            registry,
+            name,
+            help,
+            labelNames: ["service"],
+            read: () => listServices().map(service => ({ labels: { service }, value: read(service) })),
+        });
+    const listServices = (): string[] =>
+        state.table.value?.configuration.services.map(({ name }) => name) ?? [];
+    const readVersion = (): GaugeValue[] => {
+        const version = state.table.value?.configuration.version;
+        return version === undefined ? [] : [{ value: version }];
+    };
+    addGauge({
+        registry,
+        name: "sequoiagrade_configuration_version",
+        help: "Version in force; missing before the first one is read.",
+        read: readVersion,
+    });
+    addValue(
+        "sequoiagrade_configuration_age_seconds",
+        "Time since the store confirmed the configuration; infinite when it is not known.",
+        () => state.readAgeMs() / msPerSecond,
+    );
+    addValue(
+        "sequoiagrade_members_live",
+        "Members that take requests.",
+        () => find(membershipName).listLive().length,
+    );
+    addValue(
+        "sequoiagrade_open_exchanges",
+        "Requests in progress.",
+        () => find(forwardServerName).openExchanges,
+    );
+    addValue("sequoiagrade_resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
+    addByService(
+        "sequoiagrade_upstreams_usable",
+        "Upstreams that may get a request now.",
+        service => instances.listUsable(service).length,
+    );
+    addByService(
+        "sequoiagrade_upstream_requests",
+        "Requests of all nodes at the upstreams.",
+        service => instances.countInFlight(service),
+    );
+};
--- a/src/daemon/registerGauges.ts
+++ b/src/daemon/registerGauges.ts
@@ -6,6 +6,7 @@
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { chatRequestsName } from "../streams/ChatRequests";
 import { serviceDispatchersName } from "../streams/ServiceDispatchers";
+import { addGauge, type GaugeValue } from "../telemetry/addGauge";
 import { metricsName } from "../telemetry/Metrics";
 import { clockName } from "./clockName";
 import { groupCommitterName, invariantsName, streamMemoryName } from "./registerServices";
@@ -16,10 +17,12 @@
  * @param find - finds the node's services
  */
 export const registerGauges = (find: FindService): void => {
-    const metrics = find(metricsName);
-    collectDefaultMetrics({ register: metrics.registry });
+    const { registry } = find(metricsName);
+    collectDefaultMetrics({ register: registry });
     const addValue = (name: string, help: string, read: () => number): void =>
-        metrics.addGauge(name, help, [], () => [{ value: read() }]);
+        addGauge({ registry, name, help, read: () => [{ value: read() }] });
+    const addByLabel = (name: string, help: string, label: string, read: () => GaugeValue[]): void =>
+        addGauge({ registry, name, help, labelNames: [label], read });
     addValue(
         "sequoiagrade_configuration_revision",
         "Revision in force.",
@@ -43,23 +46,23 @@
         "Bytes sent to members.",
         () => find(peerNetworkName).counters.bytesSent,
     );
-    metrics.addGauge(
+    addByLabel(
         "sequoiagrade_queued_requests",
         "Requests that wait for a runner.",
-        ["service"],
+        "service",
         () =>
             [...find(serviceDispatchersName).readQueueSizes()].map(([service, value]) => ({
                 labels: { service },
                 value,
             })),
     );
-    metrics.addGauge(
+    addByLabel(
         "sequoiagrade_requests_in_progress",
         "Model requests in progress.",
-        ["class"],
+        "class",
         () => countByClass(find, () => true),
     );
-    metrics.addGauge("sequoiagrade_requests_overdue", "Model requests past their target.", ["class"], () => {
+    addByLabel("sequoiagrade_requests_overdue", "Model requests past their target.", "class", () => {
         const nowMs = find(clockName).readWallMs();
         return countByClass(find, (acceptedAtMs, wholeMs) => nowMs - acceptedAtMs > wholeMs);
     });
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -26,7 +26,6 @@
 import type { ServingConfiguration } from "../routes/types";
 import { EventLog, eventLogName } from "../telemetry/EventLog";
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
-import { Metrics, metricsName } from "../telemetry/Metrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
 import { connectTimeoutMs } from "../upstreams/ForwardClient";
 import { UsageLedger, usageLedgerName } from "../usage/UsageLedger";
@@ -72,17 +71,15 @@
         requires: [],
         create: () => new EventLog({ node: settings.nodeId, clock, logger, keptEvents: 0 }),
     });
-    kernel.register({ name: metricsName, requires: [], create: () => new Metrics() });
-    kernel.register({
-        name: forwardMetricsName,
-        requires: [metricsName],
-        create: find => new ForwardMetrics(find(metricsName).registry),
-    });
+    kernel.register({ name: forwardMetricsName, requires: [], create: () => new ForwardMetrics() });
     kernel.register({
         name: metricsServerName,
-        requires: [metricsName],
+        requires: [forwardMetricsName],
         create: find =>
-            new MetricsServer({ ...splitAddress(settings.metrics), registry: find(metricsName).registry }),
+            new MetricsServer({
+                ...splitAddress(settings.metrics),
+                registry: find(forwardMetricsName).registry,
+            }),
     });
     kernel.register({
         name: forwardServerName,
--- a/src/telemetry/ForwardMetrics.ts
+++ b/src/telemetry/ForwardMetrics.ts
@@ -1,10 +1,11 @@
-import { Counter, Histogram, type Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 import { createServiceName } from "../kernel/createServiceName";
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
 
-/** Counters and latencies of forwarded requests. */
+/** Metrics of a node that forwards requests. */
 export class ForwardMetrics {
+    readonly registry = new Registry();
     /** Ended requests by route and outcome. */
     readonly requests: Counter;
     /** Sendings to upstreams by service and outcome. */
@@ -14,8 +15,8 @@
     /** Time from arrival to the end of the answer. */
     readonly whole: Histogram;
 
-    constructor(registry: Registry) {
-        const registers = [registry];
+    constructor() {
+        const registers = [this.registry];
         this.requests = new Counter({
             name: "sequoiagrade_forwarded_requests_total",
             help: "Ended requests by route and outcome.",
--- a/src/telemetry/Metrics.ts
+++ b/src/telemetry/Metrics.ts
@@ -1,13 +1,7 @@
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 import { createServiceName } from "../kernel/createServiceName";
 import type { RequestRecord } from "../streams/RequestRecord";
 
-/** Reads a gauge's values when metrics are collected. */
-export type GaugeReader = () => readonly {
-    readonly labels?: Record<string, string>;
-    readonly value: number;
-}[];
-
 const secondsBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.1, 2.5, 5, 10, 30, 60, 300];
 const tokenSecondsBuckets = [0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.25, 1];
 const msPerSecond = 1_000;
@@ -40,27 +34,6 @@
         tokenSecondsBuckets,
     );
 
-    /**
-     * Adds a gauge that is read when metrics are collected.
-     *
-     * @param name - metric name with its unit
-     * @param help - one-line description
-     * @param labelNames - label names
-     * @param read - reads the current values
-     */
-    addGauge(name: string, help: string, labelNames: readonly string[], read: GaugeReader): void {
-        const gauge = new Gauge({
-            name,
-            help,
-            labelNames: [...labelNames],
-            registers: [this.registry],
-            collect: () => {
-                gauge.reset();
-                read().forEach(({ labels, value }) => gauge.set(labels ?? {}, value));
-            },
-        });
-    }
-
     /** Counts an ended model request against its class's target. */
     observeRequest(record: RequestRecord): void {
         const { workClass, acceptedAtMs } = record.description;
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -17,6 +17,7 @@
     readonly callers: string;
     readonly ready: string;
     readonly directory: string;
+    readonly metrics: string;
 }
 
 /** A caller's request. */
@@ -158,7 +159,7 @@
         await faces.start();
         await node.start();
         isStarted = true;
-        const added = { node, faces, callers, ready, directory };
+        const added = { node, faces, callers, ready, directory, metrics };
         this.nodes.push(added);
         await this.waitUntil(() => node.readiness.isReady());
         return added;
