Remove the store's records of nodes that are gone for good

They stayed for ever, and were dialled for ever. The one watcher removes a record whose node has not been a live member for ten minutes; a node that lives and misses its record writes it again.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -191,6 +191,8 @@
                 tables: platform.tables,
                 feed: find(nodeFeedName),
                 membership: find(membershipName),
+                isWatcher: () =>
+                    isWatcher({ membership: find(membershipName), nodeId, duty: nodeRecordsTable, count: 1 }),
                 clock,
                 events: find(eventLogName),
             }),
--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -18,7 +18,9 @@
     readonly peersUrl: string;
     readonly tables: TableService;
     readonly feed: FollowedFeed<PeerAddress>;
-    readonly membership: Membership;
+    readonly membership: Pick<Membership, "setRecorded" | "listLive">;
+    /** Whether this node is one of the few that remove the records of nodes that are gone. */
+    readonly isWatcher: () => boolean;
     readonly clock: Clock;
     readonly events: EventLog;
 }
@@ -26,9 +28,19 @@
 /** Table in which each node records where it is dialled. */
 export const nodeRecordsTable = "nodes";
 
-/** Records in the store where this node is dialled, and tells the membership where the others are. */
+const sweepMs = 30_000;
+const forgottenAfterMs = 600_000; // longer than an outage after which a node comes back
+
+/**
+ * Records in the store where this node is dialled, tells the membership where the others are, and removes the records of
+ * nodes that are gone for good. A node whose record was removed though it lives writes it again.
+ */
 export class NodeRecords {
     private readonly scope: Scope;
+    /** Monotonic time since which recorded nodes have not been live members, in milliseconds. */
+    private readonly missingSinceMs = new Map<string, number>();
+    private isWritten = false;
+    private isLeaving = false;
 
     constructor(private readonly options: NodeRecordsOptions) {
         this.scope = createReportingScope(options.events);
@@ -36,9 +48,10 @@
 
     async start(): Promise<void> {
         const { feed, membership } = this.options;
-        feed.records.listen(records => membership.setRecorded([...records?.values() ?? []]));
-        membership.setRecorded([...feed.records.value?.values() ?? []]);
+        feed.records.listen(() => this.adoptRecords());
+        membership.setRecorded(this.listRecorded());
         this.scope.run("node-record", signal => this.record(signal));
+        this.scope.run("node-record-sweep", signal => this.sweep(signal));
     }
 
     async stop(): Promise<void> {
@@ -47,28 +60,79 @@
 
     /** Removes this node's record; a node that comes back writes it again. */
     async remove(): Promise<void> {
+        this.isLeaving = true;
+        await this.removeRecord(this.options.nodeId);
+    }
+
+    private listRecorded(): PeerAddress[] {
+        return [...this.options.feed.records.value?.values() ?? []];
+    }
+
+    private adoptRecords(): void {
+        const recorded = this.listRecorded();
+        this.options.membership.setRecorded(recorded);
+        const isRecorded = recorded.some(({ nodeId }) => nodeId === this.options.nodeId);
+        if (this.isWritten && !isRecorded && !this.isLeaving) {
+            this.isWritten = false;
+            this.scope.run("node-record", signal => this.record(signal));
+        }
+    }
+
+    private *sweep(signal: AbortSignal): Task<void> {
+        const { clock, isWatcher } = this.options;
+        while (!signal.aborted) {
+            yield* waitFor(clock.sleep(sweepMs, signal));
+            const forgotten = this.findForgotten();
+            if (isWatcher()) {
+                yield* waitFor(Promise.all(forgotten.map(nodeId => this.removeRecord(nodeId))));
+            }
+        }
+    }
+
+    /** Finds the recorded nodes that have not been live for so long that they count as gone for good. */
+    private findForgotten(): string[] {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const live = new Set(this.options.membership.listLive().map(member => member.nodeId));
+        const missing = this.listRecorded().map(({ nodeId }) => nodeId).filter(nodeId => !live.has(nodeId));
+        for (const nodeId of this.missingSinceMs.keys()) {
+            if (!missing.includes(nodeId)) {
+                this.missingSinceMs.delete(nodeId);
+            }
+        }
+        for (const nodeId of missing) {
+            this.missingSinceMs.set(nodeId, this.missingSinceMs.get(nodeId) ?? nowMs);
+        }
+        return missing.filter(nodeId => nowMs - this.missingSinceMs.get(nodeId)! >= forgottenAfterMs);
+    }
+
+    private async removeRecord(nodeId: string): Promise<void> {
         try {
-            await this.options.tables.transact([this.createWrite(undefined)]);
+            await this.options.tables.transact([createWrite(nodeId, undefined)]);
         }
         catch (error) {
-            this.options.events.emit(eventKinds.storeFailed, {
-                call: "remove node record",
-                error: String(error),
-            });
+            const fields = { call: "remove node record", node: nodeId, error: String(error) };
+            this.options.events.emit(eventKinds.storeFailed, fields);
         }
     }
 
     private *record(signal: AbortSignal): Task<void> {
         const { nodeId, peersUrl, tables, events, clock } = this.options;
-        const call = () => tables.transact([this.createWrite({ nodeId, url: peersUrl })]);
+        const call = () => tables.transact([createWrite(nodeId, { nodeId, url: peersUrl })]);
         yield* waitFor(retryStoreCall({ name: "write node record", call, clock, events, signal }));
-    }
-
-    private createWrite(value: PeerAddress | undefined): Parameters<TableService["transact"]>[0][number] {
-        return { table: nodeRecordsTable, key: this.options.nodeId, condition: { kind: "any" }, value };
+        this.isWritten = true;
     }
 }
 
+const createWrite = (
+    nodeId: string,
+    value: PeerAddress | undefined,
+): Parameters<TableService["transact"]>[0][number] => ({
+    table: nodeRecordsTable,
+    key: nodeId,
+    condition: { kind: "any" },
+    value,
+});
+
 /**
  * Decodes a node's record.
  *
