--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { join } from "node:path";
+import { formatLogFigures, runLogBench } from "./log/runLogBench";
 import { formatPathFigures, runPathBench } from "./path/runPathBench";
 import { formatPolicyFigures, runPolicyBench, writePlots } from "./policy/runPolicyBench";
 import { formatSlopes, runSlopesBench } from "./slopes/runSlopesBench";
@@ -15,6 +16,11 @@
     const seed = Number(readOption("--seed") ?? defaultSeed);
     const asJson = process.argv.includes("--json");
     switch (bench) {
+        case "log": {
+            const figures = await runLogBench();
+            console.log(asJson ? JSON.stringify(figures) : formatLogFigures(figures));
+            return;
+        }
         case "path": {
             const figures = await runPathBench(seed);
             console.log(asJson ? JSON.stringify(figures) : formatPathFigures(figures));
@@ -33,7 +39,7 @@
             return;
         }
     }
-    console.error("usage: npm run bench path|policy|slopes -- [--json] [--seed N]");
+    console.error("usage: npm run bench log|path|policy|slopes -- [--json] [--seed N]");
     process.exitCode = 2;
 };
 
