--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithin } from "../kernel/waitWithin";
@@ -8,18 +8,17 @@
 import { resultCodes } from "../results/resultCodes";
 import { repeatRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
-import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
-import type { AdmittedRequest } from "./admitForward";
 import { collectWhole } from "../upstreams/collectWhole";
+import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
+import type { AdmittedRequest } from "./admitForward";
+import { AnswerRelay, maxWholeBytes } from "./AnswerRelay";
 import { computePatienceMs } from "./computePatienceMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { decideNextSend } from "./decideNextSend";
-import { EventCutter } from "./EventCutter";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardTally } from "./ForwardTally";
-import { relayEvents } from "./relayEvents";
-import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
-import { selectAnswerHeaders } from "../http/selectAnswerHeaders";
+import { RequestInterrupt } from "./RequestInterrupt";
+import type { FailedSendResult, SendResult } from "./types";
 import { type AwaitedStart, waitForStart } from "./waitForStart";
 
 /** Options of {@link ForwardRun}. */
@@ -33,21 +32,6 @@
     readonly arrivedMs: number;
 }
 
-type SendResult =
-    | { readonly kind: "answered"; }
-    | { readonly kind: "interrupted"; readonly by: InterruptKind; }
-    | {
-        readonly kind: "failed";
-        readonly isSent: boolean;
-        readonly isNotRun: boolean;
-        readonly message: string;
-        /** The upstream's own failure, passed on when the request goes nowhere else. */
-        readonly answer?: { readonly head: AnswerHead; readonly body: Buffer; };
-    };
-
-const maxWholeBytes = 16_777_216; // larger answers are streams
-const streamSilenceMs = 1_500; // callers leave a silent stream after 2 s or more
-const unlimitedSilenceMs = 86_400_000; // longer than any stream; its own deadline ends it
 const resumeTries = 8; // with the pause, less than the silence after which callers leave a stream
 const resumePauseMs = 150;
 const fullRetryAfterMs = 300; // requests of plain services take tens of ms, streams a few seconds
@@ -59,9 +43,9 @@
     /** Why the request ended without a whole answer, for its log line. */
     endReason: string | undefined;
     private readonly interrupt: RequestInterrupt;
+    private readonly answerRelay: AnswerRelay;
     private readonly endsMs: number;
     private readonly tried = new Set<string>();
-    private lastEventId: number | undefined;
 
     constructor(private readonly options: ForwardRunOptions) {
         const { context, admitted, arrivedMs } = options;
@@ -69,6 +53,16 @@
         this.endsMs = arrivedMs + allowedMs;
         this.tally = new ForwardTally(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.computeRemainingMs());
+        const { request, response } = options;
+        const { tally, interrupt } = this;
+        this.answerRelay = new AnswerRelay({
+            clock: context.clock,
+            request,
+            response,
+            admitted,
+            tally,
+            interrupt,
+        });
     }
 
     /** Service that the request goes to. */
@@ -185,7 +179,7 @@
             instanceId: known.instance.id,
             accountName: admitted.account?.name,
             priority: admitted.account?.priority ?? admitted.route.priority,
-            resumeAfter: this.lastEventId,
+            resumeAfter: this.answerRelay.lastEventId,
         });
     }
 
@@ -223,9 +217,7 @@
             return { kind: "failed", isSent: true, isNotRun: true, message: `refused with ${head.status}` };
         }
         this.tally.countRun(true);
-        return admitted.route.isStream && head.status === 200
-            ? yield* this.relayStream(known, exchange, head)
-            : yield* this.relayWhole(exchange, head);
+        return yield* this.answerRelay.relay(known, exchange, head);
     }
 
     /** Waits for the head of the answer, the request's end, or until another upstream is the better choice. */
@@ -256,80 +248,6 @@
             );
     }
 
-    private *relayWhole(exchange: UpstreamExchange, head: AnswerHead): Task<SendResult> {
-        const { response } = this.options;
-        const collected = yield* waitFor(
-            Promise.race([collectWhole(exchange, maxWholeBytes), this.interrupt.happened]),
-        );
-        if (typeof collected === "string") {
-            return { kind: "interrupted", by: collected };
-        }
-        if (collected.kind === "broken") {
-            return { kind: "failed", isSent: true, isNotRun: false, message: collected.message };
-        }
-        this.tally.countUsage();
-        const answer = { head, body: collected.body };
-        if (head.status >= 500 || response.headersSent) {
-            const message = `answered ${head.status}`;
-            return { kind: "failed", isSent: true, isNotRun: false, message, answer };
-        }
-        this.sendWhole(answer.head, answer.body);
-        return { kind: "answered" };
-    }
-
-    private sendWhole(head: AnswerHead, body: Buffer): void {
-        const { response, request } = this.options;
-        this.tally.recordFirstByte();
-        this.tally.trace.status = head.status;
-        const headers = selectAnswerHeaders(head.headers);
-        headers["content-length"] = request.method === "HEAD"
-            ? head.headers["content-length"]
-            : body.length;
-        response.writeHead(head.status, headers);
-        response.end(body);
-    }
-
-    private *relayStream(
-        known: KnownInstance,
-        exchange: UpstreamExchange,
-        head: AnswerHead,
-    ): Task<SendResult> {
-        const { context, response, admitted } = this.options;
-        if (!response.headersSent) {
-            this.tally.trace.status = head.status;
-            const headers: OutgoingHttpHeaders = selectAnswerHeaders(head.headers);
-            response.writeHead(head.status, headers);
-            response.flushHeaders();
-        }
-        const cutter = new EventCutter(this.lastEventId);
-        const isResumable = admitted.route.repeat === repeatRules.resumable;
-        const end = yield* relayEvents({
-            exchange,
-            cutter,
-            response,
-            interrupt: this.interrupt,
-            clock: context.clock,
-            silenceMs: isResumable ? streamSilenceMs : unlimitedSilenceMs,
-            onBytes: () => {
-                known.heardMs = context.clock.readMonotonicMs();
-            },
-            onFirstEvent: () => {
-                this.tally.recordFirstByte();
-                this.tally.countUsage();
-            },
-        });
-        this.lastEventId = cutter.lastId;
-        switch (end.kind) {
-            case "whole":
-                response.end();
-                return { kind: "answered" };
-            case "interrupted":
-                return end;
-            case "broken":
-                return { kind: "failed", isSent: true, isNotRun: false, message: end.message };
-        }
-    }
-
     /** Ends a request for which no upstream's answer was delivered whole. */
     private endUnanswered(
         result: Exclude<SendResult, { kind: "answered"; }>,
@@ -344,7 +262,7 @@
             return "broken";
         }
         if (result.kind === "failed" && result.answer) {
-            this.sendWhole(result.answer.head, result.answer.body);
+            this.answerRelay.sendWhole(result.answer.head, result.answer.body);
             return "answered";
         }
         throw this.createFailure(result);
@@ -375,7 +293,7 @@
 
     private reportFailedSend(
         known: KnownInstance,
-        result: SendResult & { kind: "failed"; },
+        result: FailedSendResult,
         next: string,
     ): void {
         const { context, admitted } = this.options;
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -1,6 +1,8 @@
 /** Shapes of requests that a node forwards, and of the wire format that they come in. */
 
 import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerHead } from "../upstreams/UpstreamExchange";
+import type { InterruptKind } from "./RequestInterrupt";
 
 /** One part of a prompt; requests may share parts. */
 export interface PromptPart {
@@ -60,3 +62,21 @@
     encodeCall(rawHeaders: readonly string[], marks: SendMarks): string[];
     decodeAnswer(status: number, headers: IncomingHttpHeaders): AnswerMarks;
 }
+
+/** How one sending of a request to an upstream ended. */
+export type SendResult =
+    | { readonly kind: "answered"; }
+    | { readonly kind: "interrupted"; readonly by: InterruptKind; }
+    | FailedSendResult;
+
+/** A sending that did not end in a delivered answer. */
+export interface FailedSendResult {
+    readonly kind: "failed";
+    /** Whether any byte of the request may have reached the upstream. */
+    readonly isSent: boolean;
+    /** Whether the upstream certainly did not run the request. */
+    readonly isNotRun: boolean;
+    readonly message: string;
+    /** The upstream's own failure, passed on when the request goes nowhere else. */
+    readonly answer?: { readonly head: AnswerHead; readonly body: Buffer; };
+}
