--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -11,6 +11,8 @@
     | "lose"
     /** Answers under the id of another request. */
     | "mixed"
+    /** Answers, and sends a second answer that nobody asked for on the same connection. */
+    | "extra"
     /** Breaks a stream off within its third event. */
     | "break"
     /** Takes the request and sends nothing. */
@@ -100,6 +102,10 @@
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
         };
         if (behaviour === "fail" || !this.options.events) {
+            const { socket } = request;
+            if (behaviour === "extra") {
+                response.on("finish", () => socket.write(createExtraAnswer()));
+            }
             sendText(response, behaviour === "fail" ? 500 : 200, marks, `${this.id} ${requestId}`);
             return;
         }
@@ -132,6 +138,12 @@
     }
 }
 
+const createExtraAnswer = (): string => {
+    const body = "not asked for";
+    const head = ["HTTP/1.1 200 OK", `${attemptId}: another`, `content-length: ${body.length}`];
+    return `${head.join("\r\n")}\r\n\r\n${body}`;
+};
+
 const sendText = (
     response: ServerResponse,
     status: number,
