Link all nodes up to 100, and report more seldom with many links

Cause, by reading: beyond 16 nodes a node heard its direct neighbours' quota use only and took every other member to use as much as itself, so that it would have refused nearly all requests of accounts with a quota. Change: all pairs are linked up to 100 nodes; the pause between readings grows with the links, so that their rate a node stays the same.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -40,6 +40,7 @@
 const heartbeatMs = 250; // a lost member leaves the address answers within one silence
 const silenceMs = 800; // three heartbeats
 const goneAfterMs = 400; // after the link was lost and could not be dialled again
+const fullMeshUpTo = 100; // quotas and load need the readings of all nodes
 const maxPeerFrameBytes = 1_048_576;
 const configurationWaitMs = 1_000; // keys are confirmed once a second
 const nodeWaitMs = 20_000;
@@ -154,6 +155,7 @@
                 heartbeatMs,
                 silenceMs,
                 maxFrameBytes: maxPeerFrameBytes,
+                fullMeshUpTo,
                 clock,
                 random,
                 events: find(eventLogName),
--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -6,6 +6,7 @@
 import { createReportingScope } from "../telemetry/createReportingScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { computeReportIntervalMs } from "./computeReportIntervalMs";
 import type { PeerNetwork } from "./PeerNetwork";
 
 /** Options of {@link PeerReports}. */
@@ -13,10 +14,6 @@
     readonly network: PeerNetwork;
     readonly clock: Clock;
     readonly events: EventLog;
-    /** Time between two reports of a node; default 250 ms. */
-    readonly intervalMs?: number;
-    /** Age beyond which a report counts for nothing; default 2,000 ms. */
-    readonly freshMs?: number;
 }
 
 /** One kind of reading that nodes tell each other. */
@@ -33,21 +30,16 @@
     readonly atMs: number;
 }
 
-const defaultIntervalMs = 250;
-const defaultFreshMs = 2_000; // eight reports lost in a row
+const freshIntervals = 8; // reports lost in a row, after which the last one counts for nothing
 
-/** Readings that nodes tell each other over their links at a fixed rate, such as load and quota use. */
+/** Readings that nodes tell each other over their links at a steady rate, such as load and quota use. */
 export class PeerReports {
     private readonly publishers = new Map<string, () => unknown>();
     private readonly received = new Map<string, Map<string, PeerReport<unknown>>>();
     private readonly scope: Scope;
-    private readonly intervalMs: number;
-    private readonly freshMs: number;
 
     constructor(private readonly options: PeerReportsOptions) {
         this.scope = createReportingScope(options.events);
-        this.intervalMs = options.intervalMs ?? defaultIntervalMs;
-        this.freshMs = options.freshMs ?? defaultFreshMs;
     }
 
     async start(): Promise<void> {
@@ -92,13 +84,17 @@
 
     /** Lists the readings that are fresh enough to act on. */
     listFresh<T>(topic: ReportTopic<T>): readonly PeerReport<T>[] {
-        const oldestMs = this.options.clock.readMonotonicMs() - this.freshMs;
+        const oldestMs = this.options.clock.readMonotonicMs() - this.readIntervalMs() * freshIntervals;
         return this.listAll(topic).filter(report => report.atMs >= oldestMs);
     }
 
+    private readIntervalMs(): number {
+        return computeReportIntervalMs(this.options.network.linkedNodes.length);
+    }
+
     private *publishAll(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
-            yield* waitFor(this.options.clock.sleep(this.intervalMs, signal));
+            yield* waitFor(this.options.clock.sleep(this.readIntervalMs(), signal));
             for (const [topic, read] of this.publishers) {
                 this.options.network.sendReport(topic, read());
             }
