--- a/standins/platform/TroublePlay.ts
+++ b/standins/platform/TroublePlay.ts
@@ -98,17 +98,17 @@
 
     private makeTrouble(): Promise<void> {
         const troubles = [
-            () => this.spoilRunner(),
-            () => this.spoilRunner(),
+            () => this.breakRunner(),
+            () => this.breakRunner(),
             () => this.replaceRunner(),
-            () => this.disturbStore(),
-            () => this.changeConfiguration(),
+            () => this.breakStore(),
+            () => this.updateConfiguration(),
             () => this.replaceNode(),
         ];
         return this.pick(troubles)();
     }
 
-    private async spoilRunner(): Promise<void> {
+    private async breakRunner(): Promise<void> {
         this.pick(this.listed).behaviours.push(this.pick(behaviours));
     }
 
@@ -121,7 +121,7 @@
         await this.addRunner(service);
     }
 
-    private async disturbStore(): Promise<void> {
+    private async breakStore(): Promise<void> {
         if (this.random.drawInt(storeFaults.length + 1) === 0) {
             this.bed.store.dropHistory();
             return;
@@ -131,7 +131,7 @@
         this.bed.store.server.setFault({ kind: "none" });
     }
 
-    private async changeConfiguration(): Promise<void> {
+    private async updateConfiguration(): Promise<void> {
         this.version += 1 + this.random.drawInt(3);
         this.bed.store.put("op", "config", createTestDocument(this.version));
     }
