--- a/src/fleet/InstanceOrders.test.ts
+++ b/src/fleet/InstanceOrders.test.ts
@@ -17,7 +17,7 @@
     listed: Listed[] = [];
     inFlight = 0;
     isHolder = true;
-    readonly dry = new Set<string>();
+    readonly refusing = new Set<string>();
     readonly running: InstanceOrders;
 
     constructor() {
@@ -38,7 +38,7 @@
                 reportUsage: async () => {},
                 orderUpstreams: async (order: UpstreamOrder) => {
                     this.orders.push(order);
-                    return !(order.market === "reclaimable" && this.dry.has(order.dataCentre));
+                    return !(order.market === "reclaimable" && this.refusing.has(order.dataCentre));
                 },
             },
             state: { table: { value: { configuration: { services } } } } as unknown as ServingState,
@@ -88,13 +88,13 @@
     it("orders on-demand upstreams when the reclaimable ones are taken and none can be had", async () => {
         setup.list({ a: { "reclaimable": 1 }, b: { "reclaimable": 1 } });
         await setup.clock.advance(1_000);
-        setup.dry.add("a");
+        setup.refusing.add("a");
         setup.list({ b: { "reclaimable": 1 } });
         await setup.clock.advance(500);
         expect(setup.findLast("a", "on-demand")).toBe(1);
         await setup.clock.advance(20_000);
         expect(setup.findLast("a", "on-demand")).toBe(1);
-        setup.dry.clear();
+        setup.refusing.clear();
         await setup.clock.advance(10_000);
         expect(setup.findLast("a", "reclaimable")).toBe(1);
         setup.list({ a: { "on-demand": 1, "reclaimable": 1 }, b: { "reclaimable": 1 } });
--- a/src/fleet/InstanceOrders.ts
+++ b/src/fleet/InstanceOrders.ts
@@ -37,7 +37,7 @@
 }
 
 /** What was there when this process first saw upstreams of a service. */
-interface FirstSight {
+interface FirstListing {
     readonly atMs: number;
     readonly need: number;
 }
@@ -46,7 +46,7 @@
 
 const tickMs = 500;
 const peakMemoryMs = 20_000; // an upstream that is given back costs a boot to get again
-const dryMs = 6_000; // a refusal lasts for seconds; an on-demand upstream is ready sooner
+const refusalMs = 6_000; // a refusal lasts for seconds; an on-demand upstream is ready sooner
 const repeatMs = 15_000; // an order that was lost is given again
 const bootMarginMs = 1_500; // an upstream is listed some time after its start
 
@@ -55,10 +55,10 @@
     private readonly scope: Scope;
     private readonly samples = new Map<string, PeakSample[]>();
     /** Time until which no reclaimable upstreams are asked for, by service and data centre. */
-    private readonly dryUntilMs = new Map<string, number>();
+    private readonly refusedUntilMs = new Map<string, number>();
     /** Last accepted order by service, data centre and market. */
     private readonly ordered = new Map<string, AcceptedOrder>();
-    private readonly firstSights = new Map<string, FirstSight>();
+    private readonly firstListings = new Map<string, FirstListing>();
     /** Reclaimable upstreams that served at the last look, by service and data centre. */
     private readonly lastServing = new Map<string, number>();
 
@@ -99,7 +99,7 @@
     /** Orders reclaimable upstreams first, so that on-demand ones stand in only for those that were refused. */
     private *orderFor(service: ServedService): Task<void> {
         const scaling = service.scaling!;
-        this.forgetTaken(service.name, scaling);
+        this.forgetLostOrders(service.name, scaling);
         for (const market of ["reclaimable", "onDemand"] as const) {
             const { plan, needed } = this.plan(service, scaling);
             for (const [dataCentre, counts] of plan) {
@@ -115,7 +115,7 @@
     }
 
     /** Forgets an order whose upstreams were taken away, so that it is given again and found refused or not. */
-    private forgetTaken(service: string, { prices }: ScalingBounds): void {
+    private forgetLostOrders(service: string, { prices }: ScalingBounds): void {
         const serving = this.countServing(service);
         for (const dataCentre of Object.keys(prices)) {
             const order = { service, dataCentre, market: markets.reclaimable, count: 0 };
@@ -137,7 +137,7 @@
         const plan = planInstances({
             scaling,
             dataCentres: Object.keys(scaling.prices),
-            withoutReclaimable: this.listDry(service.name),
+            withoutReclaimable: this.listRefused(service.name),
             needed,
             serving,
             booting: this.countBooting(service.name, scaling, serving),
@@ -182,23 +182,27 @@
     /** Need that the upstreams tell of which were there at first, until the load has been observed for long enough. */
     private readEarlierNeed(service: string, serving: ReadonlyMap<string, InstanceCounts>): number {
         const nowMs = this.options.clock.readMonotonicMs();
-        const first = this.firstSights.get(service);
+        const first = this.firstListings.get(service);
         if (first) {
             return nowMs - first.atMs < peakMemoryMs ? first.need : 0;
         }
         const counts = [...serving.values()].map(({ onDemand, reclaimable }) => onDemand + reclaimable);
         const need = counts.reduce((sum, count) => sum + count, 0) - Math.max(0, ...counts);
         if (counts.length > 0) {
-            this.firstSights.set(service, { atMs: nowMs, need });
+            this.firstListings.set(service, { atMs: nowMs, need });
         }
         return need;
     }
 
-    private listDry(service: string): ReadonlySet<string> {
+    private listRefused(service: string): ReadonlySet<string> {
         const nowMs = this.options.clock.readMonotonicMs();
-        const dry = [...this.dryUntilMs].filter(([, untilMs]) => untilMs > nowMs).map(([subject]) => subject);
+        const refused = [...this.refusedUntilMs].filter(([, untilMs]) => untilMs > nowMs).map(([subject]) =>
+            subject
+        );
         const prefix = `${service} `;
-        return new Set(dry.filter(name => name.startsWith(prefix)).map(name => name.slice(prefix.length)));
+        return new Set(
+            refused.filter(name => name.startsWith(prefix)).map(name => name.slice(prefix.length)),
+        );
     }
 
     private *giveIfDue(order: UpstreamOrder, needed: number): Task<void> {
@@ -236,7 +240,7 @@
         }
         this.ordered.delete(nameOrder(order));
         if (order.market === markets.reclaimable) {
-            this.dryUntilMs.set(nameSubject(order), atMs + dryMs);
+            this.refusedUntilMs.set(nameSubject(order), atMs + refusalMs);
         }
     }
 }
