Give attempts to connect to the platform's services up in time

Test that failed first: sendJson without a connection hung until the test's end (5 s) instead of 50 ms. Change: sendJson ends in its time in any case, and all connections to the platform's services are made by a connector that gives an attempt up after exactly its time.

--- a/src/platform/HttpCloud.ts
+++ b/src/platform/HttpCloud.ts
@@ -1,4 +1,5 @@
-import { Agent } from "undici";
+import type { Agent } from "undici";
+import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
 import type { Cloud, ReclaimNotice, Vm, VmOffer, VmRequest } from "./types";
 
@@ -12,9 +13,11 @@
 
 /** Cloud API over HTTP and JSON, as the stand-in speaks it. */
 export class HttpCloud implements Cloud {
-    private readonly agent = new Agent({ connections: maxConnections });
+    private readonly agent: Agent;
 
-    constructor(private readonly options: HttpCloudOptions) {}
+    constructor(private readonly options: HttpCloudOptions) {
+        this.agent = createServiceAgent({ maxConnections, connectTimeoutMs: options.timeoutMs });
+    }
 
     async listVms(): Promise<readonly Vm[]> {
         return (await this.send("GET", "/vms") as { vms: Vm[]; }).vms;
--- a/src/platform/HttpObjectStore.ts
+++ b/src/platform/HttpObjectStore.ts
@@ -1,4 +1,5 @@
-import { Agent, request } from "undici";
+import { type Agent, request } from "undici";
+import { createServiceAgent } from "./createServiceAgent";
 import { StoreError } from "./StoreError";
 import type { ObjectStore } from "./types";
 
@@ -12,9 +13,11 @@
 
 /** Object store over HTTP, as the stand-in speaks it. */
 export class HttpObjectStore implements ObjectStore {
-    private readonly agent = new Agent({ connections: maxConnections });
+    private readonly agent: Agent;
 
-    constructor(private readonly options: HttpObjectStoreOptions) {}
+    constructor(private readonly options: HttpObjectStoreOptions) {
+        this.agent = createServiceAgent({ maxConnections, connectTimeoutMs: options.timeoutMs });
+    }
 
     async put(key: string, body: Buffer): Promise<void> {
         await this.exchange("PUT", `/objects/${encodeURIComponent(key)}`, body);
--- a/src/platform/HttpTableService.ts
+++ b/src/platform/HttpTableService.ts
@@ -1,4 +1,5 @@
-import { Agent } from "undici";
+import type { Agent } from "undici";
+import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
 import { StoreError } from "./StoreError";
 import type { Row, RowAddress, RowOperation, TableService, TransactionOutcome } from "./types";
@@ -13,9 +14,11 @@
 
 /** Table service over HTTP and JSON, as the stand-in speaks it. */
 export class HttpTableService implements TableService {
-    private readonly agent = new Agent({ connections: maxConnections });
+    private readonly agent: Agent;
 
-    constructor(private readonly options: HttpTableServiceOptions) {}
+    constructor(private readonly options: HttpTableServiceOptions) {
+        this.agent = createServiceAgent({ maxConnections, connectTimeoutMs: options.timeoutMs });
+    }
 
     async transact(operations: readonly RowOperation[]): Promise<TransactionOutcome> {
         return await this.post("/transact", { operations }) as TransactionOutcome;
--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -32,14 +32,16 @@
     const name = `${options.method} ${options.url}`;
     try {
         const { origin, pathname, search } = new URL(options.url);
-        const answer = await options.dispatcher.request({
+        const signal = AbortSignal.timeout(options.timeoutMs);
+        const answered = options.dispatcher.request({
             origin,
             path: `${pathname}${search}`,
             method: options.method,
             headers: { "content-type": "application/json", ...options.headers },
             body: options.body === undefined ? undefined : JSON.stringify(options.body),
-            signal: AbortSignal.timeout(options.timeoutMs),
+            signal,
         });
+        const answer = await Promise.race([answered, failWith(signal)]);
         const text = await answer.body.text();
         if (answer.statusCode === 503) {
             throw new StoreError(`${name}: the service is unavailable`, "none");
@@ -55,3 +57,12 @@
         throw new StoreError(`${name}: ${(error as Error).message}`, effect);
     }
 };
+
+/** Fails when the signal aborts; the library does not end a call that has no connection yet. */
+const failWith = (signal: AbortSignal): Promise<never> => {
+    const failed = new Promise<never>((_resolve, reject) => {
+        signal.addEventListener("abort", () => reject(signal.reason as Error), { once: true });
+    });
+    failed.catch(() => {}); // it fails also after the answer has come
+    return failed;
+};
