Merge what stood twice in the serving path, without change of behaviour

waitForAbort serves answerRecord and sendJson; AnswerRelay.collect both collections of a body; addUntil both loops of planInstances; createTrackedConnector takes its connector instead of a time it may not use; orders are named without a made-up count. SettingsWatch moves to src/settings, as watching a file translates nothing. HttpWeightStore, the last caller of sendJson with a plain Agent, uses createServiceAgent as the other services do: its attempts to connect now end in time too, the one change beyond the title.

--- /dev/null
+++ b/src/_lib/waitForAbort.ts
@@ -0,0 +1,12 @@
+/**
+ * Waits until a signal aborts.
+ *
+ * @param signal - the signal; may have aborted before
+ */
+export const waitForAbort = (signal: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
--- a/src/callers/answerRecord.ts
+++ b/src/callers/answerRecord.ts
@@ -1,3 +1,4 @@
+import { waitForAbort } from "../_lib/waitForAbort";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { RequestRecord } from "../streams/RequestRecord";
@@ -72,11 +73,3 @@
     nodeId: record.movedTo,
     offset,
 });
-
-const waitForAbort = (signal: AbortSignal): Promise<void> =>
-    new Promise(resolve => {
-        if (signal.aborted) {
-            resolve();
-        }
-        signal.addEventListener("abort", () => resolve());
-    });
--- a/src/fleet/InstanceOrders.ts
+++ b/src/fleet/InstanceOrders.ts
@@ -118,12 +118,12 @@
     private forgetLostOrders(service: string, { prices }: ScalingBounds): void {
         const serving = this.countServing(service);
         for (const dataCentre of Object.keys(prices)) {
-            const order = { service, dataCentre, market: markets.reclaimable, count: 0 };
+            const name = nameOrder({ service, dataCentre, market: markets.reclaimable });
             const { reclaimable } = serving.get(dataCentre) ?? noInstances;
-            if (reclaimable < (this.lastServing.get(nameOrder(order)) ?? 0)) {
-                this.ordered.delete(nameOrder(order));
+            if (reclaimable < (this.lastServing.get(name) ?? 0)) {
+                this.ordered.delete(name);
             }
-            this.lastServing.set(nameOrder(order), reclaimable);
+            this.lastServing.set(name, reclaimable);
         }
     }
 
@@ -168,9 +168,7 @@
         const nowMs = this.options.clock.readMonotonicMs();
         const booting = new Map<string, number>();
         for (const dataCentre of Object.keys(prices)) {
-            const last = this.ordered.get(
-                nameOrder({ service, dataCentre, market: markets.reclaimable, count: 0 }),
-            );
+            const last = this.ordered.get(nameOrder({ service, dataCentre, market: markets.reclaimable }));
             if (last && nowMs - last.atMs <= bootMs + bootMarginMs) {
                 const { reclaimable } = serving.get(dataCentre) ?? noInstances;
                 booting.set(dataCentre, Math.max(0, last.count - reclaimable));
@@ -252,9 +250,12 @@
 
 const noInstances: InstanceCounts = { onDemand: 0, reclaimable: 0 };
 
-const nameOrder = (order: UpstreamOrder): string => `${nameSubject(order)} ${order.market}`;
+/** What an order is for; a later order for the same takes its place. */
+type OrderSubject = Omit<UpstreamOrder, "count">;
+
+const nameOrder = (order: OrderSubject): string => `${nameSubject(order)} ${order.market}`;
 
-const nameSubject = (order: UpstreamOrder): string => `${order.service} ${order.dataCentre}`;
+const nameSubject = (order: OrderSubject): string => `${order.service} ${order.dataCentre}`;
 
 /** Name of the instance orders service. */
 export const instanceOrdersName = createServiceName<InstanceOrders>("instance-orders");
--- a/src/fleet/planInstances.ts
+++ b/src/fleet/planInstances.ts
@@ -72,13 +72,11 @@
         return countEach(cheapestFirst, () => 0);
     }
     const counts = new Map(cheapestFirst.map(name => [name, scaling.min]));
-    while (countAfterReclaims(counts, calmLosses) < needed) {
-        const next = pickSmallest(cheapestFirst.filter(name => counts.get(name)! < scaling.max), counts);
-        if (next === undefined) {
-            break;
-        }
-        counts.set(next, counts.get(next)! + 1);
-    }
+    addUntil(
+        counts,
+        name => counts.get(name)! < scaling.max,
+        () => countAfterReclaims(counts, calmLosses) >= needed,
+    );
     return countEach(
         cheapestFirst,
         name =>
@@ -103,13 +101,7 @@
     const hasRoom = (name: string): boolean =>
         counts.get(name)! < Math.min(readMax(name), scaling.max - reclaimable.get(name)!);
     const losses = withoutReclaimable.size > 0 ? scarceLosses : calmLosses;
-    while (countAfterReclaims(reclaimable, losses) + sum(counts) < needed) {
-        const next = pickSmallest(cheapestFirst.filter(hasRoom), counts);
-        if (next === undefined) {
-            break;
-        }
-        counts.set(next, counts.get(next)! + 1);
-    }
+    addUntil(counts, hasRoom, () => countAfterReclaims(reclaimable, losses) + sum(counts) >= needed);
     return counts;
 };
 
@@ -119,6 +111,21 @@
 
 const sum = (counts: Counts): number => [...counts.values()].reduce((total, count) => total + count, 0);
 
+/** Adds upstreams one by one where fewest are, in the order of the counts among equals, until there are enough. */
+const addUntil = (
+    counts: Map<string, number>,
+    hasRoom: (name: string) => boolean,
+    isEnough: () => boolean,
+): void => {
+    while (!isEnough()) {
+        const next = pickSmallest([...counts.keys()].filter(hasRoom), counts);
+        if (next === undefined) {
+            return;
+        }
+        counts.set(next, counts.get(next)! + 1);
+    }
+};
+
 /** The data centre with fewest upstreams, the first of equals. */
 const pickSmallest = (names: readonly string[], counts: Counts): string | undefined => {
     const least = Math.min(...names.map(name => counts.get(name)!));
--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -4,13 +4,13 @@
 import { waitFor } from "../kernel/waitFor";
 import type { KnownInstance } from "../placement/InstanceRegistry";
 import { repeatRules } from "../routes/types";
-import { collectWhole } from "../upstreams/collectWhole";
+import { type CollectedBody, collectWhole } from "../upstreams/collectWhole";
 import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitForward";
 import { EventCutter } from "./EventCutter";
 import type { ForwardTally } from "./ForwardTally";
 import { relayEvents } from "./relayEvents";
-import type { RequestInterrupt } from "./RequestInterrupt";
+import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import type { SendResult } from "./types";
 
 /** Options of {@link AnswerRelay}. */
@@ -23,8 +23,7 @@
     readonly interrupt: RequestInterrupt;
 }
 
-/** Longest answer that is collected before it is passed on, in bytes. */
-export const maxWholeBytes = 16_777_216; // larger answers are streams
+const maxWholeBytes = 16_777_216; // larger answers are streams
 const streamSilenceMs = 1_500; // callers leave a silent stream after 2 s or more
 const unlimitedSilenceMs = 86_400_000; // longer than any stream; its own deadline ends it
 
@@ -49,11 +48,15 @@
             : yield* this.relayWhole(exchange, head);
     }
 
+    /** Collects a whole body, or tells what interrupted the request. */
+    *collect(exchange: UpstreamExchange): Task<CollectedBody | InterruptKind> {
+        const { interrupt } = this.options;
+        return yield* waitFor(Promise.race([collectWhole(exchange, maxWholeBytes), interrupt.happened]));
+    }
+
     private *relayWhole(exchange: UpstreamExchange, head: AnswerHead): Task<SendResult> {
-        const { response, interrupt } = this.options;
-        const collected = yield* waitFor(
-            Promise.race([collectWhole(exchange, maxWholeBytes), interrupt.happened]),
-        );
+        const { response } = this.options;
+        const collected = yield* this.collect(exchange);
         if (typeof collected === "string") {
             return { kind: "interrupted", by: collected };
         }
--- a/src/forwarding/ForwardRun.ts
+++ b/src/forwarding/ForwardRun.ts
@@ -8,10 +8,9 @@
 import { resultCodes } from "../results/resultCodes";
 import { repeatRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
-import { collectWhole } from "../upstreams/collectWhole";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitForward";
-import { AnswerRelay, maxWholeBytes } from "./AnswerRelay";
+import { AnswerRelay } from "./AnswerRelay";
 import { computePatienceMs } from "./computePatienceMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { decideNextSend } from "./decideNextSend";
@@ -213,7 +212,7 @@
             };
         }
         if (marks.isNotRun) {
-            yield* waitFor(Promise.race([collectWhole(exchange, maxWholeBytes), this.interrupt.happened]));
+            yield* this.answerRelay.collect(exchange);
             return { kind: "failed", isSent: true, isNotRun: true, message: `refused with ${head.status}` };
         }
         this.tally.countRun(true);
--- a/src/platform/HttpWeightStore.ts
+++ b/src/platform/HttpWeightStore.ts
@@ -1,4 +1,5 @@
-import { Agent } from "undici";
+import type { Agent } from "undici";
+import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
 import type { WeightStore } from "./types";
 
@@ -10,9 +11,11 @@
 
 /** Weight store over HTTP and JSON, as the stand-in speaks it. */
 export class HttpWeightStore implements WeightStore {
-    private readonly agent = new Agent({ connections: 1 });
+    private readonly agent: Agent;
 
-    constructor(private readonly options: HttpWeightStoreOptions) {}
+    constructor(private readonly options: HttpWeightStoreOptions) {
+        this.agent = createServiceAgent({ maxConnections: 1, connectTimeoutMs: options.timeoutMs });
+    }
 
     async reserveTransfer(model: string): Promise<number> {
         const answer = await sendJson({
--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { waitForAbort } from "../_lib/waitForAbort";
 import { StoreError } from "./StoreError";
 
 /** Options of {@link sendJson}. */
@@ -59,10 +60,7 @@
 };
 
 /** Fails when the signal aborts; the library does not end a call that has no connection yet. */
-const failWith = (signal: AbortSignal): Promise<never> => {
-    const failed = new Promise<never>((_resolve, reject) => {
-        signal.addEventListener("abort", () => reject(signal.reason as Error), { once: true });
-    });
-    failed.catch(() => {}); // it fails also after the answer has come
-    return failed;
+const failWith = async (signal: AbortSignal): Promise<never> => {
+    await waitForAbort(signal);
+    throw signal.reason;
 };
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -113,7 +113,12 @@
 
     /** Units that an account may use in one window. */
     private computeLimit(quota: AccountQuota): number {
-        return Math.max(1, quota.ratePerS * this.options.windowMs / msPerSecond + quota.burst);
+        return Math.max(1, this.computeEarned(quota) + quota.burst);
+    }
+
+    /** Units that the rate allows in one window. */
+    private computeEarned(quota: AccountQuota): number {
+        return quota.ratePerS * this.options.windowMs / msPerSecond;
     }
 
     /** Share of its limit that an account has used over all nodes in the last window. */
@@ -144,9 +149,8 @@
 
     /** Share of the limit that a process is taken to have used in the window before its start. */
     private computeAssumedShare(quota: AccountQuota): number {
-        const rateShare = quota.ratePerS * this.options.windowMs / msPerSecond;
-        const assumed = (rateShare + quota.burst * assumedBurstShare) / this.computeLimit(quota);
-        return assumed / Math.max(1, this.options.countNodes());
+        const assumed = this.computeEarned(quota) + quota.burst * assumedBurstShare;
+        return assumed / this.computeLimit(quota) / Math.max(1, this.options.countNodes());
     }
 
     /** Part of a past window's use that still lies in the present window, taken as spread evenly. */
--- a/platform/SettingsWatch.ts
+++ b/src/settings/SettingsWatch.ts
@@ -1,11 +1,13 @@
 import { readFileSync, statSync } from "node:fs";
-import type { Failure } from "../src/results/types";
-import { decodeSettings, type PlatformSettings } from "./decodeSettings";
+import type { Either } from "purify-ts";
+import type { Failure } from "../results/types";
 
 /** Options of {@link SettingsWatch}. */
-export interface SettingsWatchOptions {
+export interface SettingsWatchOptions<T> {
     readonly file: string;
-    readonly onChanged: (settings: PlatformSettings) => void;
+    /** Reads settings out of the text of the file, or tells what is wrong with it. */
+    readonly decode: (text: string) => Either<Failure, T>;
+    readonly onChanged: (settings: T) => void;
     readonly onRejected: (failure: Failure) => void;
     /** Time between two looks at the file, in milliseconds; default 1,000. */
     readonly pollMs?: number;
@@ -14,12 +16,12 @@
 const defaultPollMs = 1_000;
 
 /** Reads the settings file again when it changes, with or without a signal. */
-export class SettingsWatch {
+export class SettingsWatch<T> {
     private text: string;
     private modifiedMs: number;
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly options: SettingsWatchOptions) {
+    constructor(private readonly options: SettingsWatchOptions<T>) {
         this.modifiedMs = this.readModifiedMs();
         this.text = readFileSync(options.file, "utf8");
     }
@@ -44,7 +46,7 @@
             return;
         }
         this.text = text;
-        decodeSettings(text).ifLeft(this.options.onRejected).ifRight(this.options.onChanged);
+        this.options.decode(text).ifLeft(this.options.onRejected).ifRight(this.options.onChanged);
     }
 
     /** Time of the last change; 0 while the file is being replaced. */
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
+import { createTimedConnector } from "./createTimedConnector";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 
 /** Tells whether the connection that a call ran on was reset. */
@@ -25,7 +26,10 @@
      */
     constructor(origin: string, options: Client.Options, connectTimeoutMs: number) {
         const tracked: TrackedSocket = { socket: undefined };
-        super(origin, { ...options, connect: createTrackedConnector(tracked, connectTimeoutMs) });
+        super(origin, {
+            ...options,
+            connect: createTrackedConnector(tracked, createTimedConnector(connectTimeoutMs)),
+        });
         this.tracked = tracked;
     }
 
--- a/src/upstreams/createTrackedConnector.test.ts
+++ b/src/upstreams/createTrackedConnector.test.ts
@@ -5,7 +5,7 @@
     it("remembers the socket, and gives a reset a code of its own", () => {
         const tracked: TrackedSocket = { socket: undefined };
         const socket = new Socket();
-        const connect = createTrackedConnector(tracked, 400, (_options, callback) => callback(null, socket));
+        const connect = createTrackedConnector(tracked, (_options, callback) => callback(null, socket));
         connect({ hostname: "10.0.0.1", protocol: "http:", port: "80" }, () => {});
         expect(tracked.socket).toBe(socket);
         const reset: NodeJS.ErrnoException = Object.assign(new Error("reset"), { code: "ECONNRESET" });
@@ -18,7 +18,6 @@
         const tracked: TrackedSocket = { socket: undefined };
         const connect = createTrackedConnector(
             tracked,
-            400,
             (_options, callback) => callback(new Error("none"), null),
         );
         connect({ hostname: "10.0.0.1", protocol: "http:", port: "80" }, () => {});
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -1,6 +1,5 @@
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
-import { createTimedConnector } from "./createTimedConnector";
 
 /** The connection of a client that has one connection at most. */
 export interface TrackedSocket {
@@ -15,14 +14,12 @@
  * end.
  *
  * @param tracked - where the socket is remembered
- * @param timeoutMs - longest wait for a connection, in milliseconds
- * @param connect - makes the connection; default: over TCP, within the time
+ * @param connect - makes the connection
  * @returns the connector
  */
 export const createTrackedConnector = (
     tracked: TrackedSocket,
-    timeoutMs: number,
-    connect: buildConnector.connector = createTimedConnector(timeoutMs),
+    connect: buildConnector.connector,
 ): buildConnector.connector =>
 (options, callback) =>
     connect(options, (...outcome) => {
