Act on what upstreams state in their answers, and do not send for callers that have left

Server-Leaving in an answer marks the upstream as leaving for this start of it, at once and at all linked nodes, and an entry that falls back or is listed again does not undo it. A 503 with Retry-After keeps all requests away, queued ones included, until that time has passed; when every upstream of a service asked for a pause, callers get that time as their Retry-After. A request is checked once more when it is written: its deadline by the clock, its caller by the socket, after the input that had already arrived was delivered (requests had reached runners 0.54 s after their deadline on nodes short of processor time, since timers and closes were handled late). An attempt that ends for such a reason ejects no upstream.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -16,8 +16,9 @@
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
-import { RequestInterrupt } from "./RequestInterrupt";
-import type { AttemptResult, FailedAttemptResult } from "./types";
+import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
+import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
+import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
 /** Options of {@link RequestForwarder}. */
@@ -97,7 +98,12 @@
         const { context, admitted } = this.options;
         const budget = context.retryBudgets.get(admitted.service);
         budget.countRequest();
+        yield* waitFor(waitForPendingInput());
         for (;;) {
+            const interrupt = this.readInterrupt();
+            if (interrupt) {
+                return { kind: "interrupted", by: interrupt };
+            }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
             if (!upstream) {
                 return {
@@ -173,7 +179,8 @@
             path: request.url!,
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
-            isWanted: () => context.instances.isAcceptingRequests(upstream),
+            isWanted: () =>
+                this.readInterrupt() === undefined && context.instances.isAcceptingRequests(upstream),
         });
         context.instances.beginRequest(upstream);
         try {
@@ -187,6 +194,15 @@
         }
     }
 
+    /** Why the request must not be sent any more. Read from clock and connection, as timers and events may be late. */
+    private readInterrupt(): InterruptKind | undefined {
+        const { socket } = this.options.request;
+        if (socket.destroyed || socket.readableEnded) {
+            return "left";
+        }
+        return this.interrupt.current ?? (this.computeRemainingMs() <= 0 ? "timeout" : undefined);
+    }
+
     private createHeaders(upstream: TrackedInstance): string[] {
         const { context, request, admitted } = this.options;
         return context.protocol.encodeCall(request.rawHeaders, {
@@ -215,6 +231,10 @@
             this.recorder.recordRun(exchange.isSent);
             return { kind: "interrupted", by: start };
         }
+        const interrupt = this.readInterrupt();
+        if (start.kind === "failed" && !start.isSent && interrupt) {
+            return { kind: "interrupted", by: interrupt };
+        }
         if (start.kind === "failed") {
             this.recorder.recordRun(start.isSent);
             context.instances.eject(upstream, start.message);
@@ -223,6 +243,7 @@
         const { head } = start;
         upstream.lastReceivedMs = context.clock.readMonotonicMs();
         const metadata = context.protocol.decodeResponse(head.status, head.headers);
+        this.applyStatements(upstream, metadata);
         if (metadata.requestId !== undefined && metadata.requestId !== admitted.metadata.requestId) {
             this.recorder.recordRun(true);
             return {
@@ -245,6 +266,17 @@
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
+    /** Applies what an upstream states about itself in an answer, before the answer is passed on. */
+    private applyStatements(upstream: TrackedInstance, metadata: ResponseMetadata): void {
+        const { instances } = this.options.context;
+        if (metadata.isLeaving) {
+            instances.markLeaving(upstream);
+        }
+        if (metadata.refusesForMs !== undefined) {
+            instances.recordRefusal(upstream, metadata.refusesForMs);
+        }
+    }
+
     /** Waits for the head of the answer, the end of the request, or the decision to fail over to another upstream. */
     private *waitForHead(upstream: TrackedInstance, exchange: UpstreamExchange): Task<ResponseStartOutcome> {
         const { context, admitted } = this.options;
@@ -305,7 +337,9 @@
         const message = isTimeout ? "the deadline of the request has passed" : result.message;
         if (this.recorder.trace.runs === 0) {
             const code = isTimeout ? resultCodes.deadlineUnreachable : resultCodes.noRunner;
-            return new FailureError(createFailure(code, message, { retryAfterMs: unavailableRetryAfterMs }));
+            const refusalMs = this.options.context.instances.readRefusalMs(this.service);
+            const retryAfterMs = refusalMs ?? unavailableRetryAfterMs;
+            return new FailureError(createFailure(code, message, { retryAfterMs }));
         }
         return new FailureError(
             createFailure(isTimeout ? resultCodes.deadlinePassed : resultCodes.upstreamFailed, message),
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -47,6 +47,10 @@
     readonly requestId: string | undefined;
     /** Whether the upstream states that it did not run the request. */
     readonly isNotRun: boolean;
+    /** Whether the upstream states that it is leaving. */
+    readonly isLeaving: boolean;
+    /** Time for which the upstream refuses further requests, in milliseconds; undefined if it states none. */
+    readonly refusesForMs: number | undefined;
 }
 
 /** Decodes and encodes the headers by which callers, this node and upstreams exchange request data. */
--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -65,14 +65,35 @@
         this.publishers.set(topic.name, read);
         const reports = new Map<string, PeerReport<unknown>>();
         this.received.set(topic.name, reports);
+        this.listen(topic, (nodeId, value) => {
+            reports.set(nodeId, { nodeId, value, atMs: this.options.clock.readMonotonicMs() });
+            onReceived(nodeId, value);
+        });
+    }
+
+    /**
+     * Sends one report to the linked members now.
+     *
+     * @param topic - name and schema of the value
+     * @param value - the value
+     */
+    publish<T>(topic: ReportTopic<T>, value: T): void {
+        this.options.network.sendReport(topic.name, value);
+    }
+
+    /**
+     * Registers the listener for the members' reports on a topic; replaces an earlier one.
+     *
+     * @param topic - name and schema of the value
+     * @param onReceived - called for each valid report of a member
+     */
+    listen<T>(topic: ReportTopic<T>, onReceived: (nodeId: string, value: T) => void): void {
         this.options.network.onReport(topic.name, (nodeId, payload) => {
             const parsed = topic.schema.safeParse(payload);
             if (!parsed.success) {
                 this.options.events.emit(eventKinds.peerRejected, { reason: "invalid report", peer: nodeId });
                 return;
             }
-            const atMs = this.options.clock.readMonotonicMs();
-            reports.set(nodeId, { nodeId, value: parsed.data, atMs });
             onReceived(nodeId, parsed.data);
         });
     }
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -25,6 +25,8 @@
     sinceRecoveryMs = Infinity;
     maxConnections = 4;
     remote: Record<string, number>[] = [];
+    readonly published: unknown[] = [];
+    reportLeaving: (value: unknown) => void = () => {};
     readonly registry = new InstanceRegistry({
         feed: {
             records: this.records,
@@ -34,6 +36,10 @@
         events: new EventLog({ node: "n", clock: this.clock }),
         reports: {
             exchange: () => {},
+            listen: (_topic: unknown, onReceived: (nodeId: string, value: unknown) => void) => {
+                this.reportLeaving = value => onReceived("other", value);
+            },
+            publish: (_topic: unknown, value: unknown) => void this.published.push(value),
             listFresh: (_topic: ReportTopic<unknown>) => this.remote.map(value => ({ value })),
         } as unknown as PeerReports,
         readMaxConnections: () => this.maxConnections,
@@ -90,6 +96,48 @@
         expect(setup.listIds()).toEqual(["one"]);
     });
 
+    it("keeps an upstream leaving that said so in an answer, also when its entry is listed again", () => {
+        const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
+        setup.registry.markLeaving(one);
+        setup.registry.markLeaving(one);
+        expect(setup.published).toEqual([{ id: "one", startedAtMs: undefined }]);
+        expect(setup.registry.isAcceptingRequests(one)).toBe(false);
+        setup.list(createInstance("two", second));
+        setup.list(createInstance("one"), createInstance("two", second));
+        expect(setup.listIds()).toEqual(["two"]);
+        setup.list(createInstance("one", { startedAtMs: 5 }), createInstance("two", second));
+        expect(setup.listIds()).toEqual(["one", "two"]);
+    });
+
+    it("keeps an upstream leaving whose entry falls back to an earlier state", () => {
+        setup.list(createInstance("one", { isLeaving: true }), createInstance("two", second));
+        setup.list(createInstance("one"), createInstance("two", second));
+        expect(setup.listIds()).toEqual(["two"]);
+    });
+
+    it("treats an upstream as leaving when a member reports so, unless it has restarted", () => {
+        setup.list(createInstance("one", { startedAtMs: 5 }), createInstance("two", second));
+        setup.reportLeaving({ id: "one", startedAtMs: 4 });
+        expect(setup.listIds()).toEqual(["one", "two"]);
+        setup.reportLeaving({ id: "one", startedAtMs: 5 });
+        expect(setup.listIds()).toEqual(["two"]);
+    });
+
+    it("sends nothing to an upstream for the time that it asked for, however often it is listed", async () => {
+        const [one, two] = setup.registry.listUsable("app");
+        setup.registry.recordRefusal(one, 3_000);
+        setup.registry.eject(one, "another request failed over");
+        expect(setup.registry.readRefusalMs("app")).toBeUndefined();
+        setup.registry.recordRefusal(two, 2_000);
+        expect(setup.registry.readRefusalMs("app")).toBe(2_000);
+        setup.list(createInstance("two", second));
+        setup.list(createInstance("one"), createInstance("two", second));
+        await setup.clock.advance(2_100);
+        expect(setup.listIds()).toEqual(["two"]);
+        await setup.clock.advance(1_000);
+        expect(setup.listIds()).toEqual(["one", "two"]);
+    });
+
     it("keeps an entry that is missing right after the store recovered, for a grace period", async () => {
         setup.sinceRecoveryMs = 10;
         setup.list(createInstance("two", second));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
+import { InstanceNotices } from "./InstanceNotices";
 import type { UpstreamInstance, UpstreamView } from "./types";
 
 /** Options of {@link InstanceRegistry}. */
@@ -34,10 +35,20 @@
     missingGraceEndsMs: number | undefined;
 }
 
+interface LeavingUpstream {
+    readonly id: string;
+    readonly startedAtMs?: number;
+}
+
 const loadTopic: ReportTopic<Record<string, number>> = {
     name: "upstream-load",
     schema: z.record(z.number()),
 };
+/** Id and start of an upstream that stated that it is leaving. */
+const leavingTopic: ReportTopic<LeavingUpstream> = {
+    name: "upstream-leaving",
+    schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
+};
 const storeRecoveryMs = 2_500; // entries that expired while the store was unavailable reappear within 2 s
 const missingGraceMs = 1_500; // shorter than the time after which an upstream that is gone must get no requests
 /** An upstream that restarts needs seconds; one that reset a connection is usable again immediately. */
@@ -47,11 +58,13 @@
 export class InstanceRegistry {
     private readonly tracked = new Map<string, TrackedInstance>();
     private readonly closing = new Set<TrackedInstance>();
+    private readonly notices = new InstanceNotices();
 
     constructor(private readonly options: InstanceRegistryOptions) {}
 
     async start(): Promise<void> {
         this.options.reports.exchange(loadTopic, () => this.readOwnLoad());
+        this.options.reports.listen(leavingTopic, (_nodeId, leaving) => this.applyLeavingReport(leaving));
         this.options.feed.records.onChange(records => this.update(records ?? new Map()));
         this.update(this.options.feed.records.value ?? new Map());
     }
@@ -60,18 +73,56 @@
         await Promise.all([...this.tracked.values(), ...this.closing].map(tracked => tracked.client.close()));
     }
 
-    /** Lists the usable upstreams of a service: neither leaving nor ejected, and with a free connection. */
+    /** Lists the usable upstreams of a service: not leaving, ejected or refusing, and with a free connection. */
     listUsable(service: string): TrackedInstance[] {
         const nowMs = this.options.clock.readMonotonicMs();
         const maxConnections = this.options.readMaxConnections(service);
         return this.listInService(service).filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
+            && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
         );
     }
 
-    /** Whether a chosen upstream may still get requests: it is neither removed nor leaving. */
+    /** Whether a chosen upstream may still get requests: it is neither removed nor leaving, and does not refuse them. */
     isAcceptingRequests(tracked: TrackedInstance): boolean {
-        return this.tracked.get(tracked.instance.id) === tracked && !tracked.instance.isLeaving;
+        return this.tracked.get(tracked.instance.id) === tracked && !tracked.instance.isLeaving
+            && this.notices.readRefusedUntilMs(tracked.instance) <= this.options.clock.readMonotonicMs();
+    }
+
+    /**
+     * Returns the time until the first upstream of a service accepts requests again.
+     *
+     * @returns milliseconds; undefined unless every upstream of the service has asked for a pause
+     */
+    readRefusalMs(service: string): number | undefined {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const waits = this.listInService(service).map(({ instance }) =>
+            this.notices.readRefusedUntilMs(instance) - nowMs
+        );
+        const shortestMs = Math.min(...waits);
+        return waits.length > 0 && shortestMs > 0 ? shortestMs : undefined;
+    }
+
+    /** Records that an upstream stated in an answer that it is leaving, and tells the members. */
+    markLeaving(tracked: TrackedInstance): void {
+        const { instance } = tracked;
+        if (this.notices.markLeaving(instance)) {
+            this.options.reports.publish(leavingTopic, {
+                id: instance.id,
+                startedAtMs: instance.startedAtMs,
+            });
+            this.applyNotice(tracked);
+        }
+    }
+
+    /** Records that an upstream asked for no requests for a time, in milliseconds. */
+    recordRefusal(tracked: TrackedInstance, durationMs: number): void {
+        this.notices.refuseUntil(tracked.instance, this.options.clock.readMonotonicMs() + durationMs);
+        this.options.events.emit(eventKinds.runnerEjected, {
+            runner: tracked.instance.id,
+            reason: "the upstream asked for no requests",
+            durationMs,
+        });
     }
 
     /** Lists the upstreams of a service that are not leaving, including ejected ones. */
@@ -188,7 +239,29 @@
         }
     }
 
-    private applyEntry(instance: UpstreamInstance): void {
+    private applyLeavingReport({ id, startedAtMs }: LeavingUpstream): void {
+        const tracked = this.tracked.get(id);
+        if (
+            tracked && tracked.instance.startedAtMs === startedAtMs
+            && this.notices.markLeaving(tracked.instance)
+        ) {
+            this.applyNotice(tracked);
+        }
+    }
+
+    /** Applies a change of an upstream's notices as if its entry in the store had changed. */
+    private applyNotice(tracked: TrackedInstance): void {
+        if (this.tracked.get(tracked.instance.id) === tracked) {
+            this.applyEntry(tracked.instance);
+        }
+    }
+
+    /** Applies a listed entry. An upstream that has stated that it is leaving stays leaving. */
+    private applyEntry(listed: UpstreamInstance): void {
+        if (listed.isLeaving) {
+            this.notices.markLeaving(listed);
+        }
+        const instance = this.notices.isLeaving(listed) ? { ...listed, isLeaving: true } : listed;
         const before = this.tracked.get(instance.id);
         if (before) {
             before.missingGraceEndsMs = undefined;
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -5,6 +5,10 @@
 export type RunnerBehaviour =
     /** Answers 503 with the header that confirms that the request was not executed. */
     | "full"
+    /** Like `full`, with a `Retry-After` of one second. */
+    | "refuse"
+    /** Answers normally and states in the answer that it is leaving. */
+    | "leave"
     /** Executes the request and answers 500. */
     | "fail"
     /** Executes the request and resets the connection without an answer. */
@@ -73,7 +77,10 @@
             return;
         }
         const behaviour = this.nextBehaviours.shift();
-        if (behaviour === "full") {
+        if (behaviour === "full" || behaviour === "refuse") {
+            if (behaviour === "refuse") {
+                response.setHeader("retry-after", "1");
+            }
             sendText(response, 503, { [notExecutedHeader]: "1", [attemptIdHeader]: requestId }, "full");
             return;
         }
@@ -100,6 +107,7 @@
         const responseHeaders = {
             [attemptIdHeader]: behaviour === "mixed" ? "another" : requestId,
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
+            ...(behaviour === "leave" ? { "server-leaving": "1" } : {}),
         };
         if (behaviour === "fail" || !this.options.events) {
             const { socket } = request;
