Survive a restore of the store from an older copy

The store's answers carry an era that rises with each restore. Answers of an earlier era are rejected. A lease is kept only if the row still names the holding; candidates observe the row, or its absence, anew for the whole duration; fencing numbers of a later era are higher than any of an earlier one. Usage reports that a holder stored are written again; a new holder that finds the era of an earlier store leaves out the windows that may have been reported. The cluster key is stored again.

Ruled out: remembering the highest fencing number at members, which a restart of all of them together with a restore would lose.

--- a/bench/slopes/measurePeers.ts
+++ b/bench/slopes/measurePeers.ts
@@ -91,7 +91,7 @@
     const gossip = new GossipMap({ nodeId, hybridClock: events.hybridClock });
     const network = new PeerNetwork({
         nodeId,
-        clusterKey: "bench-cluster-key-0123",
+        readClusterKey: () => "bench-cluster-key-0123",
         host: "127.0.0.1",
         port: 0,
         heartbeatMs,
--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -104,7 +104,7 @@
         create: find =>
             new PeerNetwork({
                 nodeId: settings.nodeId,
-                clusterKey: settings.clusterKey,
+                readClusterKey: () => settings.clusterKey,
                 host: settings.peers.host,
                 port: settings.peers.port,
                 heartbeatMs: timing.heartbeatMs,
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -1,6 +1,6 @@
 import { splitAddress } from "../_lib/splitAddress";
 import { computeFeedWaitMs } from "../feeds/computeFeedWaitMs";
-import { FeedFollower } from "../feeds/FeedFollower";
+import { FeedFollower, type FeedFollowerOptions } from "../feeds/FeedFollower";
 import { StoreClock, storeClockName } from "../feeds/StoreClock";
 import { ClusterClock, clusterClockName } from "../feeds/ClusterClock";
 import type { RecordFeed } from "../feeds/types";
@@ -8,7 +8,7 @@
 import { ForwardServer, forwardServerName } from "../forwarding/ForwardServer";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Kernel } from "../kernel/Kernel";
-import type { Clock, ServiceName } from "../kernel/types";
+import type { ServiceName } from "../kernel/types";
 import { Lease } from "../leases/Lease";
 import { isPoller } from "../membership/isPoller";
 import { Membership, membershipName } from "../membership/Membership";
@@ -97,41 +97,45 @@
 
 const registerStore = (kernel: Kernel, { settings, platform, clock, random }: ServingNodeOptions): void => {
     kernel.register({ name: storeClockName, requires: [], create: () => new StoreClock({ clock }) });
-    registerFeed(kernel, configurationFeedName, platform.configurations, configurationFeedWaitMs, clock);
+    const { storeEra } = platform;
+    const register = <T>(name: ServiceName<FeedFollower<T>>, feed: RecordFeed<T>, waitMs: number): void =>
+        registerFeed(kernel, name, { feed, waitMs, clock, storeEra });
+    register(configurationFeedName, platform.configurations, configurationFeedWaitMs);
     const instanceFeedWaitMs = computeFeedWaitMs({
         maxPropagationMs: settings.upstreamDrainMs,
         answerTimeoutMs: platform.storeTimeoutMs,
         applyMs: defaultConnectTimeoutMs,
     });
-    registerFeed(kernel, instanceFeedName, platform.instances, instanceFeedWaitMs, clock);
-    const nodes = platform.openFeed(nodeRecordsTable, decodeNodeRecord);
-    registerFeed(kernel, nodeFeedName, nodes, nodeFeedWaitMs, clock);
+    register(instanceFeedName, platform.instances, instanceFeedWaitMs);
+    register(nodeFeedName, platform.openFeed(nodeRecordsTable, decodeNodeRecord), nodeFeedWaitMs);
     kernel.register({
         name: clusterKeyName,
         requires: [eventLogName],
         create: find =>
-            new ClusterKey({ tables: platform.tables, clock, random, events: find(eventLogName) }),
+            new ClusterKey({
+                tables: platform.tables,
+                storeEra,
+                clock,
+                random,
+                events: find(eventLogName),
+            }),
     });
 };
 
 const registerFeed = <T>(
     kernel: Kernel,
     name: ServiceName<FeedFollower<T>>,
-    feed: RecordFeed<T>,
-    waitMs: number,
-    clock: Clock,
+    options: Pick<FeedFollowerOptions<T>, "feed" | "waitMs" | "clock" | "storeEra">,
 ): void => {
     kernel.register({
         name,
         requires: [eventLogName, storeClockName],
         create: find =>
             new FeedFollower<T>({
+                ...options,
                 name: name.id,
-                feed,
-                clock,
                 storeClock: find(storeClockName),
                 events: find(eventLogName),
-                waitMs,
             }),
     });
 };
@@ -150,7 +154,7 @@
         create: find =>
             new PeerNetwork({
                 nodeId,
-                clusterKey: find(clusterKeyName).value,
+                readClusterKey: () => find(clusterKeyName).value,
                 ...splitAddress(settings.peers),
                 heartbeatMs,
                 linkTimeoutMs,
@@ -295,7 +299,7 @@
 ): void => {
     const { nodeId } = settings;
     const duty = "cloud";
-    const { tables, dutyCallTimeoutMs } = platform;
+    const { tables, storeEra, dutyCallTimeoutMs } = platform;
     kernel.register({
         name: dutyLeaseName,
         requires: [eventLogName, membershipName],
@@ -304,6 +308,7 @@
                 duty,
                 nodeId,
                 tables,
+                storeEra,
                 clock,
                 random,
                 events: find(eventLogName),
@@ -322,6 +327,7 @@
                 lease: find(dutyLeaseName),
                 cloud,
                 tables,
+                storeEra,
                 clock,
                 events: find(eventLogName),
                 dueMs: settings.usage.dueMs,
--- a/src/daemon/servingTypes.ts
+++ b/src/daemon/servingTypes.ts
@@ -1,6 +1,7 @@
 /** Types of a forwarding node's options and adapters. */
 
 import type { Logger } from "loglevel";
+import type { StoreEra } from "../feeds/StoreEra";
 import type { RecordFeed } from "../feeds/types";
 import type { ForwardProtocol } from "../forwarding/types";
 import type { Clock, RandomSource } from "../kernel/types";
@@ -12,6 +13,7 @@
 /** Adapters to everything outside the process. */
 export interface ServingPlatform {
     readonly tables: TableService;
+    readonly storeEra: StoreEra;
     /** Opens the change feed of one of this system's own tables. */
     openFeed<T>(table: string, decode: (key: string, value: unknown) => T | undefined): RecordFeed<T>;
     readonly configurations: RecordFeed<ServingConfiguration>;
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -5,7 +5,9 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { RestoredRecordFilter } from "./RestoredRecordFilter";
 import type { StoreClock } from "./StoreClock";
+import type { StoreEra } from "./StoreEra";
 import type { FeedChanges, FeedSnapshot, RecordFeed } from "./types";
 
 /** Options of {@link FeedFollower}. */
@@ -15,6 +17,8 @@
     readonly feed: RecordFeed<T>;
     readonly clock: Clock;
     readonly storeClock: StoreClock;
+    /** Era of the store; default: the store is never restored from an older copy. */
+    readonly storeEra?: StoreEra;
     readonly events: EventLog;
     /** Maximum time that one call waits for changes, in milliseconds. */
     readonly waitMs: number;
@@ -24,12 +28,18 @@
 const maxRetryMs = 800; // a recovery of the store is detected within a second
 const minOutageMs = 1_000; // a reset connection is not an outage
 
-/** Follows a feed: lists its records, then applies changes. Lists them again after a gap in the history or an error. */
+/**
+ * Follows a feed: lists its records, then applies changes. Lists them again after a gap in the history, an error, or a
+ * restore of the store from an older copy.
+ */
 export class FeedFollower<T> {
     /** The records as last read; undefined before the first listing. */
     readonly records = new ObservableValue<ReadonlyMap<string, T> | undefined>(undefined);
     private readonly scope: TaskScope;
+    private readonly restoredFilter = new RestoredRecordFilter<T>();
     private position = 0;
+    /** Era of the store in which the records were listed. */
+    private listedEra: number | undefined;
     private confirmedStoreMs: number | undefined;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
@@ -69,7 +79,9 @@
         let isListed = false;
         while (!signal.aborted) {
             try {
-                isListed = isListed ? yield* this.receiveChanges() : yield* this.listRecords();
+                isListed = isListed && !this.hasToList()
+                    ? yield* this.receiveChanges()
+                    : yield* this.listRecords();
                 retryMs = firstRetryMs;
                 this.reportStoreState(undefined);
             }
@@ -85,26 +97,64 @@
         }
     }
 
+    private hasToList(): boolean {
+        return this.readEra() !== this.listedEra
+            || this.restoredFilter.isDue(this.options.clock.readMonotonicMs());
+    }
+
+    private readEra(): number | undefined {
+        return this.options.storeEra?.current.value;
+    }
+
+    /** Lists all records; returns false if the store was restored meanwhile. */
     private *listRecords(): Task<boolean> {
+        const eraBefore = this.readEra();
         const snapshot: FeedSnapshot<T> = yield* waitFor(this.options.feed.list());
+        const era = this.readEra();
+        if (era !== eraBefore && eraBefore !== undefined) {
+            return false;
+        }
         const nowMs = this.options.clock.readMonotonicMs();
-        if (this.failingSinceMs !== undefined && nowMs - this.failingSinceMs >= minOutageMs) {
+        const isRestored = this.listedEra !== undefined && era !== this.listedEra;
+        if (isRestored || (this.failingSinceMs !== undefined && nowMs - this.failingSinceMs >= minOutageMs)) {
             this.recoveredAtMs = nowMs;
         }
+        if (isRestored) {
+            this.options.events.emit(eventKinds.storeRestored, {
+                feed: this.options.name,
+                era,
+                before: this.listedEra,
+                records: snapshot.records.size,
+            });
+        }
+        this.listedEra = era;
         this.position = snapshot.position;
         this.recordStoreTime(snapshot.storeMs);
-        this.records.set(snapshot.records);
+        this.recordRemovals(snapshot.records, nowMs);
+        this.records.set(this.restoredFilter.filter(snapshot.records, { isRestored, nowMs }));
         return true;
     }
 
+    private recordRemovals(listed: ReadonlyMap<string, T>, nowMs: number): void {
+        for (const key of this.records.value?.keys() ?? []) {
+            if (!listed.has(key)) {
+                this.restoredFilter.recordChange(key, true, nowMs);
+            }
+        }
+    }
+
     /** Waits for changes once; returns false if the records must be listed again. */
     private *receiveChanges(): Task<boolean> {
         const answer: FeedChanges<T> | undefined = yield* waitFor(
             this.options.feed.waitForChanges(this.position, this.options.waitMs),
         );
-        if (!answer) {
+        if (!answer || this.readEra() !== this.listedEra) {
             return false;
         }
+        const nowMs = this.options.clock.readMonotonicMs();
+        answer.changes.forEach((record, key) =>
+            this.restoredFilter.recordChange(key, record === undefined, nowMs)
+        );
         this.position = answer.position;
         this.recordStoreTime(answer.storeMs);
         if (answer.changes.size > 0) {
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -1,4 +1,5 @@
 import type { TaskScope } from "../kernel/TaskScope";
+import type { StoreEra } from "../feeds/StoreEra";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { Row, RowCondition, TableService } from "../platform/types";
@@ -13,6 +14,8 @@
     readonly duty: string;
     readonly nodeId: string;
     readonly tables: TableService;
+    /** Era of the store; default: the store is never restored from an older copy. */
+    readonly storeEra?: StoreEra;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly events: EventLog;
@@ -28,6 +31,8 @@
     readonly holdingId: string;
     readonly fencing: number;
     readonly revision: number;
+    /** Era of the store in which the row had this revision. */
+    readonly era: number;
     readonly renewals: number;
     /** Monotonic time at which the last successful acquisition or renewal began. */
     readonly renewedAtMs: number;
@@ -39,12 +44,15 @@
 
 interface Observation {
     readonly revision: number;
+    readonly era: number;
     /** Monotonic time at which this revision was first seen. */
     readonly firstSeenMs: number;
 }
 
 const table = "leases";
+const absentRevision = 0;
 const renewalsPerDuration = 3;
+const fencingNumbersPerEra = 1_000_000; // numbers of a later era are higher than those that the store may have lost
 const safetyMarginShare = 0.2; // of the duration; allows for clocks that run at slightly different rates
 
 /**
@@ -53,6 +61,9 @@
  * and the holder measures the duration from before its write. A paused holder detects expiry by its own clocks. The
  * monotonic clock stops while the VM is suspended, so the larger of the monotonic and the wall-clock time is used.
  * Orders that a former holder sent earlier are recognised by their fencing number.
+ *
+ * A store that was restored from an older copy may have lost renewals, and assigns the same revisions again. Candidates
+ * then observe the row anew for the whole duration, and the holder continues only if the row still names its holding.
  */
 export class Lease {
     private holding: Holding | undefined;
@@ -127,14 +138,37 @@
         }
     }
 
-    private *renew(holding: Holding): Task<void> {
+    private readEra(): number {
+        return this.options.storeEra?.current.value ?? 0;
+    }
+
+    /** Adopts the row's revision after a restore of the store; returns undefined if the row names another holding. */
+    private *recoverHolding(holding: Holding): Task<Holding | undefined> {
+        const row = yield* waitFor(this.readRow());
+        const era = this.readEra();
+        const found = row?.value as LeaseRow | undefined;
+        return row && found?.holdingId === holding.holdingId
+            ? { ...holding, revision: row.revision, era }
+            : undefined;
+    }
+
+    private *renew(previous: Holding): Task<void> {
+        const holding = previous.era === this.readEra() ? previous : yield* this.recoverHolding(previous);
+        if (this.holding !== previous) {
+            return;
+        }
+        if (!holding) {
+            this.dropHolding("the store was restored from an older copy, and its row names another holding");
+            return;
+        }
+        this.holding = holding;
         const renewedAtMs = this.options.clock.readMonotonicMs();
         const renewedAtWallMs = this.options.clock.readWallMs();
         const next = { ...holding, renewals: holding.renewals + 1, renewedAtMs, renewedAtWallMs };
         const condition: RowCondition = { kind: "revision", revision: holding.revision };
         const revision = yield* this.writeRow(next, condition);
-        if (this.holding !== holding) {
-            return;
+        if (this.holding !== holding || this.readEra() !== holding.era) {
+            return; // after a restore of the store, the next renewal reads the row first
         }
         if (revision === undefined) {
             this.dropHolding("the renewal failed: the lease row no longer belongs to this holding");
@@ -146,18 +180,16 @@
     private *tryAcquire(): Task<void> {
         const row = yield* waitFor(this.readRow());
         const nowMs = this.options.clock.readMonotonicMs();
-        if (row && this.observation?.revision !== row.revision) {
-            this.observation = { revision: row.revision, firstSeenMs: nowMs };
-            return;
-        }
-        if (row && nowMs - this.observation!.firstSeenMs < this.durationMs) {
+        const era = this.readEra();
+        if (!this.hasBeenUnchanged(row, era, nowMs)) {
             return;
         }
         const previous = row?.value as LeaseRow | undefined;
         const next: Holding = {
             holdingId: `${this.options.nodeId}:${this.options.random.drawId(8)}`,
-            fencing: (previous?.fencing ?? 0) + 1,
+            fencing: Math.max((previous?.fencing ?? 0) + 1, era * fencingNumbersPerEra),
             revision: 0,
+            era,
             renewals: 0,
             renewedAtMs: nowMs,
             renewedAtWallMs: this.options.clock.readWallMs(),
@@ -167,7 +199,7 @@
             ? { kind: "revision", revision: row.revision }
             : { kind: "absent" };
         const revision = yield* this.writeRow(next, condition);
-        if (revision !== undefined) {
+        if (revision !== undefined && this.readEra() === era) {
             this.holding = { ...next, revision };
             this.options.events.emit(eventKinds.leaseAcquired, {
                 duty: this.options.duty,
@@ -176,6 +208,19 @@
         }
     }
 
+    /** Whether the row, or its absence if the store may have lost it, has been observed for the whole duration. */
+    private hasBeenUnchanged(row: Row | undefined, era: number, nowMs: number): boolean {
+        if (!row && !this.options.storeEra) {
+            return true;
+        }
+        const revision = row?.revision ?? absentRevision;
+        if (this.observation?.revision !== revision || this.observation.era !== era) {
+            this.observation = { revision, era, firstSeenMs: nowMs };
+            return false;
+        }
+        return nowMs - this.observation.firstSeenMs >= this.durationMs;
+    }
+
     /** Writes the row and returns its revision. After a lost answer, reads the row to find out if it was written. */
     private *writeRow(next: Holding, condition: RowCondition): Task<number | undefined> {
         const value: LeaseRow = {
--- a/src/peers/ClusterKey.ts
+++ b/src/peers/ClusterKey.ts
@@ -1,5 +1,6 @@
 import { createServiceName } from "../kernel/createServiceName";
 import { retryStoreCall } from "../feeds/retryStoreCall";
+import type { StoreEra } from "../feeds/StoreEra";
 import type { Clock, RandomSource } from "../kernel/types";
 import type { TableService } from "../platform/types";
 import type { EventLog } from "../telemetry/EventLog";
@@ -7,6 +8,8 @@
 /** Options of {@link ClusterKey}. */
 export interface ClusterKeyOptions {
     readonly tables: TableService;
+    /** Era of the store; when it rises, the secret is stored again if it was lost. */
+    readonly storeEra: StoreEra;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly events: EventLog;
@@ -28,6 +31,11 @@
 
     /** Loads the secret; retries until the store answers. */
     async start(): Promise<void> {
+        await this.load();
+        this.options.storeEra.current.onChange(() => void this.load());
+    }
+
+    private async load(): Promise<void> {
         const { clock, events } = this.options;
         this.key = await retryStoreCall({
             name: "load cluster key",
@@ -44,7 +52,7 @@
         if (row) {
             return String(row.value);
         }
-        const value = random.drawId(keyBytes);
+        const value = this.key ?? random.drawId(keyBytes);
         const outcome = await tables.transact([{ ...address, condition: { kind: "absent" }, value }]);
         return outcome.kind === "committed" ? value : undefined;
     }
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -32,7 +32,8 @@
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
     readonly nodeId: string;
-    readonly clusterKey: string;
+    /** Reads the secret that members prove to each other; it may change. */
+    readonly readClusterKey: () => string;
     readonly host: string;
     readonly port: number;
     readonly heartbeatMs: number;
@@ -272,7 +273,7 @@
                 queue,
                 side,
                 nodeId: this.options.nodeId,
-                clusterKey: this.options.clusterKey,
+                clusterKey: this.options.readClusterKey(),
                 nonce: this.options.random.drawId(16),
                 timeoutMs: this.options.linkTimeoutMs,
                 clock: this.options.clock,
--- a/src/platform/MemoryTableService.ts
+++ b/src/platform/MemoryTableService.ts
@@ -45,6 +45,17 @@
         return { kind: "committed", revisions: operations.map(operation => this.write(operation)) };
     }
 
+    /** Copies the current rows, for {@link restore}. */
+    takeCopy(): ReadonlyMap<string, ReadonlyMap<string, Row>> {
+        return new Map([...this.tables].map(([name, rows]) => [name, new Map(rows)]));
+    }
+
+    /** Replaces the rows by an older copy. Later writes are lost, and their revisions are assigned again. */
+    restore(copy: ReadonlyMap<string, ReadonlyMap<string, Row>>): void {
+        this.tables.clear();
+        copy.forEach((rows, name) => this.tables.set(name, new Map(rows)));
+    }
+
     private write(operation: RowOperation): number {
         this.rowsWritten += 1;
         const table = this.getOrCreateTable(operation.table);
--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { waitForAbort } from "../_lib/waitForAbort";
 import { StoreError } from "./StoreError";
@@ -14,9 +15,10 @@
     readonly timeoutMs: number;
 }
 
-/** Status and parsed JSON body of an answer; the body is undefined if it was empty. */
+/** Status, headers and parsed JSON body of an answer; the body is undefined if it was empty. */
 export interface JsonAnswer {
     readonly status: number;
+    readonly headers: IncomingHttpHeaders;
     readonly body: unknown;
 }
 
@@ -27,7 +29,7 @@
  * Sends a JSON request with a time-out that covers the whole exchange.
  *
  * @param options - destination, request and time-out
- * @returns status and parsed body
+ * @returns status, headers and parsed body
  * @throws StoreError if no complete answer arrived or the service answered with status 503. Its effect is "none" only
  * if connecting failed, which means that nothing was sent, or if the status was 503.
  */
@@ -49,7 +51,8 @@
         if (answer.statusCode === 503) {
             throw new StoreError(`${name}: service answered with status 503`, "none");
         }
-        return { status: answer.statusCode, body: text === "" ? undefined : JSON.parse(text) };
+        const { statusCode: status, headers } = answer;
+        return { status, headers, body: text === "" ? undefined : JSON.parse(text) };
     }
     catch (error) {
         if (error instanceof StoreError) {
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -184,5 +184,11 @@
         "warn",
         "A row of a platform table cannot be parsed and is ignored.",
     ),
+    storeRestored: define(
+        2804,
+        "store-restored",
+        "warn",
+        "The platform's store was restored from an older copy; its last writes are lost.",
+    ),
     storeRecovered: define(2802, "store-recovered", "info", "Calls to the platform's stores succeed again."),
 } as const;
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -3,6 +3,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { ClusterClock } from "../feeds/ClusterClock";
+import type { StoreEra } from "../feeds/StoreEra";
 import type { Lease } from "../leases/Lease";
 import type { FencedCloud, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
@@ -18,6 +19,8 @@
     readonly lease: Lease;
     readonly cloud: FencedCloud;
     readonly tables: TableService;
+    /** Era of the store; default: the store is never restored from an older copy. */
+    readonly storeEra?: StoreEra;
     readonly clock: Clock;
     readonly events: EventLog;
     /** Time after the end of a window within which its report is due, in milliseconds. */
@@ -27,6 +30,8 @@
 }
 
 const reportsTable = "usage-reports";
+/** Row of {@link reportsTable} with the era of the store in which the last holder wrote its reports. */
+const eraKey = "era";
 /** Holds the counts by process of unreported windows for the next lease holder. */
 const countsTable = "usage-counts";
 const cycleMs = 500;
@@ -38,10 +43,17 @@
 /**
  * Reports the usage of each window to the cloud while this node holds the lease. Each report is stored before it is
  * sent; a retry after a lost answer, also by a later holder, sends identical counts.
+ *
+ * When the store was restored from an older copy, the holder writes its reports again. A new holder that finds reports of
+ * an earlier era cannot tell which windows were reported since, and starts with the first window that has not ended.
  */
 export class UsageReporter {
     private readonly scope: TaskScope;
     private nextWindow: number | undefined;
+    /** Reports that this process has stored, by window. */
+    private readonly storedReports = new Map<number, UsageReport>();
+    /** Era of the store in which {@link storedReports} were written. */
+    private storedEra: number | undefined;
     private savedAtMs = -Infinity;
     private savedText = "";
 
@@ -67,8 +79,10 @@
             if (this.nextWindow === undefined) {
                 yield* this.takeOver();
             }
-            yield* this.reportEndedWindows();
-            yield* this.saveCounts();
+            if (yield* this.restoreReports()) {
+                yield* this.reportEndedWindows();
+                yield* this.saveCounts();
+            }
         }
     }
 
@@ -76,8 +90,16 @@
     private *takeOver(): Task<void> {
         const { ledger, clusterClock, dueMs, tables, events } = this.options;
         const nowMs = clusterClock.readMs();
-        const first = ledger.toWindow(nowMs - dueMs);
+        let first = ledger.toWindow(nowMs - dueMs);
         try {
+            if (yield* this.isRestoredSinceLastHolder()) {
+                first = ledger.toWindow(nowMs);
+                events.emit(eventKinds.dutyFailed, {
+                    duty: "usage",
+                    window: first,
+                    error: "reports were lost",
+                });
+            }
             for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
                 const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
                 ledger.mergeCounts(window, (row?.value ?? {}) as Record<string, UsageCounts>);
@@ -89,6 +111,42 @@
         }
     }
 
+    private readEra(): number | undefined {
+        return this.options.storeEra?.current.value;
+    }
+
+    /** Whether the store was restored from an older copy after the last holder had written its reports. */
+    private *isRestoredSinceLastHolder(): Task<boolean> {
+        const [row] = yield* waitFor(this.options.tables.read([{ table: reportsTable, key: eraKey }]));
+        return row !== undefined && row.value !== this.readEra();
+    }
+
+    /** Writes the stored reports again if the store lost them; returns false if that must be retried. */
+    private *restoreReports(): Task<boolean> {
+        const era = this.readEra();
+        if (era === undefined || era === this.storedEra) {
+            return true;
+        }
+        const condition = { kind: "any" } as const;
+        const writes = [...this.storedReports.values()].map(({ window, counts }) => ({
+            table: reportsTable,
+            key: formatKey(window),
+            condition,
+            value: counts,
+        }));
+        try {
+            const eraWrite = { table: reportsTable, key: eraKey, condition, value: era };
+            yield* waitFor(this.options.tables.transact([...writes, eraWrite]));
+            this.storedEra = era;
+            this.savedText = "";
+            return true;
+        }
+        catch (error) {
+            this.options.events.emit(eventKinds.dutyFailed, { duty: "usage", error: String(error) });
+            return false;
+        }
+    }
+
     /** Saves the counts of the current and the previous window if they have changed. */
     private *saveCounts(): Task<void> {
         const { ledger, clusterClock, tables, clock, events } = this.options;
@@ -163,8 +221,17 @@
         }
     }
 
-    /** Stores a report, or reads the one stored before, and deletes a report that is too old to be retried. */
+    /** Returns the report of a window as it was stored first. A report that this process stored may be lost in the store. */
     private *recordReport(report: UsageReport): Task<UsageReport> {
+        const known = this.storedReports.get(report.window);
+        const stored = known ?? (yield* this.storeReport(report));
+        this.storedReports.set(report.window, stored);
+        this.storedReports.delete(report.window - retainedReports);
+        return stored;
+    }
+
+    /** Stores a report, or reads the one stored before, and deletes a report that is too old to be retried. */
+    private *storeReport(report: UsageReport): Task<UsageReport> {
         const { tables } = this.options;
         const key = formatKey(report.window);
         const oldKey = formatKey(report.window - retainedReports);
--- a/standins/platform/RandomFaultScenario.ts
+++ b/standins/platform/RandomFaultScenario.ts
@@ -102,6 +102,7 @@
             () => this.breakRunner(),
             () => this.replaceRunner(),
             () => this.breakStore(),
+            () => this.restoreStore(),
             () => this.updateConfiguration(),
             () => this.replaceNode(),
         ];
@@ -134,6 +135,16 @@
         this.testbed.store.server.setFault({ kind: "none" });
     }
 
+    /** Restores the store from a copy some moments old; the operator and the runners then write again. */
+    private async restoreStore(): Promise<void> {
+        const { store } = this.testbed;
+        const copy = store.takeCopy();
+        await new Promise(resolve => setTimeout(resolve, storeFaultMs));
+        store.restore(copy);
+        store.put("op", "config", createTestConfiguration(this.configurationVersion));
+        this.testbed.registerAgain();
+    }
+
     private async updateConfiguration(): Promise<void> {
         this.configurationVersion += 1 + this.random.drawInt(3);
         this.testbed.store.put("op", "config", createTestConfiguration(this.configurationVersion));
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -102,6 +102,8 @@
     readonly cloud = new FencedCloudStandIn();
     readonly nodes: TestNode[] = [];
     readonly runners: RunnerStandIn[] = [];
+    /** Last registry entry of each upstream, by its id. */
+    private readonly registered = new Map<string, Record<string, unknown>>();
     private requestCount = 0;
 
     /** Starts the store and the cloud, and writes version 1 of the configuration. */
@@ -133,7 +135,14 @@
     /** Writes the registry entry of an upstream to the store. */
     registerRunner(runner: RunnerStandIn, service: string, state = "ready"): void {
         const { id, address } = runner;
-        this.store.put("servers", id, { service, address, zone: "zone-a", slots: 8, state, seq: 1, born: 1 });
+        const entry = { service, address, zone: "zone-a", slots: 8, state, seq: 1, born: 1 };
+        this.registered.set(id, entry);
+        this.store.put("servers", id, entry);
+    }
+
+    /** Writes all registry entries again, as upstreams do after the store has lost them. */
+    registerAgain(): void {
+        this.registered.forEach((entry, id) => this.store.put("servers", id, entry));
     }
 
     /** Starts a node and waits until it is ready. */
