Acquire a lease without a row at once where the store states no era

Only a store that states its era can be restored, and only there a missing row may have been lost. Ruled out: the bootstrap setting, which a process started then keeps for its whole life.

--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -208,9 +208,12 @@
         }
     }
 
-    /** Whether the row, or its absence if the store may have lost it, has been observed for the whole duration. */
+    /**
+     * Whether the row has been observed unchanged for the whole duration. The same is required of its absence if the
+     * store states eras, as such a store may have lost the row.
+     */
     private hasBeenUnchanged(row: Row | undefined, era: number, nowMs: number): boolean {
-        if (!row && !this.options.storeEra) {
+        if (!row && this.options.storeEra?.current.value === undefined) {
             return true;
         }
         const revision = row?.revision ?? absentRevision;
