Measure what idle nodes spend on being members

npm run bench control starts nodes without requests in one process, on the platform's stand-ins, and counts frames, bytes, calls to the store and processor time.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { join } from "node:path";
+import { formatControlFigures, runControlBench } from "./control/runControlBench";
 import { formatLogFigures, runLogBench } from "./log/runLogBench";
 import { formatPathFigures, runPathBench } from "./path/runPathBench";
 import { formatPolicyFigures, runPolicyBench, writePlots } from "./policy/runPolicyBench";
@@ -16,6 +17,12 @@
     const seed = Number(readOption("--seed") ?? defaultSeed);
     const isJson = process.argv.includes("--json");
     switch (bench) {
+        case "control": {
+            const figures = await runControlBench(readOption("--nodes")?.split(",").map(Number));
+            console.log(isJson ? JSON.stringify(figures) : formatControlFigures(figures));
+            process.exit();
+            break;
+        }
         case "log": {
             const figures = await runLogBench();
             console.log(isJson ? JSON.stringify(figures) : formatLogFigures(figures));
@@ -39,7 +46,7 @@
             return;
         }
     }
-    console.error("usage: npm run bench log|path|policy|slopes -- [--json] [--seed N]");
+    console.error("usage: npm run bench control|log|path|policy|slopes -- [--json] [--seed N] [--nodes N,N]");
     process.exitCode = 2;
 };
 
