Let two nodes read the store's feeds for all

Now the first two nodes by rendezvous hashing, in different data centres, read each feed and pass every reading on over their links, with its position and the store's time. The others read by themselves when none has reached them for 1.25 times the readers' interval and 0.1 s more, one after the other by rank, and pass that on too. Records change only in the order of their positions; a gap, a new era or an unknown store clock leads to an own reading. The store's clock is still read by each node itself, so that a delay on a link cannot make records look younger.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -1,6 +1,7 @@
 import { splitAddress } from "../_lib/splitAddress";
 import { computeFeedWaitMs } from "../feeds/computeFeedWaitMs";
 import { FeedFollower, type FeedFollowerOptions } from "../feeds/FeedFollower";
+import { FeedDistribution, feedDistributionName } from "../feeds/FeedDistribution";
 import { StoreClock, storeClockName } from "../feeds/StoreClock";
 import { ClusterClock, clusterClockName } from "../feeds/ClusterClock";
 import type { RecordFeed } from "../feeds/types";
@@ -209,6 +210,22 @@
         create: find =>
             new PeerReports({ network: find(peerNetworkName), clock, events: find(eventLogName) }),
     });
+    kernel.register({
+        name: feedDistributionName,
+        requires: [configurationFeedName, instanceFeedName, nodeFeedName, membershipName, peerReportsName],
+        create: find =>
+            new FeedDistribution({
+                nodeId,
+                membership: find(membershipName),
+                reports: find(peerReportsName),
+                followers: new Map<string, FeedFollower<unknown>>(
+                    [configurationFeedName, instanceFeedName, nodeFeedName].map(name => [
+                        name.id,
+                        find(name as ServiceName<FeedFollower<unknown>>),
+                    ]),
+                ),
+            }),
+    });
 };
 
 const registerServing = (kernel: Kernel, { settings, clock, random }: ServingNodeOptions): void => {
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -1,14 +1,16 @@
-import { ObservableValue } from "../_lib/ObservableValue";
+import { abortReason } from "../_lib/abortReason";
+import type { ObservableValue } from "../_lib/ObservableValue";
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import { RestoredRecordFilter } from "./RestoredRecordFilter";
+import { computeReadAgeMs } from "./computeReadAgeMs";
+import { FeedReplica } from "./FeedReplica";
 import type { StoreClock } from "./StoreClock";
 import type { StoreEra } from "./StoreEra";
-import type { FeedChanges, FeedSnapshot, RecordFeed } from "./types";
+import type { FeedChanges, FeedSharing, FeedSnapshot, FeedUpdate, RecordFeed } from "./types";
 
 /** Options of {@link FeedFollower}. */
 export interface FeedFollowerOptions<T> {
@@ -27,36 +29,64 @@
 const firstRetryMs = 100;
 const maxRetryMs = 800; // a recovery of the store is detected within a second
 const minOutageMs = 1_000; // a reset connection is not an outage
+const minSleepMs = 20;
+const minWaitMs = 1; // a node that only confirms its records wants the answer at once
 
 /**
  * Follows a feed: lists its records, then applies changes. Lists them again after a gap in the history, an error, or a
  * restore of the store from an older copy.
+ *
+ * Once {@link setSharing} was called, a few nodes read the store and pass their readings on; the others read it only when
+ * no reading has reached them for a while. The age of the records is that of the reading, whoever made it.
  */
 export class FeedFollower<T> {
-    /** The records as last read; undefined before the first listing. */
-    readonly records = new ObservableValue<ReadonlyMap<string, T> | undefined>(undefined);
+    private readonly replica = new FeedReplica<T>();
     private readonly scope: TaskScope;
-    private readonly restoredFilter = new RestoredRecordFilter<T>();
-    private position = 0;
-    /** Era of the store in which the records were listed. */
-    private listedEra: number | undefined;
-    private confirmedStoreMs: number | undefined;
+    private sharing: FeedSharing<T> | undefined;
+    private isListed = false;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
     private recoveredAtMs = -Infinity;
+    /** Ends the current pause of a node that does not read now. */
+    private pauseAbort = new AbortController();
 
     constructor(private readonly options: FeedFollowerOptions<T>) {
         this.scope = createLoggedTaskScope(options.events);
     }
 
+    /** The records as last read; undefined before the first listing. */
+    get records(): ObservableValue<ReadonlyMap<string, T> | undefined> {
+        return this.replica.records;
+    }
+
     async start(): Promise<void> {
         this.scope.run(`feed-${this.options.name}`, signal => this.follow(signal));
     }
 
     async stop(): Promise<void> {
+        this.pauseAbort.abort(abortReason);
         await this.scope.cancel();
     }
 
+    /** Shares readings with the other nodes from now on. */
+    setSharing(sharing: FeedSharing<T>): void {
+        this.sharing = sharing;
+    }
+
+    /** Applies a reading that another node has passed on. */
+    receive(update: FeedUpdate<T>): void {
+        if (this.options.storeEra?.observe(update.era) === false) {
+            return;
+        }
+        if (update.isRecovery) {
+            this.recoveredAtMs = this.options.clock.readMonotonicMs();
+        }
+        if (this.replica.apply(update, this.options.clock.readMonotonicMs()) === "gap") {
+            this.isListed = false;
+            this.pauseAbort.abort(abortReason);
+        }
+    }
+
     /**
      * Returns the time since the store last confirmed that the records are up to date.
      *
@@ -64,9 +94,8 @@
      */
     readAgeMs(): number {
         const nowMs = this.options.storeClock.readStoreMs();
-        return nowMs === undefined || this.confirmedStoreMs === undefined
-            ? Infinity
-            : nowMs - this.confirmedStoreMs;
+        const { confirmedStoreMs } = this.replica;
+        return nowMs === undefined || confirmedStoreMs === undefined ? Infinity : nowMs - confirmedStoreMs;
     }
 
     /** Returns the time since the store recovered from an outage, in milliseconds; infinite if there was none. */
@@ -76,19 +105,21 @@
 
     private *follow(signal: AbortSignal): Task<void> {
         let retryMs = firstRetryMs;
-        let isListed = false;
         while (!signal.aborted) {
+            const pauseMs = this.computePauseMs();
+            if (pauseMs > 0) {
+                yield* this.pause(pauseMs);
+                continue;
+            }
             try {
-                isListed = isListed && !this.hasToList()
-                    ? yield* this.receiveChanges()
-                    : yield* this.listRecords();
+                this.isListed = this.hasToList() ? yield* this.listRecords() : yield* this.receiveChanges();
                 retryMs = firstRetryMs;
                 this.reportStoreState(undefined);
             }
             catch (error) {
                 this.reportStoreState(error as Error);
-                if (isListed) {
-                    isListed = false;
+                if (this.isListed) {
+                    this.isListed = false;
                     continue; // list immediately: the store may be available and only the waiting call lost
                 }
                 yield* waitFor(this.options.clock.sleep(retryMs, signal));
@@ -97,9 +128,30 @@
         }
     }
 
+    /** Computes the time until this node has to read the store, if no other node's reading arrives, in milliseconds. */
+    private computePauseMs(): number {
+        if (!this.sharing || this.hasToList()) {
+            return 0;
+        }
+        const pauseMs = this.computeOwnReadAgeMs() - this.readAgeMs();
+        return pauseMs > 0 ? Math.max(minSleepMs, pauseMs) : 0;
+    }
+
+    /** Age of the records at which this node reads the store, in milliseconds; 0 for a regular reader. */
+    private computeOwnReadAgeMs(): number {
+        return this.sharing
+            ? computeReadAgeMs({ rank: this.sharing.readRank(), waitMs: this.options.waitMs })
+            : 0;
+    }
+
+    private *pause(durationMs: number): Task<void> {
+        this.pauseAbort = new AbortController();
+        yield* waitFor(this.options.clock.sleep(durationMs, this.pauseAbort.signal));
+    }
+
     private hasToList(): boolean {
-        return this.readEra() !== this.listedEra
-            || this.restoredFilter.isDue(this.options.clock.readMonotonicMs());
+        return !this.isListed || this.readEra() !== this.replica.era
+            || this.replica.hasDueRecords(this.options.clock.readMonotonicMs());
     }
 
     private readEra(): number | undefined {
@@ -115,57 +167,60 @@
             return false;
         }
         const nowMs = this.options.clock.readMonotonicMs();
-        const isRestored = this.listedEra !== undefined && era !== this.listedEra;
-        if (isRestored || (this.failingSinceMs !== undefined && nowMs - this.failingSinceMs >= minOutageMs)) {
+        const isRestored = this.replica.era !== undefined && era !== this.replica.era;
+        const isRecovery = isRestored
+            || (this.failingSinceMs !== undefined && nowMs - this.failingSinceMs >= minOutageMs);
+        if (isRecovery) {
             this.recoveredAtMs = nowMs;
         }
         if (isRestored) {
             this.options.events.emit(eventKinds.storeRestored, {
                 feed: this.options.name,
                 era,
-                before: this.listedEra,
+                before: this.replica.era,
                 records: snapshot.records.size,
             });
         }
-        this.listedEra = era;
-        this.position = snapshot.position;
-        this.recordStoreTime(snapshot.storeMs);
-        this.recordRemovals(snapshot.records, nowMs);
-        this.records.set(this.restoredFilter.filter(snapshot.records, { isRestored, nowMs }));
+        const listing: FeedUpdate<T> = {
+            era,
+            after: undefined,
+            position: snapshot.position,
+            storeMs: snapshot.storeMs,
+            isRecovery,
+            written: [...snapshot.records],
+            removed: [],
+        };
+        const difference = this.replica.compareListing(listing);
+        this.options.storeClock.update(snapshot.storeMs);
+        this.replica.apply(listing, nowMs);
+        this.sharing?.publish(difference);
         return true;
     }
 
-    private recordRemovals(listed: ReadonlyMap<string, T>, nowMs: number): void {
-        for (const key of this.records.value?.keys() ?? []) {
-            if (!listed.has(key)) {
-                this.restoredFilter.recordChange(key, true, nowMs);
-            }
-        }
-    }
-
     /** Waits for changes once; returns false if the records must be listed again. */
     private *receiveChanges(): Task<boolean> {
+        const { position, era } = this.replica;
+        const isRegularReader = this.computeOwnReadAgeMs() === 0;
         const answer: FeedChanges<T> | undefined = yield* waitFor(
-            this.options.feed.waitForChanges(this.position, this.options.waitMs),
+            this.options.feed.waitForChanges(position, isRegularReader ? this.options.waitMs : minWaitMs),
         );
-        if (!answer || this.readEra() !== this.listedEra) {
+        if (!answer || this.readEra() !== era) {
             return false;
         }
-        const nowMs = this.options.clock.readMonotonicMs();
-        answer.changes.forEach((record, key) =>
-            this.restoredFilter.recordChange(key, record === undefined, nowMs)
-        );
-        this.position = answer.position;
-        this.recordStoreTime(answer.storeMs);
-        if (answer.changes.size > 0) {
-            this.records.set(applyChanges(this.records.value!, answer.changes));
-        }
-        return true;
-    }
-
-    private recordStoreTime(storeMs: number): void {
-        this.options.storeClock.update(storeMs);
-        this.confirmedStoreMs = Math.max(this.confirmedStoreMs ?? -Infinity, storeMs);
+        const changes = [...answer.changes];
+        const update: FeedUpdate<T> = {
+            era,
+            after: position,
+            position: answer.position,
+            storeMs: answer.storeMs,
+            isRecovery: false,
+            written: changes.filter((change): change is [string, T] => change[1] !== undefined),
+            removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
+        };
+        this.options.storeClock.update(answer.storeMs);
+        const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
+        this.sharing?.publish(update);
+        return result === "applied";
     }
 
     private reportStoreState(error: Error | undefined): void {
@@ -181,19 +236,3 @@
         });
     }
 }
-
-const applyChanges = <T>(
-    records: ReadonlyMap<string, T>,
-    changes: ReadonlyMap<string, T | undefined>,
-): ReadonlyMap<string, T> => {
-    const next = new Map(records);
-    for (const [key, value] of changes) {
-        if (value === undefined) {
-            next.delete(key);
-        }
-        else {
-            next.set(key, value);
-        }
-    }
-    return next;
-};
--- a/src/feeds/types.ts
+++ b/src/feeds/types.ts
@@ -31,3 +31,26 @@
      */
     waitForChanges(position: number, waitMs: number): Promise<FeedChanges<T> | undefined>;
 }
+
+/** What one reading of the store told a node, as it is passed on to the other nodes. */
+export interface FeedUpdate<T> {
+    /** Era of the store; undefined if the store states none. */
+    readonly era: number | undefined;
+    /** Position to which the changes apply; undefined if the update holds all records. */
+    readonly after: number | undefined;
+    readonly position: number;
+    /** The store's monotonic clock when it answered, in milliseconds. */
+    readonly storeMs: number;
+    /** Whether the reading was the first one after an outage of the store. */
+    readonly isRecovery: boolean;
+    readonly written: readonly (readonly [key: string, record: T])[];
+    readonly removed: readonly string[];
+}
+
+/** How a node shares its readings of a feed with the other nodes. */
+export interface FeedSharing<T> {
+    /** Place of this node in the order in which nodes read the store for all, from 0. */
+    readRank(): number;
+    /** Passes a reading on to the other nodes. */
+    publish(update: FeedUpdate<T>): void;
+}
