--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -104,6 +104,7 @@
         create: find =>
             new PeerNetwork({
                 nodeId: settings.nodeId,
+                dataCentre: settings.dataCentre,
                 readClusterKey: () => settings.clusterKey,
                 host: settings.peers.host,
                 port: settings.peers.port,
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -21,7 +21,7 @@
 import { PeerReports, peerReportsName } from "../peers/PeerReports";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
 import type { UpstreamInstance } from "../placement/types";
-import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
+import { QuotaLimiter, quotaLimiterName, usedGroup } from "../quotas/QuotaLimiter";
 import { RetryBudgets, retryBudgetsName } from "../retries/RetryBudgets";
 import { ServingState, servingStateName } from "../routes/ServingState";
 import type { ServingConfiguration } from "../routes/types";
@@ -29,7 +29,8 @@
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
 import { defaultConnectTimeoutMs } from "../upstreams/UpstreamClient";
-import { UsageLedger, usageLedgerName } from "../usage/UsageLedger";
+import { ClusterSums, clusterSumsName } from "../sums/ClusterSums";
+import { maxPastWindows, usageGroup, UsageLedger, usageLedgerName } from "../usage/UsageLedger";
 import { UsageReporter, usageReporterName } from "../usage/UsageReporter";
 import type { ServingNodeOptions, ServingPlatform } from "./servingTypes";
 
@@ -41,7 +42,6 @@
 const heartbeatMs = 250; // a lost member is removed from the directory of ready nodes within one link time-out
 const linkTimeoutMs = 800; // three heartbeats
 const goneAfterMs = 400; // from the loss of the link, if dialling it again fails
-const maxFullMeshMembers = 100; // quotas and load balancing need the reports of all nodes
 const maxPeerFrameBytes = 1_048_576;
 const configurationFeedWaitMs = 1_000; // API keys are confirmed at least once a second
 const nodeFeedWaitMs = 20_000;
@@ -142,7 +142,8 @@
 };
 
 const registerPeers = (kernel: Kernel, { settings, platform, clock, random }: ServingNodeOptions): void => {
-    const { nodeId } = settings;
+    const { nodeId, dataCentre } = settings;
+    const processId = `${nodeId}:${random.drawId(processIdBytes)}`;
     const peersUrl = `ws://${settings.peers}`;
     kernel.register({
         name: gossipMapName,
@@ -155,12 +156,12 @@
         create: find =>
             new PeerNetwork({
                 nodeId,
+                dataCentre: settings.dataCentre,
                 readClusterKey: () => find(clusterKeyName).value,
                 ...splitAddress(settings.peers),
                 heartbeatMs,
                 linkTimeoutMs,
                 maxFrameBytes: maxPeerFrameBytes,
-                maxFullMeshMembers,
                 clock,
                 random,
                 events: find(eventLogName),
@@ -194,6 +195,7 @@
         create: find =>
             new NodeRecords({
                 nodeId,
+                dataCentre,
                 peersUrl,
                 tables: platform.tables,
                 feed: find(nodeFeedName),
@@ -208,7 +210,24 @@
         name: peerReportsName,
         requires: [peerNetworkName],
         create: find =>
-            new PeerReports({ network: find(peerNetworkName), clock, events: find(eventLogName) }),
+            new PeerReports({ processId, network: find(peerNetworkName), events: find(eventLogName) }),
+    });
+    kernel.register({
+        name: clusterSumsName,
+        requires: [peerNetworkName],
+        create: find =>
+            new ClusterSums({
+                nodeId,
+                processId,
+                dataCentre,
+                network: find(peerNetworkName),
+                clock,
+                events: find(eventLogName),
+                lingerMsByGroup: {
+                    [usedGroup]: settings.quotaWindowMs,
+                    [usageGroup]: settings.usage.windowMs * maxPastWindows,
+                },
+            }),
     });
     kernel.register({
         name: feedDistributionName,
@@ -228,8 +247,7 @@
     });
 };
 
-const registerServing = (kernel: Kernel, { settings, clock, random }: ServingNodeOptions): void => {
-    const processId = `${settings.nodeId}:${random.drawId(processIdBytes)}`;
+const registerServing = (kernel: Kernel, { settings, clock }: ServingNodeOptions): void => {
     kernel.register({
         name: servingStateName,
         requires: [configurationFeedName],
@@ -242,24 +260,25 @@
     });
     kernel.register({
         name: readinessName,
-        requires: [membershipName, servingStateName, peerReportsName],
+        requires: [membershipName, servingStateName, clusterSumsName],
         create: find =>
             new Readiness({
                 nodeId: settings.nodeId,
                 membership: find(membershipName),
                 state: find(servingStateName),
-                reports: find(peerReportsName),
+                sums: find(clusterSumsName),
             }),
     });
     kernel.register({
         name: instanceRegistryName,
-        requires: [instanceFeedName, peerReportsName, servingStateName, readinessName],
+        requires: [instanceFeedName, peerReportsName, clusterSumsName, servingStateName, readinessName],
         create: find =>
             new InstanceRegistry({
                 feed: find(instanceFeedName),
                 clock,
                 events: find(eventLogName),
                 reports: find(peerReportsName),
+                sums: find(clusterSumsName),
                 readMaxConnections: service => {
                     const declared = find(servingStateName).table.value?.findService(service)?.maxConnections;
                     const share = (declared ?? 0) * connectionShare / find(readinessName).countPresumedLive();
@@ -269,12 +288,11 @@
     });
     kernel.register({
         name: quotaLimiterName,
-        requires: [peerReportsName, readinessName, servingStateName],
+        requires: [clusterSumsName, readinessName, servingStateName],
         create: find =>
             new QuotaLimiter({
                 clock,
-                reports: find(peerReportsName),
-                processId,
+                sums: find(clusterSumsName),
                 countNodes: () => find(readinessName).countPresumedLive(),
                 findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
                 windowMs: settings.quotaWindowMs,
@@ -292,18 +310,17 @@
     });
     kernel.register({
         name: clusterClockName,
-        requires: [storeClockName, peerReportsName],
+        requires: [storeClockName, clusterSumsName],
         create: find =>
-            new ClusterClock({ clock, storeClock: find(storeClockName), reports: find(peerReportsName) }),
+            new ClusterClock({ clock, storeClock: find(storeClockName), sums: find(clusterSumsName) }),
     });
     kernel.register({
         name: usageLedgerName,
-        requires: [clusterClockName, peerReportsName],
+        requires: [clusterClockName, clusterSumsName],
         create: find =>
             new UsageLedger({
                 clusterClock: find(clusterClockName),
-                reports: find(peerReportsName),
-                processId,
+                sums: find(clusterSumsName),
                 windowMs: settings.usage.windowMs,
             }),
     });
--- a/src/feeds/ClusterClock.ts
+++ b/src/feeds/ClusterClock.ts
@@ -1,18 +1,24 @@
-import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
+import type { ClusterSums } from "../sums/ClusterSums";
 import type { StoreClock } from "./StoreClock";
 
 /** Options of {@link ClusterClock}. */
 export interface ClusterClockOptions {
     readonly clock: Clock;
     readonly storeClock: StoreClock;
-    readonly reports: PeerReports;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
 }
 
-/** Wall-clock time minus the store's clock, in milliseconds; 0 if the store's clock is unknown. */
-const offsetTopic: ReportTopic<number> = { name: "clock-offset", schema: z.number() };
+interface WeightedOffset {
+    readonly offsetMs: number;
+    /** Number of nodes with this offset. */
+    readonly nodes: number;
+}
+
+/** Group of counters with the number of nodes by rounded offset of their wall clock from the store's clock. */
+const offsetGroup = "clock-offset";
+const roundingMs = 10; // nodes with similar clocks share a counter
 
 /**
  * Estimates the time of day when the wall clocks of single VMs may jump. Every node reports the difference between its
@@ -22,8 +28,7 @@
     constructor(private readonly options: ClusterClockOptions) {}
 
     async start(): Promise<void> {
-        const { reports, storeClock } = this.options;
-        reports.exchange(offsetTopic, () => Math.round(storeClock.readWallMinusStoreMs() ?? 0));
+        this.options.sums.registerContributor(offsetGroup, () => this.countOwnOffset());
     }
 
     /**
@@ -32,19 +37,39 @@
      * @returns milliseconds since the epoch; this VM's wall-clock time as long as the store's clock is unknown
      */
     readMs(): number {
-        const { clock, storeClock, reports } = this.options;
+        const { clock, storeClock, sums } = this.options;
         const ownOffsetMs = storeClock.readWallMinusStoreMs();
         const storeMs = storeClock.readStoreMs();
         if (ownOffsetMs === undefined || storeMs === undefined) {
             return clock.readWallMs();
         }
-        const otherOffsetsMs = reports.listFresh(offsetTopic).map(report => report.value).filter(value =>
-            value !== 0
-        );
-        const offsetsMs = [ownOffsetMs, ...otherOffsetsMs].sort((a, b) => a - b);
-        return storeMs + offsetsMs[Math.floor(offsetsMs.length / 2)];
+        const others = [...sums.readOthers(offsetGroup)].map(([offset, nodes]) => ({
+            offsetMs: Number(offset),
+            nodes,
+        }));
+        return storeMs + findMedian([{ offsetMs: ownOffsetMs, nodes: 1 }, ...others]);
+    }
+
+    private countOwnOffset(): ReadonlyMap<string, number> {
+        const offsetMs = this.options.storeClock.readWallMinusStoreMs();
+        return offsetMs === undefined
+            ? new Map()
+            : new Map([[String(Math.round(offsetMs / roundingMs) * roundingMs), 1]]);
     }
 }
 
+const findMedian = (offsets: readonly WeightedOffset[]): number => {
+    const sorted = [...offsets].sort((a, b) => a.offsetMs - b.offsetMs);
+    const total = sorted.reduce((sum, { nodes }) => sum + nodes, 0);
+    let below = 0;
+    for (const { offsetMs, nodes } of sorted) {
+        below += nodes;
+        if (below > Math.floor(total / 2)) {
+            return offsetMs;
+        }
+    }
+    return sorted[sorted.length - 1].offsetMs;
+};
+
 /** Name of the cluster clock service. */
 export const clusterClockName = createServiceName<ClusterClock>("true-time");
--- a/src/feeds/FeedDistribution.ts
+++ b/src/feeds/FeedDistribution.ts
@@ -41,7 +41,7 @@
             name: `feed/${feed}`,
             schema: updateSchema as unknown as z.ZodType<FeedUpdate<unknown>, z.ZodTypeDef, unknown>,
         };
-        reports.listen(topic, (_nodeId, update) => follower.receive(update));
+        reports.listen(topic, update => follower.receive(update));
         follower.setSharing({
             readRank: () =>
                 Math.max(0, rankReaders({ feed, members: membership.listLive() }).indexOf(nodeId)),
--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -1,4 +1,3 @@
-import type { PeerReports } from "../peers/PeerReports";
 import type { Clock } from "../kernel/types";
 import { StoreClock } from "./StoreClock";
 import { ClusterClock } from "./ClusterClock";
@@ -57,8 +56,11 @@
     const createClusterClock = (clock: SplitClock, offsets: readonly number[]): ClusterClock => {
         const storeClock = new StoreClock({ clock });
         storeClock.update(500);
-        const reports = { listFresh: () => offsets.map(value => ({ value })) } as unknown as PeerReports;
-        return new ClusterClock({ clock, storeClock, reports });
+        const sums = {
+            registerContributor: () => {},
+            readOthers: () => new Map(offsets.map(offset => [String(offset), 1])),
+        };
+        return new ClusterClock({ clock, storeClock, sums });
     };
 
     it("follows the median of the nodes' clocks if the local clock is wrong", () => {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -9,6 +9,7 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { selectProbedNodes } from "./selectProbedNodes";
 import type { Member, MemberState } from "./types";
 
 /** Options of {@link Membership}. */
@@ -25,6 +26,8 @@
 
 const memberPrefix = "member/";
 const vmPrefix = "vm/";
+const pingHeartbeats = 3; // a member short of processor time answers late
+const refreshDelayMs = 20; // when many members change at once, they are applied together
 const pingMethod = "membership.ping";
 
 /**
@@ -39,7 +42,11 @@
     /** Monotonic time at which the link to each unreachable member was lost, in milliseconds. */
     private readonly lostSinceMs = new Map<string, number>();
     private state: MemberState = "live";
+    private isRefreshScheduled = false;
+    private isStopped = false;
     private recordedNodes: readonly PeerAddress[] = [];
+    /** Members that do not answer while this node has no link at all, so that it may be the one that is cut off. */
+    private readonly suspected = new Set<string>();
     /** Monotonic time at which this node first saw each gone member as gone, in milliseconds. */
     private readonly goneSinceMs = new Map<string, number>();
 
@@ -52,17 +59,19 @@
             }
         });
         options.network.onHeartbeat(nodeId => this.lostSinceMs.delete(nodeId));
+        options.network.onLinkUp(() => this.clearSuspicions());
     }
 
     /** Announces this node and starts failure detection. */
     async start(): Promise<void> {
-        this.options.gossip.latestChange.changes.observe(() => this.refresh()).catch(() => {});
+        this.options.gossip.latestChange.changes.observe(() => this.scheduleRefresh()).catch(() => {});
         this.announce();
         this.refresh();
         this.scope.run("member-watch", signal => this.checkLostMembers(signal));
     }
 
     async stop(): Promise<void> {
+        this.isStopped = true;
         await this.scope.cancel();
     }
 
@@ -117,13 +126,27 @@
         this.announce();
     }
 
+    private scheduleRefresh(): void {
+        if (!this.isRefreshScheduled) {
+            this.isRefreshScheduled = true;
+            void this.options.clock.sleep(refreshDelayMs).then(() => {
+                this.isRefreshScheduled = false;
+                if (!this.isStopped) {
+                    this.refresh();
+                }
+            });
+        }
+    }
+
     private announce(): void {
         const self: Member = { ...this.options.self, state: this.state };
         this.options.gossip.set(`${memberPrefix}${self.nodeId}`, self);
     }
 
     private refresh(): void {
-        const announced = this.options.gossip.listValues<Member>(memberPrefix);
+        const announced = this.options.gossip.listValues<Member>(memberPrefix).map(member =>
+            this.suspected.has(member.nodeId) ? { ...member, state: "gone" as const } : member
+        );
         const own = announced.find(member => member.nodeId === this.options.self.nodeId);
         // Refutes an entry about this node that another member, or an earlier process of this node, has written.
         if (own && (own.state !== this.state || own.incarnation !== this.options.self.incarnation)) {
@@ -132,25 +155,35 @@
         }
         this.reportChanges(announced);
         this.members.set(announced);
-        this.options.network.setMembers(this.listDialTargets(announced));
+        const { present, gone } = this.listReachable(announced);
+        this.options.network.setMembers(present, selectProbedNodes(gone));
     }
 
     /**
-     * Lists the nodes that may be dialled: members that are not gone, and nodes that the cloud's VM list or the store
-     * names. These include gone members: one may have restarted at another address, or be reachable again after a
-     * network partition, and possibly no other node dials it.
+     * Lists the nodes that are presumed to be reachable: members that are not gone, and nodes without an entry that the
+     * cloud's VM list or the store names. The others among these are gone: one may have restarted at another address, or
+     * be reachable again after a network partition, and possibly no other node dials it.
      */
-    private listDialTargets(announced: readonly Member[]): PeerAddress[] {
+    private listReachable(announced: readonly Member[]): { present: PeerAddress[]; gone: PeerAddress[]; } {
+        const states = new Map(announced.map(member => [member.nodeId, member.state]));
         const present = announced.filter(member => member.state !== "gone")
-            .map(member => ({ nodeId: member.nodeId, url: member.peersUrl }));
-        const presentIds = new Set(present.map(address => address.nodeId));
+            .map(({ nodeId, peersUrl: url, dataCentre }) => ({ nodeId, url, dataCentre }));
         const entryVms = this.options.gossip.listValues<Vm>(vmPrefix)
             .filter(vm => vm.role === "entry")
-            .map(vm => ({ nodeId: vm.service, url: vm.url }));
-        return [
-            ...present,
-            ...[...entryVms, ...this.recordedNodes].filter(address => !presentIds.has(address.nodeId)),
-        ];
+            .map(vm => ({ nodeId: vm.service, url: vm.url, dataCentre: vm.dataCentre }));
+        const listed = new Map([...entryVms, ...this.recordedNodes].map(node => [node.nodeId, node]));
+        const others = [...listed.values()];
+        return {
+            present: [...present, ...others.filter(({ nodeId }) => !states.has(nodeId))],
+            gone: others.filter(({ nodeId }) => states.get(nodeId) === "gone"),
+        };
+    }
+
+    private clearSuspicions(): void {
+        if (this.suspected.size > 0) {
+            this.suspected.clear();
+            this.refresh();
+        }
     }
 
     private reportChanges(announced: readonly Member[]): void {
@@ -192,17 +225,32 @@
     private *verifyGone(member: Member): Task<void> {
         try {
             yield* waitFor(
-                this.options.network.call(member.nodeId, pingMethod, {}, this.options.heartbeatMs),
+                this.options.network.call(
+                    member.nodeId,
+                    pingMethod,
+                    {},
+                    this.options.heartbeatMs * pingHeartbeats,
+                ),
             );
         }
         catch {
             const current = this.find(member.nodeId);
             if (current && current.incarnation === member.incarnation) {
-                this.options.gossip.set(`${memberPrefix}${member.nodeId}`, { ...current, state: "gone" });
+                this.markGone(current);
             }
         }
         this.lostSinceMs.delete(member.nodeId);
     }
+
+    /** Marks a member gone for all nodes; only for this one if it has no link, as it may be the one that is cut off. */
+    private markGone(member: Member): void {
+        if (this.options.network.linkedNodeIds.length > 0) {
+            this.options.gossip.set(`${memberPrefix}${member.nodeId}`, { ...member, state: "gone" });
+            return;
+        }
+        this.suspected.add(member.nodeId);
+        this.refresh();
+    }
 }
 
 /** Name of the membership service. */
--- a/src/membership/NodeRecords.test.ts
+++ b/src/membership/NodeRecords.test.ts
@@ -21,6 +21,7 @@
         nodeId: self.nodeId,
         peersUrl: self.url,
         tables: this.tables,
+        dataCentre: "a",
         feed: { records: this.records } as unknown as FeedFollower<PeerAddress>,
         membership: {
             setRecordedNodes: () => {},
--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -14,6 +14,7 @@
 /** Options of {@link NodeRecords}. */
 export interface NodeRecordsOptions {
     readonly nodeId: string;
+    readonly dataCentre: string;
     /** Web-socket URL at which members dial this node. */
     readonly peersUrl: string;
     readonly tables: TableService;
@@ -117,8 +118,9 @@
     }
 
     private *writeRecord(signal: AbortSignal): Task<void> {
-        const { nodeId, peersUrl, tables, events, clock } = this.options;
-        const call = () => tables.transact([createOperation(nodeId, { nodeId, url: peersUrl })]);
+        const { nodeId, dataCentre, peersUrl, tables, events, clock } = this.options;
+        const record = { nodeId, url: peersUrl, dataCentre };
+        const call = () => tables.transact([createOperation(nodeId, record)]);
         yield* waitFor(retryStoreCall({ name: "write node record", call, clock, events, signal }));
         this.isWritten = true;
     }
@@ -143,9 +145,11 @@
  */
 export const decodeNodeRecord = (key: string, value: unknown): PeerAddress | undefined => {
     const record = value as Partial<PeerAddress> | undefined;
-    return record?.nodeId === key && typeof record.url === "string"
-        ? { nodeId: key, url: record.url }
-        : undefined;
+    if (record?.nodeId !== key || typeof record.url !== "string") {
+        return undefined;
+    }
+    const dataCentre = typeof record.dataCentre === "string" ? record.dataCentre : undefined;
+    return { nodeId: key, url: record.url, dataCentre };
 };
 
 /** Name of the node records service. */
--- a/src/membership/Readiness.ts
+++ b/src/membership/Readiness.ts
@@ -1,7 +1,6 @@
-import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import type { ServingState } from "../routes/ServingState";
+import type { ClusterSums } from "../sums/ClusterSums";
 import type { Membership } from "./Membership";
 import type { Member } from "./types";
 
@@ -10,11 +9,12 @@
     readonly nodeId: string;
     readonly membership: Membership;
     readonly state: ServingState;
-    readonly reports: PeerReports;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
 }
 
 const presumedLiveMs = 20_000; // network partitions last for seconds; afterwards the nodes see each other as live again
-const readyTopic: ReportTopic<boolean> = { name: "ready", schema: z.boolean() };
+/** Group of counters with the names of the nodes that are not ready. */
+const unreadyGroup = "unready";
 
 /**
  * Readiness of the nodes. A node is ready when it is live, has a configuration, and its API keys have been confirmed
@@ -24,7 +24,8 @@
     constructor(private readonly options: ReadinessOptions) {}
 
     async start(): Promise<void> {
-        this.options.reports.exchange(readyTopic, () => this.isReady());
+        const { sums, nodeId } = this.options;
+        sums.registerContributor(unreadyGroup, () => new Map(this.isReady() ? [] : [[nodeId, 1]]));
     }
 
     /** Whether this node is ready for requests. */
@@ -35,10 +36,8 @@
 
     /** Lists the live members that are ready. A member that has not reported its readiness lately counts as ready. */
     listReady(): Member[] {
-        const { membership, reports, nodeId } = this.options;
-        const unready = new Set(
-            reports.listFresh(readyTopic).filter(report => !report.value).map(report => report.nodeId),
-        );
+        const { membership, sums, nodeId } = this.options;
+        const unready = sums.readOthers(unreadyGroup);
         return membership.listLive().filter(member =>
             member.nodeId === nodeId ? this.isReady() : !unready.has(member.nodeId)
         );
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -24,8 +24,12 @@
     private nextCallId = 1;
     /** Monotonic time of the last frame received, in milliseconds. */
     lastReceivedMs: number;
+    /** Monotonic time of the last frame sent, in milliseconds. */
+    lastSentMs = -Infinity;
     /** Monotonic time of the last call in either direction, in milliseconds. */
     lastCallMs: number;
+    /** Whether the two sides have compared their gossip maps. */
+    isCompared = false;
     /** Whether either side is closing the link on purpose; its end then does not count as the loss of a member. */
     isClosing = false;
 
@@ -46,6 +50,7 @@
         if (this.socket.readyState !== this.socket.OPEN) {
             return;
         }
+        this.lastSentMs = this.clock.readMonotonicMs();
         const frame = encodeFrame(message);
         this.counters.messagesSent += 1;
         this.counters.bytesSent += frame.length;
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -21,17 +21,20 @@
     type ReportListener,
 } from "./PeerMessageRouter";
 import { authenticatePeer } from "./authenticatePeer";
-import { selectDialTargets } from "./selectDialTargets";
+import { type LinkPlan, planLinks } from "./planLinks";
 
 /** Web-socket address of a node. */
 export interface PeerAddress {
     readonly nodeId: string;
     readonly url: string;
+    /** Data centre of the node; undefined in records of older versions. */
+    readonly dataCentre?: string;
 }
 
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
     readonly nodeId: string;
+    readonly dataCentre?: string;
     /** Reads the secret that members prove to each other; it may change. */
     readonly readClusterKey: () => string;
     readonly host: string;
@@ -43,8 +46,6 @@
      */
     readonly linkTimeoutMs: number;
     readonly maxFrameBytes: number;
-    /** Up to this many members every pair is linked; default as in {@link selectDialTargets}. */
-    readonly maxFullMeshMembers?: number;
     /** A link that was opened for a call is closed when no call has used it for this long; default 30,000 ms. */
     readonly idleLinkTimeoutMs?: number;
     readonly clock: Clock;
@@ -58,6 +59,7 @@
 const firstRedialMs = 100;
 const maxRedialMs = 2_000;
 const defaultIdleLinkTimeoutMs = 30_000;
+const beatsPerDigest = 4; // heartbeats also carry the digest of the gossip map
 const maxInvalidFrames = 3; // a link with more invalid frames is closed
 
 /** Authenticated links to other members, with heartbeats, calls, reports and the replication of the gossip map. */
@@ -74,16 +76,22 @@
     private readonly addresses = new Map<string, string>();
     private readonly scope: TaskScope;
     private server: WebSocketServer | undefined;
+    private readonly linkUpListeners: ((nodeId: string) => void)[] = [];
     private readonly linkLostListeners: ((nodeId: string) => void)[] = [];
+    private linkPlan: LinkPlan;
     private readonly replicator: GossipReplicator;
     private readonly router: PeerMessageRouter;
 
     constructor(private readonly options: PeerNetworkOptions) {
         this.scope = createLoggedTaskScope(options.events);
+        this.linkPlan = planLinks({ self: options, others: [] });
         this.replicator = new GossipReplicator({
+            nodeId: options.nodeId,
             gossip: options.gossip,
             events: options.events,
             listLinks: () => this.links.values(),
+            readPlan: () => this.linkPlan,
+            clock: options.clock,
         });
         this.router = new PeerMessageRouter({ events: options.events, replicator: this.replicator });
         this.registerHandler(
@@ -102,6 +110,11 @@
         return [...this.links.keys()];
     }
 
+    /** Which links this node keeps, and whether it passes messages on for others. */
+    get plan(): LinkPlan {
+        return this.linkPlan;
+    }
+
     /** Starts the server for members, the heartbeats and the gossip. */
     async start(): Promise<void> {
         const server = new WebSocketServer({
@@ -124,6 +137,7 @@
 
     /** Closes all links and the server. */
     async stop(): Promise<void> {
+        this.replicator.flush();
         for (const link of this.links.values()) {
             link.close();
         }
@@ -144,11 +158,9 @@
         this.router.onReport(topic, listener);
     }
 
-    /** Sends a report to every member to which a link is up. Lost reports are not sent again. */
-    sendReport(topic: string, payload: unknown): void {
-        for (const link of this.links.values()) {
-            link.send({ kind: "report", topic, payload });
-        }
+    /** Sends a report to a member if a link to it is up. Lost reports are not sent again. */
+    sendReportTo(nodeId: string, topic: string, payload: unknown): void {
+        this.links.get(nodeId)?.send({ kind: "report", topic, payload });
     }
 
     /** Adds a listener for heartbeats. */
@@ -156,26 +168,31 @@
         this.router.onHeartbeat(listener);
     }
 
+    /** Adds a listener for new links. */
+    onLinkUp(listener: (nodeId: string) => void): void {
+        this.linkUpListeners.push(listener);
+    }
+
     /** Adds a listener for lost links and failed attempts to dial. */
     onLinkLost(listener: (nodeId: string) => void): void {
         this.linkLostListeners.push(listener);
     }
 
     /**
-     * Sets the nodes that may be dialled, and keeps links to those that {@link selectDialTargets} assigns to this node.
+     * Sets the nodes that may be dialled, and keeps the links that {@link planLinks} assigns to this node.
      *
-     * @param members - names and addresses
+     * @param members - the nodes that are presumed to be reachable; may include this node
+     * @param probed - nodes that are dialled besides, since they may be reachable again
      */
-    setMembers(members: readonly PeerAddress[]): void {
+    setMembers(members: readonly PeerAddress[], probed: readonly PeerAddress[] = []): void {
         this.addresses.clear();
-        members.forEach(member => this.addresses.set(member.nodeId, member.url));
-        const targets = new Set(selectDialTargets({
-            nodeId: this.options.nodeId,
-            memberIds: members.map(member => member.nodeId),
-            maxFullMeshMembers: this.options.maxFullMeshMembers,
-        }));
+        [...members, ...probed].forEach(member => this.addresses.set(member.nodeId, member.url));
+        const others = members.filter(member => member.nodeId !== this.options.nodeId);
+        this.linkPlan = planLinks({ self: this.options, others });
+        const targets = new Set([...this.linkPlan.dialTargets, ...probed.map(member => member.nodeId)]);
         for (const [nodeId, cancel] of this.dialTasks) {
             if (!targets.has(nodeId)) {
+                this.announceClose(nodeId);
                 cancel();
                 this.dialTasks.delete(nodeId);
             }
@@ -287,6 +304,7 @@
             this.links.get(peerId)?.close();
             this.links.set(peerId, link);
             this.options.events.emit(eventKinds.peerConnected, { peer: peerId, side });
+            this.linkUpListeners.forEach(listener => listener(peerId));
             this.sendHeartbeat(link);
             yield* this.receiveFrames(link, queue, signal);
         }
@@ -325,13 +343,19 @@
         }
     }
 
-    /** Sends a heartbeat on every link, and closes those that timed out or are no longer needed. */
+    /**
+     * Sends a heartbeat on every link, and closes those that timed out or are no longer needed. Where other frames show
+     * that this node is alive, a part of the heartbeats is left out.
+     */
     private *sendHeartbeats(signal: AbortSignal): Task<void> {
-        while (!signal.aborted) {
+        for (let beat = 0; !signal.aborted; beat += 1) {
+            const dueMs = this.options.clock.readMonotonicMs() + this.options.heartbeatMs;
             yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
-            const oldestCallMs = this.options.clock.readMonotonicMs()
-                - (this.options.idleLinkTimeoutMs ?? defaultIdleLinkTimeoutMs);
-            const oldestFrameMs = this.options.clock.readMonotonicMs() - this.options.linkTimeoutMs;
+            const nowMs = this.options.clock.readMonotonicMs();
+            this.acceptDelay(nowMs - dueMs);
+            const oldestCallMs = nowMs - (this.options.idleLinkTimeoutMs ?? defaultIdleLinkTimeoutMs);
+            const oldestFrameMs = nowMs - this.options.linkTimeoutMs;
+            const isDigestDue = beat % beatsPerDigest === 0;
             for (const link of [...this.links.values()]) {
                 if (link.lastReceivedMs < oldestFrameMs) {
                     link.close();
@@ -342,19 +366,38 @@
                     this.closeIdle(link);
                     continue;
                 }
-                this.sendHeartbeat(link);
+                if (isDigestDue || link.lastSentMs <= nowMs - this.options.heartbeatMs) {
+                    this.sendHeartbeat(link);
+                }
+            }
+        }
+    }
+
+    /** Extends the time limit of all links by the time for which this process was delayed and may not have read them. */
+    private acceptDelay(delayMs: number): void {
+        if (delayMs > this.options.heartbeatMs) {
+            for (const link of this.links.values()) {
+                link.lastReceivedMs += delayMs;
             }
         }
     }
 
     /** Closes a link that was opened for a call: in a large cluster, idle links would cost more than the calls. */
     private closeIdle(link: PeerLink): void {
-        link.isClosing = true;
-        link.send({ kind: "goodbye" });
+        this.announceClose(link.nodeId);
         link.closeAfterFlush();
         this.removeLink(link);
     }
 
+    /** Announces that a link will be closed on purpose, so that neither side treats its end as the loss of a member. */
+    private announceClose(nodeId: string): void {
+        const link = this.links.get(nodeId);
+        if (link) {
+            link.isClosing = true;
+            link.send({ kind: "goodbye" });
+        }
+    }
+
     private sendHeartbeat(link: PeerLink): void {
         link.send({
             kind: "heartbeat",
--- a/src/peers/PeerReports.test.ts
+++ b/src/peers/PeerReports.test.ts
@@ -1,67 +1,117 @@
 import { z } from "zod";
 import { FakeClock } from "../kernel/FakeClock";
 import { EventLog } from "../telemetry/EventLog";
-import type { PeerNetwork } from "./PeerNetwork";
 import { PeerReports, type ReportTopic } from "./PeerReports";
+import { planLinks } from "./planLinks";
+import { selectRelayTargets } from "./selectRelayTargets";
 
 const topic: ReportTopic<number> = { name: "load", schema: z.number() };
 
-class Setup {
-    readonly clock = new FakeClock();
-    readonly sent: unknown[] = [];
-    linkedNodeIds: string[] = ["two"];
-    private deliver: (nodeId: string, payload: unknown) => void = () => {};
-    readonly reports = new PeerReports({
-        network: this.createNetwork(),
-        clock: this.clock,
-        events: new EventLog({ node: "one", clock: this.clock }),
-    });
+interface Sent {
+    readonly from: string;
+    readonly to: string;
+    readonly payload: unknown;
+}
+
+/** Nodes that are linked as {@link planLinks} says, with messages that the test delivers. */
+class Cluster {
+    readonly received = new Map<string, number[]>();
+    readonly sent: Sent[] = [];
+    readonly reports = new Map<string, PeerReports>();
+    private readonly listeners = new Map<string, (nodeId: string, payload: unknown) => void>();
+    private readonly clock = new FakeClock();
+
+    constructor(nodes: readonly { readonly nodeId: string; readonly dataCentre: string; }[]) {
+        const plans = new Map(nodes.map(self => [
+            self.nodeId,
+            planLinks({ self, others: nodes.filter(node => node !== self) }),
+        ]));
+        const isLinked = (a: string, b: string): boolean =>
+            plans.get(a)!.dialTargets.includes(b) || plans.get(b)!.dialTargets.includes(a);
+        for (const { nodeId } of nodes) {
+            const linkedNodeIds = nodes.map(node => node.nodeId).filter(other => isLinked(nodeId, other));
+            const reports = new PeerReports({
+                processId: nodeId,
+                network: {
+                    linkedNodeIds,
+                    plan: plans.get(nodeId)!,
+                    onReport: (_topic, listener) => this.listeners.set(nodeId, listener),
+                    sendReportTo: (to, _topic, payload) => this.sent.push({ from: nodeId, to, payload }),
+                },
+                events: new EventLog({ node: nodeId, clock: this.clock }),
+            });
+            reports.listen(
+                topic,
+                value => this.received.set(nodeId, [...this.received.get(nodeId) ?? [], value]),
+            );
+            this.reports.set(nodeId, reports);
+        }
+    }
 
-    receive(nodeId: string, payload: unknown): void {
-        this.deliver(nodeId, payload);
+    /** Delivers messages until none is left; returns their number. */
+    deliverAll(): number {
+        let count = 0;
+        for (let next = this.sent.shift(); next; next = this.sent.shift()) {
+            this.deliver(next);
+            count += 1;
+        }
+        return count;
     }
 
-    private createNetwork(): PeerNetwork {
-        const readLinked = (): string[] => this.linkedNodeIds;
-        return {
-            get linkedNodeIds() {
-                return readLinked();
-            },
-            onReport: (_name: string, listener: (nodeId: string, payload: unknown) => void) => {
-                this.deliver = listener;
-            },
-            sendReport: (_name: string, payload: unknown) => this.sent.push(payload),
-        } as unknown as PeerNetwork;
+    deliver({ from, to, payload }: Sent): void {
+        this.listeners.get(to)!(from, payload);
     }
 }
 
+const createNodes = (centres: number, perCentre: number): { nodeId: string; dataCentre: string; }[] =>
+    Array.from({ length: centres * perCentre }, (_, index) => ({
+        nodeId: `n${index}`,
+        dataCentre: `dc-${index % centres}`,
+    }));
+
 describe("PeerReports", () => {
-    let setup: Setup;
-    beforeEach(async () => {
-        setup = new Setup();
-        setup.reports.exchange(topic, () => 7);
-        await setup.reports.start();
+    it("reach every other node once, from whichever node they come", () => {
+        for (const nodes of [createNodes(4, 2), createNodes(3, 7), createNodes(1, 9)]) {
+            const cluster = new Cluster(nodes);
+            nodes.forEach(({ nodeId }, index) => cluster.reports.get(nodeId)!.publish(topic, index));
+            cluster.deliverAll();
+            nodes.forEach(({ nodeId }, index) => {
+                const expected = nodes.map((_, other) => other).filter(other => other !== index);
+                expect([...cluster.received.get(nodeId) ?? []].sort((a, b) => a - b)).toEqual(expected);
+            });
+        }
+    });
+
+    it("cost each node a few messages, however many nodes there are", () => {
+        const cluster = new Cluster(createNodes(5, 64));
+        cluster.reports.get("n0")!.publish(topic, 1);
+        expect(cluster.deliverAll()).toBeLessThan(320 * 3);
     });
-    afterEach(() => setup.reports.stop());
 
-    it("sends a report four times a second, and less often with many links", async () => {
-        await setup.clock.advance(1_000);
-        expect(setup.sent).toEqual([7, 7, 7, 7]);
-        setup.linkedNodeIds = Array.from({ length: 64 }, (_unused, index) => `node-${index}`);
-        await setup.clock.advance(250);
-        setup.sent.length = 0;
-        await setup.clock.advance(4_000);
-        expect(setup.sent).toHaveLength(4);
+    it("are delivered once each, also if one overtakes another, and dropped if they are not valid", () => {
+        const cluster = new Cluster(createNodes(2, 1));
+        cluster.reports.get("n0")!.publish(topic, 1);
+        cluster.reports.get("n0")!.publish(topic, 2);
+        const [first, second] = cluster.sent.splice(0);
+        cluster.deliver(second);
+        cluster.deliver(first);
+        cluster.deliver(second);
+        cluster.deliver({ ...first, payload: { origin: "n0", sequence: 9, value: "none" } });
+        cluster.deliver({ ...first, payload: 5 });
+        expect(cluster.received.get("n1")).toEqual([2, 1]);
     });
+});
+
+describe("selectRelayTargets", () => {
+    const plan = { isAggregator: true, aggregators: new Set(["a", "b"]), dialTargets: [] };
+    const linked = ["a", "b", "leaf-1", "leaf-2"];
 
-    it("lists a report as fresh until eight more may have been lost, and ignores invalid ones", async () => {
-        setup.receive("two", 5);
-        setup.receive("three", "none");
-        expect(setup.reports.listFresh(topic).map(report => report.value)).toEqual([5]);
-        await setup.clock.advance(2_000);
-        expect(setup.reports.listFresh(topic)).toHaveLength(1);
-        await setup.clock.advance(1);
-        expect(setup.reports.listFresh(topic)).toEqual([]);
-        expect(setup.reports.listAll(topic)).toHaveLength(1);
+    it("passes messages of leaves on to all, and those of aggregators to leaves", () => {
+        expect(selectRelayTargets({ plan, linked, source: undefined })).toEqual(linked);
+        expect(selectRelayTargets({ plan, linked, source: "leaf-1" })).toEqual(["a", "b", "leaf-2"]);
+        expect(selectRelayTargets({ plan, linked, source: "a" })).toEqual(["leaf-1", "leaf-2"]);
+        expect(selectRelayTargets({ plan: { ...plan, isAggregator: false }, linked, source: "a" })).toEqual(
+            [],
+        );
     });
 });
--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -1,18 +1,15 @@
-import type { z } from "zod";
+import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
-import type { TaskScope } from "../kernel/TaskScope";
-import type { Clock, Task } from "../kernel/types";
-import { waitFor } from "../kernel/waitFor";
-import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import { computeReportIntervalMs } from "./computeReportIntervalMs";
 import type { PeerNetwork } from "./PeerNetwork";
+import { selectRelayTargets } from "./selectRelayTargets";
 
 /** Options of {@link PeerReports}. */
 export interface PeerReportsOptions {
-    readonly network: PeerNetwork;
-    readonly clock: Clock;
+    /** Unique for each process; identifies the reports that it publishes. */
+    readonly processId: string;
+    readonly network: Pick<PeerNetwork, "linkedNodeIds" | "plan" | "onReport" | "sendReportTo">;
     readonly events: EventLog;
 }
 
@@ -22,63 +19,41 @@
     readonly schema: z.ZodType<T, z.ZodTypeDef, unknown>;
 }
 
-/** The latest report of a member on a topic. */
-export interface PeerReport<T> {
-    readonly nodeId: string;
-    readonly value: T;
-    /** Monotonic time at which it arrived, in milliseconds. */
-    readonly atMs: number;
+/** A report as it travels along the links. */
+interface ReportEnvelope {
+    readonly origin: string;
+    /** Number of the report at its origin. */
+    readonly sequence: number;
+    readonly value?: unknown;
 }
 
-const freshIntervals = 8; // a report is stale when the next eight have been lost
+const envelopeSchema = z.object({ origin: z.string(), sequence: z.number(), value: z.unknown() });
+const maxRemembered = 4_096; // a second copy arrives within a few hundred ms
 
-/** Periodic reports between linked nodes, such as load and quota use. */
+/**
+ * Reports of single events to all members, passed on along the links. A report may be lost or overtaken by a later one;
+ * one that arrives on several ways is delivered once.
+ */
 export class PeerReports {
-    private readonly publishers = new Map<string, () => unknown>();
-    private readonly received = new Map<string, Map<string, PeerReport<unknown>>>();
-    private readonly scope: TaskScope;
+    /** Origin and sequence of the latest reports. */
+    private readonly received = new Set<string>();
+    private lastSequence = 0;
 
-    constructor(private readonly options: PeerReportsOptions) {
-        this.scope = createLoggedTaskScope(options.events);
-    }
-
-    async start(): Promise<void> {
-        this.scope.run("peer-reports", signal => this.publishAll(signal));
-    }
-
-    async stop(): Promise<void> {
-        await this.scope.cancel();
-    }
-
-    /**
-     * Starts to report this node's value to the linked members periodically, and to collect their reports.
-     *
-     * @param topic - name and schema of the value
-     * @param read - reads this node's current value
-     * @param onReceived - called for each valid report of a member
-     */
-    exchange<T>(
-        topic: ReportTopic<T>,
-        read: () => T,
-        onReceived: (nodeId: string, value: T) => void = () => {},
-    ): void {
-        this.publishers.set(topic.name, read);
-        const reports = new Map<string, PeerReport<unknown>>();
-        this.received.set(topic.name, reports);
-        this.listen(topic, (nodeId, value) => {
-            reports.set(nodeId, { nodeId, value, atMs: this.options.clock.readMonotonicMs() });
-            onReceived(nodeId, value);
-        });
-    }
+    constructor(private readonly options: PeerReportsOptions) {}
 
     /**
-     * Sends one report to the linked members now.
+     * Sends a report to all members now.
      *
      * @param topic - name and schema of the value
      * @param value - the value
      */
     publish<T>(topic: ReportTopic<T>, value: T): void {
-        this.options.network.sendReport(topic.name, value);
+        this.lastSequence += 1;
+        this.send(
+            topic.name,
+            { origin: this.options.processId, sequence: this.lastSequence, value },
+            undefined,
+        );
     }
 
     /**
@@ -87,39 +62,38 @@
      * @param topic - name and schema of the value
      * @param onReceived - called for each valid report of a member
      */
-    listen<T>(topic: ReportTopic<T>, onReceived: (nodeId: string, value: T) => void): void {
+    listen<T>(topic: ReportTopic<T>, onReceived: (value: T) => void): void {
         this.options.network.onReport(topic.name, (nodeId, payload) => {
-            const parsed = topic.schema.safeParse(payload);
-            if (!parsed.success) {
+            const envelope = envelopeSchema.safeParse(payload);
+            const value = topic.schema.safeParse(envelope.data?.value);
+            if (!envelope.success || !value.success) {
                 this.options.events.emit(eventKinds.peerRejected, { reason: "invalid report", peer: nodeId });
                 return;
             }
-            onReceived(nodeId, parsed.data);
+            if (this.isNew(envelope.data)) {
+                this.send(topic.name, envelope.data, nodeId);
+                onReceived(value.data);
+            }
         });
     }
 
-    /** Lists the members' latest reports on a topic, stale ones included. */
-    listAll<T>(topic: ReportTopic<T>): readonly PeerReport<T>[] {
-        return [...this.received.get(topic.name)?.values() ?? []] as PeerReport<T>[];
-    }
-
-    /** Lists the members' latest reports on a topic, without stale ones. */
-    listFresh<T>(topic: ReportTopic<T>): readonly PeerReport<T>[] {
-        const oldestMs = this.options.clock.readMonotonicMs() - this.readIntervalMs() * freshIntervals;
-        return this.listAll(topic).filter(report => report.atMs >= oldestMs);
-    }
-
-    private readIntervalMs(): number {
-        return computeReportIntervalMs(this.options.network.linkedNodeIds.length);
+    private isNew({ origin, sequence }: ReportEnvelope): boolean {
+        const key = `${sequence} ${origin}`;
+        if (this.received.has(key)) {
+            return false;
+        }
+        this.received.add(key);
+        if (this.received.size > maxRemembered) {
+            const [oldest] = this.received;
+            this.received.delete(oldest);
+        }
+        return true;
     }
 
-    private *publishAll(signal: AbortSignal): Task<void> {
-        while (!signal.aborted) {
-            yield* waitFor(this.options.clock.sleep(this.readIntervalMs(), signal));
-            for (const [topic, read] of this.publishers) {
-                this.options.network.sendReport(topic, read());
-            }
-        }
+    private send(topic: string, envelope: ReportEnvelope, source: string | undefined): void {
+        const { network } = this.options;
+        const targets = selectRelayTargets({ plan: network.plan, linked: network.linkedNodeIds, source });
+        targets.forEach(nodeId => network.sendReportTo(nodeId, topic, envelope));
     }
 }
 
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -1,7 +1,6 @@
 import { ObservableValue } from "../_lib/ObservableValue";
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { FakeClock } from "../kernel/FakeClock";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import { EventLog } from "../telemetry/EventLog";
 import type { UpstreamClient } from "../upstreams/UpstreamClient";
 import { InstanceRegistry } from "./InstanceRegistry";
@@ -24,7 +23,7 @@
     readonly closed: string[] = [];
     sinceRecoveryMs = Infinity;
     maxConnections = 4;
-    remote: Record<string, number>[] = [];
+    remote = new Map<string, number>();
     readonly published: unknown[] = [];
     reportLeaving: (value: unknown) => void = () => {};
     readonly registry = new InstanceRegistry({
@@ -35,13 +34,12 @@
         clock: this.clock,
         events: new EventLog({ node: "n", clock: this.clock }),
         reports: {
-            exchange: () => {},
-            listen: (_topic: unknown, onReceived: (nodeId: string, value: unknown) => void) => {
-                this.reportLeaving = value => onReceived("other", value);
+            listen: (_topic: unknown, onReceived: (value: never) => void) => {
+                this.reportLeaving = value => onReceived(value as never);
             },
             publish: (_topic: unknown, value: unknown) => void this.published.push(value),
-            listFresh: (_topic: ReportTopic<unknown>) => this.remote.map(value => ({ value })),
-        } as unknown as PeerReports,
+        },
+        sums: { registerContributor: () => {}, readOthers: () => this.remote },
         readMaxConnections: () => this.maxConnections,
         createClient: address =>
             ({ close: async () => void this.closed.push(address) }) as unknown as UpstreamClient,
@@ -185,7 +183,7 @@
     });
 
     it("adds the reported load of the other nodes to its own", () => {
-        setup.remote = [{ one: 2 }, { one: 1, two: 4 }];
+        setup.remote = new Map([["one", 3], ["two", 4]]);
         const instances = setup.registry.listUsable("app");
         setup.registry.beginRequest(instances[0]);
         expect(setup.registry.createViews(instances).map(view => view.inFlight)).toEqual([4, 4]);
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../kernel/types";
 import type { FeedFollower } from "../feeds/FeedFollower";
 import type { PeerReports, ReportTopic } from "../peers/PeerReports";
+import type { ClusterSums } from "../sums/ClusterSums";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
@@ -14,7 +15,8 @@
     readonly feed: FeedFollower<UpstreamInstance>;
     readonly clock: Clock;
     readonly events: EventLog;
-    readonly reports: PeerReports;
+    readonly reports: Pick<PeerReports, "publish" | "listen">;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the client for an upstream; default: an HTTP client. */
@@ -40,10 +42,8 @@
     readonly startedAtMs?: number;
 }
 
-const loadTopic: ReportTopic<Record<string, number>> = {
-    name: "upstream-load",
-    schema: z.record(z.number()),
-};
+/** Group of counters with the requests in flight by upstream. */
+const loadGroup = "load";
 /** Id and start of an upstream that stated that it is leaving. */
 const leavingTopic: ReportTopic<LeavingUpstream> = {
     name: "upstream-leaving",
@@ -63,8 +63,8 @@
     constructor(private readonly options: InstanceRegistryOptions) {}
 
     async start(): Promise<void> {
-        this.options.reports.exchange(loadTopic, () => this.readOwnLoad());
-        this.options.reports.listen(leavingTopic, (_nodeId, leaving) => this.applyLeavingReport(leaving));
+        this.options.sums.registerContributor(loadGroup, () => this.readOwnLoad());
+        this.options.reports.listen(leavingTopic, leaving => this.applyLeavingReport(leaving));
         this.options.feed.records.onChange(records => this.update(records ?? new Map()));
         this.update(this.options.feed.records.value ?? new Map());
     }
@@ -134,7 +134,7 @@
 
     /** Describes upstreams for a placement policy. */
     createViews(instances: readonly TrackedInstance[]): UpstreamView[] {
-        const remote = this.sumRemoteLoad();
+        const remote = this.options.sums.readOthers(loadGroup);
         return instances.map(({ instance, inFlight }) => ({
             id: instance.id,
             dataCentre: instance.dataCentre,
@@ -174,24 +174,8 @@
         });
     }
 
-    private readOwnLoad(): Record<string, number> {
-        const load: Record<string, number> = {};
-        for (const { instance, inFlight } of this.tracked.values()) {
-            if (inFlight > 0) {
-                load[instance.id] = inFlight;
-            }
-        }
-        return load;
-    }
-
-    private sumRemoteLoad(): ReadonlyMap<string, number> {
-        const sums = new Map<string, number>();
-        for (const report of this.options.reports.listFresh(loadTopic)) {
-            for (const [id, count] of Object.entries(report.value)) {
-                sums.set(id, (sums.get(id) ?? 0) + count);
-            }
-        }
-        return sums;
+    private readOwnLoad(): ReadonlyMap<string, number> {
+        return new Map([...this.tracked.values()].map(({ instance, inFlight }) => [instance.id, inFlight]));
     }
 
     private update(records: ReadonlyMap<string, UpstreamInstance>): void {
--- a/src/quotas/QuotaLimiter.test.ts
+++ b/src/quotas/QuotaLimiter.test.ts
@@ -1,7 +1,8 @@
 import { FakeClock } from "../kernel/FakeClock";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import type { ServedAccount } from "../routes/types";
-import { QuotaLimiter } from "./QuotaLimiter";
+import type { ClusterSums } from "../sums/ClusterSums";
+import { SumState } from "../sums/SumState";
+import { QuotaLimiter, usedGroup } from "./QuotaLimiter";
 
 const account: ServedAccount = {
     name: "alpha",
@@ -9,36 +10,67 @@
     quota: { unit: "tokens", ratePerS: 1_000, burst: 2_000, defaultCost: 200 },
 };
 
-/** Fake peer reports that are delivered only when {@link exchange} is called, as on a network with delay. */
-class FakeReports {
-    private readonly nodes: { read: () => unknown; onReceived: (node: string, value: never) => void; }[] = [];
-    create(): PeerReports {
+type Sums = Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered">;
+
+/** Sums that are exchanged only when {@link exchange} is called, as on a network with delay. */
+class FakeSums {
+    private readonly nodes: {
+        state: SumState;
+        contributors: Map<string, () => ReadonlyMap<string, number>>;
+    }[] = [];
+
+    constructor(private readonly clock: FakeClock) {}
+
+    create(): Sums {
+        const processId = `process-${this.nodes.length}`;
+        const state = new SumState({
+            processId,
+            dataCentre: "a",
+            lingerMsByGroup: { [usedGroup]: windowMs },
+        });
+        state.setRole(true);
+        const contributors = new Map<string, () => ReadonlyMap<string, number>>();
+        this.nodes.push({ state, contributors });
         return {
-            exchange: <T>(
-                _topic: ReportTopic<T>,
-                read: () => T,
-                onReceived: (node: string, value: T) => void,
-            ) => this.nodes.push({ read, onReceived }),
-        } as unknown as PeerReports;
+            registerContributor: (group, read) => void contributors.set(group, read),
+            readOthers: group => {
+                const nowMs = this.clock.readMonotonicMs();
+                state.expire(nowMs - staleMs, nowMs);
+                const named = [...state.sumOthers()].filter(([name]) => name.startsWith(`${group}/`));
+                return new Map(named.map(([name, value]) => [name.slice(group.length + 1), value]));
+            },
+            listCovered: () => state.listCovered(),
+        };
     }
 
     /**
-     * Delivers a report of each node to all other nodes on its side of the partition.
+     * Delivers a contribution of each node to all other nodes on its side of the partition.
      *
      * @param cutOff - number of nodes, from the first, that are partitioned from the rest; default none
      */
     exchange(cutOff = 0): void {
-        const values = this.nodes.map(node => node.read());
+        const nowMs = this.clock.readMonotonicMs();
         const isReached = (from: number, to: number): boolean =>
             from !== to && (from < cutOff) === (to < cutOff);
-        this.nodes.forEach((node, index) =>
-            values.forEach((value, other) =>
-                isReached(other, index) && node.onReceived(String(other), value as never)
+        this.nodes.forEach(({ state, contributors }) =>
+            state.setOwn(
+                new Map([...contributors].flatMap(([group, read]) =>
+                    [...read()].map(([name, value]) => [`${group}/${name}`, value] as const)
+                )),
             )
         );
+        this.nodes.forEach(({ state }, from) =>
+            this.nodes.forEach((other, to) => {
+                if (isReached(from, to)) {
+                    const message = state.createNodeMessage(`node-${to}`, nowMs, "nothing");
+                    other.state.receiveNode(`node-${from}`, message, nowMs);
+                }
+            })
+        );
     }
 }
 
+const staleMs = 2_000;
 const windowMs = 8_000;
 const limit = 1_000 * 8 + 2_000;
 const tickMs = 250;
@@ -51,19 +83,18 @@
 const createLimiters = async (
     count: number,
     clock: FakeClock,
-    reports: FakeReports,
+    sums: FakeSums,
 ): Promise<QuotaLimiter[]> => {
-    const limiters = Array.from({ length: count }, (_unused, index) =>
+    const limiters = Array.from({ length: count }, () =>
         new QuotaLimiter({
             clock,
-            reports: reports.create(),
-            processId: `process-${index}`,
+            sums: sums.create(),
             countNodes: () => count,
             findQuota: () => account.quota,
             windowMs,
         }));
     await Promise.all(limiters.map(limiter => limiter.start()));
-    reports.exchange();
+    sums.exchange();
     return limiters;
 };
 
@@ -71,9 +102,9 @@
 const createSettled = async (
     count: number,
     clock: FakeClock,
-    reports = new FakeReports(),
+    sums = new FakeSums(clock),
 ): Promise<QuotaLimiter[]> => {
-    const limiters = await createLimiters(count, clock, reports);
+    const limiters = await createLimiters(count, clock, sums);
     await clock.advance(windowMs);
     return limiters;
 };
@@ -110,10 +141,10 @@
         clock = new FakeClock();
     });
 
-    it("grants nearly the whole limit, and beyond it only what is granted before reports arrive", async () => {
-        const reports = new FakeReports();
-        const limiters = await createSettled(4, clock, reports);
-        const afterTick = (): void => reports.exchange();
+    it("grants nearly the whole limit, and beyond it only what is granted before sums arrive", async () => {
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(4, clock, sums);
+        const afterTick = (): void => sums.exchange();
         const granted = await askAll(limiters, clock, { cost: 400, ticks: 120, afterTick });
         expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit + 4 * 400);
         const lastFullMs = clock.readMonotonicMs() - windowMs;
@@ -121,42 +152,42 @@
     });
 
     it("lets one node use the whole quota if the others have no demand", async () => {
-        const reports = new FakeReports();
-        const [busy] = await createSettled(8, clock, reports);
-        const afterTick = (): void => reports.exchange();
+        const sums = new FakeSums(clock);
+        const [busy] = await createSettled(8, clock, sums);
+        const afterTick = (): void => sums.exchange();
         const granted = await askAll([busy], clock, { cost: limit / 16, ticks: 16, afterTick });
         expect(granted).toHaveLength(16);
         expect(busy.acquire(account, 500)).toMatchObject({ kind: "exceeded" });
     });
 
-    it("keeps nodes that receive no reports within the quota together", async () => {
-        const reports = new FakeReports();
-        const limiters = await createSettled(4, clock, reports);
+    it("keeps nodes that receive no sums within the quota together", async () => {
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(4, clock, sums);
         const granted = await askAll(limiters, clock, { cost: 100, ticks: 120, afterTick: () => {} });
         expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit * 1.1);
     });
 
     it("stays within the quota when nodes are partitioned under load", async () => {
-        const reports = new FakeReports();
-        const limiters = await createSettled(8, clock, reports);
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(8, clock, sums);
         const tickShare = limit / 8 / 8; // the limit is reached after two seconds
         const askFor = async (ticks: number, cutOff: number): Promise<Granted[]> =>
-            askAll(limiters, clock, { cost: tickShare, ticks, afterTick: () => reports.exchange(cutOff) });
+            askAll(limiters, clock, { cost: tickShare, ticks, afterTick: () => sums.exchange(cutOff) });
         const before = await askFor(5, 0);
         const granted = [...before, ...await askFor(40, 2)];
         expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit * 1.1);
     });
 
     it("stays within the quota after nodes were killed that had just used much of it", async () => {
-        const reports = new FakeReports();
-        const limiters = await createSettled(8, clock, reports);
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(8, clock, sums);
         const [killed, living] = [limiters.slice(0, 4), limiters.slice(4)];
-        const afterTick = (): void => reports.exchange();
+        const afterTick = (): void => sums.exchange();
         const before = await askAll(killed, clock, { cost: limit / 16, ticks: 4, afterTick });
         const after = await askAll(living, clock, {
             cost: 200,
             ticks: 60,
-            afterTick: () => reports.exchange(4),
+            afterTick: () => sums.exchange(4),
         });
         expect(findMostInWindow([...before, ...after])).toBeLessThanOrEqual(limit * 1.1);
     });
@@ -181,15 +212,15 @@
     });
 
     it("assumes that a new process used the rate and half of the burst before its start", async () => {
-        const limiters = await createLimiters(4, clock, new FakeReports());
+        const limiters = await createLimiters(4, clock, new FakeSums(clock));
         expect(limiters[0].readRemaining(account)).toBeCloseTo(account.quota!.burst / 2);
     });
 
     it("counts the use of an ended process for one window", async () => {
-        const reports = new FakeReports();
-        const [ended, other] = await createSettled(2, clock, reports);
+        const sums = new FakeSums(clock);
+        const [ended, other] = await createSettled(2, clock, sums);
         ended.acquire(account, limit / 2);
-        reports.exchange();
+        sums.exchange();
         await clock.advance(windowMs - 1);
         expect(other.readRemaining(account)).toBeCloseTo(limit / 2);
         await clock.advance(1);
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -1,16 +1,14 @@
-import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import type { AccountQuota, ServedAccount } from "../routes/types";
+import type { ClusterSums } from "../sums/ClusterSums";
+import type { CoveredNodes } from "../sums/types";
 import { SlidingWindowSum } from "./SlidingWindowSum";
 
 /** Options of {@link QuotaLimiter}. */
 export interface QuotaLimiterOptions {
     readonly clock: Clock;
-    readonly reports: PeerReports;
-    /** Unique for each process; distinguishes successive processes of one node. */
-    readonly processId: string;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered">;
     /** Number of nodes that serve requests, including this one. */
     readonly countNodes: () => number;
     /** Finds the quota of an account in the active configuration. */
@@ -24,24 +22,16 @@
     | { readonly kind: "granted"; readonly cost: number; }
     | { readonly kind: "exceeded"; readonly cost: number; readonly retryAfterMs: number; };
 
-interface UseReport {
-    readonly processId: string;
-    /** Time since the process's start, in milliseconds. */
-    readonly ageMs: number;
-    /** Share of the limit that the process used in the last window, by account name. */
-    readonly used: Readonly<Record<string, number>>;
-}
-
-interface ReceivedReport extends UseReport {
-    readonly nodeId: string;
-    /** Monotonic time of the report's arrival, in milliseconds. */
-    readonly receivedMs: number;
-}
-
-const useTopic: ReportTopic<UseReport> = {
-    name: "quota-use",
-    schema: z.object({ processId: z.string(), ageMs: z.number(), used: z.record(z.number()) }),
-};
+/** Group of counters with the share of its limit that each account used in the last window. */
+export const usedGroup = "quota-used";
+/** Group of counters with the share of its limit that each account used in the last second. */
+const recentGroup = "quota-recent";
+/** Group with one counter: the part of the last window before the start of each process, summed. */
+const youngGroup = "quota-young";
+const allAccounts = "all";
+const recentMs = 1_000;
+const maxSampledNodes = 16; // with more nodes, one node's own use tells too little about the others'
+const growthFactor = 1.5; // of the use since the last sum; demand may be growing
 const assumedBurstShare = 0.5; // of the burst; assumed use by a previous process right before it ended
 const msPerSecond = 1_000;
 const minRetryAfterMs = 100;
@@ -52,15 +42,14 @@
  * rate allows in it plus the burst.
  *
  * - Use is counted as a share of the limit, so it stays comparable when the limit changes.
- * - Each node reports its own use of the last window, and adds the last reports of the other nodes to its own use. The
- *   last report of an ended process counts for one more window.
- * - For the time since its last report, another node is assumed to have used as much as this node. Partitioned nodes
- *   therefore stay within the quota together.
+ * - Each node contributes its use of the last window to the sums over all nodes, and adds the others' to its own. The
+ *   last contribution of an ended process counts for one more window.
+ * - For the time since the last sum, the others are assumed to have used as much each as this node, or, if there are
+ *   many, what they used recently. Partitioned nodes therefore stay within the quota together.
  * - Use is not persisted. A new process is therefore assumed to have used its part of the limit before its start.
  */
 export class QuotaLimiter {
     private readonly sums = new Map<string, SlidingWindowSum>();
-    private readonly receivedReports = new Map<string, ReceivedReport>();
     private readonly startedAtMs: number;
 
     constructor(private readonly options: QuotaLimiterOptions) {
@@ -68,10 +57,15 @@
     }
 
     async start(): Promise<void> {
-        this.options.reports.exchange(
-            useTopic,
-            () => this.createReport(),
-            (nodeId, report) => this.mergeReport(nodeId, report),
+        const { sums, clock } = this.options;
+        sums.registerContributor(usedGroup, () => this.listOwnUse(sum => sum.read(clock.readMonotonicMs())));
+        sums.registerContributor(
+            recentGroup,
+            () => this.listOwnUse(sum => Math.max(0, sum.readSince(clock.readMonotonicMs() - recentMs))),
+        );
+        sums.registerContributor(
+            youngGroup,
+            () => new Map([[allAccounts, this.computeWindowOverlap(this.readAgeMs())]]),
         );
     }
 
@@ -130,25 +124,32 @@
         const nowMs = this.options.clock.readMonotonicMs();
         const sum = this.getSum(name);
         const assumed = this.computeAssumedShare(quota);
-        const own = sum.read(nowMs) + assumed * this.computeWindowOverlap(nowMs - this.startedAtMs);
+        const own = sum.read(nowMs) + assumed * this.computeWindowOverlap(this.readAgeMs());
         const others = Math.max(0, this.options.countNodes() - 1);
-        const latest = this.listLatestReports().slice(0, others);
-        let used = own * (1 + others - latest.length);
-        for (const { receivedMs } of latest) {
-            used += sum.readSince(receivedMs);
-        }
-        for (const report of this.receivedReports.values()) {
-            const sinceMs = nowMs - report.receivedMs;
-            used += sinceMs < this.options.windowMs ? report.used[name] ?? 0 : 0;
-            used += assumed * this.computeWindowOverlap(report.ageMs + sinceMs);
+        const covered = takeLatest(this.options.sums.listCovered(), others);
+        const uncovered = others - countNodes(covered);
+        const { sums } = this.options;
+        return own * (1 + uncovered)
+            + (sums.readOthers(usedGroup).get(name) ?? 0)
+            + assumed * (sums.readOthers(youngGroup).get(allAccounts) ?? 0)
+            + this.estimateUseSince(name, covered, nowMs);
+    }
+
+    /** Estimates the share that the other nodes have used since the sums were made. */
+    private estimateUseSince(name: string, covered: readonly CoveredNodes[], nowMs: number): number {
+        const nodes = countNodes(covered);
+        if (nodes <= maxSampledNodes) {
+            const sum = this.getSum(name);
+            return covered.reduce((total, part) => total + part.nodes * sum.readSince(part.atMs), 0);
         }
-        return used;
+        const meanAgeMs = covered.reduce((total, part) => total + part.nodes * (nowMs - part.atMs), 0)
+            / nodes;
+        const recent = this.options.sums.readOthers(recentGroup).get(name) ?? 0;
+        return recent * meanAgeMs / recentMs * growthFactor;
     }
 
-    /** Lists the last report of each other node, the most recent first. */
-    private listLatestReports(): ReceivedReport[] {
-        const byNode = new Map([...this.receivedReports.values()].map(report => [report.nodeId, report]));
-        return [...byNode.values()].sort((a, b) => b.receivedMs - a.receivedMs);
+    private readAgeMs(): number {
+        return this.options.clock.readMonotonicMs() - this.startedAtMs;
     }
 
     /** Computes the share of the limit that a process is assumed to have used in the window before its start. */
@@ -175,27 +176,26 @@
         return sum;
     }
 
-    private createReport(): UseReport {
-        const nowMs = this.options.clock.readMonotonicMs();
-        const used: Record<string, number> = {};
-        for (const [name, sum] of this.sums) {
-            used[name] = sum.read(nowMs);
-        }
-        return { processId: this.options.processId, ageMs: nowMs - this.startedAtMs, used };
+    private listOwnUse(read: (sum: SlidingWindowSum) => number): ReadonlyMap<string, number> {
+        return new Map([...this.sums].map(([name, sum]) => [name, read(sum)]));
     }
+}
 
-    private mergeReport(nodeId: string, report: UseReport): void {
-        const nowMs = this.options.clock.readMonotonicMs();
-        // Moves the entry to the end; the last entry of a node counts as its current process.
-        this.receivedReports.delete(report.processId);
-        this.receivedReports.set(report.processId, { ...report, nodeId, receivedMs: nowMs });
-        for (const [processId, { receivedMs }] of this.receivedReports) {
-            if (nowMs - receivedMs >= this.options.windowMs) {
-                this.receivedReports.delete(processId);
-            }
+/** Takes the parts with the latest sums, up to a number of nodes. */
+const takeLatest = (covered: readonly CoveredNodes[], maxNodes: number): CoveredNodes[] => {
+    const taken: CoveredNodes[] = [];
+    let left = maxNodes;
+    for (const part of [...covered].sort((a, b) => b.atMs - a.atMs)) {
+        if (left > 0) {
+            taken.push({ ...part, nodes: Math.min(left, part.nodes) });
+            left -= part.nodes;
         }
     }
-}
+    return taken;
+};
+
+const countNodes = (parts: readonly CoveredNodes[]): number =>
+    parts.reduce((sum, part) => sum + part.nodes, 0);
 
 const computeCost = (quota: AccountQuota, tokens: number | undefined): number =>
     quota.unit === "requests" ? 1 : tokens ?? quota.defaultCost;
--- /dev/null
+++ b/src/sums/SumState.ts
@@ -0,0 +1,403 @@
+import { addCounters, applyChanges, compareCounters } from "./counters";
+import type {
+    Contributor,
+    CounterChanges,
+    Counters,
+    CoveredNodes,
+    LeavesMessage,
+    NodeMessage,
+    TotalMessage,
+    WantedTotal,
+} from "./types";
+
+/** Options of {@link SumState}. */
+export interface SumStateOptions {
+    readonly processId: string;
+    readonly dataCentre: string;
+    /** Time for which the counters of a group count after the last message of their process, in milliseconds. */
+    readonly lingerMsByGroup: Readonly<Record<string, number>>;
+}
+
+/** Contribution of another process. */
+interface NodePart extends Contributor {
+    readonly nodeId: string;
+    readonly sequence: number;
+    readonly counters: Counters;
+    readonly receivedMs: number;
+    /** Whether the node is known to run another process. */
+    readonly isReplaced: boolean;
+}
+
+/** Sum over the leaves of a data centre, as one of its aggregators sent it. */
+interface LeavesPart {
+    readonly dataCentre: string;
+    readonly nodes: number;
+    readonly counters: Counters;
+    /** Monotonic time up to which the contributions are included, in milliseconds. */
+    readonly atMs: number;
+    readonly receivedMs: number;
+}
+
+/** Sum over all nodes that an aggregator sent to this leaf. */
+interface TotalPart {
+    readonly fromNode: string;
+    readonly includedSequence: number | undefined;
+    readonly nodes: number;
+    readonly counters: Counters;
+    readonly atMs: number;
+    readonly receivedMs: number;
+}
+
+interface OwnContribution {
+    readonly sequence: number;
+    readonly counters: Counters;
+}
+
+/** Counters last sent to one peer, as the base of the next changes; undefined if the next message is complete. */
+interface SentState {
+    isAggregator?: boolean;
+    own?: Counters;
+    leaves?: Counters;
+    total?: Counters;
+}
+
+interface CachedSums {
+    readonly others: Counters;
+    readonly total: Counters;
+}
+
+const retainedMs = 60_000; // what is no longer counted is kept as the base of later changes
+const retainedContributions = 32; // of this node, until the sums that include them have arrived
+const noCounters: Counters = new Map();
+
+/**
+ * State of the sums over all nodes at one node, without network and timers.
+ *
+ * Each process contributes its own counters. A leaf sends them to the aggregators of its data centre, which send each
+ * other their own counters and the sum over their leaves, and return the sum over all nodes. Contributions are kept by
+ * process, and of the two aggregators of a data centre only one's sum over the leaves is used, so that nothing counts
+ * twice. A leaf subtracts from the total what it had contributed to it.
+ */
+export class SumState {
+    private isAggregator = false;
+    /** Parts by process. */
+    private readonly nodeParts = new Map<string, NodePart>();
+    /** Sums over leaves by the aggregator that sent them. */
+    private readonly leavesParts = new Map<string, LeavesPart>();
+    private total: TotalPart | undefined;
+    private readonly ownContributions: OwnContribution[] = [];
+    /** Monotonic time before which messages are stale, in milliseconds. */
+    private freshFromMs = -Infinity;
+    private nowMs = 0;
+    private readonly sent = new Map<string, SentState>();
+    /** Sums of the present state; undefined after a change. */
+    private cache: CachedSums | undefined;
+    /** Changes from one state of the total to the present one, which many leaves need. */
+    private readonly changesCache = new Map<Counters, CounterChanges>();
+
+    constructor(private readonly options: SumStateOptions) {}
+
+    setRole(isAggregator: boolean): void {
+        this.isAggregator = isAggregator;
+        this.clearCache();
+    }
+
+    /** Sets this node's own counters. */
+    setOwn(counters: Counters): void {
+        const sequence = (this.ownContributions.at(-1)?.sequence ?? 0) + 1;
+        this.ownContributions.push({ sequence, counters });
+        if (this.ownContributions.length > retainedContributions) {
+            this.ownContributions.shift();
+        }
+        this.clearCache();
+    }
+
+    /** Forgets what was sent to a node, after a new link to it was set up. The next message to it is complete. */
+    resetPeer(nodeId: string): void {
+        this.sent.delete(nodeId);
+    }
+
+    /** Records the contribution of a node, and the sum over its leaves. */
+    receiveNode(fromNode: string, message: NodeMessage, nowMs: number): void {
+        const { sequence } = message;
+        const contributor = message.contributor ?? this.findPart(fromNode);
+        if (!contributor) {
+            return;
+        }
+        const { processId, dataCentre, isAggregator } = contributor;
+        const before = this.nodeParts.get(processId);
+        const base = message.isFull ? noCounters : before?.counters;
+        if (!base || (before && sequence <= before.sequence)) {
+            return; // the sender repeats all counters on a new link
+        }
+        this.clearCache();
+        this.markReplaced(fromNode, processId);
+        const counters = applyChanges(base, message.changes);
+        this.nodeParts.set(processId, {
+            nodeId: fromNode,
+            processId,
+            dataCentre,
+            isAggregator,
+            sequence,
+            counters,
+            receivedMs: nowMs,
+            isReplaced: false,
+        });
+        if (message.leaves) {
+            this.receiveLeaves(fromNode, dataCentre, message.leaves, nowMs);
+        }
+    }
+
+    /** Records the sum over all nodes that an aggregator sent. */
+    receiveTotal(fromNode: string, message: TotalMessage, nowMs: number): void {
+        const base = message.isFull
+            ? noCounters
+            : this.total?.fromNode === fromNode
+            ? this.total.counters
+            : undefined;
+        if (base) {
+            this.clearCache();
+            this.total = {
+                fromNode,
+                includedSequence: message.includedSequence,
+                nodes: message.nodes,
+                counters: applyChanges(base, message.changes),
+                atMs: nowMs - message.ageMs,
+                receivedMs: nowMs,
+            };
+        }
+    }
+
+    /**
+     * Leaves out contributions that are older than a time, except for those of groups that count a while longer.
+     *
+     * @param freshFromMs - monotonic time of the oldest message that counts, in milliseconds
+     * @param nowMs - monotonic time, in milliseconds
+     */
+    expire(freshFromMs: number, nowMs: number): void {
+        this.clearCache();
+        this.freshFromMs = freshFromMs;
+        this.nowMs = nowMs;
+        for (const parts of [this.nodeParts, this.leavesParts]) {
+            for (const [key, part] of parts) {
+                if (part.receivedMs < nowMs - retainedMs) {
+                    parts.delete(key);
+                }
+            }
+        }
+    }
+
+    /** Sums the counters of all other nodes, as far as they are known. */
+    sumOthers(): Counters {
+        this.cache ??= this.computeSums();
+        return this.cache.others;
+    }
+
+    /** Whether this node has the total of the given aggregator, to which its changes apply. */
+    hasTotalOf(nodeId: string): boolean {
+        return this.total?.fromNode === nodeId;
+    }
+
+    /** Lists the other nodes that {@link sumOthers} includes, with the time up to which it does. */
+    listCovered(): CoveredNodes[] {
+        const total = this.findUsedTotal();
+        if (total) {
+            const isIncluded = total.includedSequence !== undefined;
+            return [{ nodes: total.nodes - (isIncluded ? 1 : 0), atMs: total.atMs }];
+        }
+        return [
+            ...this.listDirectParts()
+                .filter(part => this.isCovered(part))
+                .map(part => ({ nodes: 1, atMs: part.receivedMs })),
+            ...this.chooseLeavesParts().map(part => ({ nodes: part.nodes, atMs: part.atMs })),
+        ];
+    }
+
+    /** Creates the message with this node's contribution for an aggregator. */
+    createNodeMessage(toNode: string, nowMs: number, wanted: WantedTotal): NodeMessage {
+        const sent = this.getOrCreateSent(toNode);
+        const own = this.ownContributions.at(-1) ?? { sequence: 0, counters: noCounters };
+        const { isAggregator } = this;
+        const { processId, dataCentre } = this.options;
+        const hasContributor = sent.own !== undefined && sent.isAggregator === isAggregator;
+        const leaves = isAggregator ? this.createLeavesMessage(sent, nowMs) : undefined;
+        const message: NodeMessage = {
+            kind: "node",
+            ...(hasContributor ? {} : { contributor: { processId, dataCentre, isAggregator } }),
+            sequence: own.sequence,
+            isFull: sent.own === undefined,
+            changes: compareCounters(sent.own ?? noCounters, own.counters),
+            ...(leaves ? { leaves } : {}),
+            ...(wanted === "nothing" ? {} : { wanted }),
+        };
+        sent.own = own.counters;
+        sent.isAggregator = isAggregator;
+        return message;
+    }
+
+    /**
+     * Creates the message with the sum over all nodes for a leaf.
+     *
+     * @param wanted - what the leaf asked for
+     */
+    createTotalMessage(toNode: string, nowMs: number, wanted: WantedTotal): TotalMessage {
+        const sent = this.getOrCreateSent(toNode);
+        const base = wanted === "all" ? undefined : sent.total;
+        this.cache ??= this.computeSums();
+        const { total } = this.cache;
+        const covered = this.listCovered();
+        const nodes = 1 + sumNodes(covered);
+        const ageMs = covered.reduce((sum, part) => sum + part.nodes * (nowMs - part.atMs), 0) / nodes;
+        const part = this.findPart(toNode);
+        const included = part && this.isFresh(part) ? part : undefined;
+        const message: TotalMessage = {
+            kind: "total",
+            includedSequence: included?.sequence,
+            nodes,
+            ageMs,
+            isFull: base === undefined,
+            changes: this.compareToTotal(base ?? noCounters, total),
+        };
+        sent.total = total;
+        return message;
+    }
+
+    private receiveLeaves(fromNode: string, dataCentre: string, message: LeavesMessage, nowMs: number): void {
+        const base = message.isFull ? noCounters : this.leavesParts.get(fromNode)?.counters;
+        if (base) {
+            this.leavesParts.set(fromNode, {
+                dataCentre,
+                nodes: message.nodes,
+                counters: applyChanges(base, message.changes),
+                atMs: nowMs - message.ageMs,
+                receivedMs: nowMs,
+            });
+        }
+    }
+
+    private createLeavesMessage(sent: SentState, nowMs: number): LeavesMessage {
+        const sum = new Map<string, number>();
+        const known = this.listDirectParts().filter(part => this.isOwnLeaf(part));
+        known.forEach(part => addCounters(sum, this.countPart(part)));
+        const leaves = known.filter(part => this.isFresh(part));
+        const ages = leaves.map(part => nowMs - part.receivedMs);
+        const message: LeavesMessage = {
+            nodes: leaves.length,
+            ageMs: ages.length === 0 ? 0 : ages.reduce((total, ageMs) => total + ageMs, 0) / ages.length,
+            isFull: sent.leaves === undefined,
+            changes: compareCounters(sent.leaves ?? noCounters, sum),
+        };
+        sent.leaves = sum;
+        return message;
+    }
+
+    private isOwnLeaf(part: Pick<NodePart, "dataCentre" | "isAggregator">): boolean {
+        return !part.isAggregator && part.dataCentre === this.options.dataCentre;
+    }
+
+    private isFresh(part: Pick<NodePart, "receivedMs" | "isReplaced">): boolean {
+        return !part.isReplaced && part.receivedMs >= this.freshFromMs;
+    }
+
+    /** Whether the process may still run and any of its counters may count. */
+    private isCovered(part: NodePart): boolean {
+        const lingerMs = Math.max(0, ...Object.values(this.options.lingerMsByGroup));
+        return this.isFresh(part) || (!part.isReplaced && part.receivedMs + lingerMs > this.nowMs);
+    }
+
+    /** Returns the counters of a part that count now. */
+    private countPart(part: NodePart): Counters {
+        if (this.isFresh(part)) {
+            return part.counters;
+        }
+        const { lingerMsByGroup } = this.options;
+        const isCounted = (name: string): boolean =>
+            part.receivedMs + (lingerMsByGroup[name.split("/", 1)[0]] ?? -Infinity) > this.nowMs;
+        return new Map([...part.counters].filter(([name]) => isCounted(name)));
+    }
+
+    /** Finds the total that this node uses; undefined if it sums up by itself. */
+    private findUsedTotal(): TotalPart | undefined {
+        return this.isAggregator || !this.total || this.total.receivedMs < this.freshFromMs
+            ? undefined
+            : this.total;
+    }
+
+    private computeSums(): CachedSums {
+        const others = new Map<string, number>();
+        const received = this.findUsedTotal();
+        if (received) {
+            addCounters(others, received.counters);
+            addCounters(others, this.findOwn(received.includedSequence), -1);
+        }
+        else {
+            this.listDirectParts().forEach(part => addCounters(others, this.countPart(part)));
+            this.chooseLeavesParts().forEach(part => addCounters(others, part.counters));
+        }
+        const total = new Map(others);
+        addCounters(total, this.ownContributions.at(-1)?.counters ?? noCounters);
+        return { others, total };
+    }
+
+    private compareToTotal(base: Counters, total: Counters): CounterChanges {
+        let changes = this.changesCache.get(base);
+        if (!changes) {
+            changes = compareCounters(base, total);
+            this.changesCache.set(base, changes);
+        }
+        return changes;
+    }
+
+    private clearCache(): void {
+        this.cache = undefined;
+        this.changesCache.clear();
+    }
+
+    /** Lists the nodes whose own contributions count: the aggregators, and the leaves of this data centre. */
+    private listDirectParts(): NodePart[] {
+        return [...this.nodeParts.values()].filter(part => part.isAggregator || this.isOwnLeaf(part));
+    }
+
+    /** Chooses, for each other data centre, the sum over the most leaves; equal ones by the aggregator's name. */
+    private chooseLeavesParts(): LeavesPart[] {
+        const chosen = new Map<string, LeavesPart>();
+        for (const nodeId of [...this.leavesParts.keys()].sort()) {
+            const part = this.leavesParts.get(nodeId)!;
+            const best = chosen.get(part.dataCentre);
+            const isUsable = part.dataCentre !== this.options.dataCentre
+                && part.receivedMs >= this.freshFromMs;
+            if (isUsable && part.nodes > (best?.nodes ?? -1)) {
+                chosen.set(part.dataCentre, part);
+            }
+        }
+        return [...chosen.values()];
+    }
+
+    /** Finds the part of a node's present process. */
+    private findPart(nodeId: string): NodePart | undefined {
+        return [...this.nodeParts.values()].find(part => part.nodeId === nodeId && !part.isReplaced);
+    }
+
+    private markReplaced(nodeId: string, processId: string): void {
+        for (const [known, part] of this.nodeParts) {
+            if (part.nodeId === nodeId && known !== processId && !part.isReplaced) {
+                this.nodeParts.set(known, { ...part, isReplaced: true });
+            }
+        }
+    }
+
+    private findOwn(sequence: number | undefined): Counters {
+        return this.ownContributions.find(own => own.sequence === sequence)?.counters ?? noCounters;
+    }
+
+    private getOrCreateSent(nodeId: string): SentState {
+        let sent = this.sent.get(nodeId);
+        if (!sent) {
+            sent = {};
+            this.sent.set(nodeId, sent);
+        }
+        return sent;
+    }
+}
+
+const sumNodes = (parts: readonly CoveredNodes[]): number => parts.reduce((sum, part) => sum + part.nodes, 0);
--- a/src/usage/UsageLedger.ts
+++ b/src/usage/UsageLedger.ts
@@ -1,47 +1,37 @@
-import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import type { ClusterClock } from "../feeds/ClusterClock";
-import type { PeerReports, ReportTopic } from "../peers/PeerReports";
+import type { ClusterSums } from "../sums/ClusterSums";
 import type { UsageCounts } from "./types";
 
 /** Options of {@link UsageLedger}. */
 export interface UsageLedgerOptions {
     readonly clusterClock: ClusterClock;
-    readonly reports: PeerReports;
-    /** Identifies this process; a restarted node has a new one. */
-    readonly processId: string;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
     /** Length of a window, in milliseconds. */
     readonly windowMs: number;
 }
 
-interface ProcessUsage {
-    readonly processId: string;
-    /** Counts by window number. */
-    readonly windows: Readonly<Record<string, UsageCounts>>;
-}
+type MutableCounts = Record<string, number>;
 
-const usageTopic: ReportTopic<ProcessUsage> = {
-    name: "usage",
-    schema: z.object({ processId: z.string(), windows: z.record(z.record(z.number())) }),
-};
-const maxPastWindows = 4; // a report is due two windows after its window ends
+/** Group of counters with the requests by `WINDOW/ACCOUNT`. */
+export const usageGroup = "usage";
+/** Number of past windows whose counts are kept: a report is due two windows after its window ends. */
+export const maxPastWindows = 4;
 
 /**
- * Counts the requests of each client account that began to run, by window of {@link ClusterClock} time. Nodes exchange
- * their counts. Any node can therefore report the total, and little is lost when a node fails.
+ * Counts the requests of each client account that began to run, by window of {@link ClusterClock} time. The counts of
+ * all nodes are summed, so that any node can report the total and little is lost when a node fails.
  */
 export class UsageLedger {
-    /** Counts by window and process. */
-    private readonly windows = new Map<number, Map<string, Record<string, number>>>();
+    /** This process's counts by window. */
+    private readonly own = new Map<number, MutableCounts>();
+    /** Counts by window of processes that no longer contribute to the sums. */
+    private readonly recovered = new Map<number, MutableCounts>();
 
     constructor(private readonly options: UsageLedgerOptions) {}
 
     async start(): Promise<void> {
-        this.options.reports.exchange(
-            usageTopic,
-            () => this.readOwnUsage(),
-            (_nodeId, usage) => this.mergeReport(usage),
-        );
+        this.options.sums.registerContributor(usageGroup, () => this.listOwnCounts());
     }
 
     /** Converts a time, in milliseconds since the epoch, to the number of its window. */
@@ -57,71 +47,71 @@
     /** Counts a request that begins to run now. */
     recordRequest(accountName: string): void {
         const window = this.toWindow(this.options.clusterClock.readMs());
-        const counts = this.getOrCreateCounts(window, this.options.processId);
+        const counts = this.own.get(window) ?? {};
         counts[accountName] = (counts[accountName] ?? 0) + 1;
+        this.own.set(window, counts);
     }
 
-    /** Sums the counts of a window over all known processes. */
+    /** Sums the counts of a window over all nodes. */
     computeTotals(window: number): UsageCounts {
-        const totals: Record<string, number> = {};
-        for (const counts of this.windows.get(window)?.values() ?? []) {
-            for (const [account, count] of Object.entries(counts)) {
-                totals[account] = (totals[account] ?? 0) + count;
-            }
-        }
+        const totals: MutableCounts = {};
+        addCounts(totals, this.own.get(window) ?? {});
+        addCounts(totals, this.listOthers(window));
+        addCounts(totals, this.recovered.get(window) ?? {});
         return totals;
     }
 
-    /** Lists the counts of a window by process. */
-    listCountsByProcess(window: number): Readonly<Record<string, UsageCounts>> {
-        return Object.fromEntries(this.windows.get(window) ?? []);
-    }
-
-    /** Merges counts by process from another source; the higher count of each account wins. */
-    mergeCounts(window: number, processes: Readonly<Record<string, UsageCounts>>): void {
-        for (const [processId, counts] of Object.entries(processes)) {
-            const known = this.getOrCreateCounts(window, processId);
-            for (const [account, count] of Object.entries(counts)) {
-                known[account] = Math.max(known[account] ?? 0, count);
-            }
-        }
-    }
-
-    private readOwnUsage(): ProcessUsage {
-        const { processId, clusterClock } = this.options;
-        this.dropExpiredWindows(this.toWindow(clusterClock.readMs()));
-        const windows: Record<string, UsageCounts> = {};
-        for (const [window, processes] of this.windows) {
-            const counts = processes.get(processId);
-            if (counts) {
-                windows[window] = counts;
-            }
-        }
-        return { processId, windows };
+    /**
+     * Adds what saved totals of a window count beyond the present ones: requests of processes that have ended and are
+     * no longer part of the sums.
+     *
+     * @param window - the window
+     * @param saved - totals that an earlier holder of the duty saved
+     */
+    recoverTotals(window: number, saved: UsageCounts): void {
+        this.recovered.delete(window);
+        const present = this.computeTotals(window);
+        const missing = Object.entries(saved).map(([account, count]) =>
+            [account, Math.max(0, count - (present[account] ?? 0))] as const
+        );
+        this.recovered.set(window, Object.fromEntries(missing));
     }
 
-    private mergeReport(usage: ProcessUsage): void {
-        for (const [window, counts] of Object.entries(usage.windows)) {
-            this.mergeCounts(Number(window), { [usage.processId]: counts });
-        }
+    private listOthers(window: number): UsageCounts {
+        const prefix = `${window}/`;
+        const others = [...this.options.sums.readOthers(usageGroup)];
+        return Object.fromEntries(
+            others.filter(([name]) => name.startsWith(prefix)).map(([name, count]) =>
+                [name.slice(prefix.length), Math.round(count)] as const
+            ),
+        );
     }
 
-    private getOrCreateCounts(window: number, processId: string): Record<string, number> {
-        const processes = this.windows.get(window) ?? new Map<string, Record<string, number>>();
-        this.windows.set(window, processes);
-        const counts = processes.get(processId) ?? {};
-        processes.set(processId, counts);
-        return counts;
+    private listOwnCounts(): ReadonlyMap<string, number> {
+        this.dropExpiredWindows(this.toWindow(this.options.clusterClock.readMs()));
+        return new Map(
+            [...this.own].flatMap(([window, counts]) =>
+                Object.entries(counts).map(([account, count]) => [`${window}/${account}`, count] as const)
+            ),
+        );
     }
 
     private dropExpiredWindows(current: number): void {
-        for (const window of this.windows.keys()) {
-            if (window < current - maxPastWindows) {
-                this.windows.delete(window);
+        for (const windows of [this.own, this.recovered]) {
+            for (const window of windows.keys()) {
+                if (window < current - maxPastWindows) {
+                    windows.delete(window);
+                }
             }
         }
     }
 }
 
+const addCounts = (sum: MutableCounts, counts: UsageCounts): void => {
+    for (const [account, count] of Object.entries(counts)) {
+        sum[account] = (sum[account] ?? 0) + count;
+    }
+};
+
 /** Name of the usage ledger service. */
 export const usageLedgerName = createServiceName<UsageLedger>("usage-ledger");
--- a/src/usage/UsageReporter.test.ts
+++ b/src/usage/UsageReporter.test.ts
@@ -3,7 +3,6 @@
 import { StoreEra } from "../feeds/StoreEra";
 import type { Lease } from "../leases/Lease";
 import { MemoryTableService } from "../platform/MemoryTableService";
-import type { PeerReports } from "../peers/PeerReports";
 import { EventLog } from "../telemetry/EventLog";
 import type { UsageReport } from "./types";
 import { UsageLedger } from "./UsageLedger";
@@ -26,8 +25,8 @@
     storeEra?: StoreEra,
 ): Setup => {
     const clusterClock = { readMs: () => clock.readWallMs() } as ClusterClock;
-    const reports = { exchange: () => {} } as unknown as PeerReports;
-    const ledger = new UsageLedger({ clusterClock, reports, processId, windowMs });
+    const sums = { registerContributor: () => {}, readOthers: () => new Map<string, number>() };
+    const ledger = new UsageLedger({ clusterClock, sums, windowMs });
     const setup: Setup = { ledger, sent: [], isHolder: true, isCloudDown: false } as unknown as Setup;
     const held = { fencing: 1, remainingMs: 2_000 };
     const reporter = new UsageReporter({
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -32,7 +32,9 @@
 const reportsTable = "usage-reports";
 /** Row of {@link reportsTable} with the era of the store in which the last holder wrote its reports. */
 const eraKey = "era";
-/** Holds the counts by process of unreported windows for the next lease holder. */
+/** Name under which the sum over all processes is saved. */
+const allProcesses = "all";
+/** Holds the counts of unreported windows for the next lease holder. */
 const countsTable = "usage-counts";
 const cycleMs = 500;
 const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the peer reports
@@ -102,7 +104,7 @@
             }
             for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
                 const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
-                ledger.mergeCounts(window, (row?.value ?? {}) as Record<string, UsageCounts>);
+                ledger.recoverTotals(window, sumProcesses((row?.value ?? {}) as Record<string, UsageCounts>));
             }
             this.nextWindow = first;
         }
@@ -159,7 +161,7 @@
             table: countsTable,
             key: formatKey(window),
             condition: { kind: "any" } as const,
-            value: ledger.listCountsByProcess(window),
+            value: { [allProcesses]: ledger.computeTotals(window) },
         }));
         const text = JSON.stringify(writes);
         if (text === this.savedText) {
@@ -250,6 +252,15 @@
     }
 }
 
+/** Sums saved counts by process; earlier versions saved them for each process. */
+const sumProcesses = (processes: Readonly<Record<string, UsageCounts>>): UsageCounts => {
+    const sum: Record<string, number> = {};
+    for (const [account, count] of Object.values(processes).flatMap(counts => Object.entries(counts))) {
+        sum[account] = (sum[account] ?? 0) + count;
+    }
+    return sum;
+};
+
 const formatKey = (window: number): string => String(window).padStart(keyDigits, "0");
 
 const sumCounts = (counts: UsageCounts): number =>
