--- /dev/null
+++ b/src/forwarding/relayEvents.test.ts
@@ -0,0 +1,72 @@
+import type { ServerResponse } from "node:http";
+import { FakeClock } from "../kernel/FakeClock";
+import { runTask } from "../kernel/runTask";
+import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
+import { EventStreamSplitter } from "./EventStreamSplitter";
+import { relayEvents, type RelayOutcome } from "./relayEvents";
+import type { RequestInterrupt } from "./RequestInterrupt";
+
+const idleTimeoutMs = 1_500;
+
+/** A relayed stream whose bytes the test sends. */
+class Setup {
+    readonly clock = new FakeClock();
+    readonly written: string[] = [];
+    outcome: RelayOutcome | undefined;
+    private send: (chunk: Buffer) => void = () => {};
+
+    constructor() {
+        const exchange = {
+            listen: (listener: (chunk: Buffer) => void) => {
+                this.send = listener;
+            },
+            ended: new Promise(() => {}),
+        } as unknown as UpstreamExchange;
+        const response = {
+            on: () => {},
+            off: () => {},
+            write: (bytes: Buffer) => this.written.push(bytes.toString()) > 0,
+        } as unknown as ServerResponse;
+        const relay = relayEvents({
+            exchange,
+            splitter: new EventStreamSplitter(),
+            response,
+            interrupt: { interrupted: new Promise(() => {}) } as unknown as RequestInterrupt,
+            clock: this.clock,
+            idleTimeoutMs,
+            onData: () => {},
+            onFirstEvent: () => {},
+        });
+        void runTask(() => relay, { name: "relay" }).done.then(outcome => {
+            this.outcome = outcome as RelayOutcome;
+        });
+    }
+
+    /** Sends a text again and again, with a pause after each. */
+    async sendRepeatedly(
+        createText: (index: number) => string,
+        times: number,
+        pauseMs: number,
+    ): Promise<void> {
+        for (let index = 0; index < times; index += 1) {
+            this.send(Buffer.from(createText(index)));
+            await this.clock.advance(pauseMs);
+        }
+    }
+}
+
+describe("relayEvents", () => {
+    it("does not end a slow stream whose events go on", async () => {
+        const setup = new Setup();
+        await setup.sendRepeatedly(index => `id: ${index + 1}\ndata: x\n\n`, 10, idleTimeoutMs - 100);
+        expect(setup.outcome).toBeUndefined();
+        expect(setup.written).toHaveLength(10);
+    });
+
+    it("ends a stalled stream that sends a byte now and then", async () => {
+        const setup = new Setup();
+        await setup.sendRepeatedly(() => "x", 4, idleTimeoutMs / 2);
+        expect(setup.outcome).toMatchObject({ kind: "broken" });
+        expect(setup.written).toEqual([]);
+    });
+});
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -13,7 +13,10 @@
     readonly response: ServerResponse;
     readonly interrupt: RequestInterrupt;
     readonly clock: Clock;
-    /** Time without data from the upstream after which the stream counts as broken, in milliseconds. */
+    /**
+     * Time without a complete event from the upstream after which the stream counts as broken, in milliseconds. Bytes
+     * that complete no event do not extend it.
+     */
     readonly idleTimeoutMs: number;
     /** Called whenever a chunk arrives. */
     readonly onData: () => void;
@@ -36,7 +39,7 @@
  */
 export function* relayEvents(options: RelayEventsOptions): Task<RelayOutcome> {
     const { exchange, splitter, response, interrupt, clock } = options;
-    let lastReceivedMs = clock.readMonotonicMs();
+    let lastEventMs = clock.readMonotonicMs();
     let isPaused = false;
     let hasEvent = false;
     const resume = (): void => {
@@ -45,9 +48,11 @@
     };
     response.on("drain", resume);
     exchange.listen(chunk => {
-        lastReceivedMs = clock.readMonotonicMs();
         options.onData();
         const batch = splitter.push(chunk);
+        if (batch.bytes.length > 0) {
+            lastEventMs = clock.readMonotonicMs();
+        }
         if (batch.eventCount > 0 && !hasEvent) {
             hasEvent = true;
             options.onFirstEvent();
@@ -59,9 +64,9 @@
     });
     try {
         for (;;) {
-            const idleMs = isPaused ? 0 : clock.readMonotonicMs() - lastReceivedMs;
+            const idleMs = isPaused ? 0 : clock.readMonotonicMs() - lastEventMs;
             if (idleMs >= options.idleTimeoutMs) {
-                return { kind: "broken", message: `no data from the upstream for ${Math.round(idleMs)} ms` };
+                return { kind: "broken", message: `no event from the upstream for ${Math.round(idleMs)} ms` };
             }
             const outcome = yield* waitFor(
                 waitWithTimeout<ExchangeEnd | InterruptKind>({
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -37,7 +37,7 @@
 /** Holds the counts of unreported windows for the next lease holder. */
 const countsTable = "usage-counts";
 const cycleMs = 500;
-const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the peer reports
+const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the sums
 const keyDigits = 12;
 const retainedReports = 12;
 const saveIntervalMs = 1_000; // bounds the counts lost when all nodes are killed at the same time
