--- a/src/sums/SumState.ts
+++ b/src/sums/SumState.ts
@@ -1,6 +1,6 @@
 import { addCounters, applyChanges, compareCounters } from "./counters";
+import { ReceivedParts } from "./ReceivedParts";
 import type {
-    Contributor,
     CounterChanges,
     Counters,
     CoveredNodes,
@@ -18,26 +18,6 @@
     readonly lingerMsByGroup: Readonly<Record<string, number>>;
 }
 
-/** Contribution of another process. */
-interface NodePart extends Contributor {
-    readonly nodeId: string;
-    readonly sequence: number;
-    readonly counters: Counters;
-    readonly receivedMs: number;
-    /** Whether the node is known to run another process. */
-    readonly isReplaced: boolean;
-}
-
-/** Sum over the leaves of a data centre, as one of its aggregators sent it. */
-interface LeavesPart {
-    readonly dataCentre: string;
-    readonly nodes: number;
-    readonly counters: Counters;
-    /** Monotonic time up to which the contributions are included, in milliseconds. */
-    readonly atMs: number;
-    readonly receivedMs: number;
-}
-
 /** Sum over all nodes that an aggregator sent to this leaf. */
 interface TotalPart {
     readonly fromNode: string;
@@ -66,7 +46,6 @@
     readonly total: Counters;
 }
 
-const retainedMs = 60_000; // what is no longer counted is kept as the base of later changes
 const retainedContributions = 32; // of this node, until the sums that include them have arrived
 const noCounters: Counters = new Map();
 
@@ -80,22 +59,20 @@
  */
 export class SumState {
     private isAggregator = false;
-    /** Parts by process. */
-    private readonly nodeParts = new Map<string, NodePart>();
-    /** Sums over leaves by the aggregator that sent them. */
-    private readonly leavesParts = new Map<string, LeavesPart>();
+    private readonly parts: ReceivedParts;
     private total: TotalPart | undefined;
     private readonly ownContributions: OwnContribution[] = [];
     /** Monotonic time before which messages are stale, in milliseconds. */
     private freshFromMs = -Infinity;
-    private nowMs = 0;
     private readonly sent = new Map<string, SentState>();
     /** Sums of the present state; undefined after a change. */
     private cache: CachedSums | undefined;
     /** Changes from one state of the total to the present one, which many leaves need. */
     private readonly changesCache = new Map<Counters, CounterChanges>();
 
-    constructor(private readonly options: SumStateOptions) {}
+    constructor(private readonly options: SumStateOptions) {
+        this.parts = new ReceivedParts(options);
+    }
 
     setRole(isAggregator: boolean): void {
         this.isAggregator = isAggregator;
@@ -119,33 +96,8 @@
 
     /** Records the contribution of a node, and the sum over its leaves. */
     receiveNode(fromNode: string, message: NodeMessage, nowMs: number): void {
-        const { sequence } = message;
-        const contributor = message.contributor ?? this.findPart(fromNode);
-        if (!contributor) {
-            return;
-        }
-        const { processId, dataCentre, isAggregator } = contributor;
-        const before = this.nodeParts.get(processId);
-        const base = message.isFull ? noCounters : before?.counters;
-        if (!base || (before && sequence <= before.sequence)) {
-            return; // the sender repeats all counters on a new link
-        }
+        this.parts.receive(fromNode, message, nowMs);
         this.clearCache();
-        this.markReplaced(fromNode, processId);
-        const counters = applyChanges(base, message.changes);
-        this.nodeParts.set(processId, {
-            nodeId: fromNode,
-            processId,
-            dataCentre,
-            isAggregator,
-            sequence,
-            counters,
-            receivedMs: nowMs,
-            isReplaced: false,
-        });
-        if (message.leaves) {
-            this.receiveLeaves(fromNode, dataCentre, message.leaves, nowMs);
-        }
     }
 
     /** Records the sum over all nodes that an aggregator sent. */
@@ -177,14 +129,7 @@
     expire(freshFromMs: number, nowMs: number): void {
         this.clearCache();
         this.freshFromMs = freshFromMs;
-        this.nowMs = nowMs;
-        for (const parts of [this.nodeParts, this.leavesParts]) {
-            for (const [key, part] of parts) {
-                if (part.receivedMs < nowMs - retainedMs) {
-                    parts.delete(key);
-                }
-            }
-        }
+        this.parts.expire(freshFromMs, nowMs);
     }
 
     /** Sums the counters of all other nodes, as far as they are known. */
@@ -205,12 +150,7 @@
             const isIncluded = total.includedSequence !== undefined;
             return [{ nodes: total.nodes - (isIncluded ? 1 : 0), atMs: total.atMs }];
         }
-        return [
-            ...this.listDirectParts()
-                .filter(part => this.isCovered(part))
-                .map(part => ({ nodes: 1, atMs: part.receivedMs })),
-            ...this.chooseLeavesParts().map(part => ({ nodes: part.nodes, atMs: part.atMs })),
-        ];
+        return this.parts.listCovered();
     }
 
     /** Creates the message with this node's contribution for an aggregator. */
@@ -248,11 +188,9 @@
         const covered = this.listCovered();
         const nodes = 1 + sumNodes(covered);
         const ageMs = covered.reduce((sum, part) => sum + part.nodes * (nowMs - part.atMs), 0) / nodes;
-        const part = this.findPart(toNode);
-        const included = part && this.isFresh(part) ? part : undefined;
         const message: TotalMessage = {
             kind: "total",
-            includedSequence: included?.sequence,
+            includedSequence: this.parts.findFreshSequence(toNode),
             nodes,
             ageMs,
             isFull: base === undefined,
@@ -262,28 +200,11 @@
         return message;
     }
 
-    private receiveLeaves(fromNode: string, dataCentre: string, message: LeavesMessage, nowMs: number): void {
-        const base = message.isFull ? noCounters : this.leavesParts.get(fromNode)?.counters;
-        if (base) {
-            this.leavesParts.set(fromNode, {
-                dataCentre,
-                nodes: message.nodes,
-                counters: applyChanges(base, message.changes),
-                atMs: nowMs - message.ageMs,
-                receivedMs: nowMs,
-            });
-        }
-    }
-
     private createLeavesMessage(sent: SentState, nowMs: number): LeavesMessage {
-        const sum = new Map<string, number>();
-        const known = this.listDirectParts().filter(part => this.isOwnLeaf(part));
-        known.forEach(part => addCounters(sum, this.countPart(part)));
-        const leaves = known.filter(part => this.isFresh(part));
-        const ages = leaves.map(part => nowMs - part.receivedMs);
+        const { sum, nodes, ageMs } = this.parts.sumOwnLeaves(nowMs);
         const message: LeavesMessage = {
-            nodes: leaves.length,
-            ageMs: ages.length === 0 ? 0 : ages.reduce((total, ageMs) => total + ageMs, 0) / ages.length,
+            nodes,
+            ageMs,
             isFull: sent.leaves === undefined,
             changes: compareCounters(sent.leaves ?? noCounters, sum),
         };
@@ -291,31 +212,6 @@
         return message;
     }
 
-    private isOwnLeaf(part: Pick<NodePart, "dataCentre" | "isAggregator">): boolean {
-        return !part.isAggregator && part.dataCentre === this.options.dataCentre;
-    }
-
-    private isFresh(part: Pick<NodePart, "receivedMs" | "isReplaced">): boolean {
-        return !part.isReplaced && part.receivedMs >= this.freshFromMs;
-    }
-
-    /** Whether the process may still run and any of its counters may count. */
-    private isCovered(part: NodePart): boolean {
-        const lingerMs = Math.max(0, ...Object.values(this.options.lingerMsByGroup));
-        return this.isFresh(part) || (!part.isReplaced && part.receivedMs + lingerMs > this.nowMs);
-    }
-
-    /** Returns the counters of a part that count now. */
-    private countPart(part: NodePart): Counters {
-        if (this.isFresh(part)) {
-            return part.counters;
-        }
-        const { lingerMsByGroup } = this.options;
-        const isCounted = (name: string): boolean =>
-            part.receivedMs + (lingerMsByGroup[name.split("/", 1)[0]] ?? -Infinity) > this.nowMs;
-        return new Map([...part.counters].filter(([name]) => isCounted(name)));
-    }
-
     /** Finds the total that this node uses; undefined if it sums up by itself. */
     private findUsedTotal(): TotalPart | undefined {
         return this.isAggregator || !this.total || this.total.receivedMs < this.freshFromMs
@@ -331,8 +227,7 @@
             addCounters(others, this.findOwn(received.includedSequence), -1);
         }
         else {
-            this.listDirectParts().forEach(part => addCounters(others, this.countPart(part)));
-            this.chooseLeavesParts().forEach(part => addCounters(others, part.counters));
+            this.parts.addTo(others);
         }
         const total = new Map(others);
         addCounters(total, this.ownContributions.at(-1)?.counters ?? noCounters);
@@ -353,39 +248,6 @@
         this.changesCache.clear();
     }
 
-    /** Lists the nodes whose own contributions count: the aggregators, and the leaves of this data centre. */
-    private listDirectParts(): NodePart[] {
-        return [...this.nodeParts.values()].filter(part => part.isAggregator || this.isOwnLeaf(part));
-    }
-
-    /** Chooses, for each other data centre, the sum over the most leaves; equal ones by the aggregator's name. */
-    private chooseLeavesParts(): LeavesPart[] {
-        const chosen = new Map<string, LeavesPart>();
-        for (const nodeId of [...this.leavesParts.keys()].sort()) {
-            const part = this.leavesParts.get(nodeId)!;
-            const best = chosen.get(part.dataCentre);
-            const isUsable = part.dataCentre !== this.options.dataCentre
-                && part.receivedMs >= this.freshFromMs;
-            if (isUsable && part.nodes > (best?.nodes ?? -1)) {
-                chosen.set(part.dataCentre, part);
-            }
-        }
-        return [...chosen.values()];
-    }
-
-    /** Finds the part of a node's present process. */
-    private findPart(nodeId: string): NodePart | undefined {
-        return [...this.nodeParts.values()].find(part => part.nodeId === nodeId && !part.isReplaced);
-    }
-
-    private markReplaced(nodeId: string, processId: string): void {
-        for (const [known, part] of this.nodeParts) {
-            if (part.nodeId === nodeId && known !== processId && !part.isReplaced) {
-                this.nodeParts.set(known, { ...part, isReplaced: true });
-            }
-        }
-    }
-
     private findOwn(sequence: number | undefined): Counters {
         return this.ownContributions.find(own => own.sequence === sequence)?.counters ?? noCounters;
     }
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -40,7 +40,7 @@
 const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the sums
 const keyDigits = 12;
 const retainedReports = 12;
-const saveIntervalMs = 1_000; // bounds the counts lost when all nodes are killed at the same time
+const saveIntervalMs = 2_000; // bounds the counts lost when all nodes are killed at the same time
 
 /**
  * Reports the usage of each window to the cloud while this node holds the lease. Each report is stored before it is
