--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -21,6 +21,7 @@
     type ReportListener,
 } from "./PeerMessageRouter";
 import { authenticatePeer } from "./authenticatePeer";
+import { LinkKeepalive } from "./LinkKeepalive";
 import { type LinkPlan, planLinks } from "./planLinks";
 
 /** Web-socket address of a node. */
@@ -59,7 +60,6 @@
 const firstRedialMs = 100;
 const maxRedialMs = 2_000;
 const defaultIdleLinkTimeoutMs = 30_000;
-const beatsPerDigest = 4; // heartbeats also carry the digest of the gossip map
 const maxInvalidFrames = 3; // a link with more invalid frames is closed
 
 /** Authenticated links to other members, with heartbeats, calls, reports and the replication of the gossip map. */
@@ -81,6 +81,7 @@
     private linkPlan: LinkPlan;
     private readonly replicator: GossipReplicator;
     private readonly router: PeerMessageRouter;
+    private readonly keepalive: LinkKeepalive;
 
     constructor(private readonly options: PeerNetworkOptions) {
         this.scope = createLoggedTaskScope(options.events);
@@ -93,6 +94,21 @@
             readPlan: () => this.linkPlan,
             clock: options.clock,
         });
+        this.keepalive = new LinkKeepalive({
+            ...options,
+            idleLinkTimeoutMs: options.idleLinkTimeoutMs ?? defaultIdleLinkTimeoutMs,
+            listLinks: () => [...this.links.values()],
+            sendHeartbeat: link => this.sendHeartbeat(link),
+            onSilent: link => {
+                link.close();
+                this.removeLink(link);
+            },
+            onIdle: link => {
+                this.announceClose(link);
+                link.closeAfterFlush();
+                this.removeLink(link);
+            },
+        });
         this.router = new PeerMessageRouter({ events: options.events, replicator: this.replicator });
         this.registerHandler(
             gossipExchangeMethod,
@@ -131,7 +147,7 @@
             server.once("listening", resolve);
             server.once("error", reject);
         });
-        this.scope.run("heartbeats", signal => this.sendHeartbeats(signal));
+        this.scope.run("heartbeats", signal => this.keepalive.run(signal));
         this.replicator.start();
     }
 
@@ -192,7 +208,10 @@
         const targets = new Set([...this.linkPlan.dialTargets, ...probed.map(member => member.nodeId)]);
         for (const [nodeId, cancel] of this.dialTasks) {
             if (!targets.has(nodeId)) {
-                this.announceClose(nodeId);
+                const link = this.links.get(nodeId);
+                if (link) {
+                    this.announceClose(link);
+                }
                 cancel();
                 this.dialTasks.delete(nodeId);
             }
@@ -343,59 +362,10 @@
         }
     }
 
-    /**
-     * Sends a heartbeat on every link, and closes those that timed out or are no longer needed. Where other frames show
-     * that this node is alive, a part of the heartbeats is left out.
-     */
-    private *sendHeartbeats(signal: AbortSignal): Task<void> {
-        for (let beat = 0; !signal.aborted; beat += 1) {
-            const dueMs = this.options.clock.readMonotonicMs() + this.options.heartbeatMs;
-            yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
-            const nowMs = this.options.clock.readMonotonicMs();
-            this.acceptDelay(nowMs - dueMs);
-            const oldestCallMs = nowMs - (this.options.idleLinkTimeoutMs ?? defaultIdleLinkTimeoutMs);
-            const oldestFrameMs = nowMs - this.options.linkTimeoutMs;
-            const isDigestDue = beat % beatsPerDigest === 0;
-            for (const link of [...this.links.values()]) {
-                if (link.lastReceivedMs < oldestFrameMs) {
-                    link.close();
-                    this.removeLink(link);
-                    continue;
-                }
-                if (link.isOnDemand && link.lastCallMs < oldestCallMs) {
-                    this.closeIdle(link);
-                    continue;
-                }
-                if (isDigestDue || link.lastSentMs <= nowMs - this.options.heartbeatMs) {
-                    this.sendHeartbeat(link);
-                }
-            }
-        }
-    }
-
-    /** Extends the time limit of all links by the time for which this process was delayed and may not have read them. */
-    private acceptDelay(delayMs: number): void {
-        if (delayMs > this.options.heartbeatMs) {
-            for (const link of this.links.values()) {
-                link.lastReceivedMs += delayMs;
-            }
-        }
-    }
-
-    /** Closes a link that was opened for a call: in a large cluster, idle links would cost more than the calls. */
-    private closeIdle(link: PeerLink): void {
-        this.announceClose(link.nodeId);
-        link.closeAfterFlush();
-        this.removeLink(link);
-    }
-
     /** Announces that a link will be closed on purpose, so that neither side treats its end as the loss of a member. */
-    private announceClose(nodeId: string): void {
-        const link = this.links.get(nodeId);
-        if (link) {
-            link.isClosing = true;
-            link.send({ kind: "goodbye" });
-        }
+    private announceClose(link: PeerLink): void {
+        link.isClosing = true;
+        link.send({ kind: "goodbye" });
     }
 
     private sendHeartbeat(link: PeerLink): void {
