--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -4,6 +4,8 @@
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { servingStateName } from "../routes/ServingState";
 import { addGauge, type GaugeValue } from "../telemetry/addGauge";
+import { peerNetworkName } from "../peers/PeerNetwork";
+import { clusterSumsName } from "../sums/ClusterSums";
 import { forwardMetricsName } from "../telemetry/ForwardMetrics";
 
 const msPerSecond = 1_000;
@@ -55,6 +57,7 @@
         () => find(forwardServerName).openExchanges,
     );
     addValue("sequoiagrade_resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
+    registerControlGauges(find, addValue);
     addByService(
         "sequoiagrade_upstreams_usable",
         "Upstreams that may get a request now.",
@@ -66,3 +69,30 @@
         service => instances.countInFlight(service),
     );
 };
+
+/** Registers what tells how this node is linked to the others, and what it knows of them. */
+const registerControlGauges = (
+    find: FindService,
+    addValue: (name: string, help: string, read: () => number) => void,
+): void => {
+    const network = find(peerNetworkName);
+    const sums = find(clusterSumsName);
+    addValue("sequoiagrade_peer_links", "Links to other nodes.", () => network.linkedNodeIds.length);
+    addValue(
+        "sequoiagrade_aggregator",
+        "1 while this node adds up for its data centre, else 0.",
+        () => Number(network.plan.isAggregator),
+    );
+    addValue(
+        "sequoiagrade_peer_frames_sent",
+        "Frames sent to other nodes.",
+        () => network.counters.messagesSent,
+    );
+    addValue("sequoiagrade_peer_bytes_sent", "Bytes sent to other nodes.", () => network.counters.bytesSent);
+    addValue("sequoiagrade_summed_nodes", "Other nodes that the sums include.", () => sums.countCovered());
+    addValue(
+        "sequoiagrade_sums_age_seconds",
+        "Mean age of the other nodes' contributions to the sums.",
+        () => sums.readAgeMs() / msPerSecond,
+    );
+};
--- /dev/null
+++ b/src/membership/Membership.test.ts
@@ -0,0 +1,127 @@
+import { FakeClock } from "../kernel/FakeClock";
+import { GossipMap } from "../peers/GossipMap";
+import type { PeerAddress, PeerNetwork } from "../peers/PeerNetwork";
+import { EventLog } from "../telemetry/EventLog";
+import { Membership } from "./Membership";
+import { selectProbedNodes } from "./selectProbedNodes";
+import type { Member } from "./types";
+
+const createMember = (nodeId: string, state: Member["state"] = "live"): Member => ({
+    nodeId,
+    dataCentre: "a",
+    callersUrl: `http://${nodeId}`,
+    peersUrl: `ws://${nodeId}`,
+    state,
+    incarnation: 1,
+});
+
+/** A membership whose network reaches only the given nodes. */
+class Setup {
+    readonly clock = new FakeClock();
+    readonly events = new EventLog({ node: "self", clock: this.clock });
+    readonly gossip = new GossipMap({ nodeId: "self", hybridClock: this.events.hybridClock });
+    linked: string[] = [];
+    present: readonly PeerAddress[] = [];
+    probed: readonly PeerAddress[] = [];
+    loseLink: (nodeId: string) => void = () => {};
+    setUpLink: (nodeId: string) => void = () => {};
+    readonly membership: Membership;
+
+    constructor() {
+        const readLinked = (): readonly string[] => this.linked;
+        const network = {
+            registerHandler: () => {},
+            onLinkLost: (listener: (nodeId: string) => void) => {
+                this.loseLink = listener;
+            },
+            onLinkUp: (listener: (nodeId: string) => void) => {
+                this.setUpLink = listener;
+            },
+            onHeartbeat: () => {},
+            get linkedNodeIds() {
+                return readLinked();
+            },
+            setMembers: (present: readonly PeerAddress[], probed: readonly PeerAddress[]) => {
+                this.present = present;
+                this.probed = probed;
+            },
+            call: async () => {
+                throw new Error("unreachable");
+            },
+        } as unknown as PeerNetwork;
+        this.membership = new Membership({
+            self: createMember("self"),
+            clock: this.clock,
+            events: this.events,
+            gossip: this.gossip,
+            network,
+            heartbeatMs: 250,
+            goneAfterMs: 400,
+        });
+    }
+
+    async start(...members: Member[]): Promise<void> {
+        members.forEach(member => this.gossip.set(`member/${member.nodeId}`, member));
+        await this.membership.start();
+        await this.clock.advance(50);
+    }
+
+    listLive(): string[] {
+        return this.membership.listLive().map(member => member.nodeId).sort();
+    }
+
+    readAnnounced(nodeId: string): string {
+        return (this.gossip.get(`member/${nodeId}`) as Member).state;
+    }
+}
+
+describe("Membership", () => {
+    let setup: Setup;
+    beforeEach(() => {
+        setup = new Setup();
+    });
+    afterEach(() => setup.membership.stop());
+
+    it("marks an unreachable member gone for all nodes while it has links to others", async () => {
+        await setup.start(createMember("one"), createMember("two"));
+        setup.linked = ["two"];
+        setup.loseLink("one");
+        await setup.clock.advance(1_000);
+        expect(setup.listLive()).toEqual(["self", "two"]);
+        expect(setup.readAnnounced("one")).toBe("gone");
+    });
+
+    it("suspects members only for itself while it has no link, and no longer once it has one", async () => {
+        await setup.start(createMember("one"), createMember("two"));
+        setup.loseLink("one");
+        await setup.clock.advance(1_000);
+        expect(setup.listLive()).toEqual(["self", "two"]);
+        expect(setup.readAnnounced("one")).toBe("live");
+        setup.linked = ["two"];
+        setup.setUpLink("two");
+        expect(setup.listLive()).toEqual(["one", "self", "two"]);
+    });
+
+    it("goes on dialling a few recorded nodes that are gone, and those that it knows nothing of", async () => {
+        await setup.start(createMember("one", "gone"), createMember("two"));
+        setup.membership.setRecordedNodes([{ nodeId: "one", url: "ws://one" }, {
+            nodeId: "new",
+            url: "ws://new",
+        }]);
+        expect(setup.present.map(node => node.nodeId).sort()).toEqual(["new", "self", "two"]);
+        expect(setup.probed.map(node => node.nodeId)).toEqual(["one"]);
+    });
+});
+
+describe("selectProbedNodes", () => {
+    it("selects three nodes of each data centre", () => {
+        const gone = Array.from({ length: 40 }, (_, index) => ({
+            nodeId: `n${index}`,
+            url: `ws://n${index}`,
+            dataCentre: `dc-${index % 4}`,
+        }));
+        const probed = selectProbedNodes(gone);
+        expect(probed).toHaveLength(12);
+        expect(new Set(probed.map(node => node.dataCentre)).size).toBe(4);
+    });
+});
--- a/src/quotas/QuotaLimiter.test.ts
+++ b/src/quotas/QuotaLimiter.test.ts
@@ -192,6 +192,29 @@
         expect(findMostInWindow([...before, ...after])).toBeLessThanOrEqual(limit * 1.1);
     });
 
+    it("stays within the quota and its slack, and uses most of it, when many nodes share a surge of one account", async () => {
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(40, clock, sums);
+        const tickCost = limit / 40 / 8; // the limit is reached after two seconds
+        const granted = await askAll(limiters, clock, {
+            cost: tickCost,
+            ticks: 80,
+            afterTick: () => sums.exchange(),
+        });
+        const slack = 40 * tickCost; // what all ask for between two exchanges
+        expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit * 1.1 + slack);
+        expect(sumWindow(granted, clock.readMonotonicMs() - windowMs)).toBeGreaterThan(limit * 0.8);
+    });
+
+    it("does not refuse a small account of many nodes for one large request", async () => {
+        const sums = new FakeSums(clock);
+        const limiters = await createSettled(40, clock, sums);
+        sums.exchange();
+        const answers = limiters.slice(0, 4).map(limiter => limiter.acquire(account, limit / 5).kind);
+        expect(answers).toEqual(["granted", "granted", "granted", "granted"]);
+        expect(limiters[0].acquire(account, limit / 5).kind).toBe("granted");
+    });
+
     it("releases the cost of a request that did not run", async () => {
         const [limiter] = await createSettled(1, clock);
         const grant = limiter.acquire(account, limit);
--- a/src/sums/ClusterSums.ts
+++ b/src/sums/ClusterSums.ts
@@ -117,6 +117,18 @@
         return this.state.listCovered();
     }
 
+    /** Counts the other nodes that the sums include. */
+    countCovered(): number {
+        return this.listCovered().reduce((sum, covered) => sum + covered.nodes, 0);
+    }
+
+    /** Mean age of the other nodes' contributions, in milliseconds; 0 if there are none. */
+    readAgeMs(): number {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const ageSum = this.listCovered().reduce((sum, { nodes, atMs }) => sum + nodes * (nowMs - atMs), 0);
+        return ageSum / Math.max(1, this.countCovered());
+    }
+
     private receive(nodeId: string, payload: unknown): void {
         const parsed = messageSchema.safeParse(payload);
         if (!parsed.success) {
@@ -147,7 +159,7 @@
 
     private computeIntervalMs(): number {
         const links = this.options.network.linkedNodeIds.length;
-        const nodes = this.listCovered().reduce((sum, covered) => sum + covered.nodes, 1);
+        const nodes = this.countCovered() + 1;
         return intervalMs * Math.max(1, links / linksPerInterval, nodes / nodesPerInterval);
     }
 
