Verify lost members all at once

Cause, found on reading: a node pinged the members whose links it had lost one after the other, each up to 750 ms. With the tree an aggregator can lose 40 links in a moment (a data centre without power), which would have taken 30 s; on the mesh before it would have been the same. A leaving entry without a start time no longer counts for later starts under its id.

--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -208,30 +208,32 @@
     private *checkLostMembers(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.heartbeatMs, signal));
-            const oldestMs = this.options.clock.readMonotonicMs() - this.options.goneAfterMs;
-            for (const [nodeId, sinceMs] of [...this.lostSinceMs]) {
-                const member = this.find(nodeId);
-                if (!member || member.state === "gone") {
-                    this.lostSinceMs.delete(nodeId);
-                }
-                else if (sinceMs < oldestMs) {
-                    yield* this.verifyGone(member);
-                }
+            // All at once: a data centre without power answers no ping, and each waits for its time-out.
+            yield* waitFor(Promise.all(this.listOverdue().map(member => this.verifyGone(member))));
+        }
+    }
+
+    /** Lists the members whose link has been lost for too long. */
+    private listOverdue(): Member[] {
+        const oldestMs = this.options.clock.readMonotonicMs() - this.options.goneAfterMs;
+        const overdue: Member[] = [];
+        for (const [nodeId, sinceMs] of [...this.lostSinceMs]) {
+            const member = this.find(nodeId);
+            if (!member || member.state === "gone") {
+                this.lostSinceMs.delete(nodeId);
+            }
+            else if (sinceMs < oldestMs) {
+                overdue.push(member);
             }
         }
+        return overdue;
     }
 
     /** Pings a member and marks it gone if it does not answer, unless it has restarted meanwhile. */
-    private *verifyGone(member: Member): Task<void> {
+    private async verifyGone(member: Member): Promise<void> {
+        const { network, heartbeatMs } = this.options;
         try {
-            yield* waitFor(
-                this.options.network.call(
-                    member.nodeId,
-                    pingMethod,
-                    {},
-                    this.options.heartbeatMs * pingHeartbeats,
-                ),
-            );
+            await network.call(member.nodeId, pingMethod, {}, heartbeatMs * pingHeartbeats);
         }
         catch {
             const current = this.find(member.nodeId);
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -240,9 +240,12 @@
         }
     }
 
-    /** Applies a listed entry. An upstream that has stated that it is leaving stays leaving. */
+    /**
+     * Applies a listed entry. An upstream that has stated that it is leaving stays leaving, if its start is known: one
+     * that has restarted under the same id is another one.
+     */
     private applyEntry(listed: UpstreamInstance): void {
-        if (listed.isLeaving) {
+        if (listed.isLeaving && listed.startedAtMs !== undefined) {
             this.notices.markLeaving(listed);
         }
         const instance = this.notices.isLeaving(listed) ? { ...listed, isLeaving: true } : listed;
