--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -117,7 +117,12 @@
 
     /** Records that an upstream asked for no requests for a time, in milliseconds. */
     recordRefusal(tracked: TrackedInstance, durationMs: number): void {
-        this.notices.refuseUntil(tracked.instance, this.options.clock.readMonotonicMs() + durationMs);
+        const nowMs = this.options.clock.readMonotonicMs();
+        const isRefusing = this.notices.readRefusedUntilMs(tracked.instance) > nowMs;
+        this.notices.refuseUntil(tracked.instance, nowMs + durationMs);
+        if (isRefusing) {
+            return; // requests that were under way; logged once
+        }
         this.options.events.emit(eventKinds.runnerEjected, {
             runner: tracked.instance.id,
             reason: "the upstream asked for no requests",
