Tell members the newest configuration while a restored store has an earlier one

Cause, listed as open before: a process that started with a store that had been restored from an older copy took the older configuration, with keys that had been withdrawn, until the operator's was written again. A told configuration is adopted only if its version is higher. Ruled out: refusing keyed requests after each start until a member has answered, which would cost every start.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -9,6 +9,8 @@
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
 import { RetryBudgets, retryBudgetsName } from "../retries/RetryBudgets";
+import { isPoller } from "../membership/isPoller";
+import { ConfigurationKeeper, configurationKeeperName } from "../routes/ConfigurationKeeper";
 import { ServingState, servingStateName } from "../routes/ServingState";
 import { EventLog, eventLogName } from "../telemetry/EventLog";
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
@@ -79,6 +81,24 @@
                 maxAgeMs: () => settings.keyRevocationMs * freshShare,
             }),
     });
+    kernel.register({
+        name: configurationKeeperName,
+        requires: [servingStateName, feedNames.configurations, peerReportsName, membershipName],
+        create: find =>
+            new ConfigurationKeeper({
+                state: find(servingStateName),
+                feed: find(feedNames.configurations),
+                reports: find(peerReportsName),
+                isTeller: () =>
+                    isPoller({
+                        membership: find(membershipName),
+                        nodeId: settings.nodeId,
+                        job: configurationKeeperName.id,
+                    }),
+                clock,
+                events: find(eventLogName),
+            }),
+    });
     kernel.register({
         name: readinessName,
         requires: [membershipName, servingStateName, clusterSumsName],
--- a/src/routes/ServingState.ts
+++ b/src/routes/ServingState.ts
@@ -22,8 +22,8 @@
     constructor(private readonly options: ServingStateOptions) {}
 
     async start(): Promise<void> {
-        this.options.feed.records.onChange(records => this.adopt(records ?? new Map()));
-        this.adopt(this.options.feed.records.value ?? new Map());
+        this.options.feed.records.onChange(records => this.adoptAll(records));
+        this.adoptAll(this.options.feed.records.value);
     }
 
     /** Time since the store last confirmed the configuration as the newest, in milliseconds. */
@@ -36,20 +36,23 @@
         return this.readAgeMs() <= this.options.maxAgeMs();
     }
 
-    private adopt(records: ReadonlyMap<string, ServingConfiguration>): void {
-        for (const configuration of records.values()) {
-            const before = this.table.value?.configuration.version ?? -Infinity;
-            if (configuration.version <= before) {
-                continue;
-            }
-            this.table.set(new RouteTable(configuration));
-            this.options.events.emit(eventKinds.configurationAdopted, {
-                revision: configuration.version,
-                before: Number.isFinite(before) ? before : undefined,
-                routes: configuration.routes.length,
-                accounts: configuration.accounts.length,
-            });
+    /** Puts a configuration in force if its version is higher than the present one's. */
+    adopt(configuration: ServingConfiguration): void {
+        const before = this.table.value?.configuration.version ?? -Infinity;
+        if (configuration.version <= before) {
+            return;
         }
+        this.table.set(new RouteTable(configuration));
+        this.options.events.emit(eventKinds.configurationAdopted, {
+            revision: configuration.version,
+            before: Number.isFinite(before) ? before : undefined,
+            routes: configuration.routes.length,
+            accounts: configuration.accounts.length,
+        });
+    }
+
+    private adoptAll(records: ReadonlyMap<string, ServingConfiguration> | undefined): void {
+        records?.forEach(configuration => this.adopt(configuration));
     }
 }
 
