--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -106,13 +106,16 @@
     private *follow(signal: AbortSignal): Task<void> {
         let retryMs = firstRetryMs;
         while (!signal.aborted) {
-            const pauseMs = this.computePauseMs();
+            const readAgeMs = this.computeOwnReadAgeMs();
+            const pauseMs = this.computePauseMs(readAgeMs);
             if (pauseMs > 0) {
                 yield* this.pause(pauseMs);
                 continue;
             }
             try {
-                this.isListed = this.hasToList() ? yield* this.listRecords() : yield* this.receiveChanges();
+                this.isListed = this.hasToList()
+                    ? yield* this.listRecords()
+                    : yield* this.receiveChanges(readAgeMs === 0 ? this.options.waitMs : minWaitMs);
                 retryMs = firstRetryMs;
                 this.reportStoreState(undefined);
             }
@@ -129,11 +132,11 @@
     }
 
     /** Computes the time until this node has to read the store, if no other node's reading arrives, in milliseconds. */
-    private computePauseMs(): number {
+    private computePauseMs(readAgeMs: number): number {
         if (!this.sharing || this.hasToList()) {
             return 0;
         }
-        const pauseMs = this.computeOwnReadAgeMs() - this.readAgeMs();
+        const pauseMs = readAgeMs - this.readAgeMs();
         return pauseMs > 0 ? Math.max(minSleepMs, pauseMs) : 0;
     }
 
@@ -190,19 +193,20 @@
             written: [...snapshot.records],
             removed: [],
         };
-        const difference = this.replica.compareListing(listing);
+        const difference = this.sharing && this.replica.compareListing(listing);
         this.options.storeClock.update(snapshot.storeMs);
         this.replica.apply(listing, nowMs);
-        this.sharing?.publish(difference);
+        if (difference) {
+            this.sharing?.publish(difference);
+        }
         return true;
     }
 
     /** Waits for changes once; returns false if the records must be listed again. */
-    private *receiveChanges(): Task<boolean> {
+    private *receiveChanges(waitMs: number): Task<boolean> {
         const { position, era } = this.replica;
-        const isRegularReader = this.computeOwnReadAgeMs() === 0;
         const answer: FeedChanges<T> | undefined = yield* waitFor(
-            this.options.feed.waitForChanges(position, isRegularReader ? this.options.waitMs : minWaitMs),
+            this.options.feed.waitForChanges(position, waitMs),
         );
         if (!answer || this.readEra() !== era) {
             return false;
--- a/src/feeds/RestoredRecordFilter.ts
+++ b/src/feeds/RestoredRecordFilter.ts
@@ -58,7 +58,9 @@
             this.hidden.clear();
         }
         return new Map(
-            [...listed].filter(([key, record]) => this.hidden.get(key) !== JSON.stringify(record)),
+            [...listed].filter(([key, record]) =>
+                !this.hidden.has(key) || this.hidden.get(key) !== JSON.stringify(record)
+            ),
         );
     }
 
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -16,7 +16,7 @@
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
-import { type InterruptKind, RequestInterrupt } from "./RequestInterrupt";
+import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
@@ -55,7 +55,7 @@
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
         this.recorder = new ForwardRecorder(options);
-        this.interrupt = new RequestInterrupt(options.response, context.clock, this.computeRemainingMs());
+        this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
         const { request, response } = options;
         const { recorder, interrupt } = this;
         this.responseRelay = new ResponseRelay({
@@ -100,7 +100,7 @@
         budget.countRequest();
         yield* waitFor(waitForPendingInput());
         for (;;) {
-            const interrupt = this.readInterrupt();
+            const interrupt = this.interrupt.read();
             if (interrupt) {
                 return { kind: "interrupted", by: interrupt };
             }
@@ -180,7 +180,7 @@
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
             isWanted: () =>
-                this.readInterrupt() === undefined && context.instances.isAcceptingRequests(upstream),
+                this.interrupt.read() === undefined && context.instances.isAcceptingRequests(upstream),
         });
         context.instances.beginRequest(upstream);
         try {
@@ -194,15 +194,6 @@
         }
     }
 
-    /** Why the request must not be sent any more. Read from clock and connection, as timers and events may be late. */
-    private readInterrupt(): InterruptKind | undefined {
-        const { socket } = this.options.request;
-        if (socket.destroyed || socket.readableEnded) {
-            return "left";
-        }
-        return this.interrupt.current ?? (this.computeRemainingMs() <= 0 ? "timeout" : undefined);
-    }
-
     private createHeaders(upstream: TrackedInstance): string[] {
         const { context, request, admitted } = this.options;
         return context.protocol.encodeCall(request.rawHeaders, {
@@ -231,7 +222,7 @@
             this.recorder.recordRun(exchange.isSent);
             return { kind: "interrupted", by: start };
         }
-        const interrupt = this.readInterrupt();
+        const interrupt = this.interrupt.read();
         if (start.kind === "failed" && !start.isSent && interrupt) {
             return { kind: "interrupted", by: interrupt };
         }
--- a/src/forwarding/RequestInterrupt.ts
+++ b/src/forwarding/RequestInterrupt.ts
@@ -18,7 +18,16 @@
         }
     };
 
-    constructor(private readonly response: ServerResponse, clock: Clock, remainingMs: number) {
+    /**
+     * @param response - response to the caller
+     * @param clock - clock of the deadline
+     * @param deadlineMs - monotonic time, in milliseconds
+     */
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly clock: Clock,
+        private readonly deadlineMs: number,
+    ) {
         this.interrupted = new Promise(resolve => {
             this.resolveInterrupted = resolve;
         });
@@ -26,16 +35,20 @@
         if (response.closed) {
             this.onClose();
         }
-        void clock.sleep(remainingMs, this.timerAbort.signal).then(() => {
+        void clock.sleep(deadlineMs - clock.readMonotonicMs(), this.timerAbort.signal).then(() => {
             if (!this.timerAbort.signal.aborted) {
                 this.interrupt("timeout");
             }
         });
     }
 
-    /** First interrupt, or undefined if there was none. */
-    get current(): InterruptKind | undefined {
-        return this.kind;
+    /** Reads why the request is interrupted now, from connection and clock, as events and timers may be late. */
+    read(): InterruptKind | undefined {
+        const { socket } = this.response.req;
+        if (socket.destroyed || socket.readableEnded) {
+            return "left";
+        }
+        return this.kind ?? (this.clock.readMonotonicMs() >= this.deadlineMs ? "timeout" : undefined);
     }
 
     /** Cancels the timer and removes the listener. To be called when the request has ended. */
--- a/src/membership/selectProbedNodes.ts
+++ b/src/membership/selectProbedNodes.ts
@@ -1,4 +1,5 @@
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
+import { splitByDataCentre } from "../_lib/splitByDataCentre";
 import type { PeerAddress } from "../peers/PeerNetwork";
 
 const probedPerDataCentre = 3;
@@ -11,11 +12,7 @@
  * @returns the nodes to dial
  */
 export const selectProbedNodes = (gone: readonly PeerAddress[]): PeerAddress[] => {
-    const byCentre = new Map<string | undefined, PeerAddress[]>();
-    for (const node of gone) {
-        byCentre.set(node.dataCentre, [...byCentre.get(node.dataCentre) ?? [], node]);
-    }
-    return [...byCentre.values()].flatMap(nodes => {
+    return [...splitByDataCentre(gone).values()].flatMap(nodes => {
         const selected = new Set(
             rankByRendezvous("probe", nodes.map(node => node.nodeId)).slice(0, probedPerDataCentre),
         );
--- a/src/peers/planLinks.ts
+++ b/src/peers/planLinks.ts
@@ -1,4 +1,5 @@
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
+import { splitByDataCentre } from "../_lib/splitByDataCentre";
 
 /** A node as far as the plan of links is concerned. */
 export interface LinkCandidate {
@@ -46,17 +47,10 @@
     return { isAggregator, aggregators, dialTargets };
 };
 
-const splitByDataCentre = (nodes: readonly LinkCandidate[]): Map<string | undefined, string[]> => {
-    const byCentre = new Map<string | undefined, string[]>();
-    for (const { nodeId, dataCentre } of nodes) {
-        byCentre.set(dataCentre, [...byCentre.get(dataCentre) ?? [], nodeId]);
-    }
-    return byCentre;
-};
-
 const selectAggregators = (
     dataCentre: string | undefined,
-    byCentre: ReadonlyMap<string | undefined, readonly string[]>,
-): string[] =>
-    rankByRendezvous(`aggregator ${dataCentre ?? ""}`, byCentre.get(dataCentre) ?? [])
-        .slice(0, aggregatorsPerDataCentre);
+    byCentre: ReadonlyMap<string | undefined, readonly LinkCandidate[]>,
+): string[] => {
+    const nodeIds = (byCentre.get(dataCentre) ?? []).map(node => node.nodeId);
+    return rankByRendezvous(`aggregator ${dataCentre ?? ""}`, nodeIds).slice(0, aggregatorsPerDataCentre);
+};
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../kernel/types";
 import type { AccountQuota, ServedAccount } from "../routes/types";
 import type { ClusterSums } from "../sums/ClusterSums";
+import { computeMeanAgeMs, countCoveredNodes } from "../sums/coveredNodes";
 import type { CoveredNodes } from "../sums/types";
 import { SlidingWindowSum } from "./SlidingWindowSum";
 
@@ -127,7 +128,7 @@
         const own = sum.read(nowMs) + assumed * this.computeWindowOverlap(this.readAgeMs());
         const others = Math.max(0, this.options.countNodes() - 1);
         const covered = takeLatest(this.options.sums.listCovered(), others);
-        const uncovered = others - countNodes(covered);
+        const uncovered = others - countCoveredNodes(covered);
         const { sums } = this.options;
         return own * (1 + uncovered)
             + (sums.readOthers(usedGroup).get(name) ?? 0)
@@ -137,13 +138,12 @@
 
     /** Estimates the share that the other nodes have used since the sums were made. */
     private estimateUseSince(name: string, covered: readonly CoveredNodes[], nowMs: number): number {
-        const nodes = countNodes(covered);
+        const nodes = countCoveredNodes(covered);
         if (nodes <= maxSampledNodes) {
             const sum = this.getSum(name);
             return covered.reduce((total, part) => total + part.nodes * sum.readSince(part.atMs), 0);
         }
-        const meanAgeMs = covered.reduce((total, part) => total + part.nodes * (nowMs - part.atMs), 0)
-            / nodes;
+        const meanAgeMs = computeMeanAgeMs(covered, nowMs);
         const recent = this.options.sums.readOthers(recentGroup).get(name) ?? 0;
         return recent * meanAgeMs / recentMs * growthFactor;
     }
@@ -194,9 +194,6 @@
     return taken;
 };
 
-const countNodes = (parts: readonly CoveredNodes[]): number =>
-    parts.reduce((sum, part) => sum + part.nodes, 0);
-
 const computeCost = (quota: AccountQuota, tokens: number | undefined): number =>
     quota.unit === "requests" ? 1 : tokens ?? quota.defaultCost;
 
--- a/src/sums/ClusterSums.ts
+++ b/src/sums/ClusterSums.ts
@@ -8,6 +8,7 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { computeMeanAgeMs, countCoveredNodes } from "./coveredNodes";
 import { SumState } from "./SumState";
 import type { CoveredNodes, SumMessage, WantedTotal } from "./types";
 
@@ -119,14 +120,12 @@
 
     /** Counts the other nodes that the sums include. */
     countCovered(): number {
-        return this.listCovered().reduce((sum, covered) => sum + covered.nodes, 0);
+        return countCoveredNodes(this.listCovered());
     }
 
     /** Mean age of the other nodes' contributions, in milliseconds; 0 if there are none. */
     readAgeMs(): number {
-        const nowMs = this.options.clock.readMonotonicMs();
-        const ageSum = this.listCovered().reduce((sum, { nodes, atMs }) => sum + nodes * (nowMs - atMs), 0);
-        return ageSum / Math.max(1, this.countCovered());
+        return computeMeanAgeMs(this.listCovered(), this.options.clock.readMonotonicMs());
     }
 
     private receive(nodeId: string, payload: unknown): void {
@@ -153,6 +152,7 @@
             this.state.expire(nowMs - currentIntervalMs * staleIntervals, nowMs);
             this.state.setRole(this.options.network.plan.isAggregator);
             this.state.setOwn(this.readOwn());
+            this.dropUnlinked();
             this.sendAll(nowMs);
         }
     }
@@ -163,6 +163,17 @@
         return intervalMs * Math.max(1, links / linksPerInterval, nodes / nodesPerInterval);
     }
 
+    /** Drops what is kept for nodes without a link; a new link starts from complete messages. */
+    private dropUnlinked(): void {
+        const linked = new Set(this.options.network.linkedNodeIds);
+        this.state.keepPeers(linked);
+        for (const nodeId of this.wantedByNode.keys()) {
+            if (!linked.has(nodeId)) {
+                this.wantedByNode.delete(nodeId);
+            }
+        }
+    }
+
     private readOwn(): Map<string, number> {
         const own = new Map<string, number>();
         for (const [group, read] of this.contributors) {
--- a/src/sums/ReceivedParts.ts
+++ b/src/sums/ReceivedParts.ts
@@ -12,8 +12,8 @@
 export interface LeavesSum {
     readonly sum: Counters;
     readonly nodes: number;
-    /** Mean age of their contributions, in milliseconds. */
-    readonly ageMs: number;
+    /** Mean monotonic time at which their contributions arrived, in milliseconds; undefined if there are none. */
+    readonly atMs: number | undefined;
 }
 
 /** Contribution of another process. */
@@ -48,8 +48,11 @@
     /** Monotonic time before which messages are stale, in milliseconds. */
     private freshFromMs = -Infinity;
     private nowMs = 0;
+    private readonly maxLingerMs: number;
 
-    constructor(private readonly options: ReceivedPartsOptions) {}
+    constructor(private readonly options: ReceivedPartsOptions) {
+        this.maxLingerMs = Math.max(0, ...Object.values(options.lingerMsByGroup));
+    }
 
     /** Records the contribution of a node, and the sum over its leaves. */
     receive(fromNode: string, message: NodeMessage, nowMs: number): void {
@@ -116,13 +119,13 @@
     }
 
     /** Sums the counters of the leaves of this node's data centre. */
-    sumOwnLeaves(nowMs: number): LeavesSum {
+    sumOwnLeaves(): LeavesSum {
         const sum = new Map<string, number>();
         const known = this.listDirectParts().filter(part => this.isOwnLeaf(part));
         known.forEach(part => addCounters(sum, this.countPart(part)));
-        const ages = known.filter(part => this.isFresh(part)).map(part => nowMs - part.receivedMs);
-        const totalAgeMs = ages.reduce((total, ageMs) => total + ageMs, 0);
-        return { sum, nodes: ages.length, ageMs: ages.length === 0 ? 0 : totalAgeMs / ages.length };
+        const fresh = known.filter(part => this.isFresh(part));
+        const timeSumMs = fresh.reduce((total, part) => total + part.receivedMs, 0);
+        return { sum, nodes: fresh.length, atMs: fresh.length === 0 ? undefined : timeSumMs / fresh.length };
     }
 
     /** Returns the number of a node's contribution that counts now; undefined if there is none. */
@@ -154,8 +157,7 @@
 
     /** Whether the process may still run and any of its counters may count. */
     private isCovered(part: NodePart): boolean {
-        const lingerMs = Math.max(0, ...Object.values(this.options.lingerMsByGroup));
-        return this.isFresh(part) || (!part.isReplaced && part.receivedMs + lingerMs > this.nowMs);
+        return this.isFresh(part) || (!part.isReplaced && part.receivedMs + this.maxLingerMs > this.nowMs);
     }
 
     /** Returns the counters of a part that count now. */
--- a/src/sums/SumState.test.ts
+++ b/src/sums/SumState.test.ts
@@ -234,6 +234,19 @@
         });
     });
 
+    it("sends complete messages again to a node to which there was no link", () => {
+        const sender = createState("s");
+        sender.setOwn(new Map([["used/x", 1]]));
+        sender.createNodeMessage("r", 0, "nothing");
+        sender.keepPeers(new Set(["r"]));
+        expect(sender.createNodeMessage("r", 0, "nothing").isFull).toBe(false);
+        sender.keepPeers(new Set());
+        expect(sender.createNodeMessage("r", 0, "nothing")).toMatchObject({
+            isFull: true,
+            changes: { "used/x": 1 },
+        });
+    });
+
     it("counts a restarted node once, and what its former process has used", () => {
         const receiver = createState("r");
         const [former, present] = [createState("s:1"), createState("s:2")];
--- a/src/sums/SumState.ts
+++ b/src/sums/SumState.ts
@@ -1,14 +1,8 @@
-import { addCounters, applyChanges, compareCounters } from "./counters";
-import { ReceivedParts } from "./ReceivedParts";
-import type {
-    CounterChanges,
-    Counters,
-    CoveredNodes,
-    LeavesMessage,
-    NodeMessage,
-    TotalMessage,
-    WantedTotal,
-} from "./types";
+import { ChangesCache } from "./ChangesCache";
+import { addCounters, applyChanges } from "./counters";
+import { computeMeanAgeMs, countCoveredNodes } from "./coveredNodes";
+import { type LeavesSum, ReceivedParts } from "./ReceivedParts";
+import type { Counters, CoveredNodes, LeavesMessage, NodeMessage, TotalMessage, WantedTotal } from "./types";
 
 /** Options of {@link SumState}. */
 export interface SumStateOptions {
@@ -41,9 +35,11 @@
     total?: Counters;
 }
 
+/** Sums of the present state, each computed when it is first needed. */
 interface CachedSums {
-    readonly others: Counters;
-    readonly total: Counters;
+    others?: Counters;
+    total?: Counters;
+    ownLeaves?: LeavesSum;
 }
 
 const retainedContributions = 32; // of this node, until the sums that include them have arrived
@@ -65,10 +61,8 @@
     /** Monotonic time before which messages are stale, in milliseconds. */
     private freshFromMs = -Infinity;
     private readonly sent = new Map<string, SentState>();
-    /** Sums of the present state; undefined after a change. */
-    private cache: CachedSums | undefined;
-    /** Changes from one state of the total to the present one, which many leaves need. */
-    private readonly changesCache = new Map<Counters, CounterChanges>();
+    private cache: CachedSums = {};
+    private readonly changes = new ChangesCache();
 
     constructor(private readonly options: SumStateOptions) {
         this.parts = new ReceivedParts(options);
@@ -94,6 +88,15 @@
         this.sent.delete(nodeId);
     }
 
+    /** Forgets what was sent to nodes other than the given ones, to which links are up. */
+    keepPeers(linked: ReadonlySet<string>): void {
+        for (const nodeId of this.sent.keys()) {
+            if (!linked.has(nodeId)) {
+                this.sent.delete(nodeId);
+            }
+        }
+    }
+
     /** Records the contribution of a node, and the sum over its leaves. */
     receiveNode(fromNode: string, message: NodeMessage, nowMs: number): void {
         this.parts.receive(fromNode, message, nowMs);
@@ -134,7 +137,7 @@
 
     /** Sums the counters of all other nodes, as far as they are known. */
     sumOthers(): Counters {
-        this.cache ??= this.computeSums();
+        this.cache.others ??= this.computeOthers();
         return this.cache.others;
     }
 
@@ -166,7 +169,7 @@
             ...(hasContributor ? {} : { contributor: { processId, dataCentre, isAggregator } }),
             sequence: own.sequence,
             isFull: sent.own === undefined,
-            changes: compareCounters(sent.own ?? noCounters, own.counters),
+            changes: this.changes.compare(sent.own ?? noCounters, own.counters),
             ...(leaves ? { leaves } : {}),
             ...(wanted === "nothing" ? {} : { wanted }),
         };
@@ -183,30 +186,31 @@
     createTotalMessage(toNode: string, nowMs: number, wanted: WantedTotal): TotalMessage {
         const sent = this.getOrCreateSent(toNode);
         const base = wanted === "all" ? undefined : sent.total;
-        this.cache ??= this.computeSums();
+        this.cache.total ??= this.computeTotal();
         const { total } = this.cache;
         const covered = this.listCovered();
-        const nodes = 1 + sumNodes(covered);
-        const ageMs = covered.reduce((sum, part) => sum + part.nodes * (nowMs - part.atMs), 0) / nodes;
+        const others = countCoveredNodes(covered);
+        const nodes = 1 + others;
         const message: TotalMessage = {
             kind: "total",
             includedSequence: this.parts.findFreshSequence(toNode),
             nodes,
-            ageMs,
+            ageMs: computeMeanAgeMs(covered, nowMs) * others / nodes,
             isFull: base === undefined,
-            changes: this.compareToTotal(base ?? noCounters, total),
+            changes: this.changes.compare(base ?? noCounters, total),
         };
         sent.total = total;
         return message;
     }
 
     private createLeavesMessage(sent: SentState, nowMs: number): LeavesMessage {
-        const { sum, nodes, ageMs } = this.parts.sumOwnLeaves(nowMs);
+        this.cache.ownLeaves ??= this.parts.sumOwnLeaves();
+        const { sum, nodes, atMs } = this.cache.ownLeaves;
         const message: LeavesMessage = {
             nodes,
-            ageMs,
+            ageMs: atMs === undefined ? 0 : nowMs - atMs,
             isFull: sent.leaves === undefined,
-            changes: compareCounters(sent.leaves ?? noCounters, sum),
+            changes: this.changes.compare(sent.leaves ?? noCounters, sum),
         };
         sent.leaves = sum;
         return message;
@@ -219,7 +223,7 @@
             : this.total;
     }
 
-    private computeSums(): CachedSums {
+    private computeOthers(): Counters {
         const others = new Map<string, number>();
         const received = this.findUsedTotal();
         if (received) {
@@ -229,23 +233,17 @@
         else {
             this.parts.addTo(others);
         }
-        const total = new Map(others);
-        addCounters(total, this.ownContributions.at(-1)?.counters ?? noCounters);
-        return { others, total };
+        return others;
     }
 
-    private compareToTotal(base: Counters, total: Counters): CounterChanges {
-        let changes = this.changesCache.get(base);
-        if (!changes) {
-            changes = compareCounters(base, total);
-            this.changesCache.set(base, changes);
-        }
-        return changes;
+    private computeTotal(): Counters {
+        const total = new Map(this.sumOthers());
+        addCounters(total, this.ownContributions.at(-1)?.counters ?? noCounters);
+        return total;
     }
 
     private clearCache(): void {
-        this.cache = undefined;
-        this.changesCache.clear();
+        this.cache = {};
     }
 
     private findOwn(sequence: number | undefined): Counters {
@@ -261,5 +259,3 @@
         return sent;
     }
 }
-
-const sumNodes = (parts: readonly CoveredNodes[]): number => parts.reduce((sum, part) => sum + part.nodes, 0);
