Let test runs pass over the tests that KNOWN-RED.txt names, and over no others

A failing test may land ahead of its fix. npm test now accepts failures of tests listed by full name in KNOWN-RED.txt, prints them, and fails on any other failure, on a file that could not run, and on a listed test that passes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,15 @@
 };
 
 export default tseslint.config(
-    { ignores: ["dist/**", "target/**", "node_modules/**", "jest.config.js"] },
+    {
+        ignores: [
+            "dist/**",
+            "target/**",
+            "node_modules/**",
+            "jest.config.js",
+            "tools/acceptKnownFailures.js",
+        ],
+    },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/jest.config.js
+++ b/jest.config.js
@@ -5,5 +5,6 @@
         "^.+\\.ts$": ["@swc/jest", { jsc: { parser: { syntax: "typescript" }, target: "es2022" }, module: { type: "commonjs" } }]
     },
     testTimeout: 60000,
+    testResultsProcessor: "<rootDir>/tools/acceptKnownFailures.js",
     forceExit: true
 };
