Log how answers end: framing, and bytes after the last complete event

Events 2210 and 2211 carry framing and openEventBytes, and sequoiagrade_upstream_answer_ends_total counts ends by service, framing and kind. No decision has changed.

--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../kernel/types";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
+import type { AnswerFraming } from "../upstreams/UpstreamExchange";
 import type { UsageLedger } from "../usage/UsageLedger";
 import type { AdmittedRequest } from "./admitRequest";
 
@@ -27,6 +28,10 @@
     upstreamLoad: number | undefined;
     firstByteMs: number | undefined;
     status: number | undefined;
+    /** How the end of the last answer was marked. */
+    framing: AnswerFraming | undefined;
+    /** Bytes that followed the last complete event when the last stream ended. */
+    openEventBytes: number | undefined;
 }
 
 /** Records what is done for one request: for its log line, the metrics and the usage of its account. */
@@ -38,6 +43,8 @@
         upstreamLoad: undefined,
         firstByteMs: undefined,
         status: undefined,
+        framing: undefined,
+        openEventBytes: undefined,
     };
     private isUsageCounted = false;
 
@@ -54,6 +61,13 @@
         context.metrics.upstreamSends.inc({ service: admitted.service, outcome });
     }
 
+    /** Counts the end of an answer's body in the metrics, by how the end was marked. */
+    recordAnswerEnd(framing: AnswerFraming | undefined, end: string): void {
+        const { context, admitted } = this.options;
+        this.trace.framing = framing;
+        context.metrics.answerEnds.inc({ service: admitted.service, framing, end });
+    }
+
     /** Counts the request in the usage of its account; further calls have no effect. */
     recordUsage(): void {
         const { context, admitted } = this.options;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -363,6 +363,8 @@
             isNotRun: result.isNotRun,
             sends: this.recorder.trace.sends,
             runs: this.recorder.trace.runs,
+            framing: this.recorder.trace.framing,
+            openEventBytes: this.recorder.trace.openEventBytes,
             remainingMs: Math.round(this.computeRemainingMs()),
             next,
         });
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -63,6 +63,7 @@
         if (typeof collected === "string") {
             return { kind: "interrupted", by: collected };
         }
+        this.options.recorder.recordAnswerEnd(exchange.framing, collected.kind);
         if (collected.kind === "broken") {
             return { kind: "failed", isSent: true, isNotRun: false, message: collected.message };
         }
@@ -119,6 +120,8 @@
             },
         });
         this.lastEventId = splitter.lastEventId;
+        this.options.recorder.trace.openEventBytes = splitter.incompleteEvent.length;
+        this.options.recorder.recordAnswerEnd(exchange.framing, end.kind);
         switch (end.kind) {
             case "whole":
                 response.end();
--- a/src/telemetry/ForwardMetrics.ts
+++ b/src/telemetry/ForwardMetrics.ts
@@ -11,6 +11,8 @@
     readonly requests: Counter;
     /** Counts attempts to send a request to an upstream, by service and outcome. */
     readonly upstreamSends: Counter;
+    /** Counts ends of upstreams' answers, by service, framing of the answer and kind of end. */
+    readonly answerEnds: Counter;
     /** Time from a request's arrival to the first byte of its response, in seconds, by route. */
     readonly firstByteSeconds: Histogram;
     /** Time from a request's arrival to the end of its response, in seconds, by route. */
@@ -30,6 +32,12 @@
             labelNames: ["service", "outcome"],
             registers,
         });
+        this.answerEnds = new Counter({
+            name: "sequoiagrade_upstream_answer_ends_total",
+            help: "Ends of upstreams' answers by service, framing (length, chunked, close) and kind of end.",
+            labelNames: ["service", "framing", "end"],
+            registers,
+        });
         this.firstByteSeconds = new Histogram({
             name: "sequoiagrade_forward_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer.",
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -2,6 +2,12 @@
 import type { Dispatcher } from "undici";
 import type { ResetCheck } from "./TrackedClient";
 
+/** How the end of an answer's body is marked. */
+export const answerFramings = { length: "length", chunked: "chunked", close: "close" } as const;
+
+/** One of {@link answerFramings}. */
+export type AnswerFraming = typeof answerFramings[keyof typeof answerFramings];
+
 /** Status and headers of an upstream's answer. */
 export interface AnswerHead {
     readonly status: number;
@@ -33,6 +39,8 @@
  * costs no promise per chunk.
  */
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
+    /** How the end of the answer is marked; undefined before its head. */
+    framing: AnswerFraming | undefined;
     /** Resolves with the head of the answer or a failure; never rejects. */
     readonly started: Promise<ExchangeStart>;
     /** Resolves when the body has ended, after {@link started}; never rejects. */
@@ -43,8 +51,6 @@
     private isAborted = false;
     private isEnded = false;
     private hasHead = false;
-    /** Whether the end of the answer is marked only by the close of its connection (no length, not chunked). */
-    private isCloseDelimited = false;
     private isReset: ResetCheck = () => false;
     private listener: ((chunk: Buffer) => void) | undefined;
     private bufferedChunks: Buffer[] = [];
@@ -124,8 +130,7 @@
             return;
         }
         this.hasHead = true;
-        this.isCloseDelimited = headers["content-length"] === undefined
-            && headers["transfer-encoding"] === undefined;
+        this.framing = readFraming(headers);
         this.settleStart({ kind: "answered", head: { status, headers } });
     }
 
@@ -143,7 +148,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        const isTruncated = this.isCloseDelimited && this.isReset();
+        const isTruncated = this.framing === answerFramings.close && this.isReset();
         this.settleEnd(
             isTruncated
                 ? {
@@ -165,3 +170,10 @@
         this.settleEnd({ isWhole: false, message });
     }
 }
+
+const readFraming = (headers: IncomingHttpHeaders): AnswerFraming => {
+    if (headers["transfer-encoding"] !== undefined) {
+        return answerFramings.chunked;
+    }
+    return headers["content-length"] === undefined ? answerFramings.close : answerFramings.length;
+};
