--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -19,6 +19,16 @@
     | "extra"
     /** Resets the connection in the middle of the third event of a stream. */
     | "break"
+    /** Sends its answer with neither a length nor chunks, complete. */
+    | "unframed"
+    /** Like `unframed`, but closes the connection regularly in the middle of the third event of a stream. */
+    | "unframed-close"
+    /** Like `unframed`, but resets the connection in the middle of the third event of a stream or of the body. */
+    | "unframed-reset"
+    /** Ends a chunked stream regularly in the middle of its third event. */
+    | "chunked-end"
+    /** Closes the connection regularly in the middle of the third event of a chunked stream that announced the close. */
+    | "chunked-close"
     /** Executes the request and never answers. */
     | "hang"
     /** Sends two events of a stream and then nothing, with the connection left open. */
@@ -109,6 +119,17 @@
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
             ...(behaviour === "leave" ? { "server-leaving": "1" } : {}),
         };
+        if (behaviour?.startsWith("unframed")) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
+        if (behaviour === "chunked-close") {
+            response.shouldKeepAlive = false;
+        }
+        if (behaviour?.startsWith("unframed") && !this.options.events) {
+            sendUnframed(response, responseHeaders, `${this.id} ${requestId}`, behaviour);
+            return;
+        }
         if (behaviour === "fail" || !this.options.events) {
             const { socket } = request;
             if (behaviour === "extra") {
@@ -133,9 +154,10 @@
     ): Promise<void> {
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
         for (let id = lastEventId + 1; id <= this.options.events!; id += 1) {
-            if (behaviour === "break" && id === lastEventId + 3) {
+            const cut = behaviour && id === lastEventId + 3 ? streamCuts[behaviour] : undefined;
+            if (cut) {
                 response.write(`id: ${id}\nda`);
-                response.socket?.resetAndDestroy();
+                cut(response);
                 return;
             }
             if (behaviour === "stall" && id === lastEventId + 3) {
@@ -151,6 +173,38 @@
     }
 }
 
+const resetConnection = (response: ServerResponse): void => {
+    response.socket?.resetAndDestroy();
+};
+
+const closeConnection = (response: ServerResponse): void => {
+    response.socket?.end();
+};
+
+/** How a stream breaks off in the middle of its third event. */
+const streamCuts: Partial<Record<RunnerBehaviour, (response: ServerResponse) => void>> = {
+    "break": resetConnection,
+    "unframed-close": closeConnection,
+    "unframed-reset": resetConnection,
+    "chunked-end": response => response.end(),
+    "chunked-close": closeConnection,
+};
+
+/** Sends a body whose end is marked only by the close of its connection. */
+const sendUnframed = (
+    response: ServerResponse,
+    headers: Record<string, string>,
+    text: string,
+    behaviour: RunnerBehaviour,
+): void => {
+    response.writeHead(200, headers);
+    if (behaviour === "unframed-reset") {
+        response.write(text.slice(0, 3), () => resetConnection(response));
+        return;
+    }
+    response.end(text);
+};
+
 const createUnrequestedResponse = (): string => {
     const body = "not asked for";
     const head = ["HTTP/1.1 200 OK", `${attemptIdHeader}: another`, `content-length: ${body.length}`];
