Treat a stream that ends inside an event as broken off

What callers saw: a stream whose body stopped inside an event, framed as complete (ORDER). Cause: relayEvents took the end of an answer as the end of its stream, wrote the bytes of the open event and ended the response. An answer without length or chunks ends with its connection, so a runner that closes regularly in the middle looked complete; so did a chunked answer that its runner ended early. Why it works: events are the unit that is relayed. Bytes after the last complete event are never written; an end there is a failed attempt, which is resumed where the route allows it and otherwise ends the caller's response as truncated. A 200 of another content type on a streaming route is not events and is relayed as a whole body.

--- a/src/forwarding/EventStreamSplitter.test.ts
+++ b/src/forwarding/EventStreamSplitter.test.ts
@@ -52,4 +52,16 @@
         splitter.push(Buffer.from("id: 1\r\ndata: a\r\n\r\n"));
         expect(splitter.lastEventId).toBe(1);
     });
+
+    it.each([["id: 3", true], ["id: 3\ndata: x\n", true], [": comment", true], ["\n", false], [
+        "\r\n",
+        false,
+    ]])(
+        "tells whether a stream ends inside an event: %j",
+        (rest, isInside) => {
+            const splitter = new EventStreamSplitter();
+            splitter.push(Buffer.from(`id: 1\ndata: x\n\nid: 2\ndata: y\n\n${rest}`));
+            expect(splitter.isInsideEvent).toBe(isInside);
+        },
+    );
 });
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -1,4 +1,5 @@
 const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
 const idField = "id:";
 
 /** Complete events of a stream. */
@@ -27,6 +28,11 @@
         return this.incomplete;
     }
 
+    /** Whether the bytes so far end inside an event. Line ends between events belong to none. */
+    get isInsideEvent(): boolean {
+        return this.incomplete.some(byte => byte !== lineFeed && byte !== carriageReturn);
+    }
+
     /**
      * Adds a chunk of the stream.
      *
@@ -60,7 +66,7 @@
         if (data[index + 1] === lineFeed) {
             return index + 2;
         }
-        if (data[index + 1] === 0x0d && data[index + 2] === lineFeed) {
+        if (data[index + 1] === carriageReturn && data[index + 2] === lineFeed) {
             return index + 3;
         }
     }
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -25,6 +25,7 @@
 
 const maxBufferedBytes = 16_777_216; // 16 MiB; larger answers have to be streams
 const resumableIdleTimeoutMs = 1_500; // callers abandon a stream that is silent for 2 s or more
+const eventStreamType = "text/event-stream";
 const unlimitedIdleTimeoutMs = 86_400_000; // longer than any stream; the request's deadline ends it
 
 /**
@@ -46,7 +47,7 @@
      * @returns result of the attempt
      */
     *relay(upstream: TrackedInstance, exchange: UpstreamExchange, head: AnswerHead): Task<AttemptResult> {
-        return this.options.admitted.route.isStream && head.status === 200
+        return this.options.admitted.route.isStream && isEventStream(head)
             ? yield* this.relayStream(upstream, exchange, head)
             : yield* this.relayBuffered(exchange, head);
     }
@@ -133,3 +134,8 @@
         }
     }
 }
+
+const isEventStream = ({ status, headers }: AnswerHead): boolean => {
+    const type = headers["content-type"] ?? eventStreamType;
+    return status === 200 && type.trim().toLowerCase().startsWith(eventStreamType);
+};
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -78,6 +78,9 @@
             if (typeof outcome === "string") {
                 return { kind: "interrupted", by: outcome };
             }
+            if (outcome?.isWhole && splitter.isInsideEvent) {
+                return { kind: "broken", message: "the stream ended inside an event" };
+            }
             if (outcome?.isWhole) {
                 response.write(splitter.incompleteEvent);
                 return { kind: "whole" };
--- a/standins/platform/RandomFaultScenario.ts
+++ b/standins/platform/RandomFaultScenario.ts
@@ -44,6 +44,11 @@
     "mixed",
     "extra",
     "break",
+    "unframed",
+    "unframed-close",
+    "unframed-reset",
+    "chunked-end",
+    "chunked-close",
     "hang",
     "stall",
 ];
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -29,6 +29,8 @@
     | "chunked-end"
     /** Closes the connection regularly in the middle of the third event of a chunked stream that announced the close. */
     | "chunked-close"
+    /** Answers a request for a stream with one JSON body. */
+    | "document"
     /** Executes the request and never answers. */
     | "hang"
     /** Sends two events of a stream and then nothing, with the connection left open. */
@@ -130,6 +132,10 @@
             sendUnframed(response, responseHeaders, `${this.id} ${requestId}`, behaviour);
             return;
         }
+        if (behaviour === "document") {
+            sendText(response, 200, { ...responseHeaders, "content-type": "application/json" }, "{}");
+            return;
+        }
         if (behaviour === "fail" || !this.options.events) {
             const { socket } = request;
             if (behaviour === "extra") {
