Reset the connections of HTTP/1.0 callers whose answer breaks off

What callers would see: an HTTP/1.0 caller gets its stream without chunks, so that the close of the connection marks the end; a broken stream was closed like a complete one. Also a response that has begun when its task is cancelled, as when the node stops, is ended this way.

--- a/src/callers/writeStream.ts
+++ b/src/callers/writeStream.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { abortResponse } from "../http/abortResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
@@ -58,7 +59,7 @@
                 : options.headersDelayMs;
             const hasChanged = yield* waitFor(writer.waitForChange(clock, waitMs));
             if (!hasChanged && writer.isBlocked) {
-                response.destroy();
+                abortResponse(response);
                 return "stalled";
             }
             if (!hasChanged) {
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { abortResponse } from "../http/abortResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
@@ -91,6 +92,7 @@
         finally {
             this.interrupt.close();
             this.releaseQuota();
+            this.abortBegunResponse();
         }
     }
 
@@ -313,7 +315,6 @@
             return "left";
         }
         if (response.headersSent) {
-            response.destroy();
             return "broken";
         }
         if (result.kind === "failed" && result.answer) {
@@ -341,6 +342,13 @@
         return this.deadlineMs - this.options.context.clock.readMonotonicMs();
     }
 
+    /** Ends a response that has begun and is not complete, as when the node stops. */
+    private abortBegunResponse(): void {
+        if (this.options.response.headersSent) {
+            abortResponse(this.options.response);
+        }
+    }
+
     private releaseQuota(): void {
         const { context, admitted } = this.options;
         if (this.recorder.trace.runs === 0 && admitted.account) {
