Do not frame a chat stream as complete whose caller is sent to other nodes

What callers would see: at a hand-over a node wrote ': resume at URL' and ended the response regularly, so that a client that goes by the framing of HTTP took the rest for missing on purpose. Now the comments are flushed and the connection is closed without the last chunk. The test 'does not frame a stream as complete whose caller it sends to other nodes' failed before (isBroken false) and passes now; resumption still yields the whole answer.

--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -257,6 +257,7 @@
     requestId: undefined,
     events: [],
     isWhole: false,
+    isBroken: true,
     text: "",
     body: "",
 };
--- a/src/callers/relayAnswer.ts
+++ b/src/callers/relayAnswer.ts
@@ -1,3 +1,4 @@
+import { abortResponse } from "../http/abortResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { createFailure } from "../results/createFailure";
@@ -91,8 +92,13 @@
         .map(member => `${member.callersUrl}/v1/requests/${relayed.requestId}/events`);
     if (relayed.isStream && response.headersSent) {
         sendStreamHeaders(response, relayed.requestId);
-        urls.forEach(url => response.write(`: resume at ${url}\n\n`));
-        yield* waitFor(new Promise<void>(resolve => response.end(() => resolve())));
+        const comments = [": the answer is incomplete", ...urls.map(url => `: resume at ${url}`)];
+        yield* waitFor(
+            new Promise<void>(resolve =>
+                response.write(comments.map(text => `${text}\n\n`).join(""), () => resolve())
+            ),
+        );
+        abortResponse(response);
         return;
     }
     const keptRow = yield* waitFor(
--- a/src/reclaim/EntryReclaim.test.ts
+++ b/src/reclaim/EntryReclaim.test.ts
@@ -110,6 +110,17 @@
         expect(cluster.standIns.objects.objects.size).toBe(0);
     });
 
+    it("does not frame a stream as complete whose caller it sends to other nodes", async () => {
+        const { done, requestId } = await openLong(cluster, 2);
+        const reclaim = cluster.nodes[2].kernel.find(entryReclaimName);
+        await runTask(() => reclaim.handOverAll(), { name: "hand-over" }).done;
+        await reclaim.stop();
+        const first = await done;
+        expect(first).toMatchObject({ status: 200, isWhole: false, isBroken: true });
+        const text = await finishElsewhere(cluster, first, requestId);
+        expect(text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
+    });
+
     it("continues a request locally if neither a member nor the object store accepts it", async () => {
         const { done } = await openLong(cluster, 2);
         for (const node of cluster.nodes.slice(0, 2)) {
--- a/standins/readEventStream.ts
+++ b/standins/readEventStream.ts
@@ -13,6 +13,8 @@
     readonly events: readonly ReceivedEvent[];
     /** Whether the final event `[DONE]` was received. */
     readonly isWhole: boolean;
+    /** Whether the response ended before its framing said so. */
+    readonly isBroken: boolean;
     /** Concatenated text of all deltas. */
     readonly text: string;
     /** Body of a response with a status other than 200; otherwise empty. */
@@ -40,6 +42,7 @@
     let text = "";
     let body = "";
     let incompleteEvent = "";
+    let isBroken = false;
     const decoder = new TextDecoder();
     try {
         for await (const chunk of response.body!) {
@@ -58,13 +61,14 @@
         }
     }
     catch {
-        // The connection broke: return what was received until then.
+        isBroken = true;
     }
     return {
         status: response.status,
         requestId: response.headers.get("request-id") ?? undefined,
         events,
         isWhole: events.at(-1)?.data === "[DONE]",
+        isBroken,
         text,
         body,
     };
