Bound bytes without end that are no answer

Now interim heads are counted, an event is limited to 1 MiB, a block without a field of an event ends the stream, only events with an id count as progress, a refusal's body is read for 100 ms and 64 KiB, and collected answers share a limit of 64 MiB a node, in the plain path of the own interface too.

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -7,6 +7,7 @@
 import { servingStateName } from "../routes/ServingState";
 import { eventLogName } from "../telemetry/EventLog";
 import { forwardMetricsName } from "../telemetry/ForwardMetrics";
+import { AnswerMemory } from "../upstreams/AnswerMemory";
 import { usageLedgerName } from "../usage/UsageLedger";
 import type { ServingNodeOptions } from "./servingTypes";
 
@@ -29,4 +30,5 @@
     quotas: find(quotaLimiterName),
     retryBudgets: find(retryBudgetsName),
     usage: find(usageLedgerName),
+    answerMemory: new AnswerMemory(),
 });
--- a/src/daemon/createHttpPlatform.ts
+++ b/src/daemon/createHttpPlatform.ts
@@ -3,6 +3,7 @@
 import { HttpTableService } from "../platform/HttpTableService";
 import { HttpWeightStore } from "../platform/HttpWeightStore";
 import type { Settings } from "../settings/settingsSchema";
+import { AnswerMemory } from "../upstreams/AnswerMemory";
 import { HttpEngineClient } from "../upstreams/HttpEngineClient";
 import { HttpPlainClient } from "../upstreams/HttpPlainClient";
 import type { EntryPlatform } from "./types";
@@ -23,6 +24,7 @@
     const weights = settings.platform.weights === undefined
         ? undefined
         : new HttpWeightStore({ url: settings.platform.weights, timeoutMs });
+    const memory = new AnswerMemory();
     return {
         weights,
         tables,
@@ -31,7 +33,7 @@
         upstreams: {
             createEngineClient: vm => new HttpEngineClient({ url: vm.url, timeoutMs: upstreamTimeoutMs }),
             createPlainClient: vm =>
-                new HttpPlainClient({ url: vm.url, connectTimeoutMs: upstreamTimeoutMs }),
+                new HttpPlainClient({ url: vm.url, connectTimeoutMs: upstreamTimeoutMs, memory }),
         },
         close: async () => {
             await Promise.all([tables.close(), objects.close(), cloud.close(), weights?.close()]);
--- a/src/forwarding/EventStreamSplitter.test.ts
+++ b/src/forwarding/EventStreamSplitter.test.ts
@@ -64,4 +64,19 @@
             expect(splitter.isInsideEvent).toBe(isInside);
         },
     );
+
+    it.each([
+        ["a line", "xxx\n\n", true],
+        ["a head", "HTTP/1.1 200 OK\n\n", true],
+        ["a line that is too long", "x".repeat(1_100_000), true],
+        ["a comment", ": comment\n\n", false],
+        ["a retry time", "retry: 5\n\n", false],
+        ["a field without a value", "data\r\n\r\n", false],
+        ["blank lines", "\n\n\n", false],
+        ["an event with a further field", "x-versions: 2\nid: 3\ndata: x\n\n", false],
+    ])("tells bytes that are no events: %s", (_kind, text, isForeign) => {
+        const splitter = new EventStreamSplitter();
+        expect(splitter.push(Buffer.from(`id: 1\ndata: x\n\n${text}`)).eventCount).toBeGreaterThan(0);
+        expect(splitter.isForeign).toBe(isForeign);
+    });
 });
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -1,6 +1,9 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idField = "id:";
+const maxEventBytes = 1_048_576;
+const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/m; // a comment has an empty name
+const blankLines = /^[\r\n]+$/;
 
 /** Complete events of a stream. */
 export interface EventBatch {
@@ -17,6 +20,8 @@
     private incomplete: Buffer = Buffer.alloc(0);
     /** Id of the last complete event; undefined before the first. */
     lastEventId: number | undefined;
+    /** Whether bytes have arrived that are no events: a block without a field of an event, or one that is too long. */
+    isForeign = false;
 
     /** @param after - id up to which events are skipped; undefined skips none */
     constructor(after?: number) {
@@ -48,6 +53,10 @@
             const event = data.subarray(start, end);
             start = end;
             const id = readEventId(event);
+            if (id === undefined && !isEvent(event)) {
+                this.isForeign = true;
+                break;
+            }
             if (id !== undefined && this.lastEventId !== undefined && id <= this.lastEventId) {
                 continue;
             }
@@ -56,6 +65,7 @@
             events.push(event);
         }
         this.incomplete = data.subarray(start);
+        this.isForeign ||= this.incomplete.length > maxEventBytes;
         return { bytes: events.length === 1 ? events[0] : Buffer.concat(events), eventCount };
     }
 }
@@ -78,3 +88,8 @@
     const id = line === undefined ? NaN : Number.parseInt(line.slice(idField.length), 10);
     return Number.isNaN(id) ? undefined : id;
 };
+
+const isEvent = (block: Buffer): boolean => {
+    const text = block.toString("latin1");
+    return eventField.test(text) || blankLines.test(text);
+};
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -6,6 +6,7 @@
 import type { ServingState } from "../routes/ServingState";
 import type { EventLog } from "../telemetry/EventLog";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
+import type { AnswerMemory } from "../upstreams/AnswerMemory";
 import type { UsageLedger } from "../usage/UsageLedger";
 import type { ForwardProtocol } from "./types";
 
@@ -22,4 +23,6 @@
     readonly quotas: QuotaLimiter;
     readonly retryBudgets: RetryBudgets;
     readonly usage: UsageLedger;
+    /** Memory for answers that are collected before they are sent. */
+    readonly answerMemory: AnswerMemory;
 }
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -59,6 +59,7 @@
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
         const { request, response } = options;
         const { recorder, interrupt } = this;
+        const memory = context.answerMemory.hold();
         this.responseRelay = new ResponseRelay({
             clock: context.clock,
             request,
@@ -66,7 +67,9 @@
             admitted,
             recorder,
             interrupt,
+            memory,
         });
+        options.response.on("close", memory.release);
     }
 
     /** Name of the service that the request is forwarded to. */
@@ -247,7 +250,7 @@
             };
         }
         if (metadata.isNotRun) {
-            yield* this.responseRelay.collectBody(exchange);
+            yield* this.responseRelay.discardRefusal(exchange);
             return {
                 kind: "failed",
                 isSent: true,
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -2,8 +2,10 @@
 import { selectResponseHeaders } from "../http/selectResponseHeaders";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import { retryRules } from "../routes/types";
+import type { HeldMemory } from "../upstreams/AnswerMemory";
 import { collectBody, type CollectedBody } from "../upstreams/collectBody";
 import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
@@ -21,9 +23,13 @@
     readonly admitted: AdmittedRequest;
     readonly recorder: ForwardRecorder;
     readonly interrupt: RequestInterrupt;
+    /** Memory of the request for collected answers. */
+    readonly memory: HeldMemory;
 }
 
 const maxBufferedBytes = 16_777_216; // 16 MiB; larger answers have to be streams
+const maxRefusalBytes = 65_536;
+const refusalTimeoutMs = 100;
 const resumableIdleTimeoutMs = 1_500; // callers abandon a stream that is silent for 2 s or more
 const eventStreamType = "text/event-stream";
 const unlimitedIdleTimeoutMs = 86_400_000; // longer than any stream; the request's deadline ends it
@@ -53,9 +59,18 @@
     }
 
     /** Collects the complete body of an answer. Returns the kind of interrupt if the request is interrupted first. */
-    *collectBody(exchange: UpstreamExchange): Task<CollectedBody | InterruptKind> {
-        const { interrupt } = this.options;
-        return yield* waitFor(Promise.race([collectBody(exchange, maxBufferedBytes), interrupt.interrupted]));
+    private *collectBody(exchange: UpstreamExchange): Task<CollectedBody | InterruptKind> {
+        const { interrupt, memory } = this.options;
+        const collected = collectBody(exchange, { maxBytes: maxBufferedBytes, memory });
+        return yield* waitFor(Promise.race([collected, interrupt.interrupted]));
+    }
+
+    /** Reads the body of a refusal, so that its connection can be used again. Gives up on long and on slow ones. */
+    *discardRefusal(exchange: UpstreamExchange): Task<void> {
+        const { clock, interrupt } = this.options;
+        const collected = collectBody(exchange, { maxBytes: maxRefusalBytes });
+        const promises = [collected, interrupt.interrupted];
+        yield* waitFor(waitWithTimeout<unknown>({ clock, promises, timeoutMs: refusalTimeoutMs }));
     }
 
     private *relayBuffered(exchange: UpstreamExchange, head: AnswerHead): Task<AttemptResult> {
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -14,8 +14,8 @@
     readonly interrupt: RequestInterrupt;
     readonly clock: Clock;
     /**
-     * Time without a complete event from the upstream after which the stream counts as broken, in milliseconds. Bytes
-     * that complete no event do not extend it.
+     * Time without a complete event with an id after which the stream counts as broken, in milliseconds. Other bytes do
+     * not extend it.
      */
     readonly idleTimeoutMs: number;
     /** Called whenever a chunk arrives. */
@@ -50,7 +50,10 @@
     exchange.listen(chunk => {
         options.onData();
         const batch = splitter.push(chunk);
-        if (batch.bytes.length > 0) {
+        if (splitter.isForeign) {
+            exchange.abort("the upstream sends bytes that are no events");
+        }
+        if (batch.eventCount > 0) {
             lastEventMs = clock.readMonotonicMs();
         }
         if (batch.eventCount > 0 && !hasEvent) {
--- a/src/upstreams/HttpEngineClient.ts
+++ b/src/upstreams/HttpEngineClient.ts
@@ -204,7 +204,7 @@
     }
 
     private async reportRefusal({ status }: AnswerHead): Promise<void> {
-        const collected = await collectBody(this.exchange, maxRefusalBytes);
+        const collected = await collectBody(this.exchange, { maxBytes: maxRefusalBytes });
         const text = collected.kind === "whole" ? collected.body.toString("utf8") : collected.message;
         const isBadRequest = status >= 400 && status < 500 && status !== 429;
         this.fail({
--- a/src/upstreams/HttpPlainClient.ts
+++ b/src/upstreams/HttpPlainClient.ts
@@ -1,4 +1,5 @@
 import { selectResponseHeaders } from "../http/selectResponseHeaders";
+import { AnswerMemory, type HeldMemory } from "./AnswerMemory";
 import { collectBody } from "./collectBody";
 import { UpstreamClient } from "./UpstreamClient";
 import type { PlainAnswer, PlainCall, PlainClient, PlainFailure } from "./types";
@@ -10,6 +11,8 @@
     readonly connectTimeoutMs: number;
     /** Maximum number of connections to the runner; default 64. */
     readonly maxConnections?: number;
+    /** Memory for collected answers; default: a limit of this client alone. */
+    readonly memory?: AnswerMemory;
 }
 
 const defaultMaxConnections = 64;
@@ -18,8 +21,10 @@
 /** Client of a plain service's runner over HTTP. */
 export class HttpPlainClient implements PlainClient {
     private readonly client: UpstreamClient;
+    private readonly memory: AnswerMemory;
 
     constructor(options: HttpPlainClientOptions) {
+        this.memory = options.memory ?? new AnswerMemory();
         this.client = new UpstreamClient({
             address: new URL(options.url).host,
             maxConnections: options.maxConnections ?? defaultMaxConnections,
@@ -40,10 +45,12 @@
             () => exchange.abort(`no complete answer within ${call.timeoutMs} ms`),
             call.timeoutMs,
         );
+        const memory = this.memory.hold();
         try {
-            return await collectAnswer(exchange);
+            return await collectAnswer(exchange, memory);
         }
         finally {
+            memory.release();
             clearTimeout(timer);
         }
     }
@@ -55,12 +62,13 @@
 
 const collectAnswer = async (
     exchange: UpstreamExchange,
+    memory: HeldMemory,
 ): Promise<{ readonly answer: PlainAnswer; } | { readonly failure: PlainFailure; }> => {
     const start = await exchange.started;
     if (start.kind === "failed") {
         return { failure: { isSent: start.isSent, message: start.message } };
     }
-    const collected = await collectBody(exchange, maxAnswerBytes);
+    const collected = await collectBody(exchange, { maxBytes: maxAnswerBytes, memory });
     return collected.kind === "whole"
         ? { answer: { status: start.head.status, headers: joinHeaders(start.head), body: collected.body } }
         : { failure: { isSent: true, message: collected.message } };
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -28,6 +28,8 @@
     readonly message?: string;
 }
 
+const maxInterimAnswers = 16;
+
 /** Options of {@link UpstreamExchange}. */
 export interface UpstreamExchangeOptions {
     /** Checked immediately before the call is written; false prevents the write. Default: always true. */
@@ -51,6 +53,7 @@
     private isAborted = false;
     private isEnded = false;
     private hasHead = false;
+    private interimCount = 0;
     private isReset: ResetCheck = () => false;
     private listener: ((chunk: Buffer) => void) | undefined;
     private bufferedChunks: Buffer[] = [];
@@ -127,6 +130,10 @@
         headers: IncomingHttpHeaders,
     ): void {
         if (status < 200) {
+            this.interimCount += 1;
+            if (this.interimCount > maxInterimAnswers) {
+                this.abort(`more than ${maxInterimAnswers} interim answers`);
+            }
             return;
         }
         this.hasHead = true;
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { StandInServer } from "../StandInServer";
+import { writeEndlessly } from "./writeEndlessly";
 
 /** How the stand-in treats one request; without a behaviour it answers the request normally. */
 export type RunnerBehaviour =
@@ -31,6 +32,18 @@
     | "chunked-close"
     /** Answers a request for a stream with one JSON body. */
     | "document"
+    /** Sends bytes that are no answer without end, in place of a head. */
+    | "endless-head"
+    /** Sends interim heads without end. */
+    | "endless-interim"
+    /** Sends a body without end. */
+    | "endless-body"
+    /** Sends one event without end. */
+    | "endless-event"
+    /** Sends lines that are no events without end, each followed by a blank line. */
+    | "endless-lines"
+    /** States that the request was not executed, with a body without end. */
+    | "endless-refusal"
     /** Executes the request and never answers. */
     | "hang"
     /** Sends two events of a stream and then nothing, with the connection left open. */
@@ -64,6 +77,10 @@
 /** Stand-in for an upstream of the platform: a plain service or an engine with resumable streams. */
 export class RunnerStandIn {
     readonly runs: RunnerRun[] = [];
+    /** Bytes of endless answers that callers have taken. */
+    endlessBytes = 0;
+    /** Number of endless answers whose connections are open. */
+    openEndless = 0;
     /** Behaviours for the next requests, in order; each is used once. */
     readonly nextBehaviours: RunnerBehaviour[] = [];
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
@@ -96,6 +113,10 @@
             sendText(response, 503, { [notExecutedHeader]: "1", [attemptIdHeader]: requestId }, "full");
             return;
         }
+        if (behaviour === "endless-refusal") {
+            this.sendEndlessly(request, behaviour);
+            return;
+        }
         const { headers, url, method } = request;
         const run = {
             requestId,
@@ -116,6 +137,10 @@
         if (behaviour === "hang") {
             return;
         }
+        if (behaviour?.startsWith("endless")) {
+            this.sendEndlessly(request, behaviour);
+            return;
+        }
         const responseHeaders = {
             [attemptIdHeader]: behaviour === "mixed" ? "another" : requestId,
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
@@ -152,6 +177,21 @@
         );
     }
 
+    /** Writes an answer without end to the connection of a request. */
+    private sendEndlessly({ socket, headers }: IncomingMessage, behaviour: RunnerBehaviour): void {
+        const [status, ...fields] = endlessHeads[behaviour] ?? [];
+        const idField = `${attemptIdHeader}: ${headers[attemptIdHeader]}`;
+        const head = status === undefined ? "" : [status, idField, ...fields, "", ""].join("\r\n");
+        this.openEndless += 1;
+        socket.on("close", () => {
+            this.openEndless -= 1;
+        });
+        const chunk = endlessChunks[behaviour] ?? "x".repeat(endlessChunkBytes);
+        writeEndlessly(socket, head, chunk, bytes => {
+            this.endlessBytes += bytes;
+        });
+    }
+
     private async sendStream(
         response: ServerResponse,
         headers: Record<string, string>,
@@ -179,6 +219,24 @@
     }
 }
 
+const endlessChunkBytes = 16_384;
+const eventStreamField = "content-type: text/event-stream";
+
+/** Status line and further headers of endless answers; those without an entry have no head. */
+const endlessHeads: Partial<Record<RunnerBehaviour, readonly string[]>> = {
+    "endless-body": ["HTTP/1.1 200 OK"],
+    "endless-event": ["HTTP/1.1 200 OK", eventStreamField],
+    "endless-lines": ["HTTP/1.1 200 OK", eventStreamField],
+    "endless-refusal": ["HTTP/1.1 503 Service Unavailable", `${notExecutedHeader}: 1`],
+};
+
+/** What endless answers repeat, where it is not a run of one letter. */
+const endlessChunks: Partial<Record<RunnerBehaviour, string>> = {
+    "endless-head": `HTTP/1.1 200 OK\r\nx-field: ${"x".repeat(endlessChunkBytes)}`,
+    "endless-interim": "HTTP/1.1 102 Processing\r\n\r\n",
+    "endless-lines": `${"x".repeat(1_000)}\n\n`,
+};
+
 const resetConnection = (response: ServerResponse): void => {
     response.socket?.resetAndDestroy();
 };
