Log software versions of upstreams, and which stream a request resumes

Events 2208, 2210 and 2211 carry softwareVersion, 2210 also resumes and resumesAfter, 2211 lastEventId. They separate a stream that its caller takes up (H1) from one that the node resumes itself (H2) and from an upstream that changes its version (H3). No request is forwarded otherwise than before.

--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -24,6 +24,8 @@
     runs: number;
     /** Id of the upstream chosen last. */
     upstream: string | undefined;
+    /** Software version of that upstream. */
+    softwareVersion: string | undefined;
     /** Requests in flight at that upstream when it was chosen. */
     upstreamLoad: number | undefined;
     firstByteMs: number | undefined;
@@ -40,6 +42,7 @@
         sends: 0,
         runs: 0,
         upstream: undefined,
+        softwareVersion: undefined,
         upstreamLoad: undefined,
         firstByteMs: undefined,
         status: undefined,
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -208,6 +208,8 @@
             requestId: admission.requestId,
             route,
             account: admission.account,
+            resumes: admission.resumes,
+            resumesAfter: admission.resumesAfter,
             quotaCost: admission.quotaCost,
             quotaLeft: roundNumber(admission.quotaLeft),
             service: forwarder?.service,
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -178,6 +178,7 @@
         const { context, request, body } = this.options;
         this.recorder.trace.sends += 1;
         this.recorder.trace.upstream = upstream.instance.id;
+        this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
         this.triedUpstreamIds.add(upstream.instance.id);
         const exchange = upstream.client.send({
             method: request.method!,
@@ -368,7 +369,9 @@
         context.events.emit(eventKinds.attemptEnded, {
             requestId: admitted.metadata.requestId,
             upstream: upstream.instance.id,
+            softwareVersion: upstream.instance.softwareVersion,
             service: admitted.service,
+            lastEventId: this.responseRelay.lastEventId,
             reason: result.message,
             isSent: result.isSent,
             isNotRun: result.isNotRun,
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -27,6 +27,10 @@
     requestId?: string;
     route?: string;
     account?: string;
+    /** Id of the attempt whose stream the request resumes. */
+    resumes?: string;
+    /** Id of the event after which it resumes the stream. */
+    resumesAfter?: number;
     /** Units that the request costs. */
     quotaCost?: number;
     /** Units of the account's quota over all nodes that remain after the request. */
@@ -52,6 +56,8 @@
 ): AdmittedRequest => {
     const metadata = context.protocol.decodeRequest(request.headers);
     trace.requestId = metadata.requestId;
+    trace.resumes = metadata.resumedRequestId;
+    trace.resumesAfter = metadata.lastEventId;
     const table = context.servingState.table.value;
     if (!table) {
         throw createRefusal(
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -25,6 +25,8 @@
     readonly promptParts: readonly PromptPart[];
     /** Id of the event after which the caller resumes a stream. */
     readonly lastEventId: number | undefined;
+    /** Id of the caller's attempt that brought the first event of the stream that is resumed. */
+    readonly resumedRequestId: string | undefined;
 }
 
 /** Data that the node sets in the headers of a call to an upstream. */
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -266,6 +266,7 @@
             runner: instance.id,
             service: instance.service,
             address: instance.address,
+            softwareVersion: instance.softwareVersion,
             leavesInMs: instance.leavesInMs,
         });
         if (before) {
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -32,6 +32,8 @@
     /** Host and port. */
     readonly address: string;
     readonly dataCentre: string;
+    /** Version of the software that it runs; undefined in readings of members of older versions. */
+    readonly softwareVersion?: string;
     /** Requests that the upstream can run concurrently. */
     readonly slots: number;
     /** Whether it has announced that it will stop. */
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -67,12 +67,15 @@
     readonly events?: number;
     /** Interval between events, in milliseconds; default 2. */
     readonly eventMs?: number;
+    /** Version of its software, which is named in its events; default `v1`. */
+    readonly softwareVersion?: string;
 }
 
 const notExecutedHeader = "x-sequoiagrade-not-executed";
 const attemptIdHeader = "x-sequoiagrade-attempt-id";
 const expectInstanceHeader = "x-sequoiagrade-expect-instance";
 const defaultEventMs = 2;
+const defaultSoftwareVersion = "v1";
 
 /** Stand-in for an upstream of the platform: a plain service or an engine with resumable streams. */
 export class RunnerStandIn {
@@ -90,6 +93,11 @@
         this.id = options.id;
     }
 
+    /** Version of its software. */
+    get softwareVersion(): string {
+        return this.options.softwareVersion ?? defaultSoftwareVersion;
+    }
+
     /** Host and port; available once the server has started. */
     get address(): string {
         return this.server.url.slice("http://".length);
@@ -209,7 +217,7 @@
             if (behaviour === "stall" && id === lastEventId + 3) {
                 return;
             }
-            response.write(`id: ${id}\ndata: token ${id}\n\n`);
+            response.write(`id: ${id}\ndata: token ${id} of ${this.softwareVersion}\n\n`);
             await new Promise(resolve => setTimeout(resolve, this.options.eventMs ?? defaultEventMs));
             if (response.destroyed) {
                 return;
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -135,7 +135,8 @@
     /** Writes the registry entry of an upstream to the store. */
     registerRunner(runner: RunnerStandIn, service: string, state = "ready"): void {
         const { id, address } = runner;
-        const entry = { service, address, zone: "zone-a", slots: 8, state, seq: 1, born: 1 };
+        const { softwareVersion: version } = runner;
+        const entry = { service, address, zone: "zone-a", version, slots: 8, state, seq: 1, born: 1 };
         this.registered.set(id, entry);
         this.store.put("servers", id, entry);
     }
