Let a stream go on only at the software version that began it

Cause: an upstream was chosen by load and prefix for every attempt alike. Same class in a route with several services: an attempt that takes a stream up drew its service anew. Why it works: the version is part of an upstream's entry, and a stream is bound to service and version from the head of its first answer on. A caller's attempt is bound by the record of the attempt that it names. Without a record a stream goes on only where one version is the only one possible, by fresh records of the store and, after a start, by the versions kept in the store; otherwise it is refused as not run.

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -1,5 +1,7 @@
 import type { ForwardContext } from "../forwarding/ForwardContext";
 import type { FindService } from "../kernel/types";
+import { softwareVersionsName } from "../origins/SoftwareVersions";
+import { streamOriginsName } from "../origins/StreamOrigins";
 import { BoundedAffinityPolicy } from "../placement/BoundedAffinityPolicy";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { quotaLimiterName } from "../quotas/QuotaLimiter";
@@ -28,6 +30,8 @@
     instances: find(instanceRegistryName),
     placement: new BoundedAffinityPolicy({ random: options.random }),
     quotas: find(quotaLimiterName),
+    origins: find(streamOriginsName),
+    versions: find(softwareVersionsName),
     retryBudgets: find(retryBudgetsName),
     usage: find(usageLedgerName),
     answerMemory: new AnswerMemory(),
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -3,8 +3,13 @@
 import { ClusterClock, clusterClockName } from "../feeds/ClusterClock";
 import { ForwardServer, forwardServerName } from "../forwarding/ForwardServer";
 import type { Kernel } from "../kernel/Kernel";
+import type { FindService } from "../kernel/types";
 import { membershipName } from "../membership/Membership";
 import { Readiness, readinessName } from "../membership/Readiness";
+import { SoftwareVersions, softwareVersionsName } from "../origins/SoftwareVersions";
+import { StreamOrigins, streamOriginsName } from "../origins/StreamOrigins";
+import { VersionRecords, versionRecordsName } from "../origins/VersionRecords";
+import { peerNetworkName } from "../peers/PeerNetwork";
 import { peerReportsName } from "../peers/PeerReports";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
@@ -25,6 +30,8 @@
 const freshShare = 0.8; // of the time after which a revoked key must no longer be accepted
 const connectionShare = 0.8; // of an upstream's connections; the rest is for nodes that are starting and know no members yet
 const minConnections = 8;
+const minKeptMs = 30_000; // also for streams that began under another configuration
+const streamTries = 2; // a stream that a caller takes up at its end lasts as long again
 
 /**
  * Registers the services of a forwarding node with their dependencies.
@@ -70,7 +77,7 @@
     });
 };
 
-const registerServing = (kernel: Kernel, { settings, clock }: ServingNodeOptions): void => {
+const registerServing = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
     kernel.register({
         name: servingStateName,
         requires: [feedNames.configurations],
@@ -127,6 +134,7 @@
                 },
             }),
     });
+    registerOrigins(kernel, { settings, platform, clock });
     kernel.register({
         name: quotaLimiterName,
         requires: [clusterSumsName, readinessName, servingStateName],
@@ -166,3 +174,56 @@
             }),
     });
 };
+
+/** Registers what tells at which software version a stream may go on. */
+const registerOrigins = (
+    kernel: Kernel,
+    { settings, platform, clock }: Pick<ServingNodeOptions, "settings" | "platform" | "clock">,
+): void => {
+    const { nodeId } = settings;
+    const readKeptMs = (find: FindService): number =>
+        Math.max(minKeptMs, (find(servingStateName).table.value?.longestStreamMs ?? 0) * streamTries);
+    kernel.register({
+        name: softwareVersionsName,
+        requires: [feedNames.instances, servingStateName],
+        create: find =>
+            new SoftwareVersions({
+                feed: find(feedNames.instances),
+                clock,
+                readWindowMs: () => readKeptMs(find),
+            }),
+    });
+    kernel.register({
+        name: versionRecordsName,
+        requires: [softwareVersionsName, storeClockName, membershipName],
+        create: find =>
+            new VersionRecords({
+                tables: platform.tables,
+                versions: find(softwareVersionsName),
+                storeClock: find(storeClockName),
+                isWriter: () =>
+                    isPoller({
+                        membership: find(membershipName),
+                        nodeId,
+                        job: versionRecordsName.id,
+                        count: 1,
+                    }),
+                clock,
+                events: find(eventLogName),
+            }),
+    });
+    kernel.register({
+        name: streamOriginsName,
+        requires: [peerNetworkName, membershipName, softwareVersionsName],
+        create: find =>
+            new StreamOrigins({
+                nodeId,
+                network: find(peerNetworkName),
+                membership: find(membershipName),
+                versions: find(softwareVersionsName),
+                readKeptMs: () => readKeptMs(find),
+                clock,
+                events: find(eventLogName),
+            }),
+    });
+};
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -1,4 +1,6 @@
 import type { Clock, RandomSource } from "../kernel/types";
+import type { SoftwareVersions } from "../origins/SoftwareVersions";
+import type { StreamOrigins } from "../origins/StreamOrigins";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
 import type { QuotaLimiter } from "../quotas/QuotaLimiter";
@@ -21,6 +23,8 @@
     readonly instances: InstanceRegistry;
     readonly placement: PlacementPolicy;
     readonly quotas: QuotaLimiter;
+    readonly origins: Pick<StreamOrigins, "find" | "record">;
+    readonly versions: Pick<SoftwareVersions, "findSole">;
     readonly retryBudgets: RetryBudgets;
     readonly usage: UsageLedger;
     /** Memory for answers that are collected before they are sent. */
--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -1,4 +1,6 @@
 import type { Clock } from "../kernel/types";
+import type { StreamOrigins } from "../origins/StreamOrigins";
+import { retryRules } from "../routes/types";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
 import type { AnswerFraming } from "../upstreams/UpstreamExchange";
 import type { UsageLedger } from "../usage/UsageLedger";
@@ -10,6 +12,7 @@
         readonly clock: Clock;
         readonly metrics: ForwardMetrics;
         readonly usage: UsageLedger;
+        readonly origins: Pick<StreamOrigins, "record">;
     };
     readonly admitted: AdmittedRequest;
     /** Monotonic time of the request's arrival, in milliseconds. */
@@ -80,6 +83,25 @@
         }
     }
 
+    /**
+     * Records what began the stream, so that its caller can take it up at any node. A further attempt records it for the
+     * one that brought the first event.
+     *
+     * @param softwareVersion - version of the upstream that sends the stream
+     */
+    recordStream(softwareVersion: string | undefined): void {
+        const { context, admitted } = this.options;
+        const { route, service, metadata } = admitted;
+        const requestId = metadata.resumedRequestId ?? metadata.requestId;
+        if (
+            route.retryRule !== retryRules.resumable || softwareVersion === undefined
+            || requestId === undefined
+        ) {
+            return;
+        }
+        context.origins.record({ requestId, service, softwareVersion }, route.targets.length > 1);
+    }
+
     /** Records the time until the first byte of the answer is relayed; further calls have no effect. */
     recordFirstByte(): void {
         const { context, arrivedMs } = this.options;
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -14,6 +14,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { type AdmissionTrace, admitRequest, type AdmittedRequest } from "./admitRequest";
+import { resolveOrigin } from "./resolveOrigin";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
 
@@ -130,8 +131,8 @@
         const admission: AdmissionTrace = {};
         let forwarder: RequestForwarder | undefined;
         try {
-            const admitted = admitRequest(context, request, admission);
-            const body = yield* this.readRequestBody(context, request, admitted);
+            const received = admitRequest(context, request, admission);
+            const { admitted, body } = yield* this.prepare(context, request, received);
             forwarder = new RequestForwarder({ context, request, response, admitted, body, arrivedMs });
             const outcome = yield* forwarder.run();
             this.report(context, { response, arrivedMs, admission, forwarder, outcome });
@@ -154,14 +155,15 @@
         }
     }
 
-    /** Reads the body of a request. Releases the quota charged for it if the body does not arrive. */
-    private *readRequestBody(
+    /** Reads the body of a request and binds it. Releases the quota charged for it if either fails. */
+    private *prepare(
         context: ForwardContext,
         request: IncomingMessage,
         admitted: AdmittedRequest,
-    ): Task<Buffer> {
+    ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
         try {
-            return yield* waitFor(readBody(request, admitted.maxBodyBytes));
+            const body = yield* waitFor(readBody(request, admitted.maxBodyBytes));
+            return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
             if (admitted.account) {
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -3,7 +3,9 @@
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
+import type { StreamOrigin } from "../origins/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { UpstreamInstance } from "../placement/types";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
@@ -17,6 +19,7 @@
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
+import { isEventStream } from "./isEventStream";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { waitForPendingInput } from "./waitForPendingInput";
@@ -50,11 +53,14 @@
     private readonly responseRelay: ResponseRelay;
     private readonly deadlineMs: number;
     private readonly triedUpstreamIds = new Set<string>();
+    /** What began the stream; undefined before the head of its answer was relayed, and for other requests. */
+    private origin: Partial<StreamOrigin> | undefined;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
+        this.origin = admitted.origin;
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
         const { request, response } = options;
@@ -163,8 +169,7 @@
     /** Chooses a usable upstream to which this request has not been sent. */
     private chooseUpstream(): TrackedInstance | undefined {
         const { context, admitted } = this.options;
-        const usable = context.instances.listUsable(admitted.service);
-        const untried = usable.filter(upstream => !this.triedUpstreamIds.has(upstream.instance.id));
+        const untried = this.listUntried();
         const views = context.instances.createViews(untried);
         const view = context.placement.choose(
             { affinityKey: createAffinityKey(admitted.metadata.promptParts) },
@@ -174,6 +179,20 @@
         return untried.find(upstream => upstream.instance.id === view?.id);
     }
 
+    /** Lists the usable upstreams to which this request has not been sent, and at which its stream may go on. */
+    private listUntried(): TrackedInstance[] {
+        const { context, admitted } = this.options;
+        return context.instances.listUsable(admitted.service).filter(({ instance }) =>
+            !this.triedUpstreamIds.has(instance.id) && this.matchesOrigin(instance)
+        );
+    }
+
+    /** Whether a stream may go on at an upstream: only at one of the software version that began it. */
+    private matchesOrigin({ softwareVersion }: UpstreamInstance): boolean {
+        return !this.origin
+            || (softwareVersion !== undefined && softwareVersion === this.origin.softwareVersion);
+    }
+
     private *send(upstream: TrackedInstance): Task<AttemptResult> {
         const { context, request, body } = this.options;
         this.recorder.trace.sends += 1;
@@ -251,7 +270,7 @@
             };
         }
         if (metadata.isNotRun) {
-            yield* this.responseRelay.discardRefusal(exchange);
+            yield* this.responseRelay.drainRefusal(exchange);
             return {
                 kind: "failed",
                 isSent: true,
@@ -260,6 +279,9 @@
             };
         }
         this.recorder.recordRun(true);
+        if (admitted.route.isStream && isEventStream(head)) {
+            this.origin ??= { service: admitted.service, softwareVersion: upstream.instance.softwareVersion };
+        }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
@@ -301,9 +323,7 @@
     private hasAlternative(upstream: TrackedInstance): boolean {
         const { context, admitted } = this.options;
         return context.retryBudgets.get(admitted.service).hasRetry()
-            && context.instances.listUsable(admitted.service).some(other =>
-                other !== upstream && !this.triedUpstreamIds.has(other.instance.id)
-            );
+            && this.listUntried().some(other => other !== upstream);
     }
 
     /**
@@ -333,6 +353,12 @@
         const message = isTimeout ? "the deadline of the request has passed" : result.message;
         if (this.recorder.trace.runs === 0) {
             const code = isTimeout ? resultCodes.deadlineUnreachable : resultCodes.noRunner;
+            if (this.isOriginGone()) {
+                return new FailureError(createFailure(
+                    resultCodes.streamOriginLost,
+                    `no upstream runs software version "${this.origin?.softwareVersion}", which began the stream`,
+                ));
+            }
             const refusalMs = this.options.context.instances.readRefusalMs(this.service);
             const retryAfterMs = refusalMs ?? unavailableRetryAfterMs;
             return new FailureError(createFailure(code, message, { retryAfterMs }));
@@ -342,6 +368,14 @@
         );
     }
 
+    private isOriginGone(): boolean {
+        const { context, admitted } = this.options;
+        return this.origin !== undefined
+            && !context.instances.listInService(admitted.service).some(({ instance }) =>
+                this.matchesOrigin(instance)
+            );
+    }
+
     private computeRemainingMs(): number {
         return this.deadlineMs - this.options.context.clock.readMonotonicMs();
     }
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -11,6 +11,7 @@
 import type { AdmittedRequest } from "./admitRequest";
 import { EventStreamSplitter } from "./EventStreamSplitter";
 import type { ForwardRecorder } from "./ForwardRecorder";
+import { isEventStream } from "./isEventStream";
 import { relayEvents } from "./relayEvents";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult } from "./types";
@@ -31,7 +32,6 @@
 const maxRefusalBytes = 65_536;
 const refusalTimeoutMs = 100;
 const resumableIdleTimeoutMs = 1_500; // callers abandon a stream that is silent for 2 s or more
-const eventStreamType = "text/event-stream";
 const unlimitedIdleTimeoutMs = 86_400_000; // longer than any stream; the request's deadline ends it
 
 /**
@@ -66,7 +66,7 @@
     }
 
     /** Reads the body of a refusal, so that its connection can be used again. Gives up on long and on slow ones. */
-    *discardRefusal(exchange: UpstreamExchange): Task<void> {
+    *drainRefusal(exchange: UpstreamExchange): Task<void> {
         const { clock, interrupt } = this.options;
         const collected = collectBody(exchange, { maxBytes: maxRefusalBytes });
         const promises = [collected, interrupt.interrupted];
@@ -133,6 +133,7 @@
             onFirstEvent: () => {
                 this.options.recorder.recordFirstByte();
                 this.options.recorder.recordUsage();
+                this.options.recorder.recordStream(upstream.instance.softwareVersion);
             },
         });
         this.lastEventId = splitter.lastEventId;
@@ -149,8 +150,3 @@
         }
     }
 }
-
-const isEventStream = ({ status, headers }: AnswerHead): boolean => {
-    const type = headers["content-type"] ?? eventStreamType;
-    return status === 200 && type.trim().toLowerCase().startsWith(eventStreamType);
-};
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { StreamOrigin } from "../origins/types";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
@@ -15,6 +16,8 @@
     readonly account: ServedAccount | undefined;
     /** Service chosen by the traffic split of the route. */
     readonly service: string;
+    /** What began the stream that the request takes up; undefined for other requests. */
+    readonly origin?: StreamOrigin;
     /** Units charged to the account's quota. */
     readonly quotaCost: number;
     /** Version of the configuration under which the request was admitted. */
--- /dev/null
+++ b/src/forwarding/resolveOrigin.ts
@@ -0,0 +1,73 @@
+import type { Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { OriginSearch } from "../origins/StreamOrigins";
+import type { StreamOrigin } from "../origins/types";
+import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
+import { resultCodes } from "../results/resultCodes";
+import { retryRules } from "../routes/types";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { AdmittedRequest } from "./admitRequest";
+import type { ForwardContext } from "./ForwardContext";
+
+const unknownRetryAfterMs = 300; // the nodes that know the stream may be out of reach for a moment
+const unsearched: OriginSearch = { origin: undefined, source: "nobody", unanswered: 0 };
+
+/**
+ * Binds a request that takes up a stream to the service and software version that began it. Other requests are returned
+ * unchanged.
+ *
+ * @param context - services of the node
+ * @param admitted - the admitted request
+ * @returns the request, with its origin and the service of it
+ * @throws FailureError if what began the stream is not known, or may no longer serve the route; it has then not run
+ */
+export function* resolveOrigin(context: ForwardContext, admitted: AdmittedRequest): Task<AdmittedRequest> {
+    const { metadata, route } = admitted;
+    const isTakenUp = metadata.resumedRequestId !== undefined || (metadata.lastEventId ?? 0) > 0;
+    if (route.retryRule !== retryRules.resumable || !isTakenUp) {
+        return admitted;
+    }
+    const search = metadata.resumedRequestId === undefined
+        ? unsearched
+        : yield* waitFor(context.origins.find(metadata.resumedRequestId));
+    const origin = search.origin ?? findSoleOrigin(context, admitted);
+    const isAllowed = origin !== undefined && route.targets.some(target => target.service === origin.service);
+    context.events.emit(eventKinds.streamTakenUp, {
+        requestId: metadata.requestId,
+        resumes: metadata.resumedRequestId,
+        resumesAfter: metadata.lastEventId,
+        service: origin?.service,
+        softwareVersion: origin?.softwareVersion,
+        source: search.origin === undefined && origin !== undefined ? "sole-version" : search.source,
+        unanswered: search.unanswered,
+        isAllowed,
+    });
+    context.metrics.takenUpStreams.inc({ route: route.name, outcome: describeOutcome(origin, isAllowed) });
+    if (!isAllowed) {
+        throw createRefusal(origin);
+    }
+    return { ...admitted, service: origin.service, origin };
+}
+
+/** The origin of every stream of a route with one service, all of whose upstreams have run one version lately. */
+const findSoleOrigin = (context: ForwardContext, { route }: AdmittedRequest): StreamOrigin | undefined => {
+    const [target, ...others] = route.targets;
+    const softwareVersion = others.length === 0 ? context.versions.findSole(target.service) : undefined;
+    return softwareVersion === undefined ? undefined : { service: target.service, softwareVersion };
+};
+
+const describeOutcome = (origin: StreamOrigin | undefined, isAllowed: boolean): string => {
+    if (origin === undefined) {
+        return "unknown";
+    }
+    return isAllowed ? "bound" : "moved";
+};
+
+const createRefusal = (origin: StreamOrigin | undefined): FailureError => {
+    const message = origin === undefined
+        ? "it is not known what began the stream"
+        : `the route no longer leads to service "${origin.service}", which began the stream`;
+    const retryAfterMs = origin === undefined ? unknownRetryAfterMs : undefined;
+    return new FailureError(createFailure(resultCodes.streamOriginLost, message, { retryAfterMs }));
+};
--- /dev/null
+++ b/src/origins/SoftwareVersions.ts
@@ -0,0 +1,122 @@
+import type { FeedFollower } from "../feeds/FeedFollower";
+import { createServiceName } from "../kernel/createServiceName";
+import type { Clock } from "../kernel/types";
+import type { UpstreamInstance } from "../placement/types";
+
+/** Options of {@link SoftwareVersions}. */
+export interface SoftwareVersionsOptions {
+    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs">;
+    readonly clock: Clock;
+    /** Time for which a version that is no longer listed still counts, in milliseconds. */
+    readonly readWindowMs: () => number;
+}
+
+const maxAgeMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
+const unknownVersion = "";
+
+/** Software versions of the upstreams of each service: those that are listed, and those that were a moment ago. */
+export class SoftwareVersions {
+    /** For each service, the monotonic time at which each version was last listed; infinite while it is. */
+    private readonly lastListedMs = new Map<string, Map<string, number>>();
+    private firstListedMs = Infinity;
+    private isHistoryKnown = false;
+    private readonly listeners: (() => void)[] = [];
+
+    constructor(private readonly options: SoftwareVersionsOptions) {}
+
+    async start(): Promise<void> {
+        const { records } = this.options.feed;
+        records.onChange(() => this.update());
+        this.update();
+    }
+
+    /** Registers a listener for changes of what is listed. */
+    onChange(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Names of the services that are known. */
+    listServices(): string[] {
+        return [...this.lastListedMs.keys()];
+    }
+
+    /**
+     * Reads the versions of a service that are remembered.
+     *
+     * @param service - the service
+     * @returns for each version the time since it was last listed, in milliseconds; 0 while it is
+     */
+    readSinceListedMs(service: string): ReadonlyMap<string, number> {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const versions = this.lastListedMs.get(service) ?? new Map<string, number>();
+        return new Map(
+            [...versions].map(([version, listedMs]) => [version, Math.max(0, nowMs - listedMs)]),
+        );
+    }
+
+    /** Adds what the store tells of versions that are no longer listed. Later listings take precedence. */
+    addHistory(service: string, version: string, sinceListedMs: number): void {
+        const versions = this.getVersions(service);
+        const listedMs = this.options.clock.readMonotonicMs() - sinceListedMs;
+        versions.set(version, Math.max(versions.get(version) ?? -Infinity, listedMs));
+    }
+
+    /** Marks the history before this process as known. */
+    completeHistory(): void {
+        this.isHistoryKnown = true;
+    }
+
+    /** Whether a stream of a service that goes on now may have begun at another version than one that begins now. */
+    isMixed(service: string): boolean {
+        return this.listRecent(service).length !== 1;
+    }
+
+    /**
+     * Returns the version at which every stream of a service that may go on now has begun.
+     *
+     * @param service - the service
+     * @returns undefined if there are several, or if a further one cannot be ruled out
+     */
+    findSole(service: string): string | undefined {
+        const [version, ...others] = this.listRecent(service);
+        const isKnown = this.hasWholeHistory() && this.options.feed.readAgeMs() <= maxAgeMs;
+        return isKnown && others.length === 0 && version !== unknownVersion ? version : undefined;
+    }
+
+    private hasWholeHistory(): boolean {
+        const observedMs = this.options.clock.readMonotonicMs() - this.firstListedMs;
+        return this.isHistoryKnown || observedMs >= this.options.readWindowMs();
+    }
+
+    private listRecent(service: string): string[] {
+        const windowMs = this.options.readWindowMs();
+        return [...this.readSinceListedMs(service)]
+            .filter(([, sinceMs]) => sinceMs < windowMs)
+            .map(([version]) => version);
+    }
+
+    private update(): void {
+        const records = this.options.feed.records.value;
+        if (!records) {
+            return;
+        }
+        const nowMs = this.options.clock.readMonotonicMs();
+        this.firstListedMs = Math.min(this.firstListedMs, nowMs);
+        for (const versions of this.lastListedMs.values()) {
+            versions.forEach((listedMs, version) => versions.set(version, Math.min(listedMs, nowMs)));
+        }
+        for (const { service, softwareVersion } of records.values()) {
+            this.getVersions(service).set(softwareVersion ?? unknownVersion, Infinity);
+        }
+        this.listeners.forEach(listener => listener());
+    }
+
+    private getVersions(service: string): Map<string, number> {
+        const versions = this.lastListedMs.get(service) ?? new Map<string, number>();
+        this.lastListedMs.set(service, versions);
+        return versions;
+    }
+}
+
+/** Name of the software versions service. */
+export const softwareVersionsName = createServiceName<SoftwareVersions>("software-versions");
--- /dev/null
+++ b/src/origins/VersionRecords.ts
@@ -0,0 +1,166 @@
+import { z } from "zod";
+import { retryStoreCall } from "../feeds/retryStoreCall";
+import type { StoreClock } from "../feeds/StoreClock";
+import { createServiceName } from "../kernel/createServiceName";
+import type { TaskScope } from "../kernel/TaskScope";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
+import type { RowOperation, TableService } from "../platform/types";
+import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { SoftwareVersions } from "./SoftwareVersions";
+
+/** Options of {@link VersionRecords}. */
+export interface VersionRecordsOptions {
+    readonly tables: TableService;
+    readonly versions: SoftwareVersions;
+    readonly storeClock: Pick<StoreClock, "readStoreMs">;
+    /** Whether this node currently writes for all. */
+    readonly isWriter: () => boolean;
+    readonly clock: Clock;
+    readonly events: EventLog;
+}
+
+/** Store time at which each version was last listed; null while it is. */
+type VersionRecord = Readonly<Record<string, number | null>>;
+
+interface StoredRecord {
+    readonly revision: number;
+    readonly record: VersionRecord;
+}
+
+const table = "software-versions";
+const recordSchema = z.record(z.number().nullable());
+const maxServices = 500;
+const checkMs = 5_000;
+const retryMs = 500;
+const startTimeoutMs = 300;
+const clockPollMs = 10;
+const keptMs = 600_000; // longer than any stream
+
+/**
+ * Keeps the software versions of each service in the store, so that a process knows which versions there were before its
+ * start. Written when a version comes or goes.
+ */
+export class VersionRecords {
+    private readonly scope: TaskScope;
+    private stored = new Map<string, StoredRecord>();
+    private wake: () => void = () => {};
+
+    constructor(private readonly options: VersionRecordsOptions) {
+        this.scope = createLoggedTaskScope(options.events);
+    }
+
+    /** Starts, and waits a moment for the records, since callers take their streams up right after a restart. */
+    async start(): Promise<void> {
+        const { clock, versions } = this.options;
+        versions.onChange(() => this.wake());
+        const loaded = new Promise<void>(resolve => {
+            this.scope.run("version-records", signal => this.keep(signal, resolve));
+        });
+        await waitWithTimeout({ clock, promises: [loaded], timeoutMs: startTimeoutMs });
+    }
+
+    async stop(): Promise<void> {
+        this.wake();
+        await this.scope.cancel();
+    }
+
+    private *keep(signal: AbortSignal, onLoaded: () => void): Task<void> {
+        const { clock, versions, events, storeClock } = this.options;
+        const call = async (): Promise<true> => this.load();
+        const isLoaded = yield* waitFor(
+            retryStoreCall({ name: "load version records", call, clock, events, signal }),
+        );
+        while (!signal.aborted && storeClock.readStoreMs() === undefined) {
+            yield* waitFor(clock.sleep(clockPollMs, signal));
+        }
+        if (!isLoaded || signal.aborted) {
+            return;
+        }
+        this.reportHistory();
+        versions.completeHistory();
+        onLoaded();
+        while (!signal.aborted) {
+            const isWritten = yield* waitFor(this.writeChanges());
+            const changed = new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+            const timeoutMs = isWritten ? checkMs : retryMs;
+            yield* waitFor(waitWithTimeout({ clock, promises: [changed], timeoutMs }));
+        }
+    }
+
+    private async load(): Promise<true> {
+        const rows = await this.options.tables.list(table, "", maxServices);
+        this.stored = new Map(rows.map(({ key, revision, value }) => {
+            const record: VersionRecord = recordSchema.safeParse(value).data ?? {};
+            return [key, { revision, record }];
+        }));
+        return true;
+    }
+
+    /** Passes the stored times on. A version whose end is not recorded may have been listed until now. */
+    private reportHistory(): void {
+        const nowMs = this.options.storeClock.readStoreMs();
+        for (const [service, { record }] of this.stored) {
+            for (const [version, listedStoreMs] of Object.entries(record)) {
+                const sinceMs = nowMs === undefined || listedStoreMs === null ? 0 : nowMs - listedStoreMs;
+                this.options.versions.addHistory(service, version, Math.max(0, sinceMs));
+            }
+        }
+    }
+
+    /** Writes what has changed, if this node writes for all. Returns false if that has to be tried again. */
+    private async writeChanges(): Promise<boolean> {
+        const { tables, isWriter, storeClock, events } = this.options;
+        const nowMs = storeClock.readStoreMs();
+        if (!isWriter() || nowMs === undefined) {
+            return true;
+        }
+        const operations = this.options.versions.listServices()
+            .map(service => this.createOperation(service, nowMs))
+            .filter(operation => operation !== undefined);
+        if (operations.length === 0) {
+            return true;
+        }
+        try {
+            const outcome = await tables.transact(operations);
+            await this.load();
+            return outcome.kind === "committed";
+        }
+        catch (error) {
+            events.emit(eventKinds.storeFailed, { call: "write version records", error: String(error) });
+            return false;
+        }
+    }
+
+    /** Returns undefined if the stored record of a service is up to date. */
+    private createOperation(service: string, nowMs: number): RowOperation | undefined {
+        const stored = this.stored.get(service);
+        const known = [...this.options.versions.readSinceListedMs(service)];
+        const listed = Object.fromEntries(
+            known.map(([version, sinceMs]) => [version, sinceMs === 0 ? null : nowMs - sinceMs]),
+        );
+        const isUpToDate = known.every(([version, sinceMs]) => {
+            const value = stored?.record[version];
+            return value === undefined ? sinceMs > keptMs : (value === null) === (sinceMs === 0);
+        });
+        if (isUpToDate) {
+            return undefined;
+        }
+        const merged = Object.entries({ ...stored?.record, ...listed });
+        const value = Object.fromEntries(
+            merged.filter(([, listedMs]) => listedMs === null || nowMs - listedMs <= keptMs),
+        );
+        const condition = stored
+            ? { kind: "revision", revision: stored.revision } as const
+            : { kind: "absent" } as const;
+        return { table, key: service, condition, value };
+    }
+}
+
+/** Name of the version records service. */
+export const versionRecordsName = createServiceName<VersionRecords>("version-records");
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -192,6 +192,7 @@
             if (
                 !next || next.address !== tracked.instance.address
                 || next.startedAtMs !== tracked.instance.startedAtMs
+                || next.softwareVersion !== tracked.instance.softwareVersion
             ) {
                 this.remove(tracked);
             }
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -140,6 +140,13 @@
         "The account has exceeded its quota, which is counted over all nodes.",
     ),
     noRoute: define(1211, "no-route", 404, "not-run", "No route matches this host and path."),
+    streamOriginLost: define(
+        1212,
+        "stream-origin-lost",
+        503,
+        "not-run",
+        "The stream cannot go on: what began it is not known, or does not serve any more.",
+    ),
     upstreamFailed: define(
         1301,
         "upstream-failed",
--- a/src/routes/RouteTable.ts
+++ b/src/routes/RouteTable.ts
@@ -7,7 +7,12 @@
     private readonly accountsByName = new Map<string, ServedAccount>();
     private readonly servicesByName = new Map<string, ServedService>();
 
+    /** Longest time-out of a route with streams, in milliseconds; 0 if there is none. */
+    readonly longestStreamMs: number;
+
     constructor(readonly configuration: ServingConfiguration) {
+        const streams = configuration.routes.filter(route => route.isStream);
+        this.longestStreamMs = Math.max(0, ...streams.map(route => route.timeoutMs));
         for (const route of configuration.routes) {
             const host = route.host.toLowerCase();
             this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
--- a/src/telemetry/ForwardMetrics.ts
+++ b/src/telemetry/ForwardMetrics.ts
@@ -13,6 +13,8 @@
     readonly upstreamSends: Counter;
     /** Counts ends of upstreams' answers, by service, framing of the answer and kind of end. */
     readonly answerEnds: Counter;
+    /** Counts streams that callers take up, by route and outcome: `bound`, `unknown` or `moved`. */
+    readonly takenUpStreams: Counter;
     /** Time from a request's arrival to the first byte of its response, in seconds, by route. */
     readonly firstByteSeconds: Histogram;
     /** Time from a request's arrival to the end of its response, in seconds, by route. */
@@ -38,6 +40,12 @@
             labelNames: ["service", "framing", "end"],
             registers,
         });
+        this.takenUpStreams = new Counter({
+            name: "sequoiagrade_taken_up_streams_total",
+            help: "Streams that callers take up, by route and whether what began them is known and allowed.",
+            labelNames: ["route", "outcome"],
+            registers,
+        });
         this.firstByteSeconds = new Histogram({
             name: "sequoiagrade_forward_first_byte_seconds",
             help: "Time from a request's arrival to the first byte of its answer.",
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -88,6 +88,12 @@
         "info",
         "An attempt to forward a request failed; the field `next` gives the next step.",
     ),
+    streamTakenUp: define(
+        2212,
+        "stream-taken-up",
+        "info",
+        "A caller takes up a stream; the fields tell what began it and which node knew it.",
+    ),
     callSent: define(
         2301,
         "call-sent",
