Test what tells the origin of a stream

A version that is no longer listed is told from a listed one by a flag in place of a time of zero, which a test showed to be ambiguous for one that has just left.

--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -11,6 +11,14 @@
     readonly readWindowMs: () => number;
 }
 
+/** A software version of a service's upstreams. */
+export interface KnownVersion {
+    readonly version: string;
+    readonly isListed: boolean;
+    /** Time since it was last listed, in milliseconds; 0 while it is. */
+    readonly sinceListedMs: number;
+}
+
 const maxAgeMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
 const unknownVersion = "";
 
@@ -41,17 +49,18 @@
     }
 
     /**
-     * Reads the versions of a service that are remembered.
+     * Lists the versions of a service that are remembered.
      *
      * @param service - the service
-     * @returns for each version the time since it was last listed, in milliseconds; 0 while it is
      */
-    readSinceListedMs(service: string): ReadonlyMap<string, number> {
+    listVersions(service: string): KnownVersion[] {
         const nowMs = this.options.clock.readMonotonicMs();
         const versions = this.lastListedMs.get(service) ?? new Map<string, number>();
-        return new Map(
-            [...versions].map(([version, listedMs]) => [version, Math.max(0, nowMs - listedMs)]),
-        );
+        return [...versions].map(([version, listedMs]) => ({
+            version,
+            isListed: listedMs === Infinity,
+            sinceListedMs: Math.max(0, nowMs - listedMs),
+        }));
     }
 
     /** Adds what the store tells of versions that are no longer listed. Later listings take precedence. */
@@ -90,9 +99,9 @@
 
     private listRecent(service: string): string[] {
         const windowMs = this.options.readWindowMs();
-        return [...this.readSinceListedMs(service)]
-            .filter(([, sinceMs]) => sinceMs < windowMs)
-            .map(([version]) => version);
+        return this.listVersions(service)
+            .filter(({ sinceListedMs }) => sinceListedMs < windowMs)
+            .map(({ version }) => version);
     }
 
     private update(): void {
--- /dev/null
+++ b/src/origins/VersionRecords.test.ts
@@ -0,0 +1,128 @@
+import { ObservableValue } from "../_lib/ObservableValue";
+import { FakeClock } from "../kernel/FakeClock";
+import type { UpstreamInstance } from "../placement/types";
+import { MemoryTableService } from "../platform/MemoryTableService";
+import { StoreError } from "../platform/StoreError";
+import { EventLog } from "../telemetry/EventLog";
+import { SoftwareVersions } from "./SoftwareVersions";
+import { VersionRecords } from "./VersionRecords";
+
+const windowMs = 30_000;
+const table = "software-versions";
+
+/** A process that sees what is listed; all processes share clock and store. */
+class TestProcess {
+    readonly listed = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
+    readonly versions: SoftwareVersions;
+    readonly records: VersionRecords;
+    isWriter = true;
+
+    constructor(readonly clock: FakeClock, readonly tables: MemoryTableService) {
+        this.versions = new SoftwareVersions({
+            feed: { records: this.listed, readAgeMs: () => 0 },
+            clock,
+            readWindowMs: () => windowMs,
+        });
+        this.records = new VersionRecords({
+            tables,
+            versions: this.versions,
+            storeClock: { readStoreMs: () => clock.readMonotonicMs() },
+            isWriter: () => this.isWriter,
+            clock,
+            events: new EventLog({ node: "n", clock }),
+        });
+    }
+
+    async list(...versions: string[]): Promise<void> {
+        const instances = versions.map(softwareVersion =>
+            [softwareVersion, { service: "llm", softwareVersion } as UpstreamInstance] as const
+        );
+        this.listed.set(new Map(instances));
+        await this.clock.advance(100);
+    }
+
+    async start(...versions: string[]): Promise<void> {
+        await this.versions.start();
+        await this.list(...versions);
+        const started = this.records.start();
+        await this.clock.advance(100);
+        await started;
+    }
+}
+
+describe("VersionRecords", () => {
+    let clock: FakeClock;
+    let tables: MemoryTableService;
+    let process: TestProcess;
+
+    const readRecord = async (): Promise<unknown> => (await tables.read([{ table, key: "llm" }]))[0]?.value;
+
+    beforeEach(() => {
+        clock = new FakeClock();
+        tables = new MemoryTableService();
+        process = new TestProcess(clock, tables);
+    });
+
+    afterEach(() => process.records.stop());
+
+    it("tells a process that starts of a version that left before its start", async () => {
+        await process.start("v1");
+        await process.list("v1", "v2");
+        await process.list("v2");
+        const next = new TestProcess(clock, tables);
+        await next.start("v2");
+        expect(next.versions.findSole("llm")).toBeUndefined();
+        await clock.advance(windowMs);
+        expect(next.versions.findSole("llm")).toBe("v2");
+        await next.records.stop();
+    });
+
+    it("tells a process that starts that there has been one version only", async () => {
+        await process.start("v1");
+        const next = new TestProcess(clock, tables);
+        await next.start("v1");
+        expect(next.versions.findSole("llm")).toBe("v1");
+        await next.records.stop();
+    });
+
+    it("takes a version whose end nobody recorded as listed until the next start", async () => {
+        await process.start("v1");
+        process.isWriter = false;
+        await process.list("v2");
+        await clock.advance(windowMs * 2);
+        const next = new TestProcess(clock, tables);
+        await next.start("v2");
+        expect(next.versions.findSole("llm")).toBeUndefined();
+        expect(await readRecord()).toMatchObject({ v1: expect.any(Number), v2: null });
+        await next.records.stop();
+    });
+
+    it("writes only when a version comes or goes", async () => {
+        const transact = jest.spyOn(tables, "transact");
+        await process.start("v1");
+        await clock.advance(60_000);
+        expect(transact).toHaveBeenCalledTimes(1);
+        await process.list("v1", "v2");
+        expect(transact).toHaveBeenCalledTimes(2);
+    });
+
+    it("merges what another node has written meanwhile", async () => {
+        await process.start("v1");
+        const listedMs = clock.readMonotonicMs();
+        const value = { v1: null, v3: listedMs };
+        await tables.transact([{ table, key: "llm", condition: { kind: "any" }, value }]);
+        await process.list("v1", "v2");
+        await clock.advance(1_000);
+        expect(await readRecord()).toEqual({ v1: null, v2: null, v3: listedMs });
+    });
+
+    it("does not delay a start for long while the store does not answer", async () => {
+        jest.spyOn(tables, "list").mockRejectedValue(new StoreError("down", "none"));
+        await process.versions.start();
+        const started = process.records.start();
+        await clock.advance(500);
+        await started;
+        await process.list("v1");
+        expect(process.versions.findSole("llm")).toBeUndefined();
+    });
+});
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -140,18 +140,19 @@
     /** Returns undefined if the stored record of a service is up to date. */
     private createOperation(service: string, nowMs: number): RowOperation | undefined {
         const stored = this.stored.get(service);
-        const known = [...this.options.versions.readSinceListedMs(service)];
-        const listed = Object.fromEntries(
-            known.map(([version, sinceMs]) => [version, sinceMs === 0 ? null : nowMs - sinceMs]),
-        );
-        const isUpToDate = known.every(([version, sinceMs]) => {
+        const known = this.options.versions.listVersions(service);
+        const isUpToDate = known.every(({ version, isListed, sinceListedMs }) => {
             const value = stored?.record[version];
-            return value === undefined ? sinceMs > keptMs : (value === null) === (sinceMs === 0);
+            return value === undefined ? sinceListedMs > keptMs : (value === null) === isListed;
         });
         if (isUpToDate) {
             return undefined;
         }
-        const merged = Object.entries({ ...stored?.record, ...listed });
+        const current = Object.fromEntries(known.map(({ version, isListed, sinceListedMs }) => [
+            version,
+            isListed ? null : nowMs - sinceListedMs,
+        ]));
+        const merged = Object.entries({ ...stored?.record, ...current });
         const value = Object.fromEntries(
             merged.filter(([, listedMs]) => listedMs === null || nowMs - listedMs <= keptMs),
         );
