--- a/standins/platform/RandomFaultScenario.ts
+++ b/standins/platform/RandomFaultScenario.ts
@@ -20,6 +20,8 @@
     readonly call: TestCall & { readonly requestId: string; };
     /** Undefined when the connection failed without a response. */
     readonly answer: TestResponse | undefined;
+    /** Answer of the attempt that took the stream up after it had broken off; undefined if there was none. */
+    readonly rest?: TestResponse;
 }
 
 /** Number of events in each stream of the scenario's engines. */
@@ -52,6 +54,8 @@
     "hang",
     "stall",
 ];
+const resumablePath = "/stream/";
+const softwareVersions = ["v1", "v2"] as const;
 const storeFaults = ["outage", "delay", "lose-answers"] as const;
 
 /** Sends requests to nodes while faults occur, both in an order drawn from a seeded random source. */
@@ -98,7 +102,24 @@
         };
         const target = this.pick(this.servingNodes);
         const answer = await this.testbed.call(target, call).catch(() => undefined);
-        this.calls.push({ call, answer });
+        const rest = answer && await this.takeUp(call, answer);
+        this.calls.push({ call, answer, rest });
+    }
+
+    /** Takes a broken stream up at any node, as a caller does. The attempt counts as a call of its own, too. */
+    private async takeUp(
+        call: CompletedCall["call"],
+        first: TestResponse,
+    ): Promise<TestResponse | undefined> {
+        const lastEventId = first.body.match(/^id: (\d+)\n(?:.+\n)*\n/gm)?.length;
+        if (call.path !== resumablePath || first.status !== 200 || first.isWhole || !lastEventId) {
+            return undefined;
+        }
+        const headers = { ...call.headers, "last-event-id": String(lastEventId), "resumes": call.requestId };
+        const again = { ...call, requestId: `${call.requestId}-again`, headers };
+        const answer = await this.testbed.call(this.pick(this.servingNodes), again).catch(() => undefined);
+        this.calls.push({ call: again, answer });
+        return answer;
     }
 
     private injectFault(): Promise<void> {
@@ -177,6 +198,7 @@
             await this.testbed.addRunner(service, {
                 id: `${service}-${this.testbed.runners.length}`,
                 events,
+                softwareVersion: this.pick(softwareVersions),
             }),
         );
     }
