End a stream at once where no upstream of its version is left

A broken stream was held for 1.2 s also where no upstream of the version that began it was listed. Targets of a route with weight 0 do not count as services of the route.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -144,11 +144,12 @@
 
     /**
      * Polls for an upstream on which a stream that has already begun can be resumed. Returns undefined without waiting
-     * for any other request.
+     * for any other request, and where no upstream of the version that began the stream is left.
      */
     private *waitForUpstream(): Task<TrackedInstance | undefined> {
         const { context, response } = this.options;
-        for (let tries = 0; response.headersSent && tries < maxResumeTries; tries += 1) {
+        const mayWait = (): boolean => response.headersSent && !this.isOriginGone();
+        for (let tries = 0; mayWait() && tries < maxResumeTries; tries += 1) {
             const promises = [this.interrupt.interrupted];
             if (
                 yield* waitFor(
--- a/src/forwarding/resolveOrigin.ts
+++ b/src/forwarding/resolveOrigin.ts
@@ -5,7 +5,7 @@
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
-import { retryRules } from "../routes/types";
+import { retryRules, type Route, type RouteTarget } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { AdmittedRequest } from "./admitRequest";
 import type { ForwardContext } from "./ForwardContext";
@@ -32,7 +32,8 @@
         ? unsearched
         : yield* waitFor(context.origins.find(metadata.resumedRequestId));
     const origin = search.origin ?? findSoleOrigin(context, admitted);
-    const isAllowed = origin !== undefined && route.targets.some(target => target.service === origin.service);
+    const isAllowed = origin !== undefined
+        && listTargets(route).some(target => target.service === origin.service);
     context.events.emit(eventKinds.streamTakenUp, {
         requestId: metadata.requestId,
         resumes: metadata.resumedRequestId,
@@ -52,11 +53,15 @@
 
 /** The origin of every stream of a route with one service, all of whose upstreams have run one version lately. */
 const findSoleOrigin = (context: ForwardContext, { route }: AdmittedRequest): StreamOrigin | undefined => {
-    const [target, ...others] = route.targets;
-    const softwareVersion = others.length === 0 ? context.versions.findSole(target.service) : undefined;
+    const [target, ...others] = listTargets(route);
+    const softwareVersion = target && others.length === 0
+        ? context.versions.findSole(target.service)
+        : undefined;
     return softwareVersion === undefined ? undefined : { service: target.service, softwareVersion };
 };
 
+const listTargets = (route: Route): RouteTarget[] => route.targets.filter(target => target.weight > 0);
+
 const describeOutcome = (origin: StreamOrigin | undefined, isAllowed: boolean): string => {
     if (origin === undefined) {
         return "unknown";
