--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -148,8 +148,8 @@
      */
     private *waitForUpstream(): Task<TrackedInstance | undefined> {
         const { context, response } = this.options;
-        const mayWait = (): boolean => response.headersSent && !this.isOriginGone();
-        for (let tries = 0; mayWait() && tries < maxResumeTries; tries += 1) {
+        const isWaiting = (): boolean => response.headersSent && !this.isOriginGone();
+        for (let tries = 0; isWaiting() && tries < maxResumeTries; tries += 1) {
             const promises = [this.interrupt.interrupted];
             if (
                 yield* waitFor(
