Let streams go on through an outage of the store where no member is out of reach

Found by reading: while the records were over 2 s old, a stream whose origin nobody knew was refused, also where all nodes have the same records, as in an outage of the store. Members pass on what they read, so that a node that reaches all of them has what any of them has. A reading of a member of an older build states no version; it no longer counts as another start of the upstream, which would have closed its connections at each such reading.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -185,12 +185,16 @@
         Math.max(minKeptMs, (find(servingStateName).table.value?.longestStreamMs ?? 0) * streamTries);
     kernel.register({
         name: softwareVersionsName,
-        requires: [feedNames.instances, servingStateName],
+        requires: [feedNames.instances, servingStateName, readinessName],
         create: find =>
             new SoftwareVersions({
                 feed: find(feedNames.instances),
                 clock,
                 readWindowMs: () => readKeptMs(find),
+                hasAllMembers: () => {
+                    const readiness = find(readinessName);
+                    return readiness.countLive() >= readiness.countPresumedLive();
+                },
             }),
     });
     kernel.register({
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -9,6 +9,8 @@
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
+    /** Whether no node may be out of this node's reach; another one could know of newer upstreams. */
+    readonly hasAllMembers: () => boolean;
 }
 
 /** A software version of a service's upstreams. */
@@ -88,10 +90,18 @@
      */
     findSole(service: string): string | undefined {
         const [version, ...others] = this.listRecent(service);
-        const isKnown = this.hasWholeHistory() && this.options.feed.readAgeMs() <= maxAgeMs;
+        const isKnown = this.hasWholeHistory() && this.isCurrent();
         return isKnown && others.length === 0 && version !== unknownVersion ? version : undefined;
     }
 
+    /**
+     * Whether no node knows of newer upstreams: the records are fresh, or every node has the same outdated ones, as the
+     * members pass on what they read.
+     */
+    private isCurrent(): boolean {
+        return this.options.feed.readAgeMs() <= maxAgeMs || this.options.hasAllMembers();
+    }
+
     private hasWholeHistory(): boolean {
         const observedMs = this.options.clock.readMonotonicMs() - this.firstListedMs;
         return this.isHistoryKnown || observedMs >= this.options.readWindowMs();
--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -22,6 +22,7 @@
             feed: { records: this.listed, readAgeMs: () => 0 },
             clock,
             readWindowMs: () => windowMs,
+            hasAllMembers: () => true,
         });
         this.records = new VersionRecords({
             tables,
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -191,4 +191,19 @@
         expect(setup.registry.createViews(instances).map(view => view.inFlight)).toEqual([4, 4]);
         expect(setup.registry.countInFlight("app")).toBe(8);
     });
+
+    it("treats an upstream that changed its software version under one id as another one", () => {
+        setup.list(createInstance("one", { softwareVersion: "v1" }));
+        const [before] = setup.registry.listUsable("app");
+        setup.list(createInstance("one", { softwareVersion: undefined }));
+        expect(setup.registry.listUsable("app")).toEqual([before]);
+        setup.list(createInstance("one", { softwareVersion: "v1" }));
+        expect(setup.closed).not.toContain(before.instance.address);
+        setup.list(createInstance("one", { softwareVersion: "v2" }));
+        const [after] = setup.registry.listUsable("app");
+        expect(after).not.toBe(before);
+        expect(after.instance.softwareVersion).toBe("v2");
+        expect(setup.closed).toContain(before.instance.address);
+        expect(setup.registry.isAcceptingRequests(before)).toBe(false);
+    });
 });
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -189,11 +189,7 @@
             if (!next && this.isInGracePeriod(tracked)) {
                 continue;
             }
-            if (
-                !next || next.address !== tracked.instance.address
-                || next.startedAtMs !== tracked.instance.startedAtMs
-                || next.softwareVersion !== tracked.instance.softwareVersion
-            ) {
+            if (!next || !isSameStart(next, tracked.instance)) {
                 this.remove(tracked);
             }
         }
@@ -298,5 +294,11 @@
     }
 }
 
+/** Whether two entries of one id are of the same start. Readings of members of older builds state no version. */
+const isSameStart = (next: UpstreamInstance, before: UpstreamInstance): boolean =>
+    next.address === before.address && next.startedAtMs === before.startedAtMs
+    && (next.softwareVersion === before.softwareVersion || next.softwareVersion === undefined
+        || before.softwareVersion === undefined);
+
 /** Name of the instance registry service. */
 export const instanceRegistryName = createServiceName<InstanceRegistry>("instance-registry");
