--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -185,15 +185,15 @@
         Math.max(minKeptMs, (find(servingStateName).table.value?.longestStreamMs ?? 0) * streamTries);
     kernel.register({
         name: softwareVersionsName,
-        requires: [feedNames.instances, servingStateName, readinessName],
+        requires: [feedNames.instances, servingStateName, membershipName],
         create: find =>
             new SoftwareVersions({
                 feed: find(feedNames.instances),
                 clock,
                 readWindowMs: () => readKeptMs(find),
-                hasAllMembers: () => {
-                    const readiness = find(readinessName);
-                    return readiness.countLive() >= readiness.countPresumedLive();
+                hasAllMembers: withinMs => {
+                    const membership = find(membershipName);
+                    return membership.listLive().length >= membership.countPresumedLive(withinMs);
                 },
             }),
     });
--- a/src/origins/SoftwareVersions.test.ts
+++ b/src/origins/SoftwareVersions.test.ts
@@ -14,7 +14,7 @@
         feed: { records: this.records, readAgeMs: () => this.ageMs },
         clock: this.clock,
         readWindowMs: () => windowMs,
-        hasAllMembers: () => this.hasAllMembers,
+        hasAllMembers: withinMs => withinMs === this.ageMs + windowMs && this.hasAllMembers,
     });
 
     list(...softwareVersions: (string | undefined)[]): void {
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -9,8 +9,8 @@
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
-    /** Whether no node may be out of this node's reach; another one could know of newer upstreams. */
-    readonly hasAllMembers: () => boolean;
+    /** Whether no member was lost within a time, in milliseconds; one that was could know of newer upstreams. */
+    readonly hasAllMembers: (withinMs: number) => boolean;
 }
 
 /** A software version of a service's upstreams. */
@@ -99,7 +99,9 @@
      * members pass on what they read.
      */
     private isCurrent(): boolean {
-        return this.options.feed.readAgeMs() <= maxAgeMs || this.options.hasAllMembers();
+        const { feed, hasAllMembers, readWindowMs } = this.options;
+        const ageMs = feed.readAgeMs();
+        return ageMs <= maxAgeMs || hasAllMembers(ageMs + readWindowMs());
     }
 
     private hasWholeHistory(): boolean {
