--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -185,16 +185,12 @@
         Math.max(minKeptMs, (find(servingStateName).table.value?.longestStreamMs ?? 0) * streamTries);
     kernel.register({
         name: softwareVersionsName,
-        requires: [feedNames.instances, servingStateName, membershipName],
+        requires: [feedNames.instances, servingStateName],
         create: find =>
             new SoftwareVersions({
                 feed: find(feedNames.instances),
                 clock,
                 readWindowMs: () => readKeptMs(find),
-                hasAllMembers: withinMs => {
-                    const membership = find(membershipName);
-                    return membership.listLive().length >= membership.countPresumedLive(withinMs);
-                },
             }),
     });
     kernel.register({
--- a/src/origins/SoftwareVersions.test.ts
+++ b/src/origins/SoftwareVersions.test.ts
@@ -9,12 +9,10 @@
     readonly clock = new FakeClock();
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     ageMs = 0;
-    hasAllMembers = false;
     readonly versions = new SoftwareVersions({
         feed: { records: this.records, readAgeMs: () => this.ageMs },
         clock: this.clock,
         readWindowMs: () => windowMs,
-        hasAllMembers: withinMs => withinMs === this.ageMs + windowMs && this.hasAllMembers,
     });
 
     list(...softwareVersions: (string | undefined)[]): void {
@@ -60,13 +58,11 @@
         expect(setup.versions.findSole("llm")).toBe("v2");
     });
 
-    it("finds none while another node may have newer records", () => {
+    it("finds none while the records may be outdated", () => {
         setup.versions.completeHistory();
         setup.list("v1");
         setup.ageMs = 5_000;
         expect(setup.versions.findSole("llm")).toBeUndefined();
-        setup.hasAllMembers = true;
-        expect(setup.versions.findSole("llm")).toBe("v1");
     });
 
     it("finds none where an upstream does not state its version", () => {
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -9,8 +9,6 @@
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
-    /** Whether no member was lost within a time, in milliseconds; one that was could know of newer upstreams. */
-    readonly hasAllMembers: (withinMs: number) => boolean;
 }
 
 /** A software version of a service's upstreams. */
@@ -90,20 +88,10 @@
      */
     findSole(service: string): string | undefined {
         const [version, ...others] = this.listRecent(service);
-        const isKnown = this.hasWholeHistory() && this.isCurrent();
+        const isKnown = this.hasWholeHistory() && this.options.feed.readAgeMs() <= maxAgeMs;
         return isKnown && others.length === 0 && version !== unknownVersion ? version : undefined;
     }
 
-    /**
-     * Whether no node knows of newer upstreams: the records are fresh, or every node has the same outdated ones, as the
-     * members pass on what they read.
-     */
-    private isCurrent(): boolean {
-        const { feed, hasAllMembers, readWindowMs } = this.options;
-        const ageMs = feed.readAgeMs();
-        return ageMs <= maxAgeMs || hasAllMembers(ageMs + readWindowMs());
-    }
-
     private hasWholeHistory(): boolean {
         const observedMs = this.options.clock.readMonotonicMs() - this.firstListedMs;
         return this.isHistoryKnown || observedMs >= this.options.readWindowMs();
--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -22,7 +22,6 @@
             feed: { records: this.listed, readAgeMs: () => 0 },
             clock,
             readWindowMs: () => windowMs,
-            hasAllMembers: () => true,
         });
         this.records = new VersionRecords({
             tables,
