Let seven others know what began a stream

Any number of the machines of these sites may be lost at once. With two keepers the only node left of 8 knew 2 of 7 streams of the others; with half of the machines lost, three of four. The new test of StreamOrigins failed before. One message to each keeper every 200 ms in place of 100, only while a service has several versions.

--- a/src/origins/StreamOrigins.test.ts
+++ b/src/origins/StreamOrigins.test.ts
@@ -9,7 +9,7 @@
 const candidates = nodeIds.map(nodeId => ({ nodeId, dataCentre: nodeId[0] }));
 const stream = { requestId: "s-1", service: "llm", softwareVersion: "v1" };
 const origin = { service: "llm", softwareVersion: "v1" };
-const shareMs = 200;
+const shareMs = 300;
 
 type Listener = Parameters<StreamOriginsOptions["network"]["onReport"]>[1];
 type Handler = Parameters<StreamOriginsOptions["network"]["registerHandler"]>[1];
@@ -130,6 +130,17 @@
         },
     );
 
+    it("tells the only aggregator that is left of a stream of any other one", async () => {
+        setup.nodes.get(setup.aggregator)!.record(stream, false);
+        await setup.clock.advance(shareMs);
+        const aggregators = nodeIds.filter(nodeId => setup.plans.get(nodeId)!.isAggregator);
+        for (const left of aggregators.filter(nodeId => nodeId !== setup.aggregator)) {
+            setup.lost.clear();
+            nodeIds.filter(nodeId => nodeId !== left).forEach(nodeId => setup.lost.add(nodeId));
+            expect((await setup.nodes.get(left)!.find("s-1")).origin).toEqual(origin);
+        }
+    });
+
     it("sends nothing while a service has one version, and the streams of before once it has two", async () => {
         setup.isMixed = false;
         const first = setup.leaf;
--- a/src/origins/StreamOrigins.ts
+++ b/src/origins/StreamOrigins.ts
@@ -39,8 +39,8 @@
 
 const topic = "stream-origins";
 const findMethod = "find-stream-origin";
-const shareIntervalMs = 100;
-const keeperCount = 2;
+const shareIntervalMs = 200;
+const maxKeepers = 7; // all others among 8 nodes, any number of which may be lost at once
 const findTimeoutMs = 250;
 const maxPerMessage = 1_000;
 const maxDue = 20_000; // kept while no other node can be reached
@@ -212,7 +212,7 @@
             plan: network.plan,
             linked: network.linkedNodeIds,
             dataCentres: new Map(membership.listLive().map(member => [member.nodeId, member.dataCentre])),
-            count: keeperCount,
+            count: maxKeepers,
         });
     }
 
