Do not list a member at its former address when its new process links

Cause, by reading: a node without any link only suspects its lost members and clears that with its first link. The entry of the member that linked was then live again at the address of its former process, until the announcement of the new one arrived some ms later. Now the member that linked stays suspected, by its incarnation, for one heartbeat or until a new process announces itself; the others are cleared at once as before.

--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -112,6 +112,29 @@
         expect(setup.listLive()).toEqual(["one", "self", "two"]);
     });
 
+    it("does not list a suspected member at the address of its former process when that of a new one links", async () => {
+        await setup.start(createMember("one"));
+        setup.loseLink("one");
+        await setup.clock.advance(2_000);
+        setup.linked = ["one"];
+        setup.setUpLink("one");
+        expect(setup.listLive()).toEqual(["self"]);
+        const restarted = { ...createMember("one"), callersUrl: "http://elsewhere", incarnation: 2 };
+        setup.gossip.set("member/one", restarted);
+        await setup.clock.advance(50);
+        expect(setup.membership.listLive().find(({ nodeId }) => nodeId === "one")).toEqual(restarted);
+    });
+
+    it("lists a suspected member again that was only cut off", async () => {
+        await setup.start(createMember("one"));
+        setup.loseLink("one");
+        await setup.clock.advance(2_000);
+        setup.linked = ["one"];
+        setup.setUpLink("one");
+        await setup.clock.advance(300);
+        expect(setup.listLive()).toEqual(["one", "self"]);
+    });
+
     it("goes on dialling a few recorded nodes that are gone, and those that it knows nothing of", async () => {
         await setup.start(createMember("one", "gone"), createMember("two"));
         setup.membership.setRecordedNodes([{ nodeId: "one", url: "ws://one" }, {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -45,8 +45,11 @@
     private isRefreshScheduled = false;
     private isStopped = false;
     private recordedNodes: readonly PeerAddress[] = [];
-    /** Members that do not answer while this node has no link at all, so that it may be the one that is cut off. */
-    private readonly suspected = new Set<string>();
+    /**
+     * Members that do not answer while this node has no link at all, so that it may be the one that is cut off, with
+     * their incarnations.
+     */
+    private readonly suspected = new Map<string, number>();
     /** Monotonic time at which this node first saw each gone member as gone, in milliseconds. */
     private readonly goneSinceMs = new Map<string, number>();
 
@@ -59,7 +62,7 @@
             }
         });
         options.network.onHeartbeat(nodeId => this.lostSinceMs.delete(nodeId));
-        options.network.onLinkUp(() => this.clearSuspicions());
+        options.network.onLinkUp(nodeId => this.clearSuspicions(nodeId));
     }
 
     /** Announces this node and starts failure detection. */
@@ -145,7 +148,9 @@
 
     private refresh(): void {
         const announced = this.options.gossip.listValues<Member>(memberPrefix).map(member =>
-            this.suspected.has(member.nodeId) ? { ...member, state: "gone" as const } : member
+            this.suspected.get(member.nodeId) === member.incarnation
+                ? { ...member, state: "gone" as const }
+                : member
         );
         const own = announced.find(member => member.nodeId === this.options.self.nodeId);
         // Refutes an entry about this node that another member, or an earlier process of this node, has written.
@@ -179,9 +184,29 @@
         };
     }
 
-    private clearSuspicions(): void {
-        if (this.suspected.size > 0) {
-            this.suspected.clear();
+    /**
+     * Clears the suspicions once there is a link. The process that linked may be a new one, whose announcement replaces
+     * the suspected one within a heartbeat; otherwise its suspicion is cleared after that time.
+     */
+    private clearSuspicions(linkedNodeId: string): void {
+        const incarnation = this.suspected.get(linkedNodeId);
+        if (this.suspected.size === 0) {
+            return;
+        }
+        this.suspected.clear();
+        if (incarnation !== undefined) {
+            this.suspected.set(linkedNodeId, incarnation);
+            void this.options.clock.sleep(this.options.heartbeatMs).then(() =>
+                this.clearSuspicion(linkedNodeId)
+            );
+        }
+        this.refresh();
+    }
+
+    private clearSuspicion(nodeId: string): void {
+        const isCleared = this.options.network.linkedNodeIds.includes(nodeId)
+            && this.suspected.delete(nodeId);
+        if (isCleared && !this.isStopped) {
             this.refresh();
         }
     }
@@ -250,7 +275,7 @@
             this.options.gossip.set(`${memberPrefix}${member.nodeId}`, { ...member, state: "gone" });
             return;
         }
-        this.suspected.add(member.nodeId);
+        this.suspected.set(member.nodeId, member.incarnation);
         this.refresh();
     }
 }
