Do not take a reset of the platform's services for the end of an answer

What could happen: an answer of the store or the cloud without a length, whose connection was reset in the middle, counted as whole; a cut array of rows that happens to be valid JSON would have been taken. The connections now mark resets as those to upstreams do. Each answer of these services is read by its own protocol, and none was seen cut like this.

--- /dev/null
+++ b/src/platform/createServiceAgent.test.ts
@@ -0,0 +1,43 @@
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { createServiceAgent } from "./createServiceAgent";
+import { sendJson } from "./sendJson";
+
+const timeoutMs = 2_000;
+
+describe("createServiceAgent", () => {
+    let server: Server;
+    let answer: (socket: Socket) => void;
+
+    beforeEach(async () => {
+        server = createServer(socket => {
+            socket.on("error", () => {});
+            socket.once("data", () => answer(socket));
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    });
+
+    afterEach(() => new Promise(resolve => server.close(resolve)));
+
+    const call = async (): Promise<unknown> => {
+        const dispatcher = createServiceAgent({ maxConnections: 1, connectTimeoutMs: timeoutMs });
+        const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/rows`;
+        try {
+            return (await sendJson({ dispatcher, url, method: "GET", timeoutMs })).body;
+        }
+        finally {
+            await dispatcher.destroy();
+        }
+    };
+
+    it("takes an answer that ends with its connection", async () => {
+        answer = socket => socket.end("HTTP/1.1 200 OK\r\n\r\n[1]");
+        expect(await call()).toEqual([1]);
+    });
+
+    it("does not take an answer for whole whose connection was reset", async () => {
+        answer = socket =>
+            socket.write("HTTP/1.1 200 OK\r\n\r\n[1]", () => setTimeout(() => socket.resetAndDestroy(), 20));
+        await expect(call()).rejects.toMatchObject({ effect: "unknown" });
+    });
+});
--- a/src/platform/createServiceAgent.ts
+++ b/src/platform/createServiceAgent.ts
@@ -1,5 +1,6 @@
 import { Agent } from "undici";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
+import { createTrackedConnector } from "../upstreams/createTrackedConnector";
 
 /** Options of {@link createServiceAgent}. */
 export interface CreateServiceAgentOptions {
@@ -12,7 +13,7 @@
 /**
  * Creates the connection pool for one of the platform's services. Connecting has a time-out of its own: the operating
  * system repeats the first packet only at growing intervals, so an attempt that began while the service was unreachable
- * would succeed late.
+ * would succeed late. A reset is never the end of an answer.
  *
  * @param options - number of connections and connect time-out
  * @returns the connection pool
@@ -20,5 +21,8 @@
 export const createServiceAgent = (options: CreateServiceAgentOptions): Agent =>
     new Agent({
         connections: options.maxConnections,
-        connect: createTimedConnector(options.connectTimeoutMs),
+        connect: createTrackedConnector(
+            { socket: undefined },
+            createTimedConnector(options.connectTimeoutMs),
+        ),
     });
