--- a/src/platform/createServiceAgent.test.ts
+++ b/src/platform/createServiceAgent.test.ts
@@ -40,4 +40,21 @@
             socket.write("HTTP/1.1 200 OK\r\n\r\n[1]", () => setTimeout(() => socket.resetAndDestroy(), 20));
         await expect(call()).rejects.toMatchObject({ effect: "unknown" });
     });
+
+    it("gives up on an answer without an end, within bounded memory", async () => {
+        let written = 0;
+        answer = socket => {
+            socket.write("HTTP/1.1 200 OK\r\n\r\n");
+            const chunk = Buffer.alloc(1_048_576, "x");
+            const repeat = (): void => {
+                if (!socket.destroyed) {
+                    written += chunk.length;
+                    socket.write(chunk, () => setImmediate(repeat));
+                }
+            };
+            repeat();
+        };
+        await expect(call()).rejects.toMatchObject({ effect: "unknown" });
+        expect(written).toBeLessThan(80 * 1_048_576);
+    });
 });
--- a/src/platform/createServiceAgent.ts
+++ b/src/platform/createServiceAgent.ts
@@ -10,6 +10,8 @@
     readonly connectTimeoutMs: number;
 }
 
+const maxAnswerBytes = 67_108_864; // 64 MiB, far above every answer of these services
+
 /**
  * Creates the connection pool for one of the platform's services. Connecting has a time-out of its own: the operating
  * system repeats the first packet only at growing intervals, so an attempt that began while the service was unreachable
@@ -21,6 +23,7 @@
 export const createServiceAgent = (options: CreateServiceAgentOptions): Agent =>
     new Agent({
         connections: options.maxConnections,
+        maxResponseSize: maxAnswerBytes,
         connect: createTrackedConnector(
             { socket: undefined },
             createTimedConnector(options.connectTimeoutMs),
