--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -3,9 +3,7 @@
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
-import type { StreamOrigin } from "../origins/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import type { UpstreamInstance } from "../placement/types";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
@@ -14,6 +12,7 @@
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
+import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { decideRetry } from "./decideRetry";
@@ -53,14 +52,14 @@
     private readonly responseRelay: ResponseRelay;
     private readonly deadlineMs: number;
     private readonly triedUpstreamIds = new Set<string>();
-    /** What began the stream; undefined before the head of its answer was relayed, and for other requests. */
-    private origin: Partial<StreamOrigin> | undefined;
+    private readonly binding: StreamBinding;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
-        this.origin = admitted.origin;
+        const { service, origin } = admitted;
+        this.binding = new StreamBinding({ instances: context.instances, service, origin });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
         const { request, response } = options;
@@ -148,7 +147,7 @@
      */
     private *waitForUpstream(): Task<TrackedInstance | undefined> {
         const { context, response } = this.options;
-        const isWaiting = (): boolean => response.headersSent && !this.isOriginGone();
+        const isWaiting = (): boolean => response.headersSent && !this.binding.isGone();
         for (let tries = 0; isWaiting() && tries < maxResumeTries; tries += 1) {
             const promises = [this.interrupt.interrupted];
             if (
@@ -184,16 +183,10 @@
     private listUntried(): TrackedInstance[] {
         const { context, admitted } = this.options;
         return context.instances.listUsable(admitted.service).filter(({ instance }) =>
-            !this.triedUpstreamIds.has(instance.id) && this.matchesOrigin(instance)
+            !this.triedUpstreamIds.has(instance.id) && this.binding.matches(instance)
         );
     }
 
-    /** Whether a stream may go on at an upstream: only at one of the software version that began it. */
-    private matchesOrigin({ softwareVersion }: UpstreamInstance): boolean {
-        return !this.origin
-            || (softwareVersion !== undefined && softwareVersion === this.origin.softwareVersion);
-    }
-
     private *send(upstream: TrackedInstance): Task<AttemptResult> {
         const { context, request, body } = this.options;
         this.recorder.trace.sends += 1;
@@ -281,7 +274,7 @@
         }
         this.recorder.recordRun(true);
         if (admitted.route.isStream && isEventStream(head)) {
-            this.origin ??= { service: admitted.service, softwareVersion: upstream.instance.softwareVersion };
+            this.binding.adopt(upstream.instance);
         }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
@@ -354,10 +347,10 @@
         const message = isTimeout ? "the deadline of the request has passed" : result.message;
         if (this.recorder.trace.runs === 0) {
             const code = isTimeout ? resultCodes.deadlineUnreachable : resultCodes.noRunner;
-            if (this.isOriginGone()) {
+            if (this.binding.isGone()) {
                 return new FailureError(createFailure(
                     resultCodes.streamOriginLost,
-                    `no upstream runs software version "${this.origin?.softwareVersion}", which began the stream`,
+                    `no upstream runs software version "${this.binding.softwareVersion}", which began the stream`,
                 ));
             }
             const refusalMs = this.options.context.instances.readRefusalMs(this.service);
@@ -369,14 +362,6 @@
         );
     }
 
-    private isOriginGone(): boolean {
-        const { context, admitted } = this.options;
-        return this.origin !== undefined
-            && !context.instances.listInService(admitted.service).some(({ instance }) =>
-                this.matchesOrigin(instance)
-            );
-    }
-
     private computeRemainingMs(): number {
         return this.deadlineMs - this.options.context.clock.readMonotonicMs();
     }
