--- a/src/platform/createServiceAgent.test.ts
+++ b/src/platform/createServiceAgent.test.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
 
@@ -44,15 +44,9 @@
     it("gives up on an answer without an end, within bounded memory", async () => {
         let written = 0;
         answer = socket => {
-            socket.write("HTTP/1.1 200 OK\r\n\r\n");
-            const chunk = Buffer.alloc(1_048_576, "x");
-            const repeat = (): void => {
-                if (!socket.destroyed) {
-                    written += chunk.length;
-                    socket.write(chunk, () => setImmediate(repeat));
-                }
-            };
-            repeat();
+            writeEndlessly(socket, "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(1_048_576), bytes => {
+                written += bytes;
+            });
         };
         await expect(call()).rejects.toMatchObject({ effect: "unknown" });
         expect(written).toBeLessThan(80 * 1_048_576);
--- a/standins/platform/RandomFaultScenario.ts
+++ b/standins/platform/RandomFaultScenario.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from "../../src/kernel/SeededRandom";
+import { listEventIds } from "./listEventIds";
 import type { RunnerBehaviour, RunnerStandIn } from "./RunnerStandIn";
 import {
     createTestConfiguration,
@@ -111,7 +112,7 @@
         call: CompletedCall["call"],
         first: TestResponse,
     ): Promise<TestResponse | undefined> {
-        const lastEventId = first.body.match(/^id: (\d+)\n(?:.+\n)*\n/gm)?.length;
+        const lastEventId = listEventIds(first.body).at(-1);
         if (call.path !== resumablePath || first.status !== 200 || first.isWhole || !lastEventId) {
             return undefined;
         }
