--- a/src/platform/createServiceAgent.ts
+++ b/src/platform/createServiceAgent.ts
@@ -1,6 +1,6 @@
 import { Agent } from "undici";
+import { createResetMarkingConnector } from "../upstreams/createResetMarkingConnector";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
-import { createTrackedConnector } from "../upstreams/createTrackedConnector";
 
 /** Options of {@link createServiceAgent}. */
 export interface CreateServiceAgentOptions {
@@ -24,8 +24,5 @@
     new Agent({
         connections: options.maxConnections,
         maxResponseSize: maxAnswerBytes,
-        connect: createTrackedConnector(
-            { socket: undefined },
-            createTimedConnector(options.connectTimeoutMs),
-        ),
+        connect: createResetMarkingConnector(createTimedConnector(options.connectTimeoutMs)),
     });
