Ask for origins by Promise.any, and keep the revisions of written records

The search counted open calls by hand. After each write of version records the whole table was listed again, though the answer has the revisions; it is listed after a conflict only. Results are the same.

--- a/src/origins/StreamOrigins.ts
+++ b/src/origins/StreamOrigins.ts
@@ -119,33 +119,19 @@
     }
 
     /** Asks nodes at the same time; settles with the first origin, or when all have answered. */
-    private requestOrigin(requestId: string, nodeIds: readonly string[]): Promise<OriginSearch> {
-        const isPassedOn = this.options.network.plan.isAggregator;
-        return new Promise(resolve => {
-            let open = nodeIds.length;
-            let unanswered = 0;
-            const settle = (origin: StreamOrigin | undefined): void => {
-                if (origin) {
-                    resolve({ origin, source: "member", unanswered });
-                }
-                else if (open === 0) {
-                    resolve({ origin, source: "nobody", unanswered });
-                }
-            };
-            for (const nodeId of nodeIds) {
-                this.options.network.call(nodeId, findMethod, { requestId, isPassedOn }, findTimeoutMs)
-                    .then(payload => answerSchema.safeParse(payload ?? undefined).data)
-                    .catch(() => {
-                        unanswered += 1; // logged with the result of the search
-                        return undefined;
-                    })
-                    .then(origin => {
-                        open -= 1;
-                        settle(origin);
-                    });
-            }
-            settle(undefined);
-        });
+    private async requestOrigin(requestId: string, nodeIds: readonly string[]): Promise<OriginSearch> {
+        const { network } = this.options;
+        const question = { requestId, isPassedOn: network.plan.isAggregator };
+        let unanswered = 0;
+        const ask = async (nodeId: string): Promise<StreamOrigin> => {
+            const payload = await network.call(nodeId, findMethod, question, findTimeoutMs).catch(() => {
+                unanswered += 1; // logged with the result of the search
+            });
+            const { data: origin } = answerSchema.safeParse(payload ?? undefined);
+            return origin ?? Promise.reject(new Error("the stream is not known"));
+        };
+        const origin = await Promise.any(nodeIds.map(ask)).catch(() => undefined);
+        return { origin, source: origin ? "member" : "nobody", unanswered };
     }
 
     private async answerQuestion(payload: unknown): Promise<StreamOrigin | undefined> {
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -31,6 +31,8 @@
     readonly record: VersionRecord;
 }
 
+type RecordOperation = RowOperation & { readonly value: VersionRecord; };
+
 const table = "software-versions";
 const recordSchema = z.record(z.number().nullable());
 const maxServices = 500;
@@ -128,8 +130,14 @@
         }
         try {
             const outcome = await tables.transact(operations);
-            await this.load();
-            return outcome.kind === "committed";
+            if (outcome.kind === "conflict") {
+                await this.load();
+                return false;
+            }
+            operations.forEach(({ key, value }, index) =>
+                this.stored.set(key, { revision: outcome.revisions[index], record: value })
+            );
+            return true;
         }
         catch (error) {
             events.emit(eventKinds.storeFailed, { call: "write version records", error: String(error) });
@@ -138,7 +146,7 @@
     }
 
     /** Returns undefined if the stored record of a service is up to date. */
-    private createOperation(service: string, nowMs: number): RowOperation | undefined {
+    private createOperation(service: string, nowMs: number): RecordOperation | undefined {
         const stored = this.stored.get(service);
         const known = this.options.versions.listVersions(service);
         const isUpToDate = known.every(({ version, isListed, sinceListedMs }) => {
