Split the choice of an upstream from the forwarder of a request

The bytes after the last event are recorded with the end that they belong to, so that a later answer that is no stream no longer carries those of the one before in the log. Otherwise behaviour is the same.

--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -35,7 +35,7 @@
     status: number | undefined;
     /** How the end of the last answer was marked. */
     framing: AnswerFraming | undefined;
-    /** Bytes that followed the last complete event when the last stream ended. */
+    /** Bytes that followed the last complete event, if the last answer was a stream. */
     openEventBytes: number | undefined;
 }
 
@@ -67,10 +67,17 @@
         context.metrics.upstreamSends.inc({ service: admitted.service, outcome });
     }
 
-    /** Counts the end of an answer's body in the metrics, by how the end was marked. */
-    recordAnswerEnd(framing: AnswerFraming | undefined, end: string): void {
+    /**
+     * Counts the end of an answer's body in the metrics, by how the end was marked.
+     *
+     * @param framing - how the end was marked
+     * @param end - kind of end
+     * @param openEventBytes - bytes that followed the last complete event; undefined for other answers than streams
+     */
+    recordAnswerEnd(framing: AnswerFraming | undefined, end: string, openEventBytes?: number): void {
         const { context, admitted } = this.options;
         this.trace.framing = framing;
+        this.trace.openEventBytes = openEventBytes;
         context.metrics.answerEnds.inc({ service: admitted.service, framing, end });
     }
 
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -21,6 +21,7 @@
 import { isEventStream } from "./isEventStream";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
+import { UpstreamSelection } from "./UpstreamSelection";
 import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
@@ -51,15 +52,23 @@
     private readonly interrupt: RequestInterrupt;
     private readonly responseRelay: ResponseRelay;
     private readonly deadlineMs: number;
-    private readonly triedUpstreamIds = new Set<string>();
     private readonly binding: StreamBinding;
+    private readonly selection: UpstreamSelection;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
         const { service, origin } = admitted;
-        this.binding = new StreamBinding({ instances: context.instances, service, origin });
+        const { instances, placement } = context;
+        this.binding = new StreamBinding({ instances, service, origin });
+        this.selection = new UpstreamSelection({
+            instances,
+            placement,
+            service,
+            affinityKey: createAffinityKey(admitted.metadata.promptParts),
+            binding: this.binding,
+        });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
         const { request, response } = options;
@@ -157,7 +166,7 @@
             ) {
                 return undefined;
             }
-            this.triedUpstreamIds.clear();
+            this.selection.clearTried();
             const upstream = this.chooseUpstream();
             if (upstream) {
                 return upstream;
@@ -166,25 +175,10 @@
         return undefined;
     }
 
-    /** Chooses a usable upstream to which this request has not been sent. */
     private chooseUpstream(): TrackedInstance | undefined {
-        const { context, admitted } = this.options;
-        const untried = this.listUntried();
-        const views = context.instances.createViews(untried);
-        const view = context.placement.choose(
-            { affinityKey: createAffinityKey(admitted.metadata.promptParts) },
-            views,
-        );
-        this.recorder.trace.upstreamLoad = view?.inFlight;
-        return untried.find(upstream => upstream.instance.id === view?.id);
-    }
-
-    /** Lists the usable upstreams to which this request has not been sent, and at which its stream may go on. */
-    private listUntried(): TrackedInstance[] {
-        const { context, admitted } = this.options;
-        return context.instances.listUsable(admitted.service).filter(({ instance }) =>
-            !this.triedUpstreamIds.has(instance.id) && this.binding.matches(instance)
-        );
+        const selected = this.selection.choose();
+        this.recorder.trace.upstreamLoad = selected?.load;
+        return selected?.upstream;
     }
 
     private *send(upstream: TrackedInstance): Task<AttemptResult> {
@@ -192,7 +186,7 @@
         this.recorder.trace.sends += 1;
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
-        this.triedUpstreamIds.add(upstream.instance.id);
+        this.selection.markTried(upstream);
         const exchange = upstream.client.send({
             method: request.method!,
             path: request.url!,
@@ -317,12 +311,12 @@
     private hasAlternative(upstream: TrackedInstance): boolean {
         const { context, admitted } = this.options;
         return context.retryBudgets.get(admitted.service).hasRetry()
-            && this.listUntried().some(other => other !== upstream);
+            && this.selection.hasOther(upstream);
     }
 
     /**
-     * Ends a request for which no complete answer was delivered: aborts a response that has begun, or passes on the
-     * upstream's own error answer.
+     * Ends a request for which no complete answer was delivered: passes on the upstream's own error answer, if there is
+     * one. A response that has begun is aborted by {@link abortBegunResponse}.
      */
     private endUnanswered(
         result: Exclude<AttemptResult, { kind: "answered"; }>,
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -137,8 +137,7 @@
             },
         });
         this.lastEventId = splitter.lastEventId;
-        this.options.recorder.trace.openEventBytes = splitter.incompleteEvent.length;
-        this.options.recorder.recordAnswerEnd(exchange.framing, end.kind);
+        this.options.recorder.recordAnswerEnd(exchange.framing, end.kind, splitter.incompleteEvent.length);
         switch (end.kind) {
             case "whole":
                 response.end();
--- /dev/null
+++ b/src/forwarding/UpstreamSelection.ts
@@ -0,0 +1,58 @@
+import type { InstanceRegistry, TrackedInstance } from "../placement/InstanceRegistry";
+import type { PlacementPolicy } from "../placement/types";
+import type { StreamBinding } from "./StreamBinding";
+
+/** Options of {@link UpstreamSelection}. */
+export interface UpstreamSelectionOptions {
+    readonly instances: Pick<InstanceRegistry, "listUsable" | "createViews">;
+    readonly placement: PlacementPolicy;
+    readonly service: string;
+    /** Key that is equal for requests with a common prompt prefix; undefined for requests without a prompt. */
+    readonly affinityKey: string | undefined;
+    readonly binding: Pick<StreamBinding, "matches">;
+}
+
+/** A chosen upstream. */
+export interface SelectedUpstream {
+    readonly upstream: TrackedInstance;
+    /** Requests of all nodes in flight there, as last known. */
+    readonly load: number;
+}
+
+/** Chooses the upstreams of one request, each once until {@link clearTried}. */
+export class UpstreamSelection {
+    private readonly triedIds = new Set<string>();
+
+    constructor(private readonly options: UpstreamSelectionOptions) {}
+
+    /** Chooses a usable upstream to which the request has not been sent, and at which its stream may go on. */
+    choose(): SelectedUpstream | undefined {
+        const { instances, placement, affinityKey } = this.options;
+        const untried = this.listUntried();
+        const view = placement.choose({ affinityKey }, instances.createViews(untried));
+        const upstream = untried.find(({ instance }) => instance.id === view?.id);
+        return view && upstream && { upstream, load: view.inFlight };
+    }
+
+    /** Whether another upstream than the given one could be chosen. */
+    hasOther(upstream: TrackedInstance): boolean {
+        return this.listUntried().some(other => other !== upstream);
+    }
+
+    /** Marks an upstream as one to which the request has been sent. */
+    markTried(upstream: TrackedInstance): void {
+        this.triedIds.add(upstream.instance.id);
+    }
+
+    /** Allows all upstreams to be chosen again. */
+    clearTried(): void {
+        this.triedIds.clear();
+    }
+
+    private listUntried(): TrackedInstance[] {
+        const { instances, service, binding } = this.options;
+        return instances.listUsable(service).filter(({ instance }) =>
+            !this.triedIds.has(instance.id) && binding.matches(instance)
+        );
+    }
+}
--- a/src/origins/StreamOrigins.ts
+++ b/src/origins/StreamOrigins.ts
@@ -123,14 +123,14 @@
         const { network } = this.options;
         const question = { requestId, isPassedOn: network.plan.isAggregator };
         let unanswered = 0;
-        const ask = async (nodeId: string): Promise<StreamOrigin> => {
+        const requestFrom = async (nodeId: string): Promise<StreamOrigin> => {
             const payload = await network.call(nodeId, findMethod, question, findTimeoutMs).catch(() => {
                 unanswered += 1; // logged with the result of the search
             });
             const { data: origin } = answerSchema.safeParse(payload ?? undefined);
             return origin ?? Promise.reject(new Error("the stream is not known"));
         };
-        const origin = await Promise.any(nodeIds.map(ask)).catch(() => undefined);
+        const origin = await Promise.any(nodeIds.map(requestFrom)).catch(() => undefined);
         return { origin, source: origin ? "member" : "nobody", unanswered };
     }
 
