--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -15,6 +15,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { type AdmissionTrace, admitRequest, type AdmittedRequest } from "./admitRequest";
 import { resolveOrigin } from "./resolveOrigin";
+import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
 
@@ -210,6 +211,7 @@
             requestId: admission.requestId,
             route,
             account: admission.account,
+            sharedParts: describeSharedParts(admission.sharedParts ?? []),
             resumes: admission.resumes,
             resumesAfter: admission.resumesAfter,
             quotaCost: admission.quotaCost,
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -15,10 +15,12 @@
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
 import { createAffinityKey } from "./createAffinityKey";
+import { describeSharedParts } from "./describeSharedParts";
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
+import { listSharedPartIds } from "./listSharedPartIds";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
@@ -186,6 +188,7 @@
         this.recorder.trace.sends += 1;
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
+        this.recorder.trace.hasBegun = false;
         this.selection.markTried(upstream);
         const exchange = upstream.client.send({
             method: request.method!,
@@ -267,6 +270,7 @@
             };
         }
         this.recorder.recordRun(true);
+        this.recorder.trace.hasBegun = true;
         if (admitted.route.isStream && isEventStream(head)) {
             this.binding.adopt(upstream.instance);
         }
@@ -386,6 +390,8 @@
             softwareVersion: upstream.instance.softwareVersion,
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
+            sharedParts: describeSharedParts(listSharedPartIds(admitted.metadata.promptParts)),
+            hasBegun: this.recorder.trace.hasBegun,
             reason: result.message,
             isSent: result.isSent,
             isNotRun: result.isNotRun,
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -7,6 +7,7 @@
 import type { RouteTable } from "../routes/RouteTable";
 import type { Route, ServedAccount } from "../routes/types";
 import type { ForwardContext } from "./ForwardContext";
+import { listSharedPartIds } from "./listSharedPartIds";
 import type { RequestMetadata } from "./types";
 
 /** A request that was admitted for forwarding. */
@@ -30,6 +31,8 @@
     requestId?: string;
     route?: string;
     account?: string;
+    /** Ids of the parts of the prompt that other requests may share. */
+    sharedParts?: readonly string[];
     /** Id of the attempt whose stream the request resumes. */
     resumes?: string;
     /** Id of the event after which it resumes the stream. */
@@ -59,6 +62,7 @@
 ): AdmittedRequest => {
     const metadata = context.protocol.decodeRequest(request.headers);
     trace.requestId = metadata.requestId;
+    trace.sharedParts = listSharedPartIds(metadata.promptParts);
     trace.resumes = metadata.resumedRequestId;
     trace.resumesAfter = metadata.lastEventId;
     const table = context.servingState.table.value;
