--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -47,7 +47,9 @@
     /** Executes the request and never answers. */
     | "hang"
     /** Sends two events of a stream and then nothing, with the connection left open. */
-    | "stall";
+    | "stall"
+    /** Begins a stream and crashes at its first event. */
+    | "crash";
 
 /** A request that the stand-in executed. */
 export interface RunnerRun {
@@ -56,6 +58,8 @@
     readonly url: string;
     readonly method: string;
     readonly body: string;
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly atMs: number;
     /** Whether the connection was closed before the response was sent completely. */
     isAborted: boolean;
 }
@@ -88,6 +92,10 @@
     readonly nextBehaviours: RunnerBehaviour[] = [];
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
     id: string;
+    /** Id of a prompt part that crashes the stand-in when it begins to write an answer; undefined for none. */
+    crashPart: string | undefined;
+    /** Called when the stand-in crashes. */
+    onCrash: () => void = () => {};
 
     constructor(private readonly options: RunnerStandInOptions) {
         this.id = options.id;
@@ -113,7 +121,8 @@
             sendText(response, 421, { "x-sequoiagrade-instance-id": this.id }, "");
             return;
         }
-        const behaviour = this.nextBehaviours.shift();
+        const isCrashing = listNamedParts(request).slice(0, -1).includes(this.crashPart ?? "");
+        const behaviour = isCrashing ? "crash" : this.nextBehaviours.shift();
         if (behaviour === "full" || behaviour === "refuse") {
             if (behaviour === "refuse") {
                 response.setHeader("retry-after", "1");
@@ -132,6 +141,7 @@
             url: url!,
             method: method!,
             body: body.toString("utf8"),
+            atMs: performance.now(),
             isAborted: false,
         };
         this.runs.push(run);
@@ -217,6 +227,10 @@
             if (behaviour === "stall" && id === lastEventId + 3) {
                 return;
             }
+            if (behaviour === "crash") {
+                this.onCrash();
+                return;
+            }
             response.write(`id: ${id}\ndata: token ${id} of ${this.softwareVersion}\n\n`);
             await new Promise(resolve => setTimeout(resolve, this.options.eventMs ?? defaultEventMs));
             if (response.destroyed) {
@@ -227,6 +241,10 @@
     }
 }
 
+/** Lists the ids of the prompt parts that a request names, in order. */
+export const listNamedParts = ({ headers }: Pick<IncomingMessage, "headers">): string[] =>
+    String(headers["x-sequoiagrade-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
+
 const endlessChunkBytes = 16_384;
 const eventStreamField = "content-type: text/event-stream";
 
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -93,6 +93,8 @@
     ...fields,
 });
 
+const restartMs = 400;
+const crashingRunnerEvents = 6;
 const conditionPollMs = 10;
 const conditionTimeoutMs = 15_000;
 
@@ -104,6 +106,10 @@
     readonly runners: RunnerStandIn[] = [];
     /** Last registry entry of each upstream, by its id. */
     private readonly registered = new Map<string, Record<string, unknown>>();
+    /** Monotonic times at which upstreams crashed, in milliseconds. */
+    readonly crashedAtMs: number[] = [];
+    private readonly restarts: Promise<void>[] = [];
+    private isStopping = false;
     private requestCount = 0;
 
     /** Starts the store and the cloud, and writes version 1 of the configuration. */
@@ -114,6 +120,8 @@
     }
 
     async stop(): Promise<void> {
+        this.isStopping = true;
+        await Promise.all(this.restarts);
         await Promise.all(this.nodes.map(async ({ node, discoveryServer }) => {
             await discoveryServer.stop();
             await node.kernel.stop();
@@ -132,6 +140,39 @@
         return runner;
     }
 
+    /**
+     * Starts upstreams that crash when they begin an answer to a request with a prompt part, and that start again as
+     * others a moment later.
+     */
+    async addCrashingRunners(service: string, crashPart: string, count: number): Promise<void> {
+        for (let index = 0; index < count; index += 1) {
+            await this.addCrashingRunner(service, crashPart);
+        }
+    }
+
+    private async addCrashingRunner(service: string, crashPart: string): Promise<void> {
+        const runner = await this.addRunner(service, {
+            id: `${service}-${this.runners.length + 1}`,
+            events: crashingRunnerEvents,
+        });
+        runner.crashPart = crashPart;
+        runner.onCrash = () => {
+            runner.onCrash = () => {};
+            this.crashedAtMs.push(performance.now());
+            this.restarts.push(this.restart(runner, service, crashPart));
+        };
+    }
+
+    private async restart(crashed: RunnerStandIn, service: string, crashPart: string): Promise<void> {
+        await crashed.server.stop();
+        await new Promise(resolve => setTimeout(resolve, restartMs));
+        this.registered.delete(crashed.id);
+        this.store.put("servers", crashed.id, undefined);
+        if (!this.isStopping) {
+            await this.addCrashingRunner(service, crashPart);
+        }
+    }
+
     /** Writes the registry entry of an upstream to the store. */
     registerRunner(runner: RunnerStandIn, service: string, state = "ready"): void {
         const { id, address } = runner;
