Refuse requests with a prompt part that crashes upstreams

Callers of sound requests lost their streams again and again: requests with one part in their prompts crashed each upstream at which their answer began, new ones kept coming, and the nodes kept sending them, since nothing connected a crash with what was running (H1).

The nodes now tell each other which requests were under way when an upstream broke off (one message a node and crash). A part is quarantined when upstreams crashed at three different moments under different requests with it and no answer with it was completed since, that had begun after a crash. Sound parts beside it are cleared by their completed answers; an upstream that sends data afterwards has not crashed; crashes under a known part blame no other. A quarantine holds for half an hour on all nodes, is repeated every second and kept in the store, for nodes that start later. Requests with the part are refused at once (1213, 503 with Retry-After, not run), also between retries and when a connection becomes free.

--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -3,6 +3,7 @@
 import { membershipName } from "../membership/Membership";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { servingStateName } from "../routes/ServingState";
+import { promptQuarantineName } from "../quarantine/PromptQuarantine";
 import { addGauge, type GaugeValue } from "../telemetry/addGauge";
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { clusterSumsName } from "../sums/ClusterSums";
@@ -57,6 +58,11 @@
         () => find(forwardServerName).openExchanges,
     );
     addValue("sequoiagrade_resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
+    addValue(
+        "sequoiagrade_quarantined_parts",
+        "Prompt parts whose requests are refused.",
+        () => find(promptQuarantineName).size,
+    );
     registerControlGauges(find, addValue);
     addByService(
         "sequoiagrade_upstreams_usable",
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -12,6 +12,8 @@
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { peerReportsName } from "../peers/PeerReports";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
+import { PromptQuarantine, promptQuarantineName } from "../quarantine/PromptQuarantine";
+import { QuarantineRecords } from "../quarantine/QuarantineRecords";
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
 import { RetryBudgets, retryBudgetsName } from "../retries/RetryBudgets";
 import { isPoller } from "../membership/isPoller";
@@ -135,6 +137,28 @@
             }),
     });
     registerOrigins(kernel, { settings, platform, clock });
+    kernel.register({
+        name: promptQuarantineName,
+        requires: [peerReportsName, membershipName, storeClockName],
+        create: find =>
+            new PromptQuarantine({
+                reports: find(peerReportsName),
+                records: new QuarantineRecords({
+                    tables: platform.tables,
+                    storeClock: find(storeClockName),
+                    events: find(eventLogName),
+                }),
+                isTeller: () =>
+                    isPoller({
+                        membership: find(membershipName),
+                        nodeId: settings.nodeId,
+                        job: promptQuarantineName.id,
+                        count: 1,
+                    }),
+                clock,
+                events: find(eventLogName),
+            }),
+    });
     kernel.register({
         name: quotaLimiterName,
         requires: [clusterSumsName, readinessName, servingStateName],
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -3,6 +3,7 @@
 import type { StreamOrigins } from "../origins/StreamOrigins";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
+import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
 import type { QuotaLimiter } from "../quotas/QuotaLimiter";
 import type { RetryBudgets } from "../retries/RetryBudgets";
 import type { ServingState } from "../routes/ServingState";
@@ -23,6 +24,10 @@
     readonly instances: InstanceRegistry;
     readonly placement: PlacementPolicy;
     readonly quotas: QuotaLimiter;
+    readonly quarantine: Pick<
+        PromptQuarantine,
+        "readRemainingMs" | "recordBreak" | "observeData" | "recordCompletion"
+    >;
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly versions: Pick<SoftwareVersions, "findSole">;
     readonly retryBudgets: RetryBudgets;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -10,7 +10,7 @@
 import { retryRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
-import type { AdmittedRequest } from "./admitRequest";
+import { type AdmittedRequest, quarantinedMessage } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
@@ -41,6 +41,7 @@
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
 const unavailableRetryAfterMs = 300; // requests to plain services take tens of ms, streams a few seconds
+const firstErrorStatus = 400;
 const minRemainingMs = 10; // no upstream answers faster than this
 
 /**
@@ -56,11 +57,15 @@
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
     private readonly selection: UpstreamSelection;
+    private readonly sharedParts: readonly string[];
+    /** Monotonic time at which the latest answer began, in milliseconds. */
+    private begunMs = -Infinity;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
+        this.sharedParts = listSharedPartIds(admitted.metadata.promptParts);
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -83,6 +88,7 @@
             admitted,
             recorder,
             interrupt,
+            onData: upstream => this.observeData(upstream),
             memory,
         });
         options.response.on("close", memory.release);
@@ -125,6 +131,9 @@
             if (interrupt) {
                 return { kind: "interrupted", by: interrupt };
             }
+            if (this.readQuarantinedMs() !== undefined) {
+                return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
+            }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
             if (!upstream) {
                 return {
@@ -196,12 +205,14 @@
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
             isWanted: () =>
-                this.interrupt.read() === undefined && context.instances.isAcceptingRequests(upstream),
+                this.interrupt.read() === undefined && this.readQuarantinedMs() === undefined
+                && context.instances.isAcceptingRequests(upstream),
         });
         context.instances.beginRequest(upstream);
         try {
             const result = yield* this.receiveAnswer(upstream, exchange);
             this.recorder.recordAttempt(toAttemptOutcome(result));
+            this.reportToQuarantine(upstream, result);
             return result;
         }
         finally {
@@ -242,13 +253,16 @@
         if (start.kind === "failed" && !start.isSent && interrupt) {
             return { kind: "interrupted", by: interrupt };
         }
+        if (start.kind === "failed" && !start.isSent && this.readQuarantinedMs() !== undefined) {
+            return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
+        }
         if (start.kind === "failed") {
             this.recorder.recordRun(start.isSent);
             context.instances.eject(upstream, start.message);
             return { kind: "failed", isSent: start.isSent, isNotRun: !start.isSent, message: start.message };
         }
         const { head } = start;
-        upstream.lastReceivedMs = context.clock.readMonotonicMs();
+        this.observeData(upstream);
         const metadata = context.protocol.decodeResponse(head.status, head.headers);
         this.applyStatements(upstream, metadata);
         if (metadata.requestId !== undefined && metadata.requestId !== admitted.metadata.requestId) {
@@ -271,12 +285,38 @@
         }
         this.recorder.recordRun(true);
         this.recorder.trace.hasBegun = true;
+        this.begunMs = upstream.lastReceivedMs;
         if (admitted.route.isStream && isEventStream(head)) {
             this.binding.adopt(upstream.instance);
         }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
+    private observeData(upstream: TrackedInstance): void {
+        const { clock, quarantine } = this.options.context;
+        upstream.lastReceivedMs = clock.readMonotonicMs();
+        quarantine.observeData(upstream.instance);
+    }
+
+    /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
+    private readQuarantinedMs(): number | undefined {
+        return this.options.context.quarantine.readRemainingMs(this.sharedParts);
+    }
+
+    /** Reports how an attempt ended, if that tells whether requests with the parts of the prompt crash upstreams. */
+    private reportToQuarantine({ instance }: TrackedInstance, result: AttemptResult): void {
+        const { context, admitted } = this.options;
+        const { metadata } = admitted;
+        const { hasBegun, status } = this.recorder.trace;
+        if (result.kind === "answered" && status !== undefined && status < firstErrorStatus) {
+            context.quarantine.recordCompletion(this.sharedParts, this.begunMs);
+        }
+        if (result.kind === "failed" && result.isSent && !result.isNotRun && !result.answer) {
+            const key = metadata.promptParts.at(-1)?.id ?? metadata.requestId ?? "";
+            context.quarantine.recordBreak(instance, { key, partIds: this.sharedParts, hasBegun });
+        }
+    }
+
     /** Applies what an upstream states about itself in an answer, before the answer is passed on. */
     private applyStatements(upstream: TrackedInstance, metadata: ResponseMetadata): void {
         const { instances } = this.options.context;
@@ -351,6 +391,12 @@
                     `no upstream runs software version "${this.binding.softwareVersion}", which began the stream`,
                 ));
             }
+            const quarantinedMs = this.readQuarantinedMs();
+            if (quarantinedMs !== undefined) {
+                return new FailureError(createFailure(resultCodes.promptQuarantined, quarantinedMessage, {
+                    retryAfterMs: quarantinedMs,
+                }));
+            }
             const refusalMs = this.options.context.instances.readRefusalMs(this.service);
             const retryAfterMs = refusalMs ?? unavailableRetryAfterMs;
             return new FailureError(createFailure(code, message, { retryAfterMs }));
@@ -390,7 +436,7 @@
             softwareVersion: upstream.instance.softwareVersion,
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
-            sharedParts: describeSharedParts(listSharedPartIds(admitted.metadata.promptParts)),
+            sharedParts: describeSharedParts(this.sharedParts),
             hasBegun: this.recorder.trace.hasBegun,
             reason: result.message,
             isSent: result.isSent,
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -24,6 +24,8 @@
     readonly admitted: AdmittedRequest;
     readonly recorder: ForwardRecorder;
     readonly interrupt: RequestInterrupt;
+    /** Called whenever data of an answer arrive. */
+    readonly onData: (upstream: TrackedInstance) => void;
     /** Memory of the request for collected answers. */
     readonly memory: HeldMemory;
 }
@@ -128,7 +130,7 @@
             clock,
             idleTimeoutMs: isResumable ? resumableIdleTimeoutMs : unlimitedIdleTimeoutMs,
             onData: () => {
-                upstream.lastReceivedMs = clock.readMonotonicMs();
+                this.options.onData(upstream);
             },
             onFirstEvent: () => {
                 this.options.recorder.recordFirstByte();
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -43,6 +43,9 @@
     quotaLeft?: number;
 }
 
+/** Message of the refusal of a request with a quarantined part. */
+export const quarantinedMessage = "upstreams crash under requests with a part of this prompt";
+
 const startingRetryAfterMs = 300; // a process reads its configuration within a few hundred ms after its start
 const staleRetryAfterMs = 500; // another node that reaches the store can answer immediately
 
@@ -77,6 +80,10 @@
     trace.route = route.name;
     const account = authenticate(context, table, route, metadata.apiKey);
     trace.account = account?.name;
+    const quarantinedMs = context.quarantine.readRemainingMs(trace.sharedParts);
+    if (quarantinedMs !== undefined) {
+        throw createRefusal("promptQuarantined", quarantinedMessage, quarantinedMs);
+    }
     const service = chooseTarget(route.targets, context.random);
     if (service === undefined) {
         throw createRefusal(
--- /dev/null
+++ b/src/quarantine/CrashLedger.test.ts
@@ -0,0 +1,117 @@
+import * as fc from "fast-check";
+import { CrashLedger } from "./CrashLedger";
+import type { BrokenRequest } from "./types";
+
+const createRequest = (key: string, partIds: string[], hasBegun = true): BrokenRequest => ({
+    key,
+    partIds,
+    hasBegun,
+});
+const isKnown = (): boolean => false;
+
+describe("CrashLedger", () => {
+    let ledger: CrashLedger;
+    beforeEach(() => {
+        ledger = new CrashLedger();
+    });
+
+    const findAt = (nowMs: number): string | undefined => ledger.findCrashingPart(nowMs, isKnown)?.id;
+
+    it("finds a part after three crashes at different moments under different requests with it", () => {
+        ledger.record("u1", [createRequest("r1", ["bad"]), createRequest("r2", ["sound"])], 0);
+        ledger.record("u2", [createRequest("r3", ["bad"])], 1_000);
+        expect(findAt(10_000)).toBeUndefined();
+        ledger.record("u3", [createRequest("r4", ["bad"]), createRequest("r2", ["sound"])], 2_000);
+        expect(findAt(2_400)).toBeUndefined();
+        expect(ledger.findCrashingPart(2_500, isKnown)).toEqual({ id: "bad", upstreams: 3, requests: 3 });
+    });
+
+    it("does not blame the parts of one request that met several crashes by its retries", () => {
+        ["u1", "u2", "u3", "u4"].forEach((upstream, index) =>
+            ledger.record(upstream, [createRequest("r1", ["part"])], index * 1_000)
+        );
+        expect(findAt(10_000)).toBeUndefined();
+    });
+
+    it("does not blame parts for upstreams that crash at the same moment", () => {
+        ["u1", "u2", "u3", "u4", "u5", "u6"].forEach((upstream, index) =>
+            ledger.record(upstream, [createRequest(`r${index}`, ["part"])], index * 100)
+        );
+        expect(findAt(10_000)).toBeUndefined();
+    });
+
+    it("does not count upstreams that sent data after requests broke off", () => {
+        ["u1", "u2", "u3"].forEach((upstream, index) => {
+            ledger.record(upstream, [createRequest(`r${index}`, ["part"])], index * 1_000);
+            expect(ledger.observeData(upstream, index * 1_000 + 100)).toBe(false);
+            expect(ledger.observeData(upstream, index * 1_000 + 400)).toBe(true);
+            expect(ledger.observeData(upstream, index * 1_000 + 500)).toBe(false);
+        });
+        expect(findAt(10_000)).toBeUndefined();
+    });
+
+    it("does not blame a part with which an answer was completed that began after the crashes", () => {
+        ["u1", "u2", "u3"].forEach((upstream, index) =>
+            ledger.record(upstream, [createRequest(`r${index}`, ["part"])], index * 1_000)
+        );
+        expect(ledger.markSound("part", 1_500)).toBe(true);
+        expect(ledger.markSound("part", 1_500)).toBe(false);
+        expect(findAt(10_000)).toBeUndefined();
+        ledger.record("u4", [createRequest("r4", ["part"])], 3_000);
+        expect(findAt(10_000)).toBeUndefined();
+        ledger.record("u5", [createRequest("r5", ["part"])], 4_000);
+        expect(findAt(10_000)).toBe("part");
+    });
+
+    it("blames the more specific of two parts where each request with one has the other too", () => {
+        ["u1", "u2", "u3", "u4"].forEach((upstream, index) =>
+            ledger.record(
+                upstream,
+                [
+                    createRequest(`r${index}`, ["all", "bad"]),
+                    createRequest(`s${index}`, ["all", `p${index}`]),
+                ],
+                index * 1_000,
+            )
+        );
+        expect(findAt(10_000)).toBe("bad");
+    });
+
+    it("needs no further cause for crashes under a part that is known", () => {
+        ["u1", "u2", "u3", "u4"].forEach((upstream, index) =>
+            ledger.record(
+                upstream,
+                [createRequest(`r${index}`, ["bad"]), createRequest(`s${index}`, ["sound"])],
+                index * 1_000,
+            )
+        );
+        expect(ledger.findCrashingPart(10_000, id => id === "bad")).toBeUndefined();
+    });
+
+    it("finds a part whose answers never reached a node, after five crashes", () => {
+        for (let index = 0; index < 5; index += 1) {
+            expect(findAt(10_000 + index * 1_000)).toBeUndefined();
+            ledger.record(`u${index}`, [createRequest(`r${index}`, ["bad"], false)], 10_000 + index * 1_000);
+        }
+        expect(findAt(20_000)).toBe("bad");
+    });
+
+    it("finds the cause of five crashes among any sound parts whose answers are completed in between", () => {
+        const soundParts = fc.uniqueArray(fc.nat({ max: 20 }).map(id => `sound${id}`), { minLength: 1 });
+        const crashes = fc.array(fc.array(soundParts, { maxLength: 8 }), { minLength: 5, maxLength: 8 });
+        fc.assert(fc.property(crashes, fc.integer({ min: 200, max: 3_000 }), (sound, gapMs) => {
+            const tried = new CrashLedger();
+            sound.forEach((requests, crash) => {
+                const atMs = crash * gapMs;
+                tried.record(`u${crash}`, [createRequest(`bad${crash}`, ["shared", "bad"])], atMs);
+                tried.record(
+                    `u${crash}`,
+                    requests.map((parts, index) => createRequest(`r${crash}-${index}`, ["shared", ...parts])),
+                    atMs,
+                );
+                ["shared", ...requests.flat()].forEach(part => tried.markSound(part, atMs + gapMs / 2));
+            });
+            expect(tried.findCrashingPart(sound.length * gapMs + 2_500, isKnown)?.id).toBe("bad");
+        }));
+    });
+});
--- /dev/null
+++ b/src/quarantine/CrashLedger.ts
@@ -0,0 +1,213 @@
+import type { BrokenRequest, CrashingPart } from "./types";
+
+/** What is known about one upstream at which requests broke off. */
+interface CrashRecord {
+    readonly atMs: number;
+    /** Requests that broke off there, by key. */
+    readonly requests: Map<string, BrokenRequest>;
+    /** Parts with which an answer was completed that had begun after the crash. */
+    readonly soundParts: Set<string>;
+    /** Whether the upstream was seen at work afterwards, so that it had not crashed. */
+    isAlive: boolean;
+}
+
+/** What the crashes say about one part. */
+interface Evidence {
+    readonly crashes: readonly CrashRecord[];
+    readonly begunCrashes: readonly CrashRecord[];
+    /** Keys of the requests with the part that broke off. */
+    readonly requestKeys: ReadonlySet<string>;
+}
+
+const settleMs = 500; // an upstream that works on shows it within this time
+const earliestSignMs = 200; // data that arrive sooner may have been sent before the crash
+const latestSignMs = 2_000; // later, another start may answer at the same address
+const minObservedMs = 2_000; // time for an answer with a sound part to be completed at another upstream
+const sameEventMs = 150; // crashes this close may have one cause, such as the loss of a rack
+const minEvents = 3;
+const minEventsUnbegun = 5;
+const minRequests = 2; // one request alone may have met several crashes by its retries
+const keptMs = 600_000;
+const maxRecords = 256;
+const maxRequests = 512; // of one crash, over all nodes
+
+/**
+ * Finds the prompt parts that crash upstreams, from the requests that were under way at each crash.
+ *
+ * A part counts as the cause if upstreams crashed at several different moments under different requests with it, and no
+ * answer to a request with it was completed since. Sound parts that were under way beside it are told apart by their
+ * completed answers, or because another part explains the crash.
+ */
+export class CrashLedger {
+    /** Records by start of an upstream; each start can crash once. */
+    private readonly records = new Map<string, CrashRecord>();
+
+    /** Monotonic time of the latest record, in milliseconds. */
+    lastRecordMs = -Infinity;
+
+    /** Whether any crash is on record. */
+    get isEmpty(): boolean {
+        return this.records.size === 0;
+    }
+
+    /**
+     * Records requests that broke off at an upstream.
+     *
+     * @param upstream - key of the upstream's start
+     * @param requests - the requests
+     * @param nowMs - current monotonic time, in milliseconds
+     * @returns whether this begins a new record
+     */
+    record(upstream: string, requests: readonly BrokenRequest[], nowMs: number): boolean {
+        const known = this.records.get(upstream);
+        const isNew = !known || nowMs - known.atMs > latestSignMs;
+        const record = isNew ? createRecord(nowMs) : known;
+        if (isNew) {
+            this.records.delete(upstream);
+            this.records.set(upstream, record);
+        }
+        requests.forEach(request => addRequest(record, request));
+        this.lastRecordMs = nowMs;
+        if (this.records.size > maxRecords) {
+            const [oldest] = this.records.keys();
+            this.records.delete(oldest);
+        }
+        return isNew;
+    }
+
+    /**
+     * Records that an upstream sends data.
+     *
+     * @returns whether that shows that it has not crashed, which was not known
+     */
+    observeData(upstream: string, nowMs: number): boolean {
+        const record = this.records.get(upstream);
+        if (!record || record.isAlive) {
+            return false;
+        }
+        const sinceMs = nowMs - record.atMs;
+        return sinceMs >= earliestSignMs && sinceMs <= latestSignMs && this.markAlive(upstream);
+    }
+
+    /** Records that an upstream has not crashed; returns whether that is new. */
+    markAlive(upstream: string): boolean {
+        const record = this.records.get(upstream);
+        if (!record || record.isAlive) {
+            return false;
+        }
+        record.isAlive = true;
+        return true;
+    }
+
+    /**
+     * Records a completed answer to a request with a part.
+     *
+     * @param partId - the part
+     * @param begunMs - monotonic time at which the answer began, in milliseconds
+     * @returns whether that says something new about earlier crashes
+     */
+    markSound(partId: string, begunMs: number): boolean {
+        let isNew = false;
+        for (const record of this.records.values()) {
+            if (record.atMs <= begunMs && !record.soundParts.has(partId) && hasPart(record, partId)) {
+                record.soundParts.add(partId);
+                isNew = true;
+            }
+        }
+        return isNew;
+    }
+
+    /**
+     * Finds the part that explains most crashes.
+     *
+     * @param nowMs - current monotonic time, in milliseconds
+     * @param isKnown - whether a part is known to crash upstreams; crashes under it need no other explanation
+     * @returns the part; undefined if no part meets the conditions yet
+     */
+    findCrashingPart(nowMs: number, isKnown: (partId: string) => boolean): CrashingPart | undefined {
+        const evidence = collectEvidence(this.listUnexplained(nowMs, isKnown));
+        const candidates = [...evidence].filter(([, found]) => isSufficient(found, nowMs));
+        const specific = candidates.filter(([, found]) =>
+            !candidates.some(([, other]) => isProperSubset(other.requestKeys, found.requestKeys))
+        );
+        const [best] = specific.sort(([, a], [, b]) =>
+            countEvents(b.crashes) - countEvents(a.crashes) || b.requestKeys.size - a.requestKeys.size
+        );
+        return best && { id: best[0], upstreams: best[1].crashes.length, requests: best[1].requestKeys.size };
+    }
+
+    /** Drops old records. */
+    expire(nowMs: number): void {
+        for (const [upstream, record] of this.records) {
+            if (nowMs - record.atMs > keptMs) {
+                this.records.delete(upstream);
+            }
+        }
+    }
+
+    private listUnexplained(nowMs: number, isKnown: (partId: string) => boolean): CrashRecord[] {
+        return [...this.records.values()].filter(record =>
+            !record.isAlive && nowMs - record.atMs >= settleMs
+            && ![...record.requests.values()].some(({ partIds }) => partIds.some(isKnown))
+        );
+    }
+}
+
+const createRecord = (atMs: number): CrashRecord => ({
+    atMs,
+    requests: new Map(),
+    soundParts: new Set(),
+    isAlive: false,
+});
+
+const addRequest = ({ requests }: CrashRecord, request: BrokenRequest): void => {
+    const known = requests.get(request.key);
+    if (known || requests.size < maxRequests) {
+        requests.set(request.key, { ...request, hasBegun: request.hasBegun || (known?.hasBegun ?? false) });
+    }
+};
+
+const hasPart = ({ requests }: CrashRecord, partId: string): boolean =>
+    [...requests.values()].some(({ partIds }) => partIds.includes(partId));
+
+const collectEvidence = (records: readonly CrashRecord[]): Map<string, Evidence> => {
+    const evidence = new Map<
+        string,
+        { crashes: CrashRecord[]; begunCrashes: CrashRecord[]; requestKeys: Set<string>; }
+    >();
+    for (const record of records) {
+        for (const { key, partIds, hasBegun } of record.requests.values()) {
+            for (const partId of partIds.filter(id => !record.soundParts.has(id))) {
+                const found = evidence.get(partId)
+                    ?? { crashes: [], begunCrashes: [], requestKeys: new Set<string>() };
+                evidence.set(partId, found);
+                addOnce(found.crashes, record);
+                found.requestKeys.add(key);
+                if (hasBegun) {
+                    addOnce(found.begunCrashes, record);
+                }
+            }
+        }
+    }
+    return evidence;
+};
+
+const addOnce = (records: CrashRecord[], record: CrashRecord): void => {
+    if (records.at(-1) !== record) {
+        records.push(record);
+    }
+};
+
+const isSufficient = ({ crashes, begunCrashes, requestKeys }: Evidence, nowMs: number): boolean =>
+    (countEvents(begunCrashes) >= minEvents || countEvents(crashes) >= minEventsUnbegun)
+    && requestKeys.size >= minRequests
+    && nowMs - Math.min(...crashes.map(({ atMs }) => atMs)) >= minObservedMs;
+
+/** Counts the crashes, those that follow each other closely as one. */
+const countEvents = (crashes: readonly CrashRecord[]): number => {
+    const timesMs = crashes.map(({ atMs }) => atMs).sort((a, b) => a - b);
+    return timesMs.filter((atMs, index) => index === 0 || atMs - timesMs[index - 1] > sameEventMs).length;
+};
+
+const isProperSubset = (subset: ReadonlySet<string>, whole: ReadonlySet<string>): boolean =>
+    subset.size < whole.size && [...subset].every(key => whole.has(key));
--- /dev/null
+++ b/src/quarantine/PromptQuarantine.test.ts
@@ -0,0 +1,140 @@
+import { FakeClock } from "../kernel/FakeClock";
+import type { ReportTopic } from "../peers/PeerReports";
+import { EventLog } from "../telemetry/EventLog";
+import { PromptQuarantine } from "./PromptQuarantine";
+import type { QuarantineRecord } from "./QuarantineRecords";
+
+/** Nodes that tell each other everything at once, and their store. */
+class Setup {
+    readonly clock = new FakeClock();
+    readonly stored = new Map<string, QuarantineRecord>();
+    private readonly listeners = new Map<string, Map<string, (value: never) => void>>();
+    readonly nodes: PromptQuarantine[] = [];
+    isStoreDown = false;
+
+    async addNode(isTeller = false): Promise<PromptQuarantine> {
+        const nodeId = String(this.nodes.length);
+        const node = new PromptQuarantine({
+            reports: {
+                publish: (topic, value) => this.publish(nodeId, topic, value),
+                listen: (topic, onReceived) => this.listen(nodeId, topic, onReceived),
+            },
+            records: {
+                load: async () => {
+                    if (this.isStoreDown) {
+                        throw new Error("the store is down");
+                    }
+                    return [...this.stored.values()];
+                },
+                write: async (written, removed) => {
+                    if (this.isStoreDown) {
+                        return false;
+                    }
+                    written.forEach(record => this.stored.set(record.partId, record));
+                    removed.forEach(id => this.stored.delete(id));
+                    return true;
+                },
+                readStoreMs: () => this.clock.readMonotonicMs(),
+            },
+            isTeller: () => isTeller,
+            clock: this.clock,
+            events: new EventLog({ node: nodeId, clock: this.clock }),
+        });
+        this.nodes.push(node);
+        const started = node.start();
+        await this.clock.advance(400);
+        await started;
+        return node;
+    }
+
+    private publish<T>(nodeId: string, topic: ReportTopic<T>, value: T): void {
+        const parsed = topic.schema.parse(value);
+        for (const [id, onReceived] of this.listeners.get(topic.name) ?? []) {
+            if (id !== nodeId) {
+                onReceived(parsed as never);
+            }
+        }
+    }
+
+    private listen<T>(nodeId: string, topic: ReportTopic<T>, onReceived: (value: T) => void): void {
+        const known = this.listeners.get(topic.name) ?? new Map<string, (value: never) => void>();
+        this.listeners.set(topic.name, known.set(nodeId, onReceived));
+    }
+
+    /** Lets upstreams crash one after the other, each under a request of another node. */
+    async crash(count: number): Promise<void> {
+        for (let index = 0; index < count; index += 1) {
+            const request = { key: `r${index}`, partIds: ["bad"], hasBegun: true };
+            this.nodes[index % this.nodes.length].recordBreak({ id: `u${index}` }, request);
+            await this.clock.advance(800);
+        }
+    }
+}
+
+const halfAnHourMs = 1_800_000;
+
+describe("PromptQuarantine", () => {
+    let setup: Setup;
+    beforeEach(() => {
+        setup = new Setup();
+    });
+    afterEach(() => Promise.all(setup.nodes.map(node => node.stop())));
+
+    it("refuses a part on all nodes, though each has seen only some of its crashes", async () => {
+        const nodes = [await setup.addNode(), await setup.addNode(), await setup.addNode()];
+        await setup.crash(3);
+        await setup.clock.advance(1_000);
+        nodes.forEach(node => {
+            expect(node.readRemainingMs(["bad"])).toBeGreaterThan(halfAnHourMs - 10_000);
+            expect(node.readRemainingMs(["first", "bad"])).toBeDefined();
+            expect(node.readRemainingMs(["other"])).toBeUndefined();
+            expect(node.readRemainingMs([])).toBeUndefined();
+        });
+    });
+
+    it("does not refuse a part that another node has seen in a completed answer", async () => {
+        const nodes = [await setup.addNode(), await setup.addNode()];
+        await setup.crash(2);
+        nodes[1].recordCompletion(["bad"], setup.clock.readMonotonicMs());
+        await setup.crash(2);
+        await setup.clock.advance(5_000);
+        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeUndefined());
+    });
+
+    it("does not count an upstream that works on at another node", async () => {
+        const nodes = [await setup.addNode(), await setup.addNode()];
+        for (let index = 0; index < 4; index += 1) {
+            const request = { key: `r${index}`, partIds: ["bad"], hasBegun: true };
+            nodes[0].recordBreak({ id: `u${index}` }, request);
+            await setup.clock.advance(400);
+            nodes[1].observeData({ id: `u${index}` });
+        }
+        await setup.clock.advance(5_000);
+        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeUndefined());
+    });
+
+    it("is known to a node that starts later, by its members while the store is down", async () => {
+        const first = await setup.addNode(true);
+        await setup.crash(3);
+        await setup.clock.advance(1_000);
+        expect(first.readRemainingMs(["bad"])).toBeDefined();
+        setup.isStoreDown = true;
+        const second = await setup.addNode();
+        await setup.clock.advance(1_500);
+        expect(second.readRemainingMs(["bad"])).toBeDefined();
+    });
+
+    it("is known to a node that starts after all others have ended, for the rest of its time", async () => {
+        const first = await setup.addNode(true);
+        await setup.crash(3);
+        await setup.clock.advance(2_000);
+        await first.stop();
+        await setup.clock.advance(600_000);
+        const second = await setup.addNode(true);
+        expect(second.readRemainingMs(["bad"])).toBeLessThan(halfAnHourMs - 600_000);
+        await setup.clock.advance(halfAnHourMs - 590_000);
+        expect(second.readRemainingMs(["bad"])).toBeUndefined();
+        await setup.clock.advance(2_000);
+        expect(setup.stored.size).toBe(0);
+    });
+});
--- /dev/null
+++ b/src/quarantine/PromptQuarantine.ts
@@ -0,0 +1,331 @@
+import { z } from "zod";
+import { retryStoreCall } from "../feeds/retryStoreCall";
+import { createServiceName } from "../kernel/createServiceName";
+import type { TaskScope } from "../kernel/TaskScope";
+import type { Clock, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
+import type { PeerReports, ReportTopic } from "../peers/PeerReports";
+import type { UpstreamInstance } from "../placement/types";
+import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
+import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { CrashLedger } from "./CrashLedger";
+import type { QuarantineRecords } from "./QuarantineRecords";
+import type { BrokenRequest } from "./types";
+
+/** Options of {@link PromptQuarantine}. */
+export interface PromptQuarantineOptions {
+    readonly reports: Pick<PeerReports, "publish" | "listen">;
+    readonly records: Pick<QuarantineRecords, "load" | "write" | "readStoreMs">;
+    /** Whether this node tells the others and the store what is quarantined. */
+    readonly isTeller: () => boolean;
+    readonly clock: Clock;
+    readonly events: EventLog;
+}
+
+/** Identifies one start of an upstream. */
+type UpstreamStart = Pick<UpstreamInstance, "id" | "startedAtMs">;
+
+interface CrashReport {
+    readonly upstream: string;
+    readonly requests: readonly BrokenRequest[];
+}
+
+interface SoundPart {
+    readonly id: string;
+    /** Time since the beginning of the answer, in milliseconds. */
+    readonly ageMs: number;
+}
+
+interface QuarantineNotice {
+    readonly id: string;
+    /** Time since the quarantine began, in milliseconds. */
+    readonly ageMs: number;
+}
+
+const maxIdLength = 200;
+const maxPartsPerRequest = 32;
+const maxRequestsPerReport = 128;
+const maxNotices = 256;
+const idSchema = z.string().max(maxIdLength);
+const ageSchema = z.number().nonnegative();
+
+const crashTopic: ReportTopic<CrashReport> = {
+    name: "upstream-crash",
+    schema: z.object({
+        upstream: z.string(),
+        requests: z.array(z.object({
+            key: idSchema,
+            partIds: z.array(idSchema).max(maxPartsPerRequest),
+            hasBegun: z.boolean(),
+        })).max(maxRequestsPerReport),
+    }),
+};
+const aliveTopic: ReportTopic<{ readonly upstream: string; }> = {
+    name: "upstream-alive",
+    schema: z.object({ upstream: z.string() }),
+};
+const soundTopic: ReportTopic<readonly SoundPart[]> = {
+    name: "sound-prompt-parts",
+    schema: z.array(z.object({ id: idSchema, ageMs: ageSchema })).max(maxNotices),
+};
+const quarantineTopic: ReportTopic<readonly QuarantineNotice[]> = {
+    name: "quarantined-parts",
+    schema: z.array(z.object({ id: idSchema, ageMs: ageSchema })).max(maxNotices),
+};
+
+const holdMs = 1_800_000; // until it may be tried again whether the upstreams still crash
+const batchMs = 50; // the connections to an upstream that crashes break off within a few ms
+const idleCheckMs = 1_000;
+const checkMs = 200; // while crashes are on record
+const announceMs = 1_000;
+const decisionMs = 10_000; // after the last crash; what is known by then does not suffice
+const rewriteMs = 60_000; // the store may be restored from a copy without the rows
+const startTimeoutMs = 300;
+
+/**
+ * Keeps requests away from upstreams whose prompts have a part that crashes them. The nodes tell each other which
+ * requests were under way when an upstream broke off, which parts are sound, and which are quarantined; see
+ * {@link CrashLedger} for the decision. What is quarantined is kept in the store.
+ */
+export class PromptQuarantine {
+    private readonly ledger = new CrashLedger();
+    /** Monotonic time at which the quarantine of each part began, in milliseconds. */
+    private readonly sinceMs = new Map<string, number>();
+    /** Monotonic time at which this node last wrote each part to the store, in milliseconds. */
+    private readonly writtenAtMs = new Map<string, number>();
+    private readonly unreportedBreaks = new Map<string, BrokenRequest[]>();
+    private readonly unreportedSound = new Map<string, number>();
+    private readonly scope: TaskScope;
+    private wake: () => void = () => {};
+
+    constructor(private readonly options: PromptQuarantineOptions) {
+        this.scope = createLoggedTaskScope(options.events);
+    }
+
+    /** Starts, and waits a moment for what is stored. */
+    async start(): Promise<void> {
+        const { reports, clock } = this.options;
+        reports.listen(crashTopic, ({ upstream, requests }) => this.recordCrash(upstream, requests));
+        reports.listen(aliveTopic, ({ upstream }) => void this.ledger.markAlive(upstream));
+        reports.listen(soundTopic, parts => this.receiveSound(parts));
+        reports.listen(quarantineTopic, notices => notices.forEach(notice => this.adopt(notice)));
+        const loaded = new Promise<void>(resolve => {
+            this.scope.run("quarantine-records", signal => this.keepRecords(signal, resolve));
+        });
+        this.scope.run("prompt-quarantine", signal => this.run(signal));
+        await waitWithTimeout({ clock, promises: [loaded], timeoutMs: startTimeoutMs });
+    }
+
+    async stop(): Promise<void> {
+        this.wake();
+        await this.scope.cancel();
+    }
+
+    /** Number of quarantined parts. */
+    get size(): number {
+        return this.sinceMs.size;
+    }
+
+    /**
+     * Returns how long requests with any of some parts are still refused.
+     *
+     * @returns milliseconds; undefined if none of the parts is quarantined
+     */
+    readRemainingMs(partIds: readonly string[]): number | undefined {
+        if (this.sinceMs.size === 0) {
+            return undefined;
+        }
+        const nowMs = this.options.clock.readMonotonicMs();
+        const endsMs = partIds.map(id => (this.sinceMs.get(id) ?? -Infinity) + holdMs);
+        const remainingMs = Math.max(...endsMs) - nowMs;
+        return remainingMs > 0 ? remainingMs : undefined;
+    }
+
+    /** Records a request whose connection to an upstream broke off. */
+    recordBreak(upstream: UpstreamStart, request: BrokenRequest): void {
+        if (request.partIds.length === 0) {
+            return;
+        }
+        const key = formatKey(upstream);
+        const requests = this.unreportedBreaks.get(key) ?? [];
+        this.unreportedBreaks.set(key, requests);
+        requests.push(request);
+        this.recordCrash(key, [request]);
+        this.wake();
+    }
+
+    /** Records that data arrive from an upstream. */
+    observeData(upstream: UpstreamStart): void {
+        if (this.ledger.isEmpty) {
+            return;
+        }
+        const key = formatKey(upstream);
+        if (this.ledger.observeData(key, this.options.clock.readMonotonicMs())) {
+            this.options.reports.publish(aliveTopic, { upstream: key });
+        }
+    }
+
+    /**
+     * Records a completed answer.
+     *
+     * @param partIds - parts of its request that others may share
+     * @param begunMs - monotonic time at which the answer began, in milliseconds
+     */
+    recordCompletion(partIds: readonly string[], begunMs: number): void {
+        if (this.ledger.isEmpty) {
+            return;
+        }
+        for (const id of partIds) {
+            if (this.ledger.markSound(id, begunMs)) {
+                this.unreportedSound.set(id, begunMs);
+                this.wake();
+            }
+        }
+    }
+
+    private recordCrash(upstream: string, requests: readonly BrokenRequest[]): void {
+        if (this.ledger.record(upstream, requests, this.options.clock.readMonotonicMs())) {
+            this.options.events.emit(eventKinds.upstreamBrokeOff, { upstream });
+            this.wake();
+        }
+    }
+
+    private receiveSound(parts: readonly SoundPart[]): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        parts.forEach(({ id, ageMs }) => this.ledger.markSound(id, nowMs - ageMs));
+    }
+
+    private adopt({ id, ageMs }: QuarantineNotice): void {
+        const sinceMs = this.options.clock.readMonotonicMs() - ageMs;
+        if (ageMs < holdMs && !this.sinceMs.has(id) && this.sinceMs.size < maxNotices) {
+            this.sinceMs.set(id, sinceMs);
+            this.options.events.emit(eventKinds.promptPartQuarantined, { part: id, source: "told" });
+        }
+    }
+
+    private *load(signal: AbortSignal): Task<void> {
+        const { records, clock, events } = this.options;
+        const stored = yield* waitFor(retryStoreCall({
+            name: "load quarantined parts",
+            call: () => records.load(),
+            clock,
+            events,
+            signal,
+        }));
+        const nowMs = records.readStoreMs();
+        for (const { partId, sinceStoreMs } of stored ?? []) {
+            this.writtenAtMs.set(partId, clock.readMonotonicMs());
+            this.adopt({ id: partId, ageMs: Math.max(0, (nowMs ?? sinceStoreMs) - sinceStoreMs) });
+        }
+    }
+
+    private *keepRecords(signal: AbortSignal, onLoaded: () => void): Task<void> {
+        const { clock, isTeller } = this.options;
+        yield* this.load(signal);
+        onLoaded();
+        while (!signal.aborted) {
+            if (isTeller()) {
+                this.announce();
+                yield* waitFor(this.writeRecords());
+            }
+            yield* waitFor(clock.sleep(announceMs, signal));
+        }
+    }
+
+    private *run(signal: AbortSignal): Task<void> {
+        const { clock } = this.options;
+        while (!signal.aborted) {
+            const woken = new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+            if (this.unreportedBreaks.size === 0 && this.unreportedSound.size === 0) {
+                const timeoutMs = this.ledger.isEmpty ? idleCheckMs : checkMs;
+                yield* waitFor(waitWithTimeout({ clock, promises: [woken], timeoutMs }));
+            }
+            yield* waitFor(clock.sleep(batchMs, signal));
+            this.publishObservations();
+            this.decide();
+            this.expire();
+        }
+    }
+
+    private publishObservations(): void {
+        const { reports, clock } = this.options;
+        for (const [upstream, requests] of this.unreportedBreaks) {
+            reports.publish(crashTopic, { upstream, requests: requests.slice(0, maxRequestsPerReport) });
+        }
+        this.unreportedBreaks.clear();
+        if (this.unreportedSound.size > 0) {
+            const nowMs = clock.readMonotonicMs();
+            const parts = [...this.unreportedSound].map(([id, begunMs]) => ({ id, ageMs: nowMs - begunMs }));
+            reports.publish(soundTopic, parts.slice(0, maxNotices));
+            this.unreportedSound.clear();
+        }
+    }
+
+    private decide(): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        if (nowMs - this.ledger.lastRecordMs > decisionMs) {
+            return;
+        }
+        const found = this.ledger.findCrashingPart(nowMs, id => this.sinceMs.has(id));
+        if (!found || this.sinceMs.size >= maxNotices) {
+            return;
+        }
+        this.sinceMs.set(found.id, nowMs);
+        this.options.events.emit(eventKinds.promptPartQuarantined, {
+            part: found.id,
+            source: "decided",
+            upstreams: found.upstreams,
+            requests: found.requests,
+        });
+        this.options.reports.publish(quarantineTopic, [{ id: found.id, ageMs: 0 }]);
+    }
+
+    private announce(): void {
+        if (this.sinceMs.size > 0) {
+            const nowMs = this.options.clock.readMonotonicMs();
+            const notices = [...this.sinceMs].map(([id, sinceMs]) => ({ id, ageMs: nowMs - sinceMs }));
+            this.options.reports.publish(quarantineTopic, notices);
+        }
+    }
+
+    private expire(): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        this.ledger.expire(nowMs);
+        for (const [id, sinceMs] of this.sinceMs) {
+            if (nowMs - sinceMs >= holdMs) {
+                this.sinceMs.delete(id);
+                this.options.events.emit(eventKinds.promptPartReleased, { part: id });
+            }
+        }
+    }
+
+    private async writeRecords(): Promise<void> {
+        const { records, clock } = this.options;
+        const nowMs = clock.readMonotonicMs();
+        const storeMs = records.readStoreMs();
+        if (storeMs === undefined) {
+            return;
+        }
+        const due = [...this.sinceMs].filter(([id]) =>
+            nowMs - (this.writtenAtMs.get(id) ?? -Infinity) >= rewriteMs
+        );
+        const ended = [...this.writtenAtMs.keys()].filter(id => !this.sinceMs.has(id));
+        const written = due.map(([partId, sinceMs]) => ({
+            partId,
+            sinceStoreMs: storeMs - (nowMs - sinceMs),
+        }));
+        if (await records.write(written, ended)) {
+            due.forEach(([id]) => this.writtenAtMs.set(id, nowMs));
+            ended.forEach(id => this.writtenAtMs.delete(id));
+        }
+    }
+}
+
+const formatKey = ({ id, startedAtMs }: UpstreamStart): string => `${startedAtMs ?? ""} ${id}`;
+
+/** Name of the prompt quarantine service. */
+export const promptQuarantineName = createServiceName<PromptQuarantine>("prompt-quarantine");
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -147,6 +147,13 @@
         "not-run",
         "The stream cannot go on: what began it is not known, or does not serve any more.",
     ),
+    promptQuarantined: define(
+        1213,
+        "prompt-quarantined",
+        503,
+        "not-run",
+        "Upstreams crash under requests with a part of this prompt.",
+    ),
     upstreamFailed: define(
         1301,
         "upstream-failed",
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -94,6 +94,24 @@
         "info",
         "A caller takes up a stream; the fields tell what began it and which node knew it.",
     ),
+    upstreamBrokeOff: define(
+        2213,
+        "upstream-broke-off",
+        "warn",
+        "Requests with shared prompt parts broke off at an upstream, which may have crashed.",
+    ),
+    promptPartQuarantined: define(
+        2214,
+        "prompt-part-quarantined",
+        "warn",
+        "Upstreams crash under requests with a prompt part; such requests are refused for a time.",
+    ),
+    promptPartReleased: define(
+        2215,
+        "prompt-part-released",
+        "info",
+        "The quarantine of a prompt part has ended.",
+    ),
     callSent: define(
         2301,
         "call-sent",
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -159,11 +159,11 @@
         runner.onCrash = () => {
             runner.onCrash = () => {};
             this.crashedAtMs.push(performance.now());
-            this.restarts.push(this.restart(runner, service, crashPart));
+            this.restarts.push(this.replaceCrashed(runner, service, crashPart));
         };
     }
 
-    private async restart(crashed: RunnerStandIn, service: string, crashPart: string): Promise<void> {
+    private async replaceCrashed(crashed: RunnerStandIn, service: string, crashPart: string): Promise<void> {
         await crashed.server.stop();
         await new Promise(resolve => setTimeout(resolve, restartMs));
         this.registered.delete(crashed.id);
