Keep sound prompt parts out of the quarantine under crashes in series

Now - only requests before their first event or within 500 ms of it are suspects, and an answer that goes on for longer, or is complete, clears its parts; - a part under suspicion (two crashes) is sent to one upstream only, the same on all nodes, so that the others go on and clear the sound parts; - three different requests are needed, and no part is blamed while another one was under way at more crashes.

--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -3,7 +3,6 @@
 import type { StreamOrigins } from "../origins/StreamOrigins";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
-import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
 import type { QuotaLimiter } from "../quotas/QuotaLimiter";
 import type { RetryBudgets } from "../retries/RetryBudgets";
 import type { ServingState } from "../routes/ServingState";
@@ -11,6 +10,7 @@
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
 import type { AnswerMemory } from "../upstreams/AnswerMemory";
 import type { UsageLedger } from "../usage/UsageLedger";
+import type { PromptWatchOptions } from "./PromptWatch";
 import type { ForwardProtocol } from "./types";
 
 /** Services of the node that forwarding a request depends on. */
@@ -24,10 +24,7 @@
     readonly instances: InstanceRegistry;
     readonly placement: PlacementPolicy;
     readonly quotas: QuotaLimiter;
-    readonly quarantine: Pick<
-        PromptQuarantine,
-        "readRemainingMs" | "recordBreak" | "observeData" | "recordCompletion"
-    >;
+    readonly quarantine: PromptWatchOptions["quarantine"];
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly versions: Pick<SoftwareVersions, "findSole">;
     readonly retryBudgets: RetryBudgets;
--- /dev/null
+++ b/src/forwarding/PromptWatch.ts
@@ -0,0 +1,97 @@
+import type { Clock } from "../kernel/types";
+import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
+import { listSharedPartIds } from "./listSharedPartIds";
+import type { AttemptResult, RequestMetadata } from "./types";
+
+/** Options of {@link PromptWatch}. */
+export interface PromptWatchOptions {
+    readonly clock: Clock;
+    readonly quarantine: Pick<
+        PromptQuarantine,
+        "readRemainingMs" | "findSuspect" | "recordBreak" | "observeData" | "hasCrashSince" | "recordSound"
+    >;
+    readonly metadata: Pick<RequestMetadata, "promptParts" | "requestId">;
+}
+
+const firstErrorStatus = 400;
+const soundAfterMs = 500; // from the first event; an upstream that crashes under a request does so at once
+
+/** Tells the quarantine of prompt parts how the attempts of one request go, and asks whether it may be sent. */
+export class PromptWatch {
+    /** Parts of the prompt that other requests may share. */
+    readonly sharedParts: readonly string[];
+    private hasBegun = false;
+    /** Monotonic time of the first event of the current attempt, in milliseconds; undefined before it. */
+    private firstEventMs: number | undefined;
+    private lastDataMs = -Infinity;
+    private reportedSoundMs = -Infinity;
+
+    constructor(private readonly options: PromptWatchOptions) {
+        this.sharedParts = listSharedPartIds(options.metadata.promptParts);
+    }
+
+    /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
+    readQuarantinedMs(): number | undefined {
+        return this.options.quarantine.readRemainingMs(this.sharedParts);
+    }
+
+    /** Finds a part of the prompt that may crash upstreams; requests with it are sent to one upstream only. */
+    findSuspectPart(): string | undefined {
+        return this.options.quarantine.findSuspect(this.sharedParts);
+    }
+
+    /** Begins an attempt. */
+    beginAttempt(): void {
+        this.hasBegun = false;
+        this.firstEventMs = undefined;
+    }
+
+    /** Notes that the upstream has begun to answer. */
+    observeAnswer(): void {
+        this.hasBegun = true;
+    }
+
+    /** Notes the first event of a stream. */
+    observeFirstEvent(): void {
+        this.firstEventMs = this.options.clock.readMonotonicMs();
+    }
+
+    /** Notes that data have arrived. */
+    observeData({ instance }: TrackedInstance): void {
+        const { clock, quarantine } = this.options;
+        this.lastDataMs = clock.readMonotonicMs();
+        quarantine.observeData(instance);
+        if (quarantine.hasCrashSince(this.reportedSoundMs) && this.hasGoneOn()) {
+            this.reportSound();
+        }
+    }
+
+    /** Reports how an attempt ended, if that tells whether upstreams crash under the request. */
+    endAttempt({ instance }: TrackedInstance, result: AttemptResult, status: number | undefined): void {
+        const { promptParts, requestId } = this.options.metadata;
+        const isAnswered = result.kind === "answered" && status !== undefined && status < firstErrorStatus;
+        if (isAnswered || this.hasGoneOn()) {
+            this.reportSound();
+            return;
+        }
+        if (
+            result.kind === "failed" && result.isSent && !result.isNotRun && !result.isSilent
+            && !result.answer
+        ) {
+            const key = promptParts.at(-1)?.id ?? requestId ?? "";
+            const { sharedParts: partIds, hasBegun } = this;
+            this.options.quarantine.recordBreak(instance, { key, partIds, hasBegun });
+        }
+    }
+
+    /** Whether the answer went on for longer than an upstream takes to crash under it. */
+    private hasGoneOn(): boolean {
+        return this.firstEventMs !== undefined && this.lastDataMs - this.firstEventMs >= soundAfterMs;
+    }
+
+    private reportSound(): void {
+        this.reportedSoundMs = this.lastDataMs;
+        this.options.quarantine.recordSound(this.sharedParts);
+    }
+}
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -20,7 +20,7 @@
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
-import { listSharedPartIds } from "./listSharedPartIds";
+import { PromptWatch } from "./PromptWatch";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
@@ -41,7 +41,6 @@
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
 const unavailableRetryAfterMs = 300; // requests to plain services take tens of ms, streams a few seconds
-const firstErrorStatus = 400;
 const minRemainingMs = 10; // no upstream answers faster than this
 
 /**
@@ -57,15 +56,14 @@
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
     private readonly selection: UpstreamSelection;
-    private readonly sharedParts: readonly string[];
-    /** Monotonic time at which the latest answer began, in milliseconds. */
-    private begunMs = -Infinity;
+    private readonly promptWatch: PromptWatch;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
-        this.sharedParts = listSharedPartIds(admitted.metadata.promptParts);
+        const { clock, quarantine } = context;
+        this.promptWatch = new PromptWatch({ clock, quarantine, metadata: admitted.metadata });
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -75,6 +73,7 @@
             service,
             affinityKey: createAffinityKey(admitted.metadata.promptParts),
             binding: this.binding,
+            findSuspectPart: () => this.promptWatch.findSuspectPart(),
         });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
@@ -88,7 +87,7 @@
             admitted,
             recorder,
             interrupt,
-            onData: upstream => this.observeData(upstream),
+            promptWatch: this.promptWatch,
             memory,
         });
         options.response.on("close", memory.release);
@@ -131,7 +130,7 @@
             if (interrupt) {
                 return { kind: "interrupted", by: interrupt };
             }
-            if (this.readQuarantinedMs() !== undefined) {
+            if (this.promptWatch.readQuarantinedMs() !== undefined) {
                 return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
             }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
@@ -198,6 +197,7 @@
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
         this.recorder.trace.hasBegun = false;
+        this.promptWatch.beginAttempt();
         this.selection.markTried(upstream);
         const exchange = upstream.client.send({
             method: request.method!,
@@ -205,14 +205,14 @@
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
             isWanted: () =>
-                this.interrupt.read() === undefined && this.readQuarantinedMs() === undefined
+                this.interrupt.read() === undefined && this.promptWatch.readQuarantinedMs() === undefined
                 && context.instances.isAcceptingRequests(upstream),
         });
         context.instances.beginRequest(upstream);
         try {
             const result = yield* this.receiveAnswer(upstream, exchange);
             this.recorder.recordAttempt(toAttemptOutcome(result));
-            this.reportToQuarantine(upstream, result);
+            this.promptWatch.endAttempt(upstream, result, this.recorder.trace.status);
             return result;
         }
         finally {
@@ -242,6 +242,7 @@
                 kind: "failed",
                 isSent: exchange.isSent,
                 isNotRun: !exchange.isSent,
+                isSilent: true,
                 message: "no answer within the failover delay",
             };
         }
@@ -253,7 +254,7 @@
         if (start.kind === "failed" && !start.isSent && interrupt) {
             return { kind: "interrupted", by: interrupt };
         }
-        if (start.kind === "failed" && !start.isSent && this.readQuarantinedMs() !== undefined) {
+        if (start.kind === "failed" && !start.isSent && this.promptWatch.readQuarantinedMs() !== undefined) {
             return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
         }
         if (start.kind === "failed") {
@@ -262,7 +263,8 @@
             return { kind: "failed", isSent: start.isSent, isNotRun: !start.isSent, message: start.message };
         }
         const { head } = start;
-        this.observeData(upstream);
+        upstream.lastReceivedMs = context.clock.readMonotonicMs();
+        this.promptWatch.observeData(upstream);
         const metadata = context.protocol.decodeResponse(head.status, head.headers);
         this.applyStatements(upstream, metadata);
         if (metadata.requestId !== undefined && metadata.requestId !== admitted.metadata.requestId) {
@@ -285,38 +287,13 @@
         }
         this.recorder.recordRun(true);
         this.recorder.trace.hasBegun = true;
-        this.begunMs = upstream.lastReceivedMs;
+        this.promptWatch.observeAnswer();
         if (admitted.route.isStream && isEventStream(head)) {
             this.binding.adopt(upstream.instance);
         }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
-    private observeData(upstream: TrackedInstance): void {
-        const { clock, quarantine } = this.options.context;
-        upstream.lastReceivedMs = clock.readMonotonicMs();
-        quarantine.observeData(upstream.instance);
-    }
-
-    /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
-    private readQuarantinedMs(): number | undefined {
-        return this.options.context.quarantine.readRemainingMs(this.sharedParts);
-    }
-
-    /** Reports how an attempt ended, if that tells whether requests with the parts of the prompt crash upstreams. */
-    private reportToQuarantine({ instance }: TrackedInstance, result: AttemptResult): void {
-        const { context, admitted } = this.options;
-        const { metadata } = admitted;
-        const { hasBegun, status } = this.recorder.trace;
-        if (result.kind === "answered" && status !== undefined && status < firstErrorStatus) {
-            context.quarantine.recordCompletion(this.sharedParts, this.begunMs);
-        }
-        if (result.kind === "failed" && result.isSent && !result.isNotRun && !result.answer) {
-            const key = metadata.promptParts.at(-1)?.id ?? metadata.requestId ?? "";
-            context.quarantine.recordBreak(instance, { key, partIds: this.sharedParts, hasBegun });
-        }
-    }
-
     /** Applies what an upstream states about itself in an answer, before the answer is passed on. */
     private applyStatements(upstream: TrackedInstance, metadata: ResponseMetadata): void {
         const { instances } = this.options.context;
@@ -391,7 +368,7 @@
                     `no upstream runs software version "${this.binding.softwareVersion}", which began the stream`,
                 ));
             }
-            const quarantinedMs = this.readQuarantinedMs();
+            const quarantinedMs = this.promptWatch.readQuarantinedMs();
             if (quarantinedMs !== undefined) {
                 return new FailureError(createFailure(resultCodes.promptQuarantined, quarantinedMessage, {
                     retryAfterMs: quarantinedMs,
@@ -436,7 +413,7 @@
             softwareVersion: upstream.instance.softwareVersion,
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
-            sharedParts: describeSharedParts(this.sharedParts),
+            sharedParts: describeSharedParts(this.promptWatch.sharedParts),
             hasBegun: this.recorder.trace.hasBegun,
             reason: result.message,
             isSent: result.isSent,
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -12,6 +12,7 @@
 import { EventStreamSplitter } from "./EventStreamSplitter";
 import type { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
+import type { PromptWatch } from "./PromptWatch";
 import { relayEvents } from "./relayEvents";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult } from "./types";
@@ -24,8 +25,7 @@
     readonly admitted: AdmittedRequest;
     readonly recorder: ForwardRecorder;
     readonly interrupt: RequestInterrupt;
-    /** Called whenever data of an answer arrive. */
-    readonly onData: (upstream: TrackedInstance) => void;
+    readonly promptWatch: PromptWatch;
     /** Memory of the request for collected answers. */
     readonly memory: HeldMemory;
 }
@@ -113,7 +113,7 @@
         exchange: UpstreamExchange,
         head: AnswerHead,
     ): Task<AttemptResult> {
-        const { clock, response, admitted, interrupt } = this.options;
+        const { clock, response, admitted, interrupt, promptWatch } = this.options;
         if (!response.headersSent) {
             this.options.recorder.trace.status = head.status;
             const headers: OutgoingHttpHeaders = selectResponseHeaders(head.headers);
@@ -130,9 +130,11 @@
             clock,
             idleTimeoutMs: isResumable ? resumableIdleTimeoutMs : unlimitedIdleTimeoutMs,
             onData: () => {
-                this.options.onData(upstream);
+                upstream.lastReceivedMs = clock.readMonotonicMs();
+                promptWatch.observeData(upstream);
             },
             onFirstEvent: () => {
+                promptWatch.observeFirstEvent();
                 this.options.recorder.recordFirstByte();
                 this.options.recorder.recordUsage();
                 this.options.recorder.recordStream(upstream.instance.softwareVersion);
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -1,15 +1,18 @@
+import { rankByRendezvous } from "../_lib/rankByRendezvous";
 import type { InstanceRegistry, TrackedInstance } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
 import type { StreamBinding } from "./StreamBinding";
 
 /** Options of {@link UpstreamSelection}. */
 export interface UpstreamSelectionOptions {
-    readonly instances: Pick<InstanceRegistry, "listUsable" | "createViews">;
+    readonly instances: Pick<InstanceRegistry, "listUsable" | "listInService" | "createViews">;
     readonly placement: PlacementPolicy;
     readonly service: string;
     /** Key that is equal for requests with a common prompt prefix; undefined for requests without a prompt. */
     readonly affinityKey: string | undefined;
     readonly binding: Pick<StreamBinding, "matches">;
+    /** Finds a part of the prompt that may crash upstreams, if there is one. */
+    readonly findSuspectPart: () => string | undefined;
 }
 
 /** A chosen upstream. */
@@ -51,8 +54,22 @@
 
     private listUntried(): TrackedInstance[] {
         const { instances, service, binding } = this.options;
+        const onlyId = this.findOnlyId();
         return instances.listUsable(service).filter(({ instance }) =>
             !this.triedIds.has(instance.id) && binding.matches(instance)
+            && (onlyId === undefined || instance.id === onlyId)
         );
     }
+
+    /** Finds the upstream to which requests with a part that may crash upstreams are sent, the same on all nodes. */
+    private findOnlyId(): string | undefined {
+        const part = this.options.findSuspectPart();
+        if (part === undefined) {
+            return undefined;
+        }
+        const ids = this.options.instances.listInService(this.options.service).map(({ instance }) =>
+            instance.id
+        );
+        return rankByRendezvous(part, ids).at(0);
+    }
 }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -83,6 +83,8 @@
     /** Whether the upstream certainly did not run the request. */
     readonly isNotRun: boolean;
     readonly message: string;
+    /** Whether no answer began in time, though the connection held. */
+    readonly isSilent?: boolean;
     /** Error answer of the upstream, relayed if the request is not retried. */
     readonly answer?: { readonly head: AnswerHead; readonly body: Buffer; };
 }
--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -5,7 +5,7 @@
     readonly atMs: number;
     /** Requests that broke off there, by key. */
     readonly requests: Map<string, BrokenRequest>;
-    /** Parts with which an answer was completed that had begun after the crash. */
+    /** Parts with which an answer went on or was completed after the crash. */
     readonly soundParts: Set<string>;
     /** Whether the upstream was seen at work afterwards, so that it had not crashed. */
     isAlive: boolean;
@@ -22,11 +22,13 @@
 const settleMs = 500; // an upstream that works on shows it within this time
 const earliestSignMs = 200; // data that arrive sooner may have been sent before the crash
 const latestSignMs = 2_000; // later, another start may answer at the same address
-const minObservedMs = 2_000; // time for an answer with a sound part to be completed at another upstream
+const minObservedMs = 2_000; // time for an answer with a sound part to go well at another upstream
 const sameEventMs = 150; // crashes this close may have one cause, such as the loss of a rack
 const minEvents = 3;
 const minEventsUnbegun = 5;
-const minRequests = 2; // one request alone may have met several crashes by its retries
+const minRequests = 3; // one request may have met several crashes by its retries
+const suspectEvents = 2;
+const suspectMs = 30_000; // from the first of the crashes; parts that are seldom asked for are not cleared soon
 const keptMs = 600_000;
 const maxRecords = 256;
 const maxRequests = 512; // of one crash, over all nodes
@@ -34,9 +36,9 @@
 /**
  * Finds the prompt parts that crash upstreams, from the requests that were under way at each crash.
  *
- * A part counts as the cause if upstreams crashed at several different moments under different requests with it, and no
- * answer to a request with it was completed since. Sound parts that were under way beside it are told apart by their
- * completed answers, or because another part explains the crash.
+ * A part counts as the cause if upstreams crashed at several different moments under different requests with it whose
+ * answers had just begun, and no answer to a request with it went well since. Sound parts that were under way beside it
+ * are told apart by such answers, or because another part explains the crash.
  */
 export class CrashLedger {
     /** Records by start of an upstream; each start can crash once. */
@@ -100,16 +102,14 @@
     }
 
     /**
-     * Records a completed answer to a request with a part.
+     * Records that an upstream answers a request with a part and does not crash.
      *
-     * @param partId - the part
-     * @param begunMs - monotonic time at which the answer began, in milliseconds
      * @returns whether that says something new about earlier crashes
      */
-    markSound(partId: string, begunMs: number): boolean {
+    markSound(partId: string): boolean {
         let isNew = false;
         for (const record of this.records.values()) {
-            if (record.atMs <= begunMs && !record.soundParts.has(partId) && hasPart(record, partId)) {
+            if (!record.soundParts.has(partId) && hasPart(record, partId)) {
                 record.soundParts.add(partId);
                 isNew = true;
             }
@@ -125,17 +125,31 @@
      * @returns the part; undefined if no part meets the conditions yet
      */
     findCrashingPart(nowMs: number, isKnown: (partId: string) => boolean): CrashingPart | undefined {
-        const evidence = collectEvidence(this.listUnexplained(nowMs, isKnown));
+        const settled = this.listUnexplained(isKnown).filter(({ atMs }) => nowMs - atMs >= settleMs);
+        const evidence = collectEvidence(settled);
         const candidates = [...evidence].filter(([, found]) => isSufficient(found, nowMs));
-        const specific = candidates.filter(([, found]) =>
-            !candidates.some(([, other]) => isProperSubset(other.requestKeys, found.requestKeys))
+        const found = selectSpecific(candidates).filter(([, candidate]) =>
+            ![...evidence.values()].some(other => explainsMore(other, candidate))
         );
-        const [best] = specific.sort(([, a], [, b]) =>
+        const [best] = found.sort(([, a], [, b]) =>
             countEvents(b.crashes) - countEvents(a.crashes) || b.requestKeys.size - a.requestKeys.size
         );
         return best && { id: best[0], upstreams: best[1].crashes.length, requests: best[1].requestKeys.size };
     }
 
+    /**
+     * Lists the parts that may be the cause of several crashes.
+     *
+     * @param nowMs - current monotonic time, in milliseconds
+     * @param isKnown - whether a part is known to crash upstreams
+     */
+    listSuspects(nowMs: number, isKnown: (partId: string) => boolean): string[] {
+        const recent = this.listUnexplained(isKnown).filter(({ atMs }) => nowMs - atMs <= suspectMs);
+        const suspects = [...collectEvidence(recent)]
+            .filter(([, { begunCrashes }]) => countEvents(begunCrashes) >= suspectEvents);
+        return selectSpecific(suspects).map(([partId]) => partId);
+    }
+
     /** Drops old records. */
     expire(nowMs: number): void {
         for (const [upstream, record] of this.records) {
@@ -145,10 +159,9 @@
         }
     }
 
-    private listUnexplained(nowMs: number, isKnown: (partId: string) => boolean): CrashRecord[] {
+    private listUnexplained(isKnown: (partId: string) => boolean): CrashRecord[] {
         return [...this.records.values()].filter(record =>
-            !record.isAlive && nowMs - record.atMs >= settleMs
-            && ![...record.requests.values()].some(({ partIds }) => partIds.some(isKnown))
+            !record.isAlive && ![...record.requests.values()].some(({ partIds }) => partIds.some(isKnown))
         );
     }
 }
@@ -209,5 +222,15 @@
     return timesMs.filter((atMs, index) => index === 0 || atMs - timesMs[index - 1] > sameEventMs).length;
 };
 
+/** Leaves parts out that merely accompany another part: each request with the other one has them too. */
+const selectSpecific = (found: readonly (readonly [string, Evidence])[]): (readonly [string, Evidence])[] =>
+    found.filter(([, { requestKeys }]) =>
+        !found.some(([, other]) => isProperSubset(other.requestKeys, requestKeys))
+    );
+
+/** Whether a part explains more crashes than another one, and not only because it accompanies that one. */
+const explainsMore = (found: Evidence, other: Evidence): boolean =>
+    found.crashes.length > other.crashes.length && !isProperSubset(other.requestKeys, found.requestKeys);
+
 const isProperSubset = (subset: ReadonlySet<string>, whole: ReadonlySet<string>): boolean =>
     subset.size < whole.size && [...subset].every(key => whole.has(key));
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -32,12 +32,6 @@
     readonly requests: readonly BrokenRequest[];
 }
 
-interface SoundPart {
-    readonly id: string;
-    /** Time since the beginning of the answer, in milliseconds. */
-    readonly ageMs: number;
-}
-
 interface QuarantineNotice {
     readonly id: string;
     /** Time since the quarantine began, in milliseconds. */
@@ -48,6 +42,7 @@
 const maxPartsPerRequest = 32;
 const maxRequestsPerReport = 128;
 const maxNotices = 256;
+const maxSoundParts = 1_024;
 const idSchema = z.string().max(maxIdLength);
 const ageSchema = z.number().nonnegative();
 
@@ -66,9 +61,9 @@
     name: "upstream-alive",
     schema: z.object({ upstream: z.string() }),
 };
-const soundTopic: ReportTopic<readonly SoundPart[]> = {
+const soundTopic: ReportTopic<readonly string[]> = {
     name: "sound-prompt-parts",
-    schema: z.array(z.object({ id: idSchema, ageMs: ageSchema })).max(maxNotices),
+    schema: z.array(idSchema).max(maxSoundParts),
 };
 const quarantineTopic: ReportTopic<readonly QuarantineNotice[]> = {
     name: "quarantined-parts",
@@ -87,7 +82,8 @@
 /**
  * Keeps requests away from upstreams whose prompts have a part that crashes them. The nodes tell each other which
  * requests were under way when an upstream broke off, which parts are sound, and which are quarantined; see
- * {@link CrashLedger} for the decision. What is quarantined is kept in the store.
+ * {@link CrashLedger} for the decision. Requests with a part that may be the cause of several crashes are to be sent to
+ * one upstream only, so that the others go on and clear the sound parts. What is quarantined is kept in the store.
  */
 export class PromptQuarantine {
     private readonly ledger = new CrashLedger();
@@ -95,8 +91,10 @@
     private readonly sinceMs = new Map<string, number>();
     /** Monotonic time at which this node last wrote each part to the store, in milliseconds. */
     private readonly writtenAtMs = new Map<string, number>();
+    /** Parts that may be the cause of several crashes. */
+    private suspects: ReadonlySet<string> = new Set();
     private readonly unreportedBreaks = new Map<string, BrokenRequest[]>();
-    private readonly unreportedSound = new Map<string, number>();
+    private readonly unreportedSound = new Set<string>();
     private readonly scope: TaskScope;
     private wake: () => void = () => {};
 
@@ -109,7 +107,7 @@
         const { reports, clock } = this.options;
         reports.listen(crashTopic, ({ upstream, requests }) => this.recordCrash(upstream, requests));
         reports.listen(aliveTopic, ({ upstream }) => void this.ledger.markAlive(upstream));
-        reports.listen(soundTopic, parts => this.receiveSound(parts));
+        reports.listen(soundTopic, partIds => partIds.forEach(id => void this.ledger.markSound(id)));
         reports.listen(quarantineTopic, notices => notices.forEach(notice => this.adopt(notice)));
         const loaded = new Promise<void>(resolve => {
             this.scope.run("quarantine-records", signal => this.keepRecords(signal, resolve));
@@ -143,6 +141,11 @@
         return remainingMs > 0 ? remainingMs : undefined;
     }
 
+    /** Finds the last of some parts that may be the cause of several crashes. */
+    findSuspect(partIds: readonly string[]): string | undefined {
+        return this.suspects.size === 0 ? undefined : partIds.filter(id => this.suspects.has(id)).at(-1);
+    }
+
     /** Records a request whose connection to an upstream broke off. */
     recordBreak(upstream: UpstreamStart, request: BrokenRequest): void {
         if (request.partIds.length === 0) {
@@ -167,19 +170,16 @@
         }
     }
 
-    /**
-     * Records a completed answer.
-     *
-     * @param partIds - parts of its request that others may share
-     * @param begunMs - monotonic time at which the answer began, in milliseconds
-     */
-    recordCompletion(partIds: readonly string[], begunMs: number): void {
-        if (this.ledger.isEmpty) {
-            return;
-        }
+    /** Whether an upstream may have crashed since a monotonic time, in milliseconds. */
+    hasCrashSince(sinceMs: number): boolean {
+        return this.ledger.lastRecordMs > sinceMs;
+    }
+
+    /** Records that an upstream answers a request with some parts and does not crash. */
+    recordSound(partIds: readonly string[]): void {
         for (const id of partIds) {
-            if (this.ledger.markSound(id, begunMs)) {
-                this.unreportedSound.set(id, begunMs);
+            if (this.ledger.markSound(id)) {
+                this.unreportedSound.add(id);
                 this.wake();
             }
         }
@@ -192,11 +192,6 @@
         }
     }
 
-    private receiveSound(parts: readonly SoundPart[]): void {
-        const nowMs = this.options.clock.readMonotonicMs();
-        parts.forEach(({ id, ageMs }) => this.ledger.markSound(id, nowMs - ageMs));
-    }
-
     private adopt({ id, ageMs }: QuarantineNotice): void {
         const sinceMs = this.options.clock.readMonotonicMs() - ageMs;
         if (ageMs < holdMs && !this.sinceMs.has(id) && this.sinceMs.size < maxNotices) {
@@ -252,25 +247,25 @@
     }
 
     private publishObservations(): void {
-        const { reports, clock } = this.options;
+        const { reports } = this.options;
         for (const [upstream, requests] of this.unreportedBreaks) {
             reports.publish(crashTopic, { upstream, requests: requests.slice(0, maxRequestsPerReport) });
         }
         this.unreportedBreaks.clear();
         if (this.unreportedSound.size > 0) {
-            const nowMs = clock.readMonotonicMs();
-            const parts = [...this.unreportedSound].map(([id, begunMs]) => ({ id, ageMs: nowMs - begunMs }));
-            reports.publish(soundTopic, parts.slice(0, maxNotices));
+            reports.publish(soundTopic, [...this.unreportedSound].slice(0, maxSoundParts));
             this.unreportedSound.clear();
         }
     }
 
     private decide(): void {
         const nowMs = this.options.clock.readMonotonicMs();
+        const isKnown = (id: string): boolean => this.sinceMs.has(id);
+        this.suspects = new Set(this.ledger.isEmpty ? [] : this.ledger.listSuspects(nowMs, isKnown));
         if (nowMs - this.ledger.lastRecordMs > decisionMs) {
             return;
         }
-        const found = this.ledger.findCrashingPart(nowMs, id => this.sinceMs.has(id));
+        const found = this.ledger.findCrashingPart(nowMs, isKnown);
         if (!found || this.sinceMs.size >= maxNotices) {
             return;
         }
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -1,6 +1,6 @@
 /** Types for the quarantine of prompt parts that crash upstreams. */
 
-/** One request that ended when the connection to its upstream broke off. */
+/** One request that ended when the connection to its upstream broke off, before or soon after its answer had begun. */
 export interface BrokenRequest {
     /** Equal for the attempts of one request. */
     readonly key: string;
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -79,6 +79,7 @@
 const attemptIdHeader = "x-sequoiagrade-attempt-id";
 const expectInstanceHeader = "x-sequoiagrade-expect-instance";
 const defaultEventMs = 2;
+const headLeadMs = 20;
 const defaultSoftwareVersion = "v1";
 
 /** Stand-in for an upstream of the platform: a plain service or an engine with resumable streams. */
@@ -94,6 +95,8 @@
     id: string;
     /** Id of a prompt part that crashes the stand-in when it begins to write an answer; undefined for none. */
     crashPart: string | undefined;
+    /** Whether the head of its answer is sent before it crashes. */
+    sendsHeadBeforeCrash = false;
     /** Called when the stand-in crashes. */
     onCrash: () => void = () => {};
 
@@ -195,6 +198,14 @@
         );
     }
 
+    private async crash(response: ServerResponse): Promise<void> {
+        if (this.sendsHeadBeforeCrash) {
+            response.flushHeaders();
+            await new Promise(resolve => setTimeout(resolve, headLeadMs));
+        }
+        this.onCrash();
+    }
+
     /** Writes an answer without end to the connection of a request. */
     private sendEndlessly({ socket, headers }: IncomingMessage, behaviour: RunnerBehaviour): void {
         const [status, ...fields] = endlessHeads[behaviour] ?? [];
@@ -228,7 +239,7 @@
                 return;
             }
             if (behaviour === "crash") {
-                this.onCrash();
+                await this.crash(response);
                 return;
             }
             response.write(`id: ${id}\ndata: token ${id} of ${this.softwareVersion}\n\n`);
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -146,30 +146,31 @@
      */
     async addCrashingRunners(service: string, crashPart: string, count: number): Promise<void> {
         for (let index = 0; index < count; index += 1) {
-            await this.addCrashingRunner(service, crashPart);
+            await this.addCrashingRunner(service, crashPart, index % 2 === 0);
         }
     }
 
-    private async addCrashingRunner(service: string, crashPart: string): Promise<void> {
+    private async addCrashingRunner(service: string, crashPart: string, sendsHead: boolean): Promise<void> {
         const runner = await this.addRunner(service, {
             id: `${service}-${this.runners.length + 1}`,
             events: crashingRunnerEvents,
         });
         runner.crashPart = crashPart;
+        runner.sendsHeadBeforeCrash = sendsHead;
         runner.onCrash = () => {
             runner.onCrash = () => {};
             this.crashedAtMs.push(performance.now());
-            this.restarts.push(this.replaceCrashed(runner, service, crashPart));
+            this.restarts.push(this.replaceCrashed(runner, service));
         };
     }
 
-    private async replaceCrashed(crashed: RunnerStandIn, service: string, crashPart: string): Promise<void> {
+    private async replaceCrashed(crashed: RunnerStandIn, service: string): Promise<void> {
         await crashed.server.stop();
         await new Promise(resolve => setTimeout(resolve, restartMs));
         this.registered.delete(crashed.id);
         this.store.put("servers", crashed.id, undefined);
         if (!this.isStopping) {
-            await this.addCrashingRunner(service, crashPart);
+            await this.addCrashingRunner(service, crashed.crashPart!, crashed.sendsHeadBeforeCrash);
         }
     }
 
