Log when an upstream begins and ends to state a limit of requests

The header is decoded and event 2216 tells when an upstream begins to state a limit and when it no longer does; together with upstream and sends in event 2210, that distinguishes a limit that is not kept at all (H1) from one that each node keeps by itself (H2) or that only further sends exceed (H3). Nothing acts on it yet.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -303,6 +303,7 @@
         if (metadata.refusesForMs !== undefined) {
             instances.recordRefusal(upstream, metadata.refusesForMs);
         }
+        instances.recordLimit(upstream, metadata.limitPerS);
     }
 
     /** Waits for the head of the answer, the end of the request, or the decision to fail over to another upstream. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -53,6 +53,8 @@
     readonly isLeaving: boolean;
     /** Time for which the upstream refuses further requests, in milliseconds; undefined if it states none. */
     readonly refusesForMs: number | undefined;
+    /** Requests a second that the upstream takes from all nodes together; undefined if it states no limit. */
+    readonly limitPerS: number | undefined;
 }
 
 /** Decodes and encodes the headers by which callers, this node and upstreams exchange request data. */
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -33,6 +33,8 @@
     ejectedUntilMs: number;
     /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
     lastReceivedMs: number;
+    /** Requests a second that it takes from all nodes, as stated in its latest answer; undefined if it stated none. */
+    statedLimitPerS: number | undefined;
     /** Monotonic end of a missing entry's grace period, in milliseconds; undefined while the entry is listed. */
     missingGraceEndsMs: number | undefined;
 }
@@ -130,6 +132,19 @@
         });
     }
 
+    /** Records the limit that an upstream states in an answer, in requests a second; undefined if it states none. */
+    recordLimit(tracked: TrackedInstance, limitPerS: number | undefined): void {
+        if (tracked.statedLimitPerS === limitPerS) {
+            return;
+        }
+        const isNew = tracked.statedLimitPerS === undefined || limitPerS === undefined;
+        tracked.statedLimitPerS = limitPerS;
+        if (isNew) {
+            const upstream = tracked.instance.id;
+            this.options.events.emit(eventKinds.upstreamLimited, { upstream, limitPerS });
+        }
+    }
+
     /** Lists the upstreams of a service that are not leaving, including ejected ones. */
     listInService(service: string): TrackedInstance[] {
         return [...this.tracked.values()].filter(({ instance }) =>
@@ -278,6 +293,7 @@
             inFlight: 0,
             ejectedUntilMs: -Infinity,
             lastReceivedMs: -Infinity,
+            statedLimitPerS: undefined,
             missingGraceEndsMs: undefined,
         });
     }
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -112,6 +112,12 @@
         "info",
         "The quarantine of a prompt part has ended.",
     ),
+    upstreamLimited: define(
+        2216,
+        "upstream-limited",
+        "info",
+        "An upstream states in its answers how many requests a second it takes from all nodes, or no longer does.",
+    ),
     callSent: define(
         2301,
         "call-sent",
