--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -129,7 +129,7 @@
         const evidence = collectEvidence(settled);
         const candidates = [...evidence].filter(([, found]) => isSufficient(found, nowMs));
         const found = selectSpecific(candidates).filter(([, candidate]) =>
-            ![...evidence.values()].some(other => explainsMore(other, candidate))
+            ![...evidence.values()].some(other => hasMoreCrashes(other, candidate))
         );
         const [best] = found.sort(([, a], [, b]) =>
             countEvents(b.crashes) - countEvents(a.crashes) || b.requestKeys.size - a.requestKeys.size
@@ -229,7 +229,7 @@
     );
 
 /** Whether a part explains more crashes than another one, and not only because it accompanies that one. */
-const explainsMore = (found: Evidence, other: Evidence): boolean =>
+const hasMoreCrashes = (found: Evidence, other: Evidence): boolean =>
     found.crashes.length > other.crashes.length && !isProperSubset(other.requestKeys, found.requestKeys);
 
 const isProperSubset = (subset: ReadonlySet<string>, whole: ReadonlySet<string>): boolean =>
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -198,7 +198,7 @@
         );
     }
 
-    private async crash(response: ServerResponse): Promise<void> {
+    private async breakDown(response: ServerResponse): Promise<void> {
         if (this.sendsHeadBeforeCrash) {
             response.flushHeaders();
             await new Promise(resolve => setTimeout(resolve, headLeadMs));
@@ -239,7 +239,7 @@
                 return;
             }
             if (behaviour === "crash") {
-                await this.crash(response);
+                await this.breakDown(response);
                 return;
             }
             response.write(`id: ${id}\ndata: token ${id} of ${this.softwareVersion}\n\n`);
