--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -97,6 +97,8 @@
     crashPart: string | undefined;
     /** Whether the head of its answer is sent before it crashes. */
     sendsHeadBeforeCrash = false;
+    /** Requests a second that it states in its answers to take; undefined for none. */
+    limitPerS: number | undefined;
     /** Called when the stand-in crashes. */
     onCrash: () => void = () => {};
 
@@ -166,6 +168,7 @@
             [attemptIdHeader]: behaviour === "mixed" ? "another" : requestId,
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
             ...(behaviour === "leave" ? { "server-leaving": "1" } : {}),
+            ...(this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) }),
         };
         if (behaviour?.startsWith("unframed")) {
             response.useChunkedEncodingByDefault = false;
