Keep the requests of all nodes within the limit that an upstream states

Class: a statement of an upstream about itself that no part of the node reads, as Server-Leaving and Retry-After were before.

A node that hears a limit tells the others (at most every 2 s and at changes), and each uses its part of it: the limit divided by the nodes that use the upstream, with at most one request saved up each, so that low limits are used by fewer nodes. Nodes that may only be out of reach keep their part. An upstream at its limit is not usable; where all are, the request is refused at once, as not run, with the time until the next one is allowed. An answer without the header ends the limit on all nodes, unless the limit was heard less than 500 ms before; one not heard for 10 s ends.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -1,3 +1,4 @@
+import { rankByRendezvous } from "../_lib/rankByRendezvous";
 import { splitAddress } from "../_lib/splitAddress";
 import { storeClockName } from "../feeds/StoreClock";
 import { ClusterClock, clusterClockName } from "../feeds/ClusterClock";
@@ -12,6 +13,7 @@
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { peerReportsName } from "../peers/PeerReports";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
+import { UpstreamLimits, upstreamLimitsName } from "../placement/UpstreamLimits";
 import { PromptQuarantine, promptQuarantineName } from "../quarantine/PromptQuarantine";
 import { QuarantineRecords } from "../quarantine/QuarantineRecords";
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
@@ -119,9 +121,35 @@
                 sums: find(clusterSumsName),
             }),
     });
+    kernel.register({
+        name: upstreamLimitsName,
+        requires: [peerReportsName, membershipName, readinessName],
+        create: find =>
+            new UpstreamLimits({
+                reports: find(peerReportsName),
+                readNodes: name => {
+                    const live = find(membershipName).listLive().map(({ nodeId }) => nodeId);
+                    const liveNodes = Math.max(1, live.length);
+                    return {
+                        rank: Math.max(0, rankByRendezvous(name, live).indexOf(settings.nodeId)),
+                        liveNodes,
+                        presumedNodes: Math.max(liveNodes, find(readinessName).countPresumedLive()),
+                    };
+                },
+                clock,
+                events: find(eventLogName),
+            }),
+    });
     kernel.register({
         name: instanceRegistryName,
-        requires: [feedNames.instances, peerReportsName, clusterSumsName, servingStateName, readinessName],
+        requires: [
+            feedNames.instances,
+            peerReportsName,
+            clusterSumsName,
+            servingStateName,
+            readinessName,
+            upstreamLimitsName,
+        ],
         create: find =>
             new InstanceRegistry({
                 feed: find(feedNames.instances),
@@ -129,6 +157,7 @@
                 events: find(eventLogName),
                 reports: find(peerReportsName),
                 sums: find(clusterSumsName),
+                limits: find(upstreamLimitsName),
                 readMaxConnections: service => {
                     const declared = find(servingStateName).table.value?.findService(service)?.maxConnections;
                     const share = (declared ?? 0) * connectionShare / find(readinessName).countPresumedLive();
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -25,6 +25,8 @@
     maxConnections = 4;
     remote = new Map<string, number>();
     readonly published: unknown[] = [];
+    readonly waitMsById = new Map<string, number>();
+    readonly taken: string[] = [];
     reportLeaving: (value: unknown) => void = () => {};
     readonly registry = new InstanceRegistry({
         feed: {
@@ -40,6 +42,11 @@
             publish: (_topic: unknown, value: unknown) => void this.published.push(value),
         },
         sums: { registerContributor: () => {}, readOthers: () => this.remote },
+        limits: {
+            observe: () => {},
+            readWaitMs: ({ id }) => this.waitMsById.get(id) ?? 0,
+            take: ({ id }) => void this.taken.push(id),
+        },
         readMaxConnections: () => this.maxConnections,
         createClient: address =>
             ({ close: async () => void this.closed.push(address) }) as unknown as UpstreamClient,
@@ -84,6 +91,18 @@
         expect(setup.listIds()).toEqual(["one", "two"]);
     });
 
+    it("lists no upstream whose stated limit allows no request now, and says when the first one does", () => {
+        setup.waitMsById.set("one", 300);
+        expect(setup.listIds()).toEqual(["two"]);
+        expect(setup.registry.readRefusalMs("app")).toBeUndefined();
+        setup.waitMsById.set("two", 200);
+        expect(setup.listIds()).toEqual([]);
+        expect(setup.registry.readRefusalMs("app")).toBe(200);
+        setup.waitMsById.clear();
+        setup.registry.beginRequest(setup.registry.listUsable("app")[0]);
+        expect(setup.taken).toHaveLength(1);
+    });
+
     it("applies a connection limit that changes after the upstream was listed", () => {
         setup.maxConnections = 1;
         setup.list(createInstance("one"));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -9,6 +9,7 @@
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { InstanceNotices } from "./InstanceNotices";
 import type { UpstreamInstance, UpstreamView } from "./types";
+import type { UpstreamLimits } from "./UpstreamLimits";
 
 /** Options of {@link InstanceRegistry}. */
 export interface InstanceRegistryOptions {
@@ -17,6 +18,7 @@
     readonly events: EventLog;
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
+    readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "take">;
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the client for an upstream; default: an HTTP client. */
@@ -33,8 +35,6 @@
     ejectedUntilMs: number;
     /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
     lastReceivedMs: number;
-    /** Requests a second that it takes from all nodes, as stated in its latest answer; undefined if it stated none. */
-    statedLimitPerS: number | undefined;
     /** Monotonic end of a missing entry's grace period, in milliseconds; undefined while the entry is listed. */
     missingGraceEndsMs: number | undefined;
 }
@@ -75,13 +75,17 @@
         await Promise.all([...this.tracked.values(), ...this.closing].map(tracked => tracked.client.close()));
     }
 
-    /** Lists the usable upstreams of a service: not leaving, ejected or refusing, and with a free connection. */
+    /**
+     * Lists the usable upstreams of a service: not leaving, ejected or refusing, with a free connection, and within the
+     * limit that they state.
+     */
     listUsable(service: string): TrackedInstance[] {
         const nowMs = this.options.clock.readMonotonicMs();
         const maxConnections = this.options.readMaxConnections(service);
         return this.listInService(service).filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
             && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
+            && this.options.limits.readWaitMs(tracked.instance) === 0
         );
     }
 
@@ -94,12 +98,15 @@
     /**
      * Returns the time until the first upstream of a service accepts requests again.
      *
-     * @returns milliseconds; undefined unless every upstream of the service has asked for a pause
+     * @returns milliseconds; undefined unless every upstream of the service has asked for a pause or for fewer requests
      */
     readRefusalMs(service: string): number | undefined {
         const nowMs = this.options.clock.readMonotonicMs();
         const waits = this.listInService(service).map(({ instance }) =>
-            this.notices.readRefusedUntilMs(instance) - nowMs
+            Math.max(
+                this.notices.readRefusedUntilMs(instance) - nowMs,
+                this.options.limits.readWaitMs(instance),
+            )
         );
         const shortestMs = Math.min(...waits);
         return waits.length > 0 && shortestMs > 0 ? shortestMs : undefined;
@@ -134,15 +141,7 @@
 
     /** Records the limit that an upstream states in an answer, in requests a second; undefined if it states none. */
     recordLimit(tracked: TrackedInstance, limitPerS: number | undefined): void {
-        if (tracked.statedLimitPerS === limitPerS) {
-            return;
-        }
-        const isNew = tracked.statedLimitPerS === undefined || limitPerS === undefined;
-        tracked.statedLimitPerS = limitPerS;
-        if (isNew) {
-            const upstream = tracked.instance.id;
-            this.options.events.emit(eventKinds.upstreamLimited, { upstream, limitPerS });
-        }
+        this.options.limits.observe(tracked.instance, limitPerS);
     }
 
     /** Lists the upstreams of a service that are not leaving, including ejected ones. */
@@ -171,6 +170,7 @@
     /** Counts a request to an upstream as in flight. */
     beginRequest(tracked: TrackedInstance): void {
         tracked.inFlight += 1;
+        this.options.limits.take(tracked.instance);
     }
 
     /** Ends the count of a request. The connections of a removed upstream are closed with its last request. */
@@ -293,7 +293,6 @@
             inFlight: 0,
             ejectedUntilMs: -Infinity,
             lastReceivedMs: -Infinity,
-            statedLimitPerS: undefined,
             missingGraceEndsMs: undefined,
         });
     }
