Pass quarantined parts on by the store to nodes out of each other's reach

The rows are now a feed that two nodes read for all, like the records of nodes; a row that is missing, as after a restore of the store, is written again within a second. The former state had no such way; the new test in PromptQuarantine.test needs it. Cost: two waiting calls of 20 s for the whole cluster.

--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -13,6 +13,7 @@
 import { GossipMap, gossipMapName } from "../peers/GossipMap";
 import { PeerNetwork, peerNetworkName } from "../peers/PeerNetwork";
 import { PeerReports, peerReportsName } from "../peers/PeerReports";
+import { decodeQuarantineRecord, quarantineTable } from "../quarantine/QuarantineRecords";
 import { usedGroup } from "../quotas/QuotaLimiter";
 import { servingStateName } from "../routes/ServingState";
 import { eventLogName } from "../telemetry/EventLog";
@@ -28,6 +29,7 @@
 const maxPeerFrameBytes = 1_048_576;
 const configurationFeedWaitMs = 1_000; // API keys are confirmed at least once a second
 const nodeFeedWaitMs = 20_000;
+const quarantineFeedWaitMs = 20_000;
 const processIdBytes = 4;
 
 /**
@@ -54,6 +56,8 @@
     });
     register(feedNames.instances, platform.instances, instanceFeedWaitMs);
     register(feedNames.nodes, platform.openFeed(nodeRecordsTable, decodeNodeRecord), nodeFeedWaitMs);
+    const quarantineFeed = platform.openFeed(quarantineTable, decodeQuarantineRecord);
+    register(feedNames.quarantine, quarantineFeed, quarantineFeedWaitMs);
     kernel.register({
         name: clusterKeyName,
         requires: [eventLogName],
@@ -180,6 +184,7 @@
             feedNames.configurations,
             feedNames.instances,
             feedNames.nodes,
+            feedNames.quarantine,
             membershipName,
             peerReportsName,
         ],
@@ -189,7 +194,7 @@
                 membership: find(membershipName),
                 reports: find(peerReportsName),
                 followers: new Map<string, FeedFollower<unknown>>(
-                    [feedNames.configurations, feedNames.instances, feedNames.nodes].map(name => [
+                    Object.values(feedNames).map(name => [
                         name.id,
                         find(name as ServiceName<FeedFollower<unknown>>),
                     ]),
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -168,12 +168,13 @@
     registerOrigins(kernel, { settings, platform, clock });
     kernel.register({
         name: promptQuarantineName,
-        requires: [peerReportsName, membershipName, storeClockName],
+        requires: [feedNames.quarantine, peerReportsName, membershipName, storeClockName],
         create: find =>
             new PromptQuarantine({
                 reports: find(peerReportsName),
                 records: new QuarantineRecords({
                     tables: platform.tables,
+                    feed: find(feedNames.quarantine),
                     storeClock: find(storeClockName),
                     events: find(eventLogName),
                 }),
--- a/src/quarantine/PromptQuarantine.test.ts
+++ b/src/quarantine/PromptQuarantine.test.ts
@@ -2,15 +2,18 @@
 import type { ReportTopic } from "../peers/PeerReports";
 import { EventLog } from "../telemetry/EventLog";
 import { PromptQuarantine } from "./PromptQuarantine";
-import type { QuarantineRecord } from "./QuarantineRecords";
 
 /** Nodes that tell each other everything at once, and their store. */
 class Setup {
     readonly clock = new FakeClock();
-    readonly stored = new Map<string, QuarantineRecord>();
+    /** Time at which the quarantine of each stored part began, in milliseconds. */
+    readonly stored = new Map<string, number>();
+    private readonly storeListeners: (() => void)[] = [];
     private readonly listeners = new Map<string, Map<string, (value: never) => void>>();
     readonly nodes: PromptQuarantine[] = [];
     isStoreDown = false;
+    /** Whether the nodes cannot reach each other. */
+    isCut = false;
 
     async addNode(isTeller = false): Promise<PromptQuarantine> {
         const nodeId = String(this.nodes.length);
@@ -20,21 +23,23 @@
                 listen: (topic, onReceived) => this.listen(nodeId, topic, onReceived),
             },
             records: {
-                load: async () => {
-                    if (this.isStoreDown) {
-                        throw new Error("the store is down");
+                listen: onChange => {
+                    const notify = (): void => onChange(this.listAges());
+                    this.storeListeners.push(notify);
+                    if (!this.isStoreDown) {
+                        notify();
                     }
-                    return [...this.stored.values()];
                 },
-                write: async (written, removed) => {
-                    if (this.isStoreDown) {
-                        return false;
+                listAges: () => this.listAges(),
+                write: async (agesMs, removed) => {
+                    if (!this.isStoreDown) {
+                        agesMs.forEach((ageMs, id) =>
+                            this.stored.set(id, this.clock.readMonotonicMs() - ageMs)
+                        );
+                        removed.forEach(id => this.stored.delete(id));
+                        this.storeListeners.forEach(notify => notify());
                     }
-                    written.forEach(record => this.stored.set(record.partId, record));
-                    removed.forEach(id => this.stored.delete(id));
-                    return true;
                 },
-                readStoreMs: () => this.clock.readMonotonicMs(),
             },
             isTeller: () => isTeller,
             clock: this.clock,
@@ -47,10 +52,17 @@
         return node;
     }
 
+    private listAges(): ReadonlyMap<string, number> {
+        const nowMs = this.clock.readMonotonicMs();
+        return new Map(
+            this.isStoreDown ? [] : [...this.stored].map(([id, sinceMs]) => [id, nowMs - sinceMs]),
+        );
+    }
+
     private publish<T>(nodeId: string, topic: ReportTopic<T>, value: T): void {
         const parsed = topic.schema.parse(value);
         for (const [id, onReceived] of this.listeners.get(topic.name) ?? []) {
-            if (id !== nodeId) {
+            if (id !== nodeId && !this.isCut) {
                 onReceived(parsed as never);
             }
         }
@@ -137,4 +149,15 @@
         await setup.clock.advance(2_000);
         expect(setup.stored.size).toBe(0);
     });
+
+    it("is known to nodes that cannot reach those that know it, by the store", async () => {
+        const first = await setup.addNode(true);
+        setup.isCut = true;
+        await setup.crash(3);
+        const second = await setup.addNode();
+        setup.stored.clear();
+        await setup.clock.advance(2_000);
+        expect(first.readRemainingMs(["bad"])).toBeDefined();
+        expect(second.readRemainingMs(["bad"])).toBeDefined();
+    });
 });
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -1,5 +1,4 @@
 import { z } from "zod";
-import { retryStoreCall } from "../feeds/retryStoreCall";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
@@ -17,7 +16,7 @@
 /** Options of {@link PromptQuarantine}. */
 export interface PromptQuarantineOptions {
     readonly reports: Pick<PeerReports, "publish" | "listen">;
-    readonly records: Pick<QuarantineRecords, "load" | "write" | "readStoreMs">;
+    readonly records: Pick<QuarantineRecords, "listen" | "listAges" | "write">;
     /** Whether this node tells the others and the store what is quarantined. */
     readonly isTeller: () => boolean;
     readonly clock: Clock;
@@ -76,7 +75,6 @@
 const checkMs = 200; // while crashes are on record
 const announceMs = 1_000;
 const decisionMs = 10_000; // after the last crash; what is known by then does not suffice
-const rewriteMs = 60_000; // the store may be restored from a copy without the rows
 const startTimeoutMs = 300;
 
 /**
@@ -89,14 +87,13 @@
     private readonly ledger = new CrashLedger();
     /** Monotonic time at which the quarantine of each part began, in milliseconds. */
     private readonly sinceMs = new Map<string, number>();
-    /** Monotonic time at which this node last wrote each part to the store, in milliseconds. */
-    private readonly writtenAtMs = new Map<string, number>();
     /** Parts that may be the cause of several crashes. */
     private suspects: ReadonlySet<string> = new Set();
     private readonly unreportedBreaks = new Map<string, BrokenRequest[]>();
     private readonly unreportedSound = new Set<string>();
     private readonly scope: TaskScope;
     private wake: () => void = () => {};
+    private wakeKeeper: () => void = () => {};
 
     constructor(private readonly options: PromptQuarantineOptions) {
         this.scope = createLoggedTaskScope(options.events);
@@ -104,20 +101,25 @@
 
     /** Starts, and waits a moment for what is stored. */
     async start(): Promise<void> {
-        const { reports, clock } = this.options;
+        const { reports, records, clock } = this.options;
         reports.listen(crashTopic, ({ upstream, requests }) => this.recordCrash(upstream, requests));
         reports.listen(aliveTopic, ({ upstream }) => void this.ledger.markAlive(upstream));
         reports.listen(soundTopic, partIds => partIds.forEach(id => void this.ledger.markSound(id)));
         reports.listen(quarantineTopic, notices => notices.forEach(notice => this.adopt(notice)));
         const loaded = new Promise<void>(resolve => {
-            this.scope.run("quarantine-records", signal => this.keepRecords(signal, resolve));
+            records.listen(agesMs => {
+                agesMs.forEach((ageMs, id) => this.adopt({ id, ageMs }));
+                resolve();
+            });
         });
+        this.scope.run("quarantine-records", signal => this.keepRecords(signal));
         this.scope.run("prompt-quarantine", signal => this.run(signal));
         await waitWithTimeout({ clock, promises: [loaded], timeoutMs: startTimeoutMs });
     }
 
     async stop(): Promise<void> {
         this.wake();
+        this.wakeKeeper();
         await this.scope.cancel();
     }
 
@@ -197,35 +199,22 @@
         if (ageMs < holdMs && !this.sinceMs.has(id) && this.sinceMs.size < maxNotices) {
             this.sinceMs.set(id, sinceMs);
             this.options.events.emit(eventKinds.promptPartQuarantined, { part: id, source: "told" });
+            this.wakeKeeper();
         }
     }
 
-    private *load(signal: AbortSignal): Task<void> {
-        const { records, clock, events } = this.options;
-        const stored = yield* waitFor(retryStoreCall({
-            name: "load quarantined parts",
-            call: () => records.load(),
-            clock,
-            events,
-            signal,
-        }));
-        const nowMs = records.readStoreMs();
-        for (const { partId, sinceStoreMs } of stored ?? []) {
-            this.writtenAtMs.set(partId, clock.readMonotonicMs());
-            this.adopt({ id: partId, ageMs: Math.max(0, (nowMs ?? sinceStoreMs) - sinceStoreMs) });
-        }
-    }
-
-    private *keepRecords(signal: AbortSignal, onLoaded: () => void): Task<void> {
+    /** Tells the other nodes and the store what is quarantined, if that is this node's part. */
+    private *keepRecords(signal: AbortSignal): Task<void> {
         const { clock, isTeller } = this.options;
-        yield* this.load(signal);
-        onLoaded();
         while (!signal.aborted) {
+            const changed = new Promise<void>(resolve => {
+                this.wakeKeeper = resolve;
+            });
             if (isTeller()) {
                 this.announce();
                 yield* waitFor(this.writeRecords());
             }
-            yield* waitFor(clock.sleep(announceMs, signal));
+            yield* waitFor(waitWithTimeout({ clock, promises: [changed], timeoutMs: announceMs }));
         }
     }
 
@@ -277,6 +266,7 @@
             requests: found.requests,
         });
         this.options.reports.publish(quarantineTopic, [{ id: found.id, ageMs: 0 }]);
+        this.wakeKeeper();
     }
 
     private announce(): void {
@@ -301,22 +291,10 @@
     private async writeRecords(): Promise<void> {
         const { records, clock } = this.options;
         const nowMs = clock.readMonotonicMs();
-        const storeMs = records.readStoreMs();
-        if (storeMs === undefined) {
-            return;
-        }
-        const due = [...this.sinceMs].filter(([id]) =>
-            nowMs - (this.writtenAtMs.get(id) ?? -Infinity) >= rewriteMs
-        );
-        const ended = [...this.writtenAtMs.keys()].filter(id => !this.sinceMs.has(id));
-        const written = due.map(([partId, sinceMs]) => ({
-            partId,
-            sinceStoreMs: storeMs - (nowMs - sinceMs),
-        }));
-        if (await records.write(written, ended)) {
-            due.forEach(([id]) => this.writtenAtMs.set(id, nowMs));
-            ended.forEach(id => this.writtenAtMs.delete(id));
-        }
+        const stored = records.listAges();
+        const missing = [...this.sinceMs].filter(([id]) => !stored.has(id));
+        const ended = [...stored].filter(([, ageMs]) => ageMs >= holdMs).map(([id]) => id);
+        await records.write(new Map(missing.map(([id, sinceMs]) => [id, nowMs - sinceMs])), ended);
     }
 }
 
