Fail a chat request under which runners break off one after the other

src/streams/brokenOffAnswers.test failed before: 16 attempts in place of 3, and no answer within 60 s.

--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -196,6 +196,7 @@
             record.log.complete();
         }
         record.attemptCount = snapshot.attempts;
+        record.brokenStarts = snapshot.brokenStarts ?? 0;
         record.preferredRunner = snapshot.runnerId === undefined
             ? undefined
             : this.options.registry.find(snapshot.runnerId);
@@ -218,6 +219,7 @@
             nextOffset: record.log.nextOffset,
             ended: record.log.isComplete,
             attempts: record.attemptCount,
+            ...(record.brokenStarts > 0 ? { brokenStarts: record.brokenStarts } : {}),
             runnerId: record.currentAttempt?.runner.id,
         };
     }
--- a/src/streams/RequestExecutor.ts
+++ b/src/streams/RequestExecutor.ts
@@ -21,6 +21,8 @@
 const timeoutFactor = 4; // a request fails after this multiple of its class's target for the whole answer
 const minTimeoutMs = 30_000; // but not before this time
 const maxAttempts = 16;
+const maxBrokenStarts = 3; // the request may be what breaks the runners
+const brokenStartMs = 500;
 const firstRetryBackoffMs = 50;
 const maxRetryBackoffMs = 1_000;
 const firstTokenWaitShare = 0.75; // part of the first-token target for queueing; the rest is for the prefill
@@ -183,7 +185,10 @@
         const message = outcome.kind === "silent"
             ? "the runner stopped sending events"
             : outcome.error.message;
-        const runner = record.currentAttempt!.runner;
+        const { runner } = record.currentAttempt!;
+        record.brokenStarts = this.hasBrokenAtStart(record.currentAttempt!, outcome)
+            ? record.brokenStarts + 1
+            : 0;
         events.emit(eventKinds.attemptFailed, { requestId: record.id, runner: runner.id, message });
         if (outcome.kind === "failed" && outcome.error.kind === "bad-request") {
             throw new FailureError(createFailure(resultCodes.upstreamRefused, message));
@@ -203,12 +208,26 @@
         }
     }
 
-    /** Fails a request that has exceeded its time limit or its number of attempts, unless it is kept until answered. */
+    /** Whether the answer of a failed attempt broke off as soon as it had begun. */
+    private hasBrokenAtStart(
+        { firstBatchAtMs }: Attempt,
+        outcome: Extract<AttemptOutcome, { kind: "failed" | "silent"; }>,
+    ): boolean {
+        const nowMs = this.options.clock.readMonotonicMs();
+        return outcome.kind === "failed" && outcome.error.kind === "cut"
+            && nowMs - (firstBatchAtMs ?? nowMs) < brokenStartMs;
+    }
+
+    /**
+     * Fails a request that has exceeded its time limit or its number of attempts, unless it is kept until answered, and
+     * any request under which runners break off one after the other.
+     */
     private throwIfExhausted(record: RequestRecord, message: string): void {
         const { acceptedAtMs, isKept, workClass } = record.description;
         const limitMs = Math.max(minTimeoutMs, workClass.latency.wholeMs * timeoutFactor);
         const isLate = this.options.clock.readWallMs() - acceptedAtMs > limitMs;
-        if (!isKept && (isLate || record.attemptCount >= maxAttempts)) {
+        const isExhausted = !isKept && (isLate || record.attemptCount >= maxAttempts);
+        if (isExhausted || record.brokenStarts >= maxBrokenStarts) {
             const text = `request "${record.id}" failed after ${record.attemptCount} attempts: ${message}`;
             throw new FailureError(createFailure(resultCodes.upstreamFailed, text));
         }
--- a/src/streams/RequestRecord.ts
+++ b/src/streams/RequestRecord.ts
@@ -28,6 +28,8 @@
     currentAttempt: Attempt | undefined;
     /** Number of attempts so far, on all nodes. */
     attemptCount = 0;
+    /** Number of the last attempts, on all nodes, whose answer broke off as soon as it began. */
+    brokenStarts = 0;
     firstTokenAtMs: number | undefined;
     endedAtMs: number | undefined;
     /** Runner to which the request's KV cache was moved; the next attempt goes there. */
--- a/src/streams/RequestSnapshot.ts
+++ b/src/streams/RequestSnapshot.ts
@@ -16,6 +16,8 @@
     ended: z.boolean(),
     /** Number of attempts so far, on all nodes. */
     attempts: z.number().int().min(0),
+    /** Number of the last attempts whose answer broke off as soon as it began; missing for none. */
+    brokenStarts: z.number().int().min(1).optional(),
     /** Runner that has the request's prompt in its cache. */
     runnerId: z.string().optional(),
 }).strict();
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -25,6 +25,8 @@
     readonly reportLagMs?: number;
     /** Whether the first token is sent when a request enters a slot instead of with the next step; default false. */
     readonly sendsFirstTokenImmediately?: boolean;
+    /** Text of prompts under which the connection breaks off as soon as the answer begins; default none. */
+    readonly breaksOffAt?: string;
     /** Whether orders with an outdated fencing token are refused; default true. */
     readonly checksFencing?: boolean;
 }
@@ -57,17 +59,22 @@
 }
 
 const charactersPerToken = 4;
+const headLeadMs = 5;
 const unpacedBurstTokens = 64; // tokens sent per step when `stepMs` is 0
 
 /** Stand-in for a model engine with continuous batching, a prefix cache and resumable streams. */
 export class EngineStandIn {
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
+    /** Number of answers that broke off as soon as they began. */
+    brokenOff = 0;
     private readonly running = new Map<string, RunningRequest>();
     private queue: RunningRequest[] = [];
     private readonly cache: PrefixCache;
     private readonly importedTokens = new Map<string, number>();
     private readonly loadSamples: LoadSample[] = [];
-    private readonly options: Required<EngineStandInOptions>;
+    private readonly options:
+        & Required<Omit<EngineStandInOptions, "breaksOffAt">>
+        & Pick<EngineStandInOptions, "breaksOffAt">;
     private timer: NodeJS.Timeout | undefined;
     private readonly stats = { prefilledTokens: 0, recomputedTokens: 0, generatedTokens: 0 };
     private fencing = 0;
@@ -84,6 +91,7 @@
             reportLagMs: 100,
             sendsFirstTokenImmediately: false,
             checksFencing: true,
+            breaksOffAt: undefined,
             ...options,
         };
         this.cache = new PrefixCache(this.options.cacheBlocks);
@@ -221,6 +229,10 @@
             request.isStarted = true;
             response.writeHead(200, { "content-type": "text/event-stream" });
         }
+        if (this.options.breaksOffAt !== undefined && request.prompt.includes(this.options.breaksOffAt)) {
+            this.breakOff(request);
+            return;
+        }
         if (response.writableNeedDrain) {
             return;
         }
@@ -247,6 +259,13 @@
         }
     }
 
+    private breakOff({ key, response }: RunningRequest): void {
+        this.brokenOff += 1;
+        this.running.delete(key);
+        response.flushHeaders();
+        setTimeout(() => response.destroy(), headLeadMs);
+    }
+
     private createFinalEvents(request: RunningRequest): string {
         const promptTokens = Math.ceil(request.prompt.length / charactersPerToken);
         const usage = `{"prompt_tokens":${promptTokens},"completion_tokens":${request.tokenCount},`
--- a/standins/createTestCluster.ts
+++ b/standins/createTestCluster.ts
@@ -1,3 +1,4 @@
+import type { EngineStandInOptions } from "./EngineStandIn";
 import { LocalCluster, type LocalClusterOptions } from "./LocalCluster";
 
 const dataCentres: readonly string[] = ["dc-a", "dc-b", "dc-c", "dc-d"];
@@ -8,6 +9,8 @@
     readonly nodeCount?: number;
     /** Number of model runners; default 2. */
     readonly engineCount?: number;
+    /** Options of the engines. */
+    readonly engine?: EngineStandInOptions;
     /** Number of plain runners; default 2. */
     readonly plainCount?: number;
 }
@@ -64,7 +67,7 @@
                 service: "roster",
                 dataCentre,
             })),
-            engine: { stepMs: 2, reportLagMs: 20 },
+            engine: { stepMs: 2, reportLagMs: 20, ...options.engine },
             listLagMs: 100,
             ...options.standIns,
         },
