Do not pass on readings without a change where others read for all

Found by counting what the new feed of quarantined parts costs among 80 idle nodes: 51 frames a second and node where sends 39, 6.5 KB where it sends 4.4, 6.7 ms of processor time where it took 4.4. Cause: a node that starts takes itself for the first reader, waits up to 20 s for changes, and passed its empty answer on to all others, once a start and feed; with many nodes started together, that is a broadcast a node. It now does so only if the answer holds a change, or if no reading of another node reached it meanwhile. The waits of the quarantine without any crash or part are longer, too.

The new test in FeedSharing.test failed before.

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -222,8 +222,11 @@
             removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
         };
         this.options.storeClock.update(answer.storeMs);
+        const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
         const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
-        this.sharing?.publish(update);
+        if (isWanted) {
+            this.sharing?.publish(update);
+        }
         return result === "applied";
     }
 
--- a/src/feeds/FeedSharing.test.ts
+++ b/src/feeds/FeedSharing.test.ts
@@ -42,6 +42,8 @@
 /** One node's access to the store, and its follower. */
 class FakeNode implements RecordFeed<number> {
     calls = 0;
+    /** Readings passed on. */
+    published = 0;
     isTurnedAway = false;
     rank: number;
     readonly follower: FeedFollower<number>;
@@ -142,6 +144,7 @@
     }
 
     private deliver(from: FakeNode, update: FeedUpdate<number>): void {
+        from.published += 1;
         for (const node of this.nodes.filter(other => other !== from)) {
             if (this.random.drawFloat() >= this.lossShare) {
                 void this.clock.sleep(1 + this.random.drawInt(50)).then(() => node.follower.receive(update));
@@ -181,6 +184,20 @@
         cluster.nodes.forEach(node => expect(node.follower.readAgeMs()).toBeLessThan(1_200));
     });
 
+    it("are not passed on by a node that others read for since, where they hold no change", async () => {
+        cluster.nodes.forEach(node => {
+            node.rank = 0;
+        });
+        await runFor(1_500); // all wait for changes now
+        cluster.nodes.forEach(node => {
+            node.rank = node.index;
+        });
+        const before = cluster.nodes.map(node => node.published);
+        await runFor(4_000);
+        expect(cluster.nodes.slice(2).map(node => node.published)).toEqual(before.slice(2));
+        expect(cluster.nodes[0].published).toBeGreaterThan(before[0]);
+    });
+
     it("are made by the next node when the first ones are turned away, within 1.4 s", async () => {
         cluster.nodes[0].isTurnedAway = true;
         cluster.nodes[1].isTurnedAway = true;
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -71,7 +71,7 @@
 
 const holdMs = 1_800_000; // until it may be tried again whether the upstreams still crash
 const batchMs = 50; // the connections to an upstream that crashes break off within a few ms
-const idleCheckMs = 1_000;
+const idleCheckMs = 10_000;
 const checkMs = 200; // while crashes are on record
 const announceMs = 1_000;
 const decisionMs = 10_000; // after the last crash; what is known by then does not suffice
@@ -214,7 +214,8 @@
                 this.announce();
                 yield* waitFor(this.writeRecords());
             }
-            yield* waitFor(waitWithTimeout({ clock, promises: [changed], timeoutMs: announceMs }));
+            const timeoutMs = this.sinceMs.size === 0 ? idleCheckMs : announceMs;
+            yield* waitFor(waitWithTimeout({ clock, promises: [changed], timeoutMs }));
         }
     }
 
