Order upstreams in place of those that state a limit

The need now rises by the upstreams that state a limit, over the same 20 s as the peak of the load. Weighed: the share of an upstream's usual rate that its limit leaves, which the nodes do not know; more orders as soon as the others are late, which comes after the damage. The new tests in computeNeededUpstreams.test and InstanceScaler.test need it.

--- a/src/fleet/InstanceScaler.test.ts
+++ b/src/fleet/InstanceScaler.test.ts
@@ -16,6 +16,7 @@
     readonly orders: UpstreamOrder[] = [];
     listed: Listed[] = [];
     inFlight = 0;
+    limited = 0;
     isHolder = true;
     readonly refusingDataCentres = new Set<string>();
     readonly scaler: InstanceScaler;
@@ -51,6 +52,7 @@
             state: { table: { value: { configuration: { services } } } } as unknown as ServingState,
             instances: {
                 countInFlight: () => this.inFlight,
+                countLimited: () => this.limited,
                 listInService: () => this.listed.map(instance => ({ instance })),
             } as unknown as InstanceRegistry,
             clock: this.clock,
@@ -59,6 +61,11 @@
         });
     }
 
+    /** Counts the reclaimable upstreams of the last orders. */
+    countOrdered(): number {
+        return ["a", "b"].reduce((sum, name) => sum + (this.findLastCount(name, "reclaimable") ?? 0), 0);
+    }
+
     /** Sets the listed upstreams by data centre and market. */
     listUpstreams(counts: Record<string, Partial<Record<string, number>>>): void {
         this.listed = Object.entries(counts).flatMap(([dataCentre, markets]) =>
@@ -138,6 +145,22 @@
         expect(setup.findLastCount("b", "reclaimable")).toBe(1);
     });
 
+    it("orders others in place of upstreams that state a limit, and keeps them for the peak window", async () => {
+        setup.listUpstreams({ a: { "reclaimable": 1 }, b: { "reclaimable": 1 } });
+        setup.inFlight = 4;
+        await setup.clock.advance(1_000);
+        const before = setup.countOrdered();
+        setup.limited = 2;
+        await setup.clock.advance(500);
+        const during = setup.countOrdered();
+        expect(during).toBeGreaterThan(before);
+        setup.limited = 0;
+        await setup.clock.advance(15_000);
+        expect(setup.countOrdered()).toBe(during);
+        await setup.clock.advance(10_000);
+        expect(setup.countOrdered()).toBe(before);
+    });
+
     it("releases no upstreams before it has observed the load for a whole peak window", async () => {
         setup.listUpstreams({ a: { "reclaimable": 3 }, b: { "reclaimable": 3 } });
         await setup.clock.advance(10_000);
--- a/src/fleet/InstanceScaler.ts
+++ b/src/fleet/InstanceScaler.ts
@@ -29,6 +29,8 @@
 interface LoadSample {
     readonly atMs: number;
     readonly inFlight: number;
+    /** Upstreams that state a limit of requests. */
+    readonly limited: number;
 }
 
 interface AcceptedOrder {
@@ -92,7 +94,12 @@
     private sampleLoad(service: string): void {
         const nowMs = this.options.clock.readMonotonicMs();
         const recent = (this.samples.get(service) ?? []).filter(sample => sample.atMs > nowMs - peakWindowMs);
-        recent.push({ atMs: nowMs, inFlight: this.options.instances.countInFlight(service) });
+        const { instances } = this.options;
+        recent.push({
+            atMs: nowMs,
+            inFlight: instances.countInFlight(service),
+            limited: instances.countLimited(service),
+        });
         this.samples.set(service, recent);
     }
 
@@ -129,9 +136,11 @@
 
     private planService(service: ServedService, scaling: ScalingBounds): InstancePlan {
         const serving = this.countServing(service.name);
+        const samples = this.samples.get(service.name)!;
         const needed = computeNeededUpstreams({
-            peakInFlight: Math.max(...this.samples.get(service.name)!.map(sample => sample.inFlight)),
+            peakInFlight: Math.max(...samples.map(sample => sample.inFlight)),
             slots: service.engine?.slots ?? 1,
+            limitedUpstreams: Math.max(...samples.map(sample => sample.limited)),
             initialNeed: this.computeInitialNeed(service.name, serving),
         });
         const plan = planInstances({
--- a/src/fleet/computeNeededUpstreams.ts
+++ b/src/fleet/computeNeededUpstreams.ts
@@ -4,6 +4,8 @@
     readonly peakInFlight: number;
     /** Requests that one upstream processes concurrently. */
     readonly slots: number;
+    /** Upstreams that take few requests, because they state a limit; others have to serve in their place. */
+    readonly limitedUpstreams: number;
     /** Need implied by the upstreams of an earlier lease holder; 0 once the load has been observed long enough. */
     readonly initialNeed: number;
 }
@@ -13,8 +15,9 @@
 /**
  * Computes the number of upstreams that a service needs.
  *
- * @param input - load, slots per upstream and initial need
+ * @param input - load, slots per upstream, limited upstreams and initial need
  * @returns number of upstreams
  */
 export const computeNeededUpstreams = (input: NeededUpstreamsInput): number =>
-    Math.max(input.initialNeed, Math.ceil(input.peakInFlight / (input.slots * targetShare)));
+    Math.max(input.initialNeed, Math.ceil(input.peakInFlight / (input.slots * targetShare)))
+    + input.limitedUpstreams;
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -46,6 +46,7 @@
             observe: () => {},
             readWaitMs: ({ id }) => this.waitMsById.get(id) ?? 0,
             take: ({ id }) => void this.taken.push(id),
+            isLimited: ({ id }) => this.waitMsById.has(id),
         },
         readMaxConnections: () => this.maxConnections,
         createClient: address =>
@@ -98,6 +99,7 @@
         setup.waitMsById.set("two", 200);
         expect(setup.listIds()).toEqual([]);
         expect(setup.registry.readRefusalMs("app")).toBe(200);
+        expect(setup.registry.countLimited("app")).toBe(2);
         setup.waitMsById.clear();
         setup.registry.beginRequest(setup.registry.listUsable("app")[0]);
         expect(setup.taken).toHaveLength(1);
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -18,7 +18,7 @@
     readonly events: EventLog;
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
-    readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "take">;
+    readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "take" | "isLimited">;
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the client for an upstream; default: an HTTP client. */
@@ -167,6 +167,12 @@
         return this.createViews(this.listInService(service)).reduce((sum, view) => sum + view.inFlight, 0);
     }
 
+    /** Counts the upstreams of a service that state a limit of requests. */
+    countLimited(service: string): number {
+        return this.listInService(service).filter(({ instance }) => this.options.limits.isLimited(instance))
+            .length;
+    }
+
     /** Counts a request to an upstream as in flight. */
     beginRequest(tracked: TrackedInstance): void {
         tracked.inFlight += 1;
--- a/src/placement/UpstreamLimits.ts
+++ b/src/placement/UpstreamLimits.ts
@@ -102,6 +102,11 @@
             : msPerSecond / Math.max(1, limit.limitPerS); // another node may send it one by then
     }
 
+    /** Whether an upstream states a limit. */
+    isLimited(upstream: UpstreamStart): boolean {
+        return this.find(upstream) !== undefined;
+    }
+
     /** Counts a request that is sent to an upstream. */
     take(upstream: UpstreamStart): void {
         const limit = this.find(upstream);
