Bound what requests name in reports of crashes, and what they cost

A request with more than 32 parts, or an id of over 200 bytes, made the members reject the whole report of a crash, with the evidence of all other requests; such parts are now left out by the sender, as the new test in PromptQuarantine.test asks, which failed before. Each completed answer searched all requests of all crashes of the last ten minutes; a record now holds its parts, without those that were cleared, and data from an upstream are looked up only within two seconds after a crash. The decision is the same, and so are its tests.

--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -1,22 +1,31 @@
 import type { BrokenRequest, CrashingPart } from "./types";
 
+/** Requests with one part that broke off at one upstream. */
+interface BrokenPart {
+    /** Keys of the requests. */
+    readonly requestKeys: Set<string>;
+    /** Whether any of their answers had begun. */
+    hasBegun: boolean;
+}
+
 /** What is known about one upstream at which requests broke off. */
 interface CrashRecord {
     readonly atMs: number;
-    /** Requests that broke off there, by key. */
-    readonly requests: Map<string, BrokenRequest>;
+    /** Parts of the requests that broke off there, but those known to be sound. */
+    readonly parts: Map<string, BrokenPart>;
     /** Parts with which an answer went on or was completed after the crash. */
     readonly soundParts: Set<string>;
+    requestCount: number;
     /** Whether the upstream was seen at work afterwards, so that it had not crashed. */
     isAlive: boolean;
 }
 
 /** What the crashes say about one part. */
 interface Evidence {
-    readonly crashes: readonly CrashRecord[];
-    readonly begunCrashes: readonly CrashRecord[];
+    readonly crashes: CrashRecord[];
+    readonly begunCrashes: CrashRecord[];
     /** Keys of the requests with the part that broke off. */
-    readonly requestKeys: ReadonlySet<string>;
+    readonly requestKeys: Set<string>;
 }
 
 const settleMs = 500; // an upstream that works on shows it within this time
@@ -109,7 +118,7 @@
     markSound(partId: string): boolean {
         let isNew = false;
         for (const record of this.records.values()) {
-            if (!record.soundParts.has(partId) && hasPart(record, partId)) {
+            if (record.parts.delete(partId)) {
                 record.soundParts.add(partId);
                 isNew = true;
             }
@@ -117,6 +126,11 @@
         return isNew;
     }
 
+    /** Whether data from an upstream may show now that it has not crashed. */
+    isAwaitingSigns(nowMs: number): boolean {
+        return nowMs - this.lastRecordMs <= latestSignMs;
+    }
+
     /**
      * Finds the part that explains most crashes.
      *
@@ -161,56 +175,52 @@
 
     private listUnexplained(isKnown: (partId: string) => boolean): CrashRecord[] {
         return [...this.records.values()].filter(record =>
-            !record.isAlive && ![...record.requests.values()].some(({ partIds }) => partIds.some(isKnown))
+            !record.isAlive && ![...record.parts.keys()].some(isKnown)
         );
     }
 }
 
 const createRecord = (atMs: number): CrashRecord => ({
     atMs,
-    requests: new Map(),
+    parts: new Map(),
     soundParts: new Set(),
+    requestCount: 0,
     isAlive: false,
 });
 
-const addRequest = ({ requests }: CrashRecord, request: BrokenRequest): void => {
-    const known = requests.get(request.key);
-    if (known || requests.size < maxRequests) {
-        requests.set(request.key, { ...request, hasBegun: request.hasBegun || (known?.hasBegun ?? false) });
+const addRequest = (record: CrashRecord, { key, partIds, hasBegun }: BrokenRequest): void => {
+    record.requestCount += 1;
+    if (record.requestCount > maxRequests) {
+        return;
+    }
+    for (const partId of partIds.filter(id => !record.soundParts.has(id))) {
+        const known = record.parts.get(partId);
+        if (known) {
+            known.requestKeys.add(key);
+            known.hasBegun ||= hasBegun;
+        }
+        else {
+            record.parts.set(partId, { requestKeys: new Set([key]), hasBegun });
+        }
     }
 };
 
-const hasPart = ({ requests }: CrashRecord, partId: string): boolean =>
-    [...requests.values()].some(({ partIds }) => partIds.includes(partId));
-
 const collectEvidence = (records: readonly CrashRecord[]): Map<string, Evidence> => {
-    const evidence = new Map<
-        string,
-        { crashes: CrashRecord[]; begunCrashes: CrashRecord[]; requestKeys: Set<string>; }
-    >();
+    const evidence = new Map<string, Evidence>();
     for (const record of records) {
-        for (const { key, partIds, hasBegun } of record.requests.values()) {
-            for (const partId of partIds.filter(id => !record.soundParts.has(id))) {
-                const found = evidence.get(partId)
-                    ?? { crashes: [], begunCrashes: [], requestKeys: new Set<string>() };
-                evidence.set(partId, found);
-                addOnce(found.crashes, record);
-                found.requestKeys.add(key);
-                if (hasBegun) {
-                    addOnce(found.begunCrashes, record);
-                }
+        for (const [partId, { requestKeys, hasBegun }] of record.parts) {
+            const found = evidence.get(partId) ?? { crashes: [], begunCrashes: [], requestKeys: new Set() };
+            evidence.set(partId, found);
+            found.crashes.push(record);
+            if (hasBegun) {
+                found.begunCrashes.push(record);
             }
+            requestKeys.forEach(key => found.requestKeys.add(key));
         }
     }
     return evidence;
 };
 
-const addOnce = (records: CrashRecord[], record: CrashRecord): void => {
-    if (records.at(-1) !== record) {
-        records.push(record);
-    }
-};
-
 const isSufficient = ({ crashes, begunCrashes, requestKeys }: Evidence, nowMs: number): boolean =>
     (countEvents(begunCrashes) >= minEvents || countEvents(crashes) >= minEventsUnbegun)
     && requestKeys.size >= minRequests
--- a/src/quarantine/PromptQuarantine.test.ts
+++ b/src/quarantine/PromptQuarantine.test.ts
@@ -60,7 +60,10 @@
     }
 
     private publish<T>(nodeId: string, topic: ReportTopic<T>, value: T): void {
-        const parsed = topic.schema.parse(value);
+        const { data: parsed, success } = topic.schema.safeParse(value);
+        if (!success) {
+            return;
+        }
         for (const [id, onReceived] of this.listeners.get(topic.name) ?? []) {
             if (id !== nodeId && !this.isCut) {
                 onReceived(parsed as never);
@@ -104,6 +107,19 @@
         });
     });
 
+    it("learns of crashes under requests whose callers name many parts, or long ones", async () => {
+        const nodes = [await setup.addNode(), await setup.addNode()];
+        const many = Array.from({ length: 100 }, (_unused, index) => `part${index}`);
+        for (let index = 0; index < 3; index += 1) {
+            const key = `r${index}`.padEnd(1_000, "x");
+            const partIds = ["bad", "x".repeat(5_000), ...many.map(part => `${part}-${index}`)];
+            nodes[index % 2].recordBreak({ id: `u${index}` }, { key, partIds, hasBegun: true });
+            await setup.clock.advance(800);
+        }
+        await setup.clock.advance(1_000);
+        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeDefined());
+    });
+
     it("does not refuse a part that another node has seen in an answer that went well", async () => {
         const nodes = [await setup.addNode(), await setup.addNode()];
         await setup.crash(2);
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -149,10 +149,12 @@
     }
 
     /** Records a request whose connection to an upstream broke off. */
-    recordBreak(upstream: UpstreamStart, request: BrokenRequest): void {
-        if (request.partIds.length === 0) {
+    recordBreak(upstream: UpstreamStart, broken: BrokenRequest): void {
+        const partIds = broken.partIds.filter(id => id.length <= maxIdLength).slice(0, maxPartsPerRequest);
+        if (partIds.length === 0) {
             return;
         }
+        const request = { ...broken, partIds, key: broken.key.slice(0, maxIdLength) };
         const key = formatKey(upstream);
         const requests = this.unreportedBreaks.get(key) ?? [];
         this.unreportedBreaks.set(key, requests);
@@ -163,11 +165,12 @@
 
     /** Records that data arrive from an upstream. */
     observeData(upstream: UpstreamStart): void {
-        if (this.ledger.isEmpty) {
+        const nowMs = this.options.clock.readMonotonicMs();
+        if (!this.ledger.isAwaitingSigns(nowMs)) {
             return;
         }
         const key = formatKey(upstream);
-        if (this.ledger.observeData(key, this.options.clock.readMonotonicMs())) {
+        if (this.ledger.observeData(key, nowMs)) {
             this.options.reports.publish(aliveTopic, { upstream: key });
         }
     }
@@ -251,7 +254,7 @@
     private decide(): void {
         const nowMs = this.options.clock.readMonotonicMs();
         const isKnown = (id: string): boolean => this.sinceMs.has(id);
-        this.suspects = new Set(this.ledger.isEmpty ? [] : this.ledger.listSuspects(nowMs, isKnown));
+        this.suspects = new Set(this.ledger.listSuspects(nowMs, isKnown));
         if (nowMs - this.ledger.lastRecordMs > decisionMs) {
             return;
         }
