Format the start of an upstream and drop oldest entries in one place each

InstanceNotices, UpstreamLimits and PromptQuarantine each had the same key of an upstream's start, which has to agree with what members report; three types named the same two fields. PeerReports, InstanceNotices and CrashLedger each dropped the first entry of a full map or set. Behaviour unchanged.

--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { dropOldest } from "../_lib/dropOldest";
 import { createServiceName } from "../kernel/createServiceName";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -83,10 +84,7 @@
             return false;
         }
         this.received.add(key);
-        if (this.received.size > maxRemembered) {
-            const [oldest] = this.received;
-            this.received.delete(oldest);
-        }
+        dropOldest(this.received, maxRemembered);
         return true;
     }
 
--- a/src/placement/InstanceNotices.ts
+++ b/src/placement/InstanceNotices.ts
@@ -1,4 +1,6 @@
-import type { UpstreamInstance } from "./types";
+import { dropOldest } from "../_lib/dropOldest";
+import { formatStartKey } from "./formatStartKey";
+import type { UpstreamStart } from "./types";
 
 interface Notice {
     isLeaving: boolean;
@@ -16,7 +18,7 @@
     private readonly notices = new Map<string, Notice>();
 
     /** Records that an upstream is leaving; returns false if that was known. */
-    markLeaving(instance: UpstreamInstance): boolean {
+    markLeaving(instance: UpstreamStart): boolean {
         const notice = this.getOrCreate(instance);
         const isNew = !notice.isLeaving;
         notice.isLeaving = true;
@@ -24,8 +26,8 @@
     }
 
     /** Whether the upstream has stated that it is leaving. */
-    isLeaving(instance: UpstreamInstance): boolean {
-        return this.notices.get(formatKey(instance))?.isLeaving ?? false;
+    isLeaving(instance: UpstreamStart): boolean {
+        return this.notices.get(formatStartKey(instance))?.isLeaving ?? false;
     }
 
     /**
@@ -34,30 +36,25 @@
      * @param instance - the upstream
      * @param untilMs - monotonic end of that time, in milliseconds
      */
-    refuseUntil(instance: UpstreamInstance, untilMs: number): void {
+    refuseUntil(instance: UpstreamStart, untilMs: number): void {
         const notice = this.getOrCreate(instance);
         notice.refusesUntilMs = Math.max(notice.refusesUntilMs, untilMs);
     }
 
     /** Monotonic time until which the upstream accepts no requests, in milliseconds; -Infinity if it stated none. */
-    readRefusedUntilMs(instance: UpstreamInstance): number {
-        return this.notices.get(formatKey(instance))?.refusesUntilMs ?? -Infinity;
+    readRefusedUntilMs(instance: UpstreamStart): number {
+        return this.notices.get(formatStartKey(instance))?.refusesUntilMs ?? -Infinity;
     }
 
-    private getOrCreate(instance: UpstreamInstance): Notice {
-        const key = formatKey(instance);
+    private getOrCreate(instance: UpstreamStart): Notice {
+        const key = formatStartKey(instance);
         const known = this.notices.get(key);
         if (known) {
             return known;
         }
         const notice = { isLeaving: false, refusesUntilMs: -Infinity };
         this.notices.set(key, notice);
-        if (this.notices.size > maxNotices) {
-            const [oldest] = this.notices.keys();
-            this.notices.delete(oldest);
-        }
+        dropOldest(this.notices, maxNotices);
         return notice;
     }
 }
-
-const formatKey = ({ id, startedAtMs }: UpstreamInstance): string => `${startedAtMs ?? ""} ${id}`;
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -8,7 +8,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { InstanceNotices } from "./InstanceNotices";
-import type { UpstreamInstance, UpstreamView } from "./types";
+import type { UpstreamInstance, UpstreamStart, UpstreamView } from "./types";
 import type { UpstreamLimits } from "./UpstreamLimits";
 
 /** Options of {@link InstanceRegistry}. */
@@ -39,15 +39,10 @@
     missingGraceEndsMs: number | undefined;
 }
 
-interface LeavingUpstream {
-    readonly id: string;
-    readonly startedAtMs?: number;
-}
-
 /** Group of counters with the requests in flight by upstream. */
 const loadGroup = "load";
 /** Id and start of an upstream that stated that it is leaving. */
-const leavingTopic: ReportTopic<LeavingUpstream> = {
+const leavingTopic: ReportTopic<UpstreamStart> = {
     name: "upstream-leaving",
     schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
 };
@@ -246,7 +241,7 @@
         }
     }
 
-    private applyLeavingReport({ id, startedAtMs }: LeavingUpstream): void {
+    private applyLeavingReport({ id, startedAtMs }: UpstreamStart): void {
         const tracked = this.tracked.get(id);
         if (
             tracked && tracked.instance.startedAtMs === startedAtMs
--- a/src/placement/UpstreamLimits.ts
+++ b/src/placement/UpstreamLimits.ts
@@ -5,7 +5,8 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { computeRateShare, type ComputeRateShareOptions } from "./computeRateShare";
-import type { UpstreamInstance } from "./types";
+import { formatStartKey } from "./formatStartKey";
+import type { UpstreamStart } from "./types";
 
 /** Options of {@link UpstreamLimits}. */
 export interface UpstreamLimitsOptions {
@@ -16,12 +17,7 @@
     readonly events: EventLog;
 }
 
-/** Identifies one start of an upstream. */
-type UpstreamStart = Pick<UpstreamInstance, "id" | "startedAtMs">;
-
-interface LimitReport {
-    readonly id: string;
-    readonly startedAtMs?: number;
+interface LimitReport extends UpstreamStart {
     /** Undefined if the upstream no longer states a limit. */
     readonly limitPerS?: number;
 }
@@ -142,7 +138,7 @@
             return;
         }
         this.dropExpired();
-        this.limits.set(formatKey(upstream), {
+        this.limits.set(formatStartKey(upstream), {
             limitPerS,
             heardMs: nowMs,
             ratePerS: 0,
@@ -159,7 +155,7 @@
         if (!known || this.options.clock.readMonotonicMs() - known.heardMs < reorderMs) {
             return false;
         }
-        this.limits.delete(formatKey(upstream));
+        this.limits.delete(formatStartKey(upstream));
         this.options.events.emit(eventKinds.upstreamLimited, { upstream: upstream.id });
         return true;
     }
@@ -168,7 +164,7 @@
         if (this.limits.size === 0) {
             return undefined;
         }
-        const limit = this.limits.get(formatKey(upstream));
+        const limit = this.limits.get(formatStartKey(upstream));
         return limit && !this.isExpired(limit) ? limit : undefined;
     }
 
@@ -192,13 +188,14 @@
         limit.savedMs = nowMs;
         if (nowMs - limit.rateReadMs >= rateReadMs) {
             const { limitPerS } = limit;
-            limit.ratePerS = computeRateShare({ limitPerS, ...this.options.readNodes(formatKey(upstream)) });
+            limit.ratePerS = computeRateShare({
+                limitPerS,
+                ...this.options.readNodes(formatStartKey(upstream)),
+            });
             limit.rateReadMs = nowMs;
         }
     }
 }
 
-const formatKey = ({ id, startedAtMs }: UpstreamStart): string => `${startedAtMs ?? ""} ${id}`;
-
 /** Name of the upstream limits service. */
 export const upstreamLimitsName = createServiceName<UpstreamLimits>("upstream-limits");
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -24,6 +24,9 @@
     choose(request: PlacementRequest, views: readonly UpstreamView[]): UpstreamView | undefined;
 }
 
+/** Identifies one start of an upstream. */
+export type UpstreamStart = Pick<UpstreamInstance, "id" | "startedAtMs">;
+
 /** An upstream as the platform lists it. */
 export interface UpstreamInstance {
     /** Unique for each start of the upstream, with rare exceptions; see {@link startedAtMs}. */
--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -1,3 +1,4 @@
+import { dropOldest } from "../_lib/dropOldest";
 import type { BrokenRequest, CrashingPart } from "./types";
 
 /** Requests with one part that broke off at one upstream. */
@@ -79,10 +80,7 @@
         }
         requests.forEach(request => addRequest(record, request));
         this.lastRecordMs = nowMs;
-        if (this.records.size > maxRecords) {
-            const [oldest] = this.records.keys();
-            this.records.delete(oldest);
-        }
+        dropOldest(this.records, maxRecords);
         return isNew;
     }
 
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -5,7 +5,8 @@
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { PeerReports, ReportTopic } from "../peers/PeerReports";
-import type { UpstreamInstance } from "../placement/types";
+import { formatStartKey } from "../placement/formatStartKey";
+import type { UpstreamStart } from "../placement/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -23,9 +24,6 @@
     readonly events: EventLog;
 }
 
-/** Identifies one start of an upstream. */
-type UpstreamStart = Pick<UpstreamInstance, "id" | "startedAtMs">;
-
 interface CrashReport {
     readonly upstream: string;
     readonly requests: readonly BrokenRequest[];
@@ -155,7 +153,7 @@
             return;
         }
         const request = { ...broken, partIds, key: broken.key.slice(0, maxIdLength) };
-        const key = formatKey(upstream);
+        const key = formatStartKey(upstream);
         const requests = this.unreportedBreaks.get(key) ?? [];
         this.unreportedBreaks.set(key, requests);
         requests.push(request);
@@ -169,7 +167,7 @@
         if (!this.ledger.isAwaitingSigns(nowMs)) {
             return;
         }
-        const key = formatKey(upstream);
+        const key = formatStartKey(upstream);
         if (this.ledger.observeData(key, nowMs)) {
             this.options.reports.publish(aliveTopic, { upstream: key });
         }
@@ -302,7 +300,5 @@
     }
 }
 
-const formatKey = ({ id, startedAtMs }: UpstreamStart): string => `${startedAtMs ?? ""} ${id}`;
-
 /** Name of the prompt quarantine service. */
 export const promptQuarantineName = createServiceName<PromptQuarantine>("prompt-quarantine");
