Choose the final failure of a request apart from its forwarder, and keep its prompt's state once

The shared parts of a prompt were worked out twice a request; admission passes them on. Three literals of an attempt that was not sent are one. Behaviour unchanged, log fields too.

--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -31,8 +31,6 @@
     softwareVersion: string | undefined;
     /** Requests in flight at that upstream when it was chosen. */
     upstreamLoad: number | undefined;
-    /** Whether the upstream chosen last began an answer to the request. */
-    hasBegun: boolean;
     firstByteMs: number | undefined;
     status: number | undefined;
     /** How the end of the last answer was marked. */
@@ -49,7 +47,6 @@
         upstream: undefined,
         softwareVersion: undefined,
         upstreamLoad: undefined,
-        hasBegun: false,
         firstByteMs: undefined,
         status: undefined,
         framing: undefined,
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -220,6 +220,7 @@
             version: context.servingState.table.value?.configuration.version,
             versionAgeMs: roundNumber(context.servingState.readAgeMs()),
             ...trace,
+            hasBegun: forwarder?.hasBegun,
             firstByteMs: roundNumber(trace?.firstByteMs),
             status: response.headersSent ? response.statusCode : undefined,
             outcome,
--- a/src/forwarding/PromptWatch.test.ts
+++ b/src/forwarding/PromptWatch.test.ts
@@ -1,12 +1,15 @@
 import { FakeClock } from "../kernel/FakeClock";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { BrokenRequest } from "../quarantine/types";
+import { listSharedPartIds } from "./listSharedPartIds";
 import { PromptWatch } from "./PromptWatch";
 import type { AttemptResult } from "./types";
 
 const upstream = { instance: { id: "u1" } } as unknown as TrackedInstance;
 const broken: AttemptResult = { kind: "failed", isSent: true, isNotRun: false, message: "other side closed" };
 
+const promptParts = ["first", "bad", "own"].map(id => ({ id, tokens: 1 }));
+
 class Setup {
     readonly clock = new FakeClock();
     readonly broken: BrokenRequest[] = [];
@@ -24,10 +27,8 @@
                 this.sound += 1;
             },
         },
-        metadata: {
-            promptParts: ["first", "bad", "own"].map(id => ({ id, tokens: 1 })),
-            requestId: "request",
-        },
+        sharedParts: listSharedPartIds(promptParts),
+        metadata: { promptParts, requestId: "request" },
     });
 
     async stream(durationMs: number): Promise<void> {
--- a/src/forwarding/PromptWatch.ts
+++ b/src/forwarding/PromptWatch.ts
@@ -1,7 +1,6 @@
 import type { Clock } from "../kernel/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
-import { listSharedPartIds } from "./listSharedPartIds";
 import type { AttemptResult, RequestMetadata } from "./types";
 
 /** Options of {@link PromptWatch}. */
@@ -11,6 +10,8 @@
         PromptQuarantine,
         "readRemainingMs" | "findSuspect" | "recordBreak" | "observeData" | "hasCrashSince" | "recordSound"
     >;
+    /** Ids of the parts of the prompt that other requests may share. */
+    readonly sharedParts: readonly string[];
     readonly metadata: Pick<RequestMetadata, "promptParts" | "requestId">;
 }
 
@@ -19,16 +20,16 @@
 
 /** Tells the quarantine of prompt parts how the attempts of one request go, and asks whether it may be sent. */
 export class PromptWatch {
-    /** Parts of the prompt that other requests may share. */
     readonly sharedParts: readonly string[];
-    private hasBegun = false;
+    /** Whether the upstream of the latest attempt has begun to answer. */
+    hasBegun = false;
     /** Monotonic time of the first event of the current attempt, in milliseconds; undefined before it. */
     private firstEventMs: number | undefined;
     private lastDataMs = -Infinity;
     private reportedSoundMs = -Infinity;
 
     constructor(private readonly options: PromptWatchOptions) {
-        this.sharedParts = listSharedPartIds(options.metadata.promptParts);
+        this.sharedParts = options.sharedParts;
     }
 
     /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -4,18 +4,17 @@
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import { createFailure } from "../results/createFailure";
-import { FailureError } from "../results/FailureError";
-import { resultCodes } from "../results/resultCodes";
 import { retryRules } from "../routes/types";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
-import { type AdmittedRequest, quarantinedMessage } from "./admitRequest";
+import type { AdmittedRequest } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
+import { quarantinedMessage } from "./constants";
 import { createAffinityKey } from "./createAffinityKey";
 import { describeSharedParts } from "./describeSharedParts";
+import { createFinalFailure } from "./createFinalFailure";
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
@@ -40,7 +39,6 @@
 
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
-const unavailableRetryAfterMs = 300; // requests to plain services take tens of ms, streams a few seconds
 const minRemainingMs = 10; // no upstream answers faster than this
 
 /**
@@ -63,7 +61,8 @@
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
         const { clock, quarantine } = context;
-        this.promptWatch = new PromptWatch({ clock, quarantine, metadata: admitted.metadata });
+        const { sharedParts, metadata } = admitted;
+        this.promptWatch = new PromptWatch({ clock, quarantine, sharedParts, metadata });
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -98,6 +97,11 @@
         return this.options.admitted.service;
     }
 
+    /** Whether the upstream chosen last began an answer. */
+    get hasBegun(): boolean {
+        return this.promptWatch.hasBegun;
+    }
+
     /**
      * Forwards the request and relays the answer.
      *
@@ -131,16 +135,11 @@
                 return { kind: "interrupted", by: interrupt };
             }
             if (this.promptWatch.readQuarantinedMs() !== undefined) {
-                return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
+                return createUnsentResult(quarantinedMessage);
             }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
             if (!upstream) {
-                return {
-                    kind: "failed",
-                    isSent: false,
-                    isNotRun: true,
-                    message: "no untried upstream of the service is available",
-                };
+                return createUnsentResult("no untried upstream of the service is available");
             }
             const result = yield* this.send(upstream);
             if (result.kind !== "failed") {
@@ -196,7 +195,6 @@
         this.recorder.trace.sends += 1;
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
-        this.recorder.trace.hasBegun = false;
         this.promptWatch.beginAttempt();
         this.selection.markTried(upstream);
         const exchange = upstream.client.send({
@@ -255,7 +253,7 @@
             return { kind: "interrupted", by: interrupt };
         }
         if (start.kind === "failed" && !start.isSent && this.promptWatch.readQuarantinedMs() !== undefined) {
-            return { kind: "failed", isSent: false, isNotRun: true, message: quarantinedMessage };
+            return createUnsentResult(quarantinedMessage);
         }
         if (start.kind === "failed") {
             this.recorder.recordRun(start.isSent);
@@ -286,7 +284,6 @@
             };
         }
         this.recorder.recordRun(true);
-        this.recorder.trace.hasBegun = true;
         this.promptWatch.observeAnswer();
         if (admitted.route.isStream && isEventStream(head)) {
             this.binding.adopt(upstream.instance);
@@ -355,33 +352,13 @@
             this.responseRelay.sendBuffered(result.answer.head, result.answer.body);
             return "answered";
         }
-        throw this.createFailure(result);
-    }
-
-    private createFailure(result: Exclude<AttemptResult, { kind: "answered"; }>): FailureError {
-        const isTimeout = result.kind === "interrupted";
-        const message = isTimeout ? "the deadline of the request has passed" : result.message;
-        if (this.recorder.trace.runs === 0) {
-            const code = isTimeout ? resultCodes.deadlineUnreachable : resultCodes.noRunner;
-            if (this.binding.isGone()) {
-                return new FailureError(createFailure(
-                    resultCodes.streamOriginLost,
-                    `no upstream runs software version "${this.binding.softwareVersion}", which began the stream`,
-                ));
-            }
-            const quarantinedMs = this.promptWatch.readQuarantinedMs();
-            if (quarantinedMs !== undefined) {
-                return new FailureError(createFailure(resultCodes.promptQuarantined, quarantinedMessage, {
-                    retryAfterMs: quarantinedMs,
-                }));
-            }
-            const refusalMs = this.options.context.instances.readRefusalMs(this.service);
-            const retryAfterMs = refusalMs ?? unavailableRetryAfterMs;
-            return new FailureError(createFailure(code, message, { retryAfterMs }));
-        }
-        return new FailureError(
-            createFailure(isTimeout ? resultCodes.deadlinePassed : resultCodes.upstreamFailed, message),
-        );
+        throw createFinalFailure({
+            result,
+            runs: this.recorder.trace.runs,
+            binding: this.binding,
+            readQuarantinedMs: () => this.promptWatch.readQuarantinedMs(),
+            readRefusalMs: () => this.options.context.instances.readRefusalMs(this.service),
+        });
     }
 
     private computeRemainingMs(): number {
@@ -414,8 +391,8 @@
             softwareVersion: upstream.instance.softwareVersion,
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
-            sharedParts: describeSharedParts(this.promptWatch.sharedParts),
-            hasBegun: this.recorder.trace.hasBegun,
+            sharedParts: describeSharedParts(admitted.sharedParts),
+            hasBegun: this.promptWatch.hasBegun,
             reason: result.message,
             isSent: result.isSent,
             isNotRun: result.isNotRun,
@@ -429,5 +406,12 @@
     }
 }
 
+const createUnsentResult = (message: string): FailedAttemptResult => ({
+    kind: "failed",
+    isSent: false,
+    isNotRun: true,
+    message,
+});
+
 const toAttemptOutcome = (result: AttemptResult): string =>
     result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -6,6 +6,7 @@
 import { chooseTarget } from "../routes/chooseTarget";
 import type { RouteTable } from "../routes/RouteTable";
 import type { Route, ServedAccount } from "../routes/types";
+import { quarantinedMessage } from "./constants";
 import type { ForwardContext } from "./ForwardContext";
 import { listSharedPartIds } from "./listSharedPartIds";
 import type { RequestMetadata } from "./types";
@@ -13,6 +14,8 @@
 /** A request that was admitted for forwarding. */
 export interface AdmittedRequest {
     readonly metadata: RequestMetadata;
+    /** Ids of the parts of the prompt that other requests may share. */
+    readonly sharedParts: readonly string[];
     readonly route: Route;
     readonly account: ServedAccount | undefined;
     /** Service chosen by the traffic split of the route. */
@@ -43,9 +46,6 @@
     quotaLeft?: number;
 }
 
-/** Message of the refusal of a request with a quarantined part. */
-export const quarantinedMessage = "upstreams crash under requests with a part of this prompt";
-
 const startingRetryAfterMs = 300; // a process reads its configuration within a few hundred ms after its start
 const staleRetryAfterMs = 500; // another node that reaches the store can answer immediately
 
@@ -65,7 +65,8 @@
 ): AdmittedRequest => {
     const metadata = context.protocol.decodeRequest(request.headers);
     trace.requestId = metadata.requestId;
-    trace.sharedParts = listSharedPartIds(metadata.promptParts);
+    const sharedParts = listSharedPartIds(metadata.promptParts);
+    trace.sharedParts = sharedParts;
     trace.resumes = metadata.resumedRequestId;
     trace.resumesAfter = metadata.lastEventId;
     const table = context.servingState.table.value;
@@ -80,7 +81,7 @@
     trace.route = route.name;
     const account = authenticate(context, table, route, metadata.apiKey);
     trace.account = account?.name;
-    const quarantinedMs = context.quarantine.readRemainingMs(trace.sharedParts);
+    const quarantinedMs = context.quarantine.readRemainingMs(sharedParts);
     if (quarantinedMs !== undefined) {
         throw createRefusal("promptQuarantined", quarantinedMessage, quarantinedMs);
     }
@@ -94,6 +95,7 @@
     }
     return {
         metadata,
+        sharedParts,
         route,
         account,
         service,
