Release a quarantined part in time, and do not write its row again

Found by reading the change. Parts were released in the loop that watches for crashes, which ticks every 10 s when there were none lately, while the loop that keeps the rows ticks every second: for up to 10 s after the end of a quarantine the row was removed and written again in turn, and the part counted in the gauge. Requests were not refused longer, as that is read by time. The keeper of the rows now releases parts itself. The test of the rest of a quarantine's time counts writes: 5 before, 1 now.

--- a/src/quarantine/PromptQuarantine.test.ts
+++ b/src/quarantine/PromptQuarantine.test.ts
@@ -11,6 +11,8 @@
     private readonly storeListeners: (() => void)[] = [];
     private readonly listeners = new Map<string, Map<string, (value: never) => void>>();
     readonly nodes: PromptQuarantine[] = [];
+    /** Number of parts written. */
+    writes = 0;
     isStoreDown = false;
     /** Whether the nodes cannot reach each other. */
     isCut = false;
@@ -32,6 +34,7 @@
                 },
                 listAges: () => this.listAges(),
                 write: async (agesMs, removed) => {
+                    this.writes += agesMs.size;
                     if (!this.isStoreDown) {
                         agesMs.forEach((ageMs, id) =>
                             this.stored.set(id, this.clock.readMonotonicMs() - ageMs)
@@ -164,6 +167,8 @@
         expect(second.readRemainingMs(["bad"])).toBeUndefined();
         await setup.clock.advance(2_000);
         expect(setup.stored.size).toBe(0);
+        await setup.clock.advance(20_000);
+        expect(setup.writes).toBe(1);
     });
 
     it("is known to nodes that cannot reach those that know it, by the store", async () => {
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -204,13 +204,14 @@
         }
     }
 
-    /** Tells the other nodes and the store what is quarantined, if that is this node's part. */
+    /** Releases parts in time, and tells the other nodes and the store what is quarantined if that is this node's part. */
     private *keepRecords(signal: AbortSignal): Task<void> {
         const { clock, isTeller } = this.options;
         while (!signal.aborted) {
             const changed = new Promise<void>(resolve => {
                 this.wakeKeeper = resolve;
             });
+            this.releaseEnded();
             if (isTeller()) {
                 this.announce();
                 yield* waitFor(this.writeRecords());
@@ -233,7 +234,7 @@
             yield* waitFor(clock.sleep(batchMs, signal));
             this.publishObservations();
             this.decide();
-            this.expire();
+            this.ledger.expire(clock.readMonotonicMs());
         }
     }
 
@@ -279,9 +280,8 @@
         }
     }
 
-    private expire(): void {
+    private releaseEnded(): void {
         const nowMs = this.options.clock.readMonotonicMs();
-        this.ledger.expire(nowMs);
         for (const [id, sinceMs] of this.sinceMs) {
             if (nowMs - sinceMs >= holdMs) {
                 this.sinceMs.delete(id);
