Let the watch for crashes rest when none is recent

After any crash the loop woke five times a second for the ten minutes for which a crash is kept, though nothing can change by time once the last one is 30 s old: suspects end then, and decisions before. It now ticks every 10 s from there, and wakes at once when there is something to tell. Behaviour unchanged.

--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -57,9 +57,9 @@
     /** Monotonic time of the latest record, in milliseconds. */
     lastRecordMs = -Infinity;
 
-    /** Whether any crash is on record. */
-    get isEmpty(): boolean {
-        return this.records.size === 0;
+    /** Whether a crash is recent enough for suspects, so that time alone may change what is concluded. */
+    isUnsettled(nowMs: number): boolean {
+        return nowMs - this.lastRecordMs <= suspectMs;
     }
 
     /**
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -70,7 +70,7 @@
 const holdMs = 1_800_000; // until it may be tried again whether the upstreams still crash
 const batchMs = 50; // the connections to an upstream that crashes break off within a few ms
 const idleCheckMs = 10_000;
-const checkMs = 200; // while crashes are on record
+const checkMs = 200; // after a crash
 const announceMs = 1_000;
 const decisionMs = 10_000; // after the last crash; what is known by then does not suffice
 const startTimeoutMs = 300;
@@ -228,7 +228,8 @@
                 this.wake = resolve;
             });
             if (this.unreportedBreaks.size === 0 && this.unreportedSound.size === 0) {
-                const timeoutMs = this.ledger.isEmpty ? idleCheckMs : checkMs;
+                const isUnsettled = this.ledger.isUnsettled(clock.readMonotonicMs());
+                const timeoutMs = isUnsettled ? checkMs : idleCheckMs;
                 yield* waitFor(waitWithTimeout({ clock, promises: [woken], timeoutMs }));
             }
             yield* waitFor(clock.sleep(batchMs, signal));
