--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -81,7 +81,8 @@
     });
 };
 
-const registerServing = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
+const registerServing = (kernel: Kernel, options: ServingNodeOptions): void => {
+    const { settings, clock } = options;
     kernel.register({
         name: servingStateName,
         requires: [feedNames.configurations],
@@ -121,6 +122,51 @@
                 sums: find(clusterSumsName),
             }),
     });
+    registerUpstreams(kernel, options);
+    registerOrigins(kernel, options);
+    registerQuarantine(kernel, options);
+    kernel.register({
+        name: quotaLimiterName,
+        requires: [clusterSumsName, readinessName, servingStateName],
+        create: find =>
+            new QuotaLimiter({
+                clock,
+                sums: find(clusterSumsName),
+                countNodes: () => find(readinessName).countPresumedLive(),
+                findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
+                windowMs: settings.quotaWindowMs,
+            }),
+    });
+    kernel.register({
+        name: retryBudgetsName,
+        requires: [readinessName],
+        create: find =>
+            new RetryBudgets({
+                clock,
+                ...settings.retries,
+                countNodes: () => find(readinessName).countPresumedLive(),
+            }),
+    });
+    kernel.register({
+        name: clusterClockName,
+        requires: [storeClockName, clusterSumsName],
+        create: find =>
+            new ClusterClock({ clock, storeClock: find(storeClockName), sums: find(clusterSumsName) }),
+    });
+    kernel.register({
+        name: usageLedgerName,
+        requires: [clusterClockName, clusterSumsName],
+        create: find =>
+            new UsageLedger({
+                clusterClock: find(clusterClockName),
+                sums: find(clusterSumsName),
+                windowMs: settings.usage.windowMs,
+            }),
+    });
+};
+
+/** Registers the upstreams that the platform lists, and the limits that they state. */
+const registerUpstreams = (kernel: Kernel, { settings, clock }: ServingNodeOptions): void => {
     kernel.register({
         name: upstreamLimitsName,
         requires: [peerReportsName, membershipName, readinessName],
@@ -165,7 +211,10 @@
                 },
             }),
     });
-    registerOrigins(kernel, { settings, platform, clock });
+};
+
+/** Registers what keeps requests away from upstreams that their prompts crash. */
+const registerQuarantine = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
     kernel.register({
         name: promptQuarantineName,
         requires: [feedNames.quarantine, peerReportsName, membershipName, storeClockName],
@@ -189,51 +238,10 @@
                 events: find(eventLogName),
             }),
     });
-    kernel.register({
-        name: quotaLimiterName,
-        requires: [clusterSumsName, readinessName, servingStateName],
-        create: find =>
-            new QuotaLimiter({
-                clock,
-                sums: find(clusterSumsName),
-                countNodes: () => find(readinessName).countPresumedLive(),
-                findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
-                windowMs: settings.quotaWindowMs,
-            }),
-    });
-    kernel.register({
-        name: retryBudgetsName,
-        requires: [readinessName],
-        create: find =>
-            new RetryBudgets({
-                clock,
-                ...settings.retries,
-                countNodes: () => find(readinessName).countPresumedLive(),
-            }),
-    });
-    kernel.register({
-        name: clusterClockName,
-        requires: [storeClockName, clusterSumsName],
-        create: find =>
-            new ClusterClock({ clock, storeClock: find(storeClockName), sums: find(clusterSumsName) }),
-    });
-    kernel.register({
-        name: usageLedgerName,
-        requires: [clusterClockName, clusterSumsName],
-        create: find =>
-            new UsageLedger({
-                clusterClock: find(clusterClockName),
-                sums: find(clusterSumsName),
-                windowMs: settings.usage.windowMs,
-            }),
-    });
 };
 
 /** Registers what tells at which software version a stream may go on. */
-const registerOrigins = (
-    kernel: Kernel,
-    { settings, platform, clock }: Pick<ServingNodeOptions, "settings" | "platform" | "clock">,
-): void => {
+const registerOrigins = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
     const { nodeId } = settings;
     const readKeptMs = (find: FindService): number =>
         Math.max(minKeptMs, (find(servingStateName).table.value?.longestStreamMs ?? 0) * streamTries);
