Log by which key the repeats of a request can be recognised

The hypotheses differ in whether the same request was under way at each crash; neither event 2210 nor 2211 stated that. Event 2211 now has a key that is equal for equal caller, method, host, path and body.

--- a/src/forwarding/PromptWatch.test.ts
+++ b/src/forwarding/PromptWatch.test.ts
@@ -29,6 +29,7 @@
         },
         sharedParts: listSharedPartIds(promptParts),
         metadata: { promptParts, requestId: "request" },
+        identity: { key: "identity" },
     });
 
     async stream(durationMs: number): Promise<void> {
--- a/src/forwarding/PromptWatch.ts
+++ b/src/forwarding/PromptWatch.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../kernel/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
+import type { RequestIdentity } from "./RequestIdentity";
 import type { AttemptResult, RequestMetadata } from "./types";
 
 /** Options of {@link PromptWatch}. */
@@ -13,6 +14,7 @@
     /** Ids of the parts of the prompt that other requests may share. */
     readonly sharedParts: readonly string[];
     readonly metadata: Pick<RequestMetadata, "promptParts" | "requestId">;
+    readonly identity: Pick<RequestIdentity, "key">;
 }
 
 const firstErrorStatus = 400;
@@ -32,6 +34,11 @@
         this.sharedParts = options.sharedParts;
     }
 
+    /** Equal for the request and its repeats under other ids. */
+    get requestKey(): string {
+        return this.options.identity.key;
+    }
+
     /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
     readQuarantinedMs(): number | undefined {
         return this.options.quarantine.readRemainingMs(this.sharedParts);
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -20,6 +20,7 @@
 import { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
 import { PromptWatch } from "./PromptWatch";
+import { RequestIdentity } from "./RequestIdentity";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
@@ -62,7 +63,9 @@
         this.deadlineMs = arrivedMs + allowedMs;
         const { clock, quarantine } = context;
         const { sharedParts, metadata } = admitted;
-        this.promptWatch = new PromptWatch({ clock, quarantine, sharedParts, metadata });
+        const { request, response, body } = options;
+        const identity = new RequestIdentity({ request, body, accountName: admitted.account?.name });
+        this.promptWatch = new PromptWatch({ clock, quarantine, sharedParts, metadata, identity });
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -76,7 +79,6 @@
         });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
-        const { request, response } = options;
         const { recorder, interrupt } = this;
         const memory = context.answerMemory.hold();
         this.responseRelay = new ResponseRelay({
@@ -392,6 +394,7 @@
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
             sharedParts: describeSharedParts(admitted.sharedParts),
+            requestKey: this.promptWatch.requestKey,
             hasBegun: this.promptWatch.hasBegun,
             reason: result.message,
             isSent: result.isSent,
