--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -51,6 +51,14 @@
     /** Begins a stream and crashes at its first event. */
     | "crash";
 
+/** Which requests crash a stand-in. */
+export interface CrashCause {
+    /** Id of a prompt part, other than the last one, that these requests name. */
+    readonly part?: string;
+    /** Text that their path or body contains. */
+    readonly marker?: string;
+}
+
 /** A request that the stand-in executed. */
 export interface RunnerRun {
     readonly requestId: string;
@@ -93,8 +101,8 @@
     readonly nextBehaviours: RunnerBehaviour[] = [];
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
     id: string;
-    /** Id of a prompt part that crashes the stand-in when it begins to write an answer; undefined for none. */
-    crashPart: string | undefined;
+    /** Which requests crash the stand-in when it begins to write an answer. */
+    crashCause: CrashCause = {};
     /** Whether the head of its answer is sent before it crashes. */
     sendsHeadBeforeCrash = false;
     /** Requests a second that it states in its answers to take; undefined for none. */
@@ -126,7 +134,7 @@
             sendText(response, 421, { "x-sequoiagrade-instance-id": this.id }, "");
             return;
         }
-        const isCrashing = listNamedParts(request).slice(0, -1).includes(this.crashPart ?? "");
+        const isCrashing = this.isCrashing(request, body);
         const behaviour = isCrashing ? "crash" : this.nextBehaviours.shift();
         if (behaviour === "full" || behaviour === "refuse") {
             if (behaviour === "refuse") {
@@ -160,6 +168,10 @@
         if (behaviour === "hang") {
             return;
         }
+        if (behaviour === "crash" && !this.options.events) {
+            this.onCrash();
+            return;
+        }
         if (behaviour?.startsWith("endless")) {
             this.sendEndlessly(request, behaviour);
             return;
@@ -201,6 +213,13 @@
         );
     }
 
+    private isCrashing(request: IncomingMessage, body: Buffer): boolean {
+        const { part, marker } = this.crashCause;
+        const hasPart = part !== undefined && listNamedParts(request).slice(0, -1).includes(part);
+        return hasPart
+            || (marker !== undefined && `${request.url} ${body.toString("utf8")}`.includes(marker));
+    }
+
     private async breakDown(response: ServerResponse): Promise<void> {
         if (this.sendsHeadBeforeCrash) {
             response.flushHeaders();
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -7,7 +7,7 @@
 import { servingSettingsSchema } from "../../src/settings/servingSettingsSchema";
 import { FencedCloudStandIn } from "./FencedCloudStandIn";
 import { findFreeAddresses } from "./findFreeAddresses";
-import { RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
+import { type CrashCause, RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
 import { StoreStandIn } from "./StoreStandIn";
 
 /** A running node with the `host:port` addresses of its interfaces. */
@@ -141,21 +141,21 @@
     }
 
     /**
-     * Starts upstreams that crash when they begin an answer to a request with a prompt part, and that start again as
-     * others a moment later.
+     * Starts upstreams that crash when they begin an answer to certain requests, and that start again as others a moment
+     * later.
      */
-    async addCrashingRunners(service: string, crashPart: string, count: number): Promise<void> {
+    async addCrashingRunners(service: string, cause: CrashCause, count: number): Promise<void> {
         for (let index = 0; index < count; index += 1) {
-            await this.addCrashingRunner(service, crashPart, index % 2 === 0);
+            await this.addCrashingRunner(service, cause, index % 2 === 0);
         }
     }
 
-    private async addCrashingRunner(service: string, crashPart: string, sendsHead: boolean): Promise<void> {
+    private async addCrashingRunner(service: string, cause: CrashCause, sendsHead: boolean): Promise<void> {
         const runner = await this.addRunner(service, {
             id: `${service}-${this.runners.length + 1}`,
-            events: crashingRunnerEvents,
+            events: service === "llm" ? crashingRunnerEvents : 0,
         });
-        runner.crashPart = crashPart;
+        runner.crashCause = cause;
         runner.sendsHeadBeforeCrash = sendsHead;
         runner.onCrash = () => {
             runner.onCrash = () => {};
@@ -170,7 +170,7 @@
         this.registered.delete(crashed.id);
         this.store.put("servers", crashed.id, undefined);
         if (!this.isStopping) {
-            await this.addCrashingRunner(service, crashed.crashPart!, crashed.sendsHeadBeforeCrash);
+            await this.addCrashingRunner(service, crashed.crashCause, crashed.sendsHeadBeforeCrash);
         }
     }
 
