Refuse a request that comes again and crashes upstream after upstream

Cause: a crash was connected with prompt parts only, so that to every node a repeat was a new request like any other, and a request without a prompt was never blamed.

Now the nodes also tell each other by which request, recognised by caller, method, host, path and body, an upstream broke off. One under which three upstreams crashed in series, each begun after the one before had crashed, and that was never answered since, is refused on all nodes, as not run, for half an hour; the store keeps it. From the third crash to the decision half a second later it goes to one upstream only. Crashes at one moment count as one, a request beside the one that explains the crashes is not blamed, and an answer clears it.

--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -60,7 +60,7 @@
     addValue("sequoiagrade_resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
     addValue(
         "sequoiagrade_quarantined_parts",
-        "Prompt parts whose requests are refused.",
+        "Requests, and prompt parts, that are refused because upstreams crash under them.",
         () => find(promptQuarantineName).size,
     );
     registerControlGauges(find, addValue);
--- a/src/forwarding/PromptWatch.test.ts
+++ b/src/forwarding/PromptWatch.test.ts
@@ -1,6 +1,6 @@
 import { FakeClock } from "../kernel/FakeClock";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import type { BrokenRequest } from "../quarantine/types";
+import type { BrokenRequest, RequestTraits } from "../quarantine/types";
 import { listSharedPartIds } from "./listSharedPartIds";
 import { PromptWatch } from "./PromptWatch";
 import type { AttemptResult } from "./types";
@@ -13,13 +13,17 @@
 class Setup {
     readonly clock = new FakeClock();
     readonly broken: BrokenRequest[] = [];
+    asked: RequestTraits | undefined;
     sound = 0;
     lastCrashMs = -Infinity;
     readonly watch = new PromptWatch({
         clock: this.clock,
         quarantine: {
-            readRemainingMs: partIds => partIds.includes("bad") ? 1_000 : undefined,
-            findSuspect: partIds => partIds.at(-1),
+            readRemainingMs: traits => {
+                this.asked = { ...traits };
+                return traits.partIds.includes("bad") ? 1_000 : undefined;
+            },
+            findSuspect: ({ partIds }) => partIds.at(-1),
             recordBreak: (_upstream, request) => void this.broken.push(request),
             observeData: () => {},
             hasCrashSince: sinceMs => this.lastCrashMs > sinceMs,
@@ -49,16 +53,22 @@
         setup = new Setup();
     });
 
-    it("asks about all parts but the last", () => {
+    it("asks about the request itself and all parts but the last", () => {
         expect(setup.watch.readQuarantinedMs()).toBe(1_000);
-        expect(setup.watch.sharedParts).toEqual(["first", "bad"]);
-        expect(setup.watch.findSuspectPart()).toBe("bad");
+        expect(setup.asked).toEqual({ partIds: ["first", "bad"], identity: "identity" });
+        expect(setup.watch.findSuspect()).toBe("bad");
     });
 
     it("reports an answer that breaks off soon after its first event, by the part of the request itself", async () => {
         await setup.stream(300);
         setup.watch.endAttempt(upstream, broken, 200);
-        expect(setup.broken).toEqual([{ key: "own", partIds: ["first", "bad"], hasBegun: true }]);
+        expect(setup.broken).toEqual([{
+            key: "own",
+            partIds: ["first", "bad"],
+            identity: "identity",
+            ranMs: 300,
+            hasBegun: true,
+        }]);
         expect(setup.sound).toBe(0);
     });
 
--- a/src/forwarding/PromptWatch.ts
+++ b/src/forwarding/PromptWatch.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../kernel/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
+import type { RequestTraits } from "../quarantine/types";
 import type { RequestIdentity } from "./RequestIdentity";
 import type { AttemptResult, RequestMetadata } from "./types";
 
@@ -20,18 +21,25 @@
 const firstErrorStatus = 400;
 const soundAfterMs = 500; // from the first event; an upstream that crashes under a request does so at once
 
-/** Tells the quarantine of prompt parts how the attempts of one request go, and asks whether it may be sent. */
+/** Tells the quarantine how the attempts of one request go, and asks whether it may be sent. */
 export class PromptWatch {
-    readonly sharedParts: readonly string[];
+    private readonly traits: RequestTraits;
     /** Whether the upstream of the latest attempt has begun to answer. */
     hasBegun = false;
     /** Monotonic time of the first event of the current attempt, in milliseconds; undefined before it. */
     private firstEventMs: number | undefined;
+    private sentMs = -Infinity;
     private lastDataMs = -Infinity;
     private reportedSoundMs = -Infinity;
 
     constructor(private readonly options: PromptWatchOptions) {
-        this.sharedParts = options.sharedParts;
+        const { sharedParts: partIds, identity } = options;
+        this.traits = {
+            partIds,
+            get identity() {
+                return identity.key;
+            },
+        };
     }
 
     /** Equal for the request and its repeats under other ids. */
@@ -39,20 +47,21 @@
         return this.options.identity.key;
     }
 
-    /** Time for which the request is refused because of a part of its prompt, in milliseconds; undefined if it is not. */
+    /** Time for which the request is refused, in milliseconds; undefined if it is not. */
     readQuarantinedMs(): number | undefined {
-        return this.options.quarantine.readRemainingMs(this.sharedParts);
+        return this.options.quarantine.readRemainingMs(this.traits);
     }
 
-    /** Finds a part of the prompt that may crash upstreams; requests with it are sent to one upstream only. */
-    findSuspectPart(): string | undefined {
-        return this.options.quarantine.findSuspect(this.sharedParts);
+    /** Finds by what the request may crash upstreams; what has that in common is sent to one upstream only. */
+    findSuspect(): string | undefined {
+        return this.options.quarantine.findSuspect(this.traits);
     }
 
     /** Begins an attempt. */
     beginAttempt(): void {
         this.hasBegun = false;
         this.firstEventMs = undefined;
+        this.sentMs = this.options.clock.readMonotonicMs();
     }
 
     /** Notes that the upstream has begun to answer. */
@@ -69,7 +78,7 @@
     observeData({ instance }: TrackedInstance): void {
         const { clock, quarantine } = this.options;
         this.lastDataMs = clock.readMonotonicMs();
-        quarantine.observeData(instance);
+        quarantine.observeData(instance, this.sentMs);
         if (quarantine.hasCrashSince(this.reportedSoundMs) && this.hasGoneOn()) {
             this.reportSound();
         }
@@ -88,8 +97,11 @@
             && !result.answer
         ) {
             const key = promptParts.at(-1)?.id ?? requestId ?? "";
-            const { sharedParts: partIds, hasBegun } = this;
-            this.options.quarantine.recordBreak(instance, { key, partIds, hasBegun });
+            const { hasBegun } = this;
+            const { partIds } = this.traits;
+            const ranMs = this.options.clock.readMonotonicMs() - this.sentMs;
+            const broken = { key, partIds, identity: this.requestKey, ranMs, hasBegun };
+            this.options.quarantine.recordBreak(instance, broken);
         }
     }
 
@@ -100,6 +112,6 @@
 
     private reportSound(): void {
         this.reportedSoundMs = this.lastDataMs;
-        this.options.quarantine.recordSound(this.sharedParts);
+        this.options.quarantine.recordSound(this.traits);
     }
 }
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -75,7 +75,7 @@
             service,
             affinityKey: createAffinityKey(admitted.metadata.promptParts),
             binding: this.binding,
-            findSuspectPart: () => this.promptWatch.findSuspectPart(),
+            findSuspect: () => this.promptWatch.findSuspect(),
         });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
--- a/src/forwarding/UpstreamSelection.test.ts
+++ b/src/forwarding/UpstreamSelection.test.ts
@@ -18,7 +18,7 @@
         service: "llm",
         affinityKey: undefined,
         binding: { matches: ({ softwareVersion }) => version === undefined || softwareVersion === version },
-        findSuspectPart: () => suspectPart,
+        findSuspect: () => suspectPart,
     });
 
 describe("UpstreamSelection", () => {
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -11,8 +11,8 @@
     /** Key that is equal for requests with a common prompt prefix; undefined for requests without a prompt. */
     readonly affinityKey: string | undefined;
     readonly binding: Pick<StreamBinding, "matches">;
-    /** Finds a part of the prompt that may crash upstreams, if there is one. */
-    readonly findSuspectPart: () => string | undefined;
+    /** Finds by what the request may crash upstreams; undefined if it is not suspected. */
+    readonly findSuspect: () => string | undefined;
 }
 
 /** A chosen upstream. */
@@ -61,15 +61,15 @@
         );
     }
 
-    /** Finds the upstream to which requests with a part that may crash upstreams are sent, the same on all nodes. */
+    /** Finds the upstream to which requests that may crash upstreams are sent, the same on all nodes. */
     private findOnlyId(): string | undefined {
-        const part = this.options.findSuspectPart();
-        if (part === undefined) {
+        const suspect = this.options.findSuspect();
+        if (suspect === undefined) {
             return undefined;
         }
         const ids = this.options.instances.listInService(this.options.service).map(({ instance }) =>
             instance.id
         );
-        return rankByRendezvous(part, ids).at(0);
+        return rankByRendezvous(suspect, ids).at(0);
     }
 }
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -81,7 +81,7 @@
     trace.route = route.name;
     const account = authenticate(context, table, route, metadata.apiKey);
     trace.account = account?.name;
-    const quarantinedMs = context.quarantine.readRemainingMs(sharedParts);
+    const quarantinedMs = context.quarantine.readRemainingMs({ partIds: sharedParts, identity: undefined });
     if (quarantinedMs !== undefined) {
         throw createRefusal("promptQuarantined", quarantinedMessage, quarantinedMs);
     }
--- a/src/quarantine/CrashLedger.test.ts
+++ b/src/quarantine/CrashLedger.test.ts
@@ -1,8 +1,8 @@
 import * as fc from "fast-check";
 import { CrashLedger } from "./CrashLedger";
-import type { BrokenRequest } from "./types";
+import type { BrokenPrompt } from "./types";
 
-const createRequest = (key: string, partIds: string[], hasBegun = true): BrokenRequest => ({
+const createRequest = (key: string, partIds: string[], hasBegun = true): BrokenPrompt => ({
     key,
     partIds,
     hasBegun,
@@ -40,12 +40,20 @@
         expect(findAt(10_000)).toBeUndefined();
     });
 
+    it("does not count an upstream that answers a request sent after others broke off, however soon", () => {
+        ledger.record("u1", [createRequest("r1", ["bad"])], 1_000);
+        expect(ledger.observeData("u1", 999, 1_010)).toBe(false);
+        expect(ledger.isAlive("u1")).toBe(false);
+        expect(ledger.observeData("u1", 1_001, 1_010)).toBe(true);
+        expect(ledger.isAlive("u1")).toBe(true);
+    });
+
     it("does not count upstreams that sent data after requests broke off", () => {
         ["u1", "u2", "u3"].forEach((upstream, index) => {
             ledger.record(upstream, [createRequest(`r${index}`, ["part"])], index * 1_000);
-            expect(ledger.observeData(upstream, index * 1_000 + 100)).toBe(false);
-            expect(ledger.observeData(upstream, index * 1_000 + 400)).toBe(true);
-            expect(ledger.observeData(upstream, index * 1_000 + 500)).toBe(false);
+            expect(ledger.observeData(upstream, -Infinity, index * 1_000 + 100)).toBe(false);
+            expect(ledger.observeData(upstream, -Infinity, index * 1_000 + 400)).toBe(true);
+            expect(ledger.observeData(upstream, -Infinity, index * 1_000 + 500)).toBe(false);
         });
         expect(findAt(10_000)).toBeUndefined();
     });
--- a/src/quarantine/CrashLedger.ts
+++ b/src/quarantine/CrashLedger.ts
@@ -1,5 +1,5 @@
 import { dropOldest } from "../_lib/dropOldest";
-import type { BrokenRequest, CrashingPart } from "./types";
+import type { BrokenPrompt, CrashingPart } from "./types";
 
 /** Requests with one part that broke off at one upstream. */
 interface BrokenPart {
@@ -30,7 +30,7 @@
 }
 
 const settleMs = 500; // an upstream that works on shows it within this time
-const earliestSignMs = 200; // data that arrive sooner may have been sent before the crash
+const earliestSignMs = 200; // data that answer an earlier request and arrive sooner may have been sent before the crash
 const latestSignMs = 2_000; // later, another start may answer at the same address
 const minObservedMs = 2_000; // time for an answer with a sound part to go well at another upstream
 const sameEventMs = 150; // crashes this close may have one cause, such as the loss of a rack
@@ -70,7 +70,7 @@
      * @param nowMs - current monotonic time, in milliseconds
      * @returns whether this begins a new record
      */
-    record(upstream: string, requests: readonly BrokenRequest[], nowMs: number): boolean {
+    record(upstream: string, requests: readonly BrokenPrompt[], nowMs: number): boolean {
         const known = this.records.get(upstream);
         const isNew = !known || nowMs - known.atMs > latestSignMs;
         const record = isNew ? createRecord(nowMs) : known;
@@ -87,15 +87,24 @@
     /**
      * Records that an upstream sends data.
      *
+     * @param upstream - key of the upstream's start
+     * @param sentMs - monotonic time at which the request that the data answer was sent, in milliseconds
+     * @param nowMs - current monotonic time, in milliseconds
      * @returns whether that shows that it has not crashed, which was not known
      */
-    observeData(upstream: string, nowMs: number): boolean {
+    observeData(upstream: string, sentMs: number, nowMs: number): boolean {
         const record = this.records.get(upstream);
         if (!record || record.isAlive) {
             return false;
         }
         const sinceMs = nowMs - record.atMs;
-        return sinceMs >= earliestSignMs && sinceMs <= latestSignMs && this.markAlive(upstream);
+        const isLater = sentMs > record.atMs || sinceMs >= earliestSignMs;
+        return isLater && sinceMs <= latestSignMs && this.markAlive(upstream);
+    }
+
+    /** Whether an upstream was seen at work after requests broke off there. */
+    isAlive(upstream: string): boolean {
+        return this.records.get(upstream)?.isAlive ?? false;
     }
 
     /** Records that an upstream has not crashed; returns whether that is new. */
@@ -186,7 +195,7 @@
     isAlive: false,
 });
 
-const addRequest = (record: CrashRecord, { key, partIds, hasBegun }: BrokenRequest): void => {
+const addRequest = (record: CrashRecord, { key, partIds, hasBegun }: BrokenPrompt): void => {
     record.requestCount += 1;
     if (record.requestCount > maxRequests) {
         return;
--- a/src/quarantine/PromptQuarantine.test.ts
+++ b/src/quarantine/PromptQuarantine.test.ts
@@ -2,6 +2,7 @@
 import type { ReportTopic } from "../peers/PeerReports";
 import { EventLog } from "../telemetry/EventLog";
 import { PromptQuarantine } from "./PromptQuarantine";
+import type { BrokenRequest, RequestTraits } from "./types";
 
 /** Nodes that tell each other everything at once, and their store. */
 class Setup {
@@ -82,13 +83,27 @@
     /** Lets upstreams crash one after the other, each under a request of another node. */
     async crash(count: number): Promise<void> {
         for (let index = 0; index < count; index += 1) {
-            const request = { key: `r${index}`, partIds: ["bad"], hasBegun: true };
+            const request = createBroken(`r${index}`, ["bad"]);
             this.nodes[index % this.nodes.length].recordBreak({ id: `u${index}` }, request);
             await this.clock.advance(800);
         }
     }
 }
 
+const named = (partIds: readonly string[], identity?: string): RequestTraits => ({ partIds, identity });
+
+const createBroken = (
+    key: string,
+    partIds: readonly string[],
+    identity = key.slice(0, 32),
+): BrokenRequest => ({
+    key,
+    partIds,
+    identity,
+    ranMs: 50,
+    hasBegun: true,
+});
+
 const halfAnHourMs = 1_800_000;
 
 describe("PromptQuarantine", () => {
@@ -103,10 +118,10 @@
         await setup.crash(3);
         await setup.clock.advance(1_000);
         nodes.forEach(node => {
-            expect(node.readRemainingMs(["bad"])).toBeGreaterThan(halfAnHourMs - 10_000);
-            expect(node.readRemainingMs(["first", "bad"])).toBeDefined();
-            expect(node.readRemainingMs(["other"])).toBeUndefined();
-            expect(node.readRemainingMs([])).toBeUndefined();
+            expect(node.readRemainingMs(named(["bad"]))).toBeGreaterThan(halfAnHourMs - 10_000);
+            expect(node.readRemainingMs(named(["first", "bad"]))).toBeDefined();
+            expect(node.readRemainingMs(named(["other"]))).toBeUndefined();
+            expect(node.readRemainingMs(named([]))).toBeUndefined();
         });
     });
 
@@ -116,43 +131,43 @@
         for (let index = 0; index < 3; index += 1) {
             const key = `r${index}`.padEnd(1_000, "x");
             const partIds = ["bad", "x".repeat(5_000), ...many.map(part => `${part}-${index}`)];
-            nodes[index % 2].recordBreak({ id: `u${index}` }, { key, partIds, hasBegun: true });
+            nodes[index % 2].recordBreak({ id: `u${index}` }, createBroken(key, partIds));
             await setup.clock.advance(800);
         }
         await setup.clock.advance(1_000);
-        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeDefined());
+        nodes.forEach(node => expect(node.readRemainingMs(named(["bad"]))).toBeDefined());
     });
 
     it("does not refuse a part that another node has seen in an answer that went well", async () => {
         const nodes = [await setup.addNode(), await setup.addNode()];
         await setup.crash(2);
-        nodes[1].recordSound(["bad"]);
+        nodes[1].recordSound(named(["bad"]));
         await setup.crash(2);
         await setup.clock.advance(5_000);
-        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeUndefined());
+        nodes.forEach(node => expect(node.readRemainingMs(named(["bad"]))).toBeUndefined());
     });
 
     it("does not count an upstream that works on at another node", async () => {
         const nodes = [await setup.addNode(), await setup.addNode()];
         for (let index = 0; index < 4; index += 1) {
-            const request = { key: `r${index}`, partIds: ["bad"], hasBegun: true };
+            const request = createBroken(`r${index}`, ["bad"]);
             nodes[0].recordBreak({ id: `u${index}` }, request);
             await setup.clock.advance(400);
-            nodes[1].observeData({ id: `u${index}` });
+            nodes[1].observeData({ id: `u${index}` }, -Infinity);
         }
         await setup.clock.advance(5_000);
-        nodes.forEach(node => expect(node.readRemainingMs(["bad"])).toBeUndefined());
+        nodes.forEach(node => expect(node.readRemainingMs(named(["bad"]))).toBeUndefined());
     });
 
     it("is known to a node that starts later, by its members while the store is down", async () => {
         const first = await setup.addNode(true);
         await setup.crash(3);
         await setup.clock.advance(1_000);
-        expect(first.readRemainingMs(["bad"])).toBeDefined();
+        expect(first.readRemainingMs(named(["bad"]))).toBeDefined();
         setup.isStoreDown = true;
         const second = await setup.addNode();
         await setup.clock.advance(1_500);
-        expect(second.readRemainingMs(["bad"])).toBeDefined();
+        expect(second.readRemainingMs(named(["bad"]))).toBeDefined();
     });
 
     it("is known to a node that starts after all others have ended, for the rest of its time", async () => {
@@ -162,9 +177,9 @@
         await first.stop();
         await setup.clock.advance(600_000);
         const second = await setup.addNode(true);
-        expect(second.readRemainingMs(["bad"])).toBeLessThan(halfAnHourMs - 600_000);
+        expect(second.readRemainingMs(named(["bad"]))).toBeLessThan(halfAnHourMs - 600_000);
         await setup.clock.advance(halfAnHourMs - 590_000);
-        expect(second.readRemainingMs(["bad"])).toBeUndefined();
+        expect(second.readRemainingMs(named(["bad"]))).toBeUndefined();
         await setup.clock.advance(2_000);
         expect(setup.stored.size).toBe(0);
         await setup.clock.advance(20_000);
@@ -178,7 +193,65 @@
         const second = await setup.addNode();
         setup.stored.clear();
         await setup.clock.advance(2_000);
-        expect(first.readRemainingMs(["bad"])).toBeDefined();
-        expect(second.readRemainingMs(["bad"])).toBeDefined();
+        expect(first.readRemainingMs(named(["bad"]))).toBeDefined();
+        expect(second.readRemainingMs(named(["bad"]))).toBeDefined();
+    });
+
+    describe("of a request that comes again", () => {
+        const repeated = named([], "again");
+
+        /** Repeats of the request end at upstreams one after the other, each at another node. */
+        const crash = async (count: number, first = 0): Promise<void> => {
+            for (let index = first; index < first + count; index += 1) {
+                const broken = createBroken(`id-${index}`, [], "again");
+                setup.nodes[index % setup.nodes.length].recordBreak({ id: `u${index}` }, broken);
+                await setup.clock.advance(80);
+            }
+        };
+
+        it("refuses it on all nodes within a second of the third crash, and no other request", async () => {
+            const nodes = [await setup.addNode(), await setup.addNode()];
+            await crash(3);
+            await setup.clock.advance(920);
+            nodes.forEach(node => {
+                expect(node.readRemainingMs(repeated)).toBeGreaterThan(halfAnHourMs - 1_000);
+                expect(node.readRemainingMs(named(["first"], "other"))).toBeUndefined();
+                expect(node.readRemainingMs(named([]))).toBeUndefined();
+            });
+        });
+
+        it("suspects it on all nodes soon after the third crash", async () => {
+            const nodes = [await setup.addNode(), await setup.addNode()];
+            await crash(2);
+            expect(nodes[0].findSuspect(repeated)).toBeUndefined();
+            await crash(1, 2);
+            await setup.clock.advance(120);
+            nodes.forEach(node => {
+                expect(node.readRemainingMs(repeated)).toBeUndefined();
+                expect(node.findSuspect(repeated)).toBe(nodes[0].findSuspect(repeated));
+                expect(node.findSuspect(repeated)).toBeDefined();
+                expect(node.findSuspect(named([], "other"))).toBeUndefined();
+            });
+        });
+
+        it("does not refuse it where another node has seen it answered since", async () => {
+            const nodes = [await setup.addNode(), await setup.addNode()];
+            await crash(2);
+            nodes[1].recordSound(repeated);
+            await setup.clock.advance(200);
+            await crash(2, 2);
+            await setup.clock.advance(5_000);
+            nodes.forEach(node => expect(node.readRemainingMs(repeated)).toBeUndefined());
+        });
+
+        it("is known to nodes that cannot reach those that know it, and later ones, by the store", async () => {
+            const first = await setup.addNode(true);
+            setup.isCut = true;
+            await crash(3);
+            await setup.clock.advance(2_000);
+            expect(first.readRemainingMs(repeated)).toBeDefined();
+            const second = await setup.addNode();
+            expect(second.readRemainingMs(repeated)).toBeDefined();
+        });
     });
 });
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/PromptQuarantine.ts
@@ -12,7 +12,8 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { CrashLedger } from "./CrashLedger";
 import type { QuarantineRecords } from "./QuarantineRecords";
-import type { BrokenRequest } from "./types";
+import { RepeatLedger } from "./RepeatLedger";
+import type { BrokenPrompt, BrokenRequest, RequestTraits } from "./types";
 
 /** Options of {@link PromptQuarantine}. */
 export interface PromptQuarantineOptions {
@@ -24,9 +25,22 @@
     readonly events: EventLog;
 }
 
+/** A request that broke off, as it is told. Nodes of earlier versions leave the optional fields out. */
+interface ToldRequest extends BrokenPrompt {
+    readonly identity?: string;
+    readonly ranMs?: number;
+    /** Time since the break, in milliseconds. */
+    readonly agoMs?: number;
+}
+
+interface UnreportedBreak {
+    readonly request: BrokenRequest;
+    readonly brokeMs: number;
+}
+
 interface CrashReport {
     readonly upstream: string;
-    readonly requests: readonly BrokenRequest[];
+    readonly requests: readonly ToldRequest[];
 }
 
 interface QuarantineNotice {
@@ -51,6 +65,9 @@
             key: idSchema,
             partIds: z.array(idSchema).max(maxPartsPerRequest),
             hasBegun: z.boolean(),
+            identity: idSchema.optional(),
+            ranMs: ageSchema.optional(),
+            agoMs: ageSchema.optional(),
         })).max(maxRequestsPerReport),
     }),
 };
@@ -74,20 +91,23 @@
 const announceMs = 1_000;
 const decisionMs = 10_000; // after the last crash; what is known by then does not suffice
 const startTimeoutMs = 300;
+const identityPrefix = "request:"; // sets the ids of requests apart from those of parts
 
 /**
- * Keeps requests away from upstreams whose prompts have a part that crashes them. The nodes tell each other which
- * requests were under way when an upstream broke off, which parts are sound, and which are quarantined; see
- * {@link CrashLedger} for the decision. Requests with a part that may be the cause of several crashes are to be sent to
- * one upstream only, so that the others go on and clear the sound parts. What is quarantined is kept in the store.
+ * Keeps requests away from upstreams that they crash, by a part of their prompt or by being what they are. The nodes
+ * tell each other which requests were under way when an upstream broke off, which parts and requests are sound, and
+ * which are quarantined; see {@link CrashLedger} and {@link RepeatLedger} for the decision. Requests that may be the
+ * cause of several crashes are to be sent to one upstream only, so that the others go on and clear what is sound. What
+ * is quarantined is kept in the store.
  */
 export class PromptQuarantine {
     private readonly ledger = new CrashLedger();
-    /** Monotonic time at which the quarantine of each part began, in milliseconds. */
+    private readonly repeats = new RepeatLedger();
+    /** Monotonic time at which the quarantine of each part and request began, in milliseconds. */
     private readonly sinceMs = new Map<string, number>();
-    /** Parts that may be the cause of several crashes. */
+    /** Parts and requests that may be the cause of several crashes. */
     private suspects: ReadonlySet<string> = new Set();
-    private readonly unreportedBreaks = new Map<string, BrokenRequest[]>();
+    private readonly unreportedBreaks = new Map<string, UnreportedBreak[]>();
     private readonly unreportedSound = new Set<string>();
     private readonly scope: TaskScope;
     private wake: () => void = () => {};
@@ -102,7 +122,7 @@
         const { reports, records, clock } = this.options;
         reports.listen(crashTopic, ({ upstream, requests }) => this.recordCrash(upstream, requests));
         reports.listen(aliveTopic, ({ upstream }) => void this.ledger.markAlive(upstream));
-        reports.listen(soundTopic, partIds => partIds.forEach(id => void this.ledger.markSound(id)));
+        reports.listen(soundTopic, ids => ids.forEach(id => void this.markSound(id)));
         reports.listen(quarantineTopic, notices => notices.forEach(notice => this.adopt(notice)));
         const loaded = new Promise<void>(resolve => {
             records.listen(agesMs => {
@@ -121,54 +141,58 @@
         await this.scope.cancel();
     }
 
-    /** Number of quarantined parts. */
+    /** Number of quarantined parts and requests. */
     get size(): number {
         return this.sinceMs.size;
     }
 
     /**
-     * Returns how long requests with any of some parts are still refused.
+     * Returns how long a request is still refused.
      *
-     * @returns milliseconds; undefined if none of the parts is quarantined
+     * @returns milliseconds; undefined if neither the request nor a part of its prompt is quarantined
      */
-    readRemainingMs(partIds: readonly string[]): number | undefined {
+    readRemainingMs(traits: RequestTraits): number | undefined {
         if (this.sinceMs.size === 0) {
             return undefined;
         }
         const nowMs = this.options.clock.readMonotonicMs();
-        const endsMs = partIds.map(id => (this.sinceMs.get(id) ?? -Infinity) + holdMs);
+        const endsMs = listIds(traits).map(id => (this.sinceMs.get(id) ?? -Infinity) + holdMs);
         const remainingMs = Math.max(...endsMs) - nowMs;
         return remainingMs > 0 ? remainingMs : undefined;
     }
 
-    /** Finds the last of some parts that may be the cause of several crashes. */
-    findSuspect(partIds: readonly string[]): string | undefined {
-        return this.suspects.size === 0 ? undefined : partIds.filter(id => this.suspects.has(id)).at(-1);
+    /** Finds by what a request may be the cause of several crashes: by itself, or by the last such part of its prompt. */
+    findSuspect(traits: RequestTraits): string | undefined {
+        return this.suspects.size === 0
+            ? undefined
+            : listIds(traits).filter(id => this.suspects.has(id)).at(-1);
     }
 
     /** Records a request whose connection to an upstream broke off. */
     recordBreak(upstream: UpstreamStart, broken: BrokenRequest): void {
         const partIds = broken.partIds.filter(id => id.length <= maxIdLength).slice(0, maxPartsPerRequest);
-        if (partIds.length === 0) {
-            return;
-        }
         const request = { ...broken, partIds, key: broken.key.slice(0, maxIdLength) };
         const key = formatStartKey(upstream);
-        const requests = this.unreportedBreaks.get(key) ?? [];
-        this.unreportedBreaks.set(key, requests);
-        requests.push(request);
+        const breaks = this.unreportedBreaks.get(key) ?? [];
+        this.unreportedBreaks.set(key, breaks);
+        breaks.push({ request, brokeMs: this.options.clock.readMonotonicMs() });
         this.recordCrash(key, [request]);
         this.wake();
     }
 
-    /** Records that data arrive from an upstream. */
-    observeData(upstream: UpstreamStart): void {
+    /**
+     * Records that data arrive from an upstream.
+     *
+     * @param upstream - the upstream
+     * @param sentMs - monotonic time at which the request that the data answer was sent, in milliseconds
+     */
+    observeData(upstream: UpstreamStart, sentMs: number): void {
         const nowMs = this.options.clock.readMonotonicMs();
         if (!this.ledger.isAwaitingSigns(nowMs)) {
             return;
         }
         const key = formatStartKey(upstream);
-        if (this.ledger.observeData(key, nowMs)) {
+        if (this.ledger.observeData(key, sentMs, nowMs)) {
             this.options.reports.publish(aliveTopic, { upstream: key });
         }
     }
@@ -178,18 +202,34 @@
         return this.ledger.lastRecordMs > sinceMs;
     }
 
-    /** Records that an upstream answers a request with some parts and does not crash. */
-    recordSound(partIds: readonly string[]): void {
-        for (const id of partIds) {
-            if (this.ledger.markSound(id)) {
+    /** Records that an upstream answers a request and does not crash. */
+    recordSound(traits: RequestTraits): void {
+        const ids = this.repeats.isEmpty() ? traits.partIds : listIds(traits);
+        for (const id of ids) {
+            if (this.markSound(id)) {
                 this.unreportedSound.add(id);
                 this.wake();
             }
         }
     }
 
-    private recordCrash(upstream: string, requests: readonly BrokenRequest[]): void {
-        if (this.ledger.record(upstream, requests, this.options.clock.readMonotonicMs())) {
+    private markSound(id: string): boolean {
+        return id.startsWith(identityPrefix) ? this.repeats.markSound(id) : this.ledger.markSound(id);
+    }
+
+    private recordCrash(upstream: string, requests: readonly ToldRequest[]): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        for (const { identity, ranMs = 0, agoMs = 0 } of requests) {
+            if (identity !== undefined) {
+                const brokeMs = nowMs - agoMs;
+                this.repeats.record(identityPrefix + identity, {
+                    upstream,
+                    beganMs: brokeMs - ranMs,
+                    brokeMs,
+                });
+            }
+        }
+        if (this.ledger.record(upstream, requests, nowMs)) {
             this.options.events.emit(eventKinds.upstreamBrokeOff, { upstream });
             this.wake();
         }
@@ -236,13 +276,17 @@
             this.publishObservations();
             this.decide();
             this.ledger.expire(clock.readMonotonicMs());
+            this.repeats.expire(clock.readMonotonicMs());
         }
     }
 
     private publishObservations(): void {
-        const { reports } = this.options;
-        for (const [upstream, requests] of this.unreportedBreaks) {
-            reports.publish(crashTopic, { upstream, requests: requests.slice(0, maxRequestsPerReport) });
+        const { reports, clock } = this.options;
+        const nowMs = clock.readMonotonicMs();
+        for (const [upstream, breaks] of this.unreportedBreaks) {
+            const told = breaks.slice(0, maxRequestsPerReport);
+            const requests = told.map(({ request, brokeMs }) => ({ ...request, agoMs: nowMs - brokeMs }));
+            reports.publish(crashTopic, { upstream, requests });
         }
         this.unreportedBreaks.clear();
         if (this.unreportedSound.size > 0) {
@@ -254,22 +298,35 @@
     private decide(): void {
         const nowMs = this.options.clock.readMonotonicMs();
         const isKnown = (id: string): boolean => this.sinceMs.has(id);
-        this.suspects = new Set(this.ledger.listSuspects(nowMs, isKnown));
+        const isAlive = (upstream: string): boolean => this.ledger.isAlive(upstream);
+        this.suspects = new Set([
+            ...this.ledger.listSuspects(nowMs, isKnown),
+            ...this.repeats.listSuspects(nowMs, isAlive),
+        ]);
         if (nowMs - this.ledger.lastRecordMs > decisionMs) {
             return;
         }
-        const found = this.ledger.findCrashingPart(nowMs, isKnown);
-        if (!found || this.sinceMs.size >= maxNotices) {
+        const request = this.repeats.findCrashingRequest(nowMs, isKnown, isAlive);
+        if (request) {
+            this.refuse(request.identity, { upstreams: request.upstreams, requests: 1 });
+        }
+        const part = this.ledger.findCrashingPart(nowMs, isKnown);
+        if (part) {
+            this.refuse(part.id, { upstreams: part.upstreams, requests: part.requests });
+        }
+    }
+
+    private refuse(id: string, reason: Readonly<Record<"upstreams" | "requests", number>>): void {
+        if (this.sinceMs.size >= maxNotices) {
             return;
         }
-        this.sinceMs.set(found.id, nowMs);
+        this.sinceMs.set(id, this.options.clock.readMonotonicMs());
         this.options.events.emit(eventKinds.promptPartQuarantined, {
-            part: found.id,
+            part: id,
             source: "decided",
-            upstreams: found.upstreams,
-            requests: found.requests,
+            ...reason,
         });
-        this.options.reports.publish(quarantineTopic, [{ id: found.id, ageMs: 0 }]);
+        this.options.reports.publish(quarantineTopic, [{ id, ageMs: 0 }]);
         this.wakeKeeper();
     }
 
@@ -301,5 +358,8 @@
     }
 }
 
+const listIds = ({ partIds, identity }: RequestTraits): readonly string[] =>
+    identity === undefined ? partIds : [...partIds, identityPrefix + identity];
+
 /** Name of the prompt quarantine service. */
 export const promptQuarantineName = createServiceName<PromptQuarantine>("prompt-quarantine");
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -152,7 +152,7 @@
         "prompt-quarantined",
         503,
         "not-run",
-        "Upstreams crash under requests with a part of this prompt.",
+        "Upstreams crash under this request, or under requests with a part of its prompt.",
     ),
     upstreamFailed: define(
         1301,
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -104,13 +104,13 @@
         2214,
         "prompt-part-quarantined",
         "warn",
-        "Upstreams crash under requests with a prompt part; such requests are refused for a time.",
+        "Upstreams crash under a request, or under requests with a prompt part; such requests are refused for a time.",
     ),
     promptPartReleased: define(
         2215,
         "prompt-part-released",
         "info",
-        "The quarantine of a prompt part has ended.",
+        "The quarantine of a request or of a prompt part has ended.",
     ),
     upstreamLimited: define(
         2216,
