--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -25,6 +25,7 @@
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
 import { clusterSumsName } from "../sums/ClusterSums";
+import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UsageLedger, usageLedgerName } from "../usage/UsageLedger";
 import { feedNames } from "./feedNames";
 import { registerClusterServices } from "./registerClusterServices";
@@ -166,7 +167,8 @@
 };
 
 /** Registers the upstreams that the platform lists, and the limits that they state. */
-const registerUpstreams = (kernel: Kernel, { settings, clock }: ServingNodeOptions): void => {
+const registerUpstreams = (kernel: Kernel, options: ServingNodeOptions): void => {
+    const { settings, clock } = options;
     kernel.register({
         name: upstreamLimitsName,
         requires: [peerReportsName, membershipName, readinessName],
@@ -204,6 +206,7 @@
                 reports: find(peerReportsName),
                 sums: find(clusterSumsName),
                 limits: find(upstreamLimitsName),
+                createClient: address => new UpstreamClient({ address, connect: options.connectUpstream }),
                 readMaxConnections: service => {
                     const declared = find(servingStateName).table.value?.findService(service)?.maxConnections;
                     const share = (declared ?? 0) * connectionShare / find(readinessName).countPresumedLive();
--- a/src/daemon/servingTypes.ts
+++ b/src/daemon/servingTypes.ts
@@ -1,6 +1,7 @@
 /** Types of a forwarding node's options and adapters. */
 
 import type { Logger } from "loglevel";
+import type { buildConnector } from "undici";
 import type { StoreEra } from "../feeds/StoreEra";
 import type { RecordFeed } from "../feeds/types";
 import type { ForwardProtocol } from "../forwarding/types";
@@ -38,4 +39,6 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger?: Logger;
+    /** Opens connections to upstreams; default: undici's connector. */
+    readonly connectUpstream?: buildConnector.connector;
 }
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import { Client, type Dispatcher } from "undici";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 import { createTimedConnector } from "./createTimedConnector";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 
@@ -23,12 +23,18 @@
      * @param origin - scheme, host and port
      * @param options - undici's options
      * @param connectTimeoutMs - time-out for establishing a connection, in milliseconds
+     * @param connect - opens the connection; default: undici's connector
      */
-    constructor(origin: string, options: Client.Options, connectTimeoutMs: number) {
+    constructor(
+        origin: string,
+        options: Client.Options,
+        connectTimeoutMs: number,
+        connect?: buildConnector.connector,
+    ) {
         const tracked: TrackedSocket = { socket: undefined };
         super(origin, {
             ...options,
-            connect: createTrackedConnector(tracked, createTimedConnector(connectTimeoutMs)),
+            connect: createTrackedConnector(tracked, createTimedConnector(connectTimeoutMs, connect)),
         });
         this.tracked = tracked;
     }
--- a/src/upstreams/UpstreamClient.ts
+++ b/src/upstreams/UpstreamClient.ts
@@ -1,4 +1,4 @@
-import { type Client, type Dispatcher, Pool } from "undici";
+import { type buildConnector, type Client, type Dispatcher, Pool } from "undici";
 import { TrackedClient, type TrackedDispatchOptions } from "./TrackedClient";
 import { UpstreamExchange } from "./UpstreamExchange";
 
@@ -30,6 +30,8 @@
     readonly connectTimeoutMs?: number;
     /** Idle time-out of a connection if the upstream sends no `Keep-Alive` header; default 4,000 ms. */
     readonly keepAliveMs?: number;
+    /** Opens connections; default: undici's connector. */
+    readonly connect?: buildConnector.connector;
 }
 
 /** Default time-out for establishing a connection, in milliseconds. */
@@ -51,7 +53,12 @@
             headersTimeout: 0,
             bodyTimeout: 0,
             factory: (origin, clientOptions) =>
-                new TrackedClient(String(origin), clientOptions as Client.Options, timeoutMs),
+                new TrackedClient(
+                    String(origin),
+                    clientOptions as Client.Options,
+                    timeoutMs,
+                    options.connect,
+                ),
         });
     }
 
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -7,6 +7,7 @@
 import { servingSettingsSchema } from "../../src/settings/servingSettingsSchema";
 import { FencedCloudStandIn } from "./FencedCloudStandIn";
 import { findFreeAddresses } from "./findFreeAddresses";
+import { PartitionGate } from "./PartitionGate";
 import { type CrashCause, RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
 import { StoreStandIn } from "./StoreStandIn";
 
@@ -109,6 +110,7 @@
     /** Monotonic times at which upstreams crashed, in milliseconds. */
     readonly crashedAtMs: number[] = [];
     private readonly restarts: Promise<void>[] = [];
+    private readonly gates: PartitionGate[] = [];
     private isStopping = false;
     private requestCount = 0;
 
@@ -126,6 +128,7 @@
             await discoveryServer.stop();
             await node.kernel.stop();
         }));
+        await Promise.all(this.gates.map(gate => gate.stop()));
         await Promise.all(this.runners.map(runner => runner.server.stop()));
         await this.cloud.server.stop();
         await this.store.server.stop();
@@ -188,8 +191,16 @@
         this.registered.forEach((entry, id) => this.store.put("servers", id, entry));
     }
 
+    /** Starts a node that can be cut off from all upstreams, and waits until it is ready. */
+    async addGatedNode(): Promise<{ readonly gate: PartitionGate; readonly node: TestNode; }> {
+        const gate = new PartitionGate();
+        await gate.start();
+        this.gates.push(gate);
+        return { gate, node: await this.addNode({}, gate) };
+    }
+
     /** Starts a node and waits until it is ready. */
-    async addNode(settings: Record<string, unknown> = {}): Promise<TestNode> {
+    async addNode(settings: Record<string, unknown> = {}, gate?: PartitionGate): Promise<TestNode> {
         const [callersAddress, peers, metricsAddress, readyAddress, directoryAddress] =
             await findFreeAddresses(5);
         const nodeSettings = servingSettingsSchema.parse({
@@ -207,7 +218,13 @@
         });
         const random = new SystemRandom();
         const platform = createServingPlatform({ settings: nodeSettings, onUnreadableRow: () => {} });
-        const node = new ServingNode({ settings: nodeSettings, platform, clock: new SystemClock(), random });
+        const node = new ServingNode({
+            settings: nodeSettings,
+            platform,
+            clock: new SystemClock(),
+            random,
+            connectUpstream: gate?.connect,
+        });
         let isStarted = false;
         const discoveryServer = new DiscoveryServer({
             readyAddress,
