Reach upstreams through other members where a node is cut off from them

Cause: a node sent to an upstream over connections of its own alone; links to members that reach the upstream stood beside and were not used. Connections that had fallen silent were used again, too: nothing but the end of their idle time took them out.

Now a connection that fails, or takes over 150 ms, is opened through a member: it accepts HTTP CONNECT on the port for members, with a proof of the cluster's key, only to listed upstreams, and passes bytes on; an end stays an end, a reset a reset, and what closes one side closes the other. All decisions stay with the node that has the request. It tries up to three members, of other data centres first, avoids those that failed of late, and tries by itself every 3 s. An upstream that has not answered for a second gets further requests over new connections; requests under way keep theirs. That works however the cut shows, as each way of it ends in a new connection.

Events 2217 and 2218, gauges of relayed upstreams and open tunnels.

--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -4,6 +4,7 @@
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { servingStateName } from "../routes/ServingState";
 import { promptQuarantineName } from "../quarantine/PromptQuarantine";
+import { tunnelServerName } from "../tunnels/TunnelServer";
 import { addGauge, type GaugeValue } from "../telemetry/addGauge";
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { clusterSumsName } from "../sums/ClusterSums";
@@ -63,12 +64,22 @@
         "Requests, and prompt parts, that are refused because upstreams crash under them.",
         () => find(promptQuarantineName).size,
     );
+    addValue(
+        "sequoiagrade_tunnels_open",
+        "Connections to upstreams that this node passes on for other members.",
+        () => find(tunnelServerName).size,
+    );
     registerControlGauges(find, addValue);
     addByService(
         "sequoiagrade_upstreams_usable",
         "Upstreams that may get a request now.",
         service => instances.listUsable(service).length,
     );
+    addByService(
+        "sequoiagrade_upstreams_relayed",
+        "Upstreams to which connections are opened through other members.",
+        service => instances.countRelayed(service),
+    );
     addByService(
         "sequoiagrade_upstream_requests",
         "Requests of all nodes at the upstreams.",
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -24,6 +24,10 @@
 import { EventLog, eventLogName } from "../telemetry/EventLog";
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
+import { eventKinds } from "../telemetry/eventKinds";
+import { TunnelDialer, tunnelDialerName } from "../tunnels/TunnelDialer";
+import { TunnelServer, tunnelServerName } from "../tunnels/TunnelServer";
+import { clusterKeyName } from "../peers/ClusterKey";
 import { clusterSumsName } from "../sums/ClusterSums";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UsageLedger, usageLedgerName } from "../usage/UsageLedger";
@@ -123,6 +127,7 @@
                 sums: find(clusterSumsName),
             }),
     });
+    registerTunnels(kernel, options);
     registerUpstreams(kernel, options);
     registerOrigins(kernel, options);
     registerQuarantine(kernel, options);
@@ -197,6 +202,7 @@
             servingStateName,
             readinessName,
             upstreamLimitsName,
+            tunnelDialerName,
         ],
         create: find =>
             new InstanceRegistry({
@@ -206,7 +212,17 @@
                 reports: find(peerReportsName),
                 sums: find(clusterSumsName),
                 limits: find(upstreamLimitsName),
-                createClient: address => new UpstreamClient({ address, connect: options.connectUpstream }),
+                createClient: ({ id, address }) =>
+                    new UpstreamClient({
+                        address,
+                        connect: options.connectUpstream,
+                        detour: {
+                            openTunnel: target => find(tunnelDialerName).open(target),
+                            clock,
+                            onChange: way =>
+                                find(eventLogName).emit(eventKinds.upstreamWayChanged, { runner: id, way }),
+                        },
+                    }),
                 readMaxConnections: service => {
                     const declared = find(servingStateName).table.value?.findService(service)?.maxConnections;
                     const share = (declared ?? 0) * connectionShare / find(readinessName).countPresumedLive();
@@ -216,6 +232,37 @@
     });
 };
 
+/** Registers what opens connections to upstreams through members, for this node and for others. */
+const registerTunnels = (kernel: Kernel, options: ServingNodeOptions): void => {
+    const { settings, clock, random } = options;
+    const { nodeId, dataCentre } = settings;
+    kernel.register({
+        name: tunnelDialerName,
+        requires: [membershipName, clusterKeyName],
+        create: find =>
+            new TunnelDialer({
+                nodeId,
+                dataCentre,
+                listLive: () => find(membershipName).listLive(),
+                readClusterKey: () => find(clusterKeyName).value,
+                clock,
+                random,
+            }),
+    });
+    kernel.register({
+        name: tunnelServerName,
+        requires: [peerNetworkName, clusterKeyName, instanceRegistryName],
+        create: find =>
+            new TunnelServer({
+                nodeId,
+                network: find(peerNetworkName),
+                readClusterKey: () => find(clusterKeyName).value,
+                isUpstream: address => find(instanceRegistryName).hasAddress(address),
+                connect: options.connectUpstream,
+            }),
+    });
+};
+
 /** Registers what keeps requests away from upstreams that their prompts crash. */
 const registerQuarantine = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
     kernel.register({
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -199,6 +199,7 @@
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
         this.promptWatch.beginAttempt();
         this.selection.markTried(upstream);
+        context.instances.renewSilent(upstream);
         const exchange = upstream.client.send({
             method: request.method!,
             path: request.url!,
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -1,4 +1,5 @@
-import type { AddressInfo } from "node:net";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
 import { WebSocketServer } from "ws";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
@@ -57,6 +58,7 @@
     readonly readRevision: () => number;
 }
 
+const upgradeRequiredStatus = 426;
 const firstRedialMs = 100;
 const maxRedialMs = 2_000;
 const defaultIdleLinkTimeoutMs = 30_000;
@@ -76,6 +78,9 @@
     private readonly addresses = new Map<string, string>();
     private readonly scope: TaskScope;
     private server: WebSocketServer | undefined;
+    private readonly httpServer: Server = createServer((_request, response) => {
+        response.writeHead(upgradeRequiredStatus).end();
+    });
     private readonly linkUpListeners: ((nodeId: string) => void)[] = [];
     private readonly linkLostListeners: ((nodeId: string) => void)[] = [];
     private linkPlan: LinkPlan;
@@ -118,7 +123,7 @@
 
     /** Port on which members connect; available after {@link start}. */
     get port(): number {
-        return (this.server!.address() as AddressInfo).port;
+        return (this.httpServer.address() as AddressInfo).port;
     }
 
     /** Names of the members to which a link is up. */
@@ -133,11 +138,8 @@
 
     /** Starts the server for members, the heartbeats and the gossip. */
     async start(): Promise<void> {
-        const server = new WebSocketServer({
-            host: this.options.host,
-            port: this.options.port,
-            maxPayload: this.options.maxFrameBytes,
-        });
+        const { httpServer } = this;
+        const server = new WebSocketServer({ server: httpServer, maxPayload: this.options.maxFrameBytes });
         this.server = server;
         server.on("connection", socket => {
             const connection = { socket, queue: new FrameQueue(socket) };
@@ -146,6 +148,7 @@
         await new Promise<void>((resolve, reject) => {
             server.once("listening", resolve);
             server.once("error", reject);
+            httpServer.listen(this.options.port, this.options.host);
         });
         this.scope.run("heartbeats", signal => this.keepalive.run(signal));
         this.replicator.start();
@@ -162,6 +165,8 @@
         }
         await this.scope.cancel();
         await new Promise<void>(resolve => this.server ? this.server.close(() => resolve()) : resolve());
+        this.httpServer.closeAllConnections();
+        await new Promise<void>(resolve => this.httpServer.close(() => resolve()));
     }
 
     /** Registers the handler of a method; replaces an earlier one. */
@@ -169,6 +174,11 @@
         this.router.registerHandler(method, handler);
     }
 
+    /** Registers the listener for members' requests for tunnels (HTTP CONNECT); they are not authenticated yet. */
+    onTunnelRequest(listener: (request: IncomingMessage, socket: Socket) => void): void {
+        this.httpServer.on("connect", listener);
+    }
+
     /** Registers the listener for the reports on a topic; replaces an earlier one. */
     onReport(topic: string, listener: ReportListener): void {
         this.router.onReport(topic, listener);
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -21,6 +21,7 @@
     readonly clock = new FakeClock();
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     readonly closed: string[] = [];
+    readonly renewed: string[] = [];
     sinceRecoveryMs = Infinity;
     maxConnections = 4;
     remote = new Map<string, number>();
@@ -49,8 +50,11 @@
             isLimited: ({ id }) => this.waitMsById.has(id),
         },
         readMaxConnections: () => this.maxConnections,
-        createClient: address =>
-            ({ close: async () => void this.closed.push(address) }) as unknown as UpstreamClient,
+        createClient: ({ address }) =>
+            ({
+                close: async () => void this.closed.push(address),
+                renewConnections: () => void this.renewed.push(address),
+            }) as unknown as UpstreamClient,
     });
 
     list(...instances: UpstreamInstance[]): void {
@@ -105,6 +109,24 @@
         expect(setup.taken).toHaveLength(1);
     });
 
+    it("sends requests to an upstream that has not answered for a second over new connections", async () => {
+        const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
+        setup.registry.renewSilent(one);
+        setup.registry.beginRequest(one);
+        await setup.clock.advance(900);
+        setup.registry.renewSilent(one);
+        setup.registry.beginRequest(one);
+        expect(setup.renewed).toEqual([]);
+        await setup.clock.advance(100);
+        setup.registry.renewSilent(one);
+        setup.registry.renewSilent(one);
+        expect(setup.renewed).toEqual(["10.0.0.1:80"]);
+        one.lastReceivedMs = setup.clock.readMonotonicMs();
+        await setup.clock.advance(5_000);
+        setup.registry.renewSilent(one);
+        expect(setup.renewed).toHaveLength(1);
+    });
+
     it("applies a connection limit that changes after the upstream was listed", () => {
         setup.maxConnections = 1;
         setup.list(createInstance("one"));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -22,7 +22,7 @@
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the client for an upstream; default: an HTTP client. */
-    readonly createClient?: (address: string) => UpstreamClient;
+    readonly createClient?: (instance: UpstreamInstance) => UpstreamClient;
 }
 
 /** An upstream with this node's connections and requests to it. */
@@ -35,6 +35,8 @@
     ejectedUntilMs: number;
     /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
     lastReceivedMs: number;
+    /** Monotonic time of the first request that was sent after data last arrived, in milliseconds. */
+    unansweredSinceMs: number;
     /** Monotonic end of a missing entry's grace period, in milliseconds; undefined while the entry is listed. */
     missingGraceEndsMs: number | undefined;
 }
@@ -50,6 +52,7 @@
 const missingGraceMs = 1_500; // shorter than the time after which an upstream that is gone must get no requests
 /** An upstream that restarts needs seconds; one that reset a connection is usable again immediately. */
 const ejectionMs = 1_000;
+const maxSilentMs = 1_000;
 
 /** Registry of the upstreams that the platform lists: this node's connections to them and the load from all nodes. */
 export class InstanceRegistry {
@@ -168,9 +171,39 @@
             .length;
     }
 
+    /**
+     * Sends further requests to an upstream over new connections if it has not answered for a time. Connections may have
+     * fallen silent for good; requests under way keep theirs.
+     */
+    renewSilent(tracked: TrackedInstance): void {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const silentMs = nowMs - tracked.unansweredSinceMs;
+        if (tracked.unansweredSinceMs > tracked.lastReceivedMs && silentMs >= maxSilentMs) {
+            tracked.unansweredSinceMs = nowMs;
+            tracked.client.renewConnections();
+            this.options.events.emit(eventKinds.upstreamSilent, {
+                runner: tracked.instance.id,
+                silentMs: Math.round(silentMs),
+            });
+        }
+    }
+
+    /** Whether an upstream is listed at an address. */
+    hasAddress(address: string): boolean {
+        return [...this.tracked.values()].some(({ instance }) => instance.address === address);
+    }
+
+    /** Counts the upstreams of a service to which connections are opened through other members. */
+    countRelayed(service: string): number {
+        return this.listInService(service).filter(({ client }) => client.isRelayed).length;
+    }
+
     /** Counts a request to an upstream as in flight. */
     beginRequest(tracked: TrackedInstance): void {
         tracked.inFlight += 1;
+        if (tracked.unansweredSinceMs <= tracked.lastReceivedMs) {
+            tracked.unansweredSinceMs = this.options.clock.readMonotonicMs();
+        }
         this.options.limits.take(tracked.instance);
     }
 
@@ -286,7 +319,7 @@
             Object.assign(before, { instance });
             return;
         }
-        const client = this.options.createClient?.(instance.address)
+        const client = this.options.createClient?.(instance)
             ?? new UpstreamClient({ address: instance.address });
         this.tracked.set(instance.id, {
             instance,
@@ -294,6 +327,7 @@
             inFlight: 0,
             ejectedUntilMs: -Infinity,
             lastReceivedMs: -Infinity,
+            unansweredSinceMs: -Infinity,
             missingGraceEndsMs: undefined,
         });
     }
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -98,7 +98,7 @@
         2213,
         "upstream-broke-off",
         "warn",
-        "Requests with shared prompt parts broke off at an upstream, which may have crashed.",
+        "Requests broke off at an upstream, which may have crashed.",
     ),
     promptPartQuarantined: define(
         2214,
@@ -118,6 +118,18 @@
         "info",
         "An upstream states in its answers how many requests a second it takes from all nodes, or no longer does.",
     ),
+    upstreamWayChanged: define(
+        2217,
+        "upstream-way-changed",
+        "info",
+        "Connections to an upstream are opened through another member, or directly again.",
+    ),
+    upstreamSilent: define(
+        2218,
+        "upstream-silent",
+        "info",
+        "An upstream has not answered for a time; further requests are sent over new connections.",
+    ),
     callSent: define(
         2301,
         "call-sent",
--- /dev/null
+++ b/src/tunnels/TunnelServer.ts
@@ -0,0 +1,88 @@
+import { timingSafeEqual } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { buildConnector } from "undici";
+import { createServiceName } from "../kernel/createServiceName";
+import type { PeerNetwork } from "../peers/PeerNetwork";
+import { createTimedConnector } from "../upstreams/createTimedConnector";
+import { computeTunnelProof } from "./computeTunnelProof";
+import { tunnelProofHeader } from "./constants";
+import { joinSockets } from "./joinSockets";
+
+/** Options of {@link TunnelServer}. */
+export interface TunnelServerOptions {
+    readonly nodeId: string;
+    readonly network: Pick<PeerNetwork, "onTunnelRequest">;
+    readonly readClusterKey: () => string;
+    /** Whether an upstream is listed at an address. */
+    readonly isUpstream: (address: string) => boolean;
+    /** Opens connections to upstreams; default: undici's connector. */
+    readonly connect?: buildConnector.connector;
+}
+
+const connectTimeoutMs = 200; // the member that asks has other members to try
+const maxTunnels = 1_024; // each takes two descriptors
+
+/** Opens connections to upstreams for members that cannot reach them, and passes the bytes on. */
+export class TunnelServer {
+    private readonly sockets = new Set<Socket>();
+    private readonly connect: buildConnector.connector;
+
+    constructor(private readonly options: TunnelServerOptions) {
+        this.connect = createTimedConnector(connectTimeoutMs, options.connect);
+    }
+
+    /** Number of open tunnels. */
+    get size(): number {
+        return this.sockets.size;
+    }
+
+    async start(): Promise<void> {
+        this.options.network.onTunnelRequest((request, socket) => this.serve(request, socket));
+    }
+
+    async stop(): Promise<void> {
+        this.sockets.forEach(socket => socket.destroy());
+    }
+
+    private serve(request: IncomingMessage, near: Socket): void {
+        near.on("error", () => near.destroy());
+        const refusal = this.checkRequest(request);
+        if (refusal !== undefined) {
+            near.end(`HTTP/1.1 ${refusal}\r\n\r\n`);
+            return;
+        }
+        this.sockets.add(near);
+        near.on("close", () => this.sockets.delete(near));
+        const [hostname, port] = request.url!.split(":");
+        this.connect({ hostname, port, protocol: "http:" }, (...[error, far]) => {
+            if (error) {
+                near.end("HTTP/1.1 502 Bad Gateway\r\n\r\n");
+                return;
+            }
+            if (near.destroyed) {
+                far.destroy();
+                return;
+            }
+            near.write("HTTP/1.1 200 Connection Established\r\n\r\n");
+            joinSockets(near, far);
+        });
+    }
+
+    /** Returns the status with which a request is refused; undefined if a tunnel may be opened. */
+    private checkRequest({ headers, url = "" }: IncomingMessage): string | undefined {
+        const { nodeId, readClusterKey, isUpstream } = this.options;
+        const expected = computeTunnelProof({ clusterKey: readClusterKey(), nodeId, target: url });
+        const given = String(headers[tunnelProofHeader]).padEnd(expected.length).slice(0, expected.length);
+        if (!timingSafeEqual(Buffer.from(expected), Buffer.from(given))) {
+            return "407 Proxy Authentication Required";
+        }
+        if (!isUpstream(url)) {
+            return "404 Not Found";
+        }
+        return this.sockets.size < maxTunnels ? undefined : "503 Service Unavailable";
+    }
+}
+
+/** Name of the tunnel server service. */
+export const tunnelServerName = createServiceName<TunnelServer>("tunnel-server");
--- /dev/null
+++ b/src/tunnels/openTunnel.ts
@@ -0,0 +1,54 @@
+import { request } from "node:http";
+import type { Socket } from "node:net";
+import { tunnelProofHeader } from "./constants";
+
+/** Options of {@link openTunnel}. */
+export interface OpenTunnelOptions {
+    /** Host and port at which the member takes requests of other members. */
+    readonly member: string;
+    /** Host and port of the upstream. */
+    readonly target: string;
+    readonly proof: string;
+    /** In milliseconds. */
+    readonly timeoutMs: number;
+}
+
+const connectedStatus = 200;
+
+/**
+ * Opens a connection to an upstream through another member.
+ *
+ * @param options - member, upstream and proof
+ * @returns the connection; the next bytes on it are those of the upstream
+ * @throws Error if the member or, from there, the upstream cannot be reached in time
+ */
+export const openTunnel = ({ member, target, proof, timeoutMs }: OpenTunnelOptions): Promise<Socket> =>
+    new Promise((resolve, reject) => {
+        const [host, port] = member.split(":");
+        const asked = request({
+            host,
+            port,
+            method: "CONNECT",
+            path: target,
+            headers: { host: target, [tunnelProofHeader]: proof },
+            agent: false,
+        });
+        const timer = setTimeout(
+            () => asked.destroy(new Error(`no tunnel through ${member} within ${timeoutMs} ms`)),
+            timeoutMs,
+        );
+        asked.on("connect", (response, socket: Socket) => {
+            clearTimeout(timer);
+            if (response.statusCode === connectedStatus) {
+                resolve(socket.setNoDelay(true));
+                return;
+            }
+            socket.destroy();
+            reject(new Error(`no tunnel through ${member}: status ${response.statusCode}`));
+        });
+        asked.on("error", error => {
+            clearTimeout(timer);
+            reject(error);
+        });
+        asked.end();
+    });
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,6 +1,5 @@
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { createTimedConnector } from "./createTimedConnector";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 
 /** Returns whether the connection of a call was reset. */
@@ -22,20 +21,11 @@
     /**
      * @param origin - scheme, host and port
      * @param options - undici's options
-     * @param connectTimeoutMs - time-out for establishing a connection, in milliseconds
-     * @param connect - opens the connection; default: undici's connector
+     * @param connect - opens the connection
      */
-    constructor(
-        origin: string,
-        options: Client.Options,
-        connectTimeoutMs: number,
-        connect?: buildConnector.connector,
-    ) {
+    constructor(origin: string, options: Client.Options, connect: buildConnector.connector) {
         const tracked: TrackedSocket = { socket: undefined };
-        super(origin, {
-            ...options,
-            connect: createTrackedConnector(tracked, createTimedConnector(connectTimeoutMs, connect)),
-        });
+        super(origin, { ...options, connect: createTrackedConnector(tracked, connect) });
         this.tracked = tracked;
     }
 
--- a/src/upstreams/UpstreamClient.ts
+++ b/src/upstreams/UpstreamClient.ts
@@ -1,6 +1,8 @@
 import { type buildConnector, type Client, type Dispatcher, Pool } from "undici";
 import { TrackedClient, type TrackedDispatchOptions } from "./TrackedClient";
+import { createTimedConnector } from "./createTimedConnector";
 import { UpstreamExchange } from "./UpstreamExchange";
+import { UpstreamPath, type UpstreamPathOptions, upstreamWays } from "./UpstreamPath";
 
 /** An HTTP call to an upstream. */
 export interface UpstreamCall {
@@ -32,8 +34,13 @@
     readonly keepAliveMs?: number;
     /** Opens connections; default: undici's connector. */
     readonly connect?: buildConnector.connector;
+    /** Other way to the upstream, for when it cannot be reached directly. */
+    readonly detour?: UpstreamDetour;
 }
 
+/** How connections to an upstream are opened through another member. */
+export type UpstreamDetour = Pick<UpstreamPathOptions, "openTunnel" | "clock" | "onChange">;
+
 /** Default time-out for establishing a connection, in milliseconds. */
 export const defaultConnectTimeoutMs = 400; // a first packet within a data centre takes 1 to 3 ms
 const defaultKeepAliveMs = 4_000; // below the usual idle time-out of servers
@@ -41,25 +48,35 @@
 
 /** HTTP client of one upstream, with a pool of connections that each carry one call at a time. */
 export class UpstreamClient {
-    private readonly pool: Pool;
+    private pool: Pool;
+    /** Pools that finish their calls and take no more. */
+    private readonly retired = new Set<Pool>();
+    private readonly path: UpstreamPath | undefined;
+    private readonly connect: buildConnector.connector;
 
-    constructor(options: UpstreamClientOptions) {
+    constructor(private readonly options: UpstreamClientOptions) {
         const timeoutMs = options.connectTimeoutMs ?? defaultConnectTimeoutMs;
-        this.pool = new Pool(`http://${options.address}`, {
-            connections: options.maxConnections ?? null,
-            pipelining: 1,
-            keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
-            keepAliveTimeoutThreshold: keepAliveMarginMs,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            factory: (origin, clientOptions) =>
-                new TrackedClient(
-                    String(origin),
-                    clientOptions as Client.Options,
-                    timeoutMs,
-                    options.connect,
-                ),
+        const connect = createTimedConnector(timeoutMs, options.connect);
+        const { address, detour } = options;
+        this.path = detour && new UpstreamPath({
+            address,
+            connect,
+            openTunnel: detour.openTunnel,
+            clock: detour.clock,
+            onChange: way => {
+                if (way === upstreamWays.direct) {
+                    this.renewConnections();
+                }
+                detour.onChange(way);
+            },
         });
+        this.connect = this.path?.connect ?? connect;
+        this.pool = this.createPool();
+    }
+
+    /** Whether connections are opened through another member. */
+    get isRelayed(): boolean {
+        return this.path?.way === upstreamWays.relayed;
     }
 
     /** The connection pool, for calls made with undici's own request functions. */
@@ -74,6 +91,7 @@
      * @returns the exchange, which reports the answer or the failure
      */
     send(call: UpstreamCall): UpstreamExchange {
+        this.path?.tryDirectly();
         const exchange = new UpstreamExchange({ isWanted: call.isWanted });
         const options: TrackedDispatchOptions = {
             method: call.method as "GET",
@@ -86,8 +104,30 @@
         return exchange;
     }
 
+    /** Opens a new connection for each further call; those in use are closed when their calls have ended. */
+    renewConnections(): void {
+        const { pool } = this;
+        this.pool = this.createPool();
+        this.retired.add(pool);
+        void pool.close().then(() => this.retired.delete(pool), () => this.retired.delete(pool));
+    }
+
     /** Closes all connections; open calls fail. */
     async close(): Promise<void> {
-        await this.pool.destroy();
+        await Promise.all([this.pool, ...this.retired].map(pool => pool.destroy()));
+    }
+
+    private createPool(): Pool {
+        const { address, maxConnections, keepAliveMs } = this.options;
+        return new Pool(`http://${address}`, {
+            connections: maxConnections ?? null,
+            pipelining: 1,
+            keepAliveTimeout: keepAliveMs ?? defaultKeepAliveMs,
+            keepAliveTimeoutThreshold: keepAliveMarginMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            factory: (origin, clientOptions) =>
+                new TrackedClient(String(origin), clientOptions as Client.Options, this.connect),
+        });
     }
 }
--- a/standins/platform/PartitionGate.ts
+++ b/standins/platform/PartitionGate.ts
@@ -27,7 +27,7 @@
     }
 
     /** Cuts the node off. */
-    cut(kind: PartitionKind): void {
+    interrupt(kind: PartitionKind): void {
         this.kind = kind;
         if (kind === "reset") {
             this.sockets.forEach(socket => socket.resetAndDestroy());
@@ -41,7 +41,7 @@
     }
 
     /** Ends the cut. Connections that fell silent stay so. */
-    heal(): void {
+    restore(): void {
         this.kind = undefined;
     }
 
