--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -88,6 +88,7 @@
 const expectInstanceHeader = "x-sequoiagrade-expect-instance";
 const defaultEventMs = 2;
 const headLeadMs = 20;
+const turnedAwayWindowMs = 1_000;
 const defaultSoftwareVersion = "v1";
 
 /** Stand-in for an upstream of the platform: a plain service or an engine with resumable streams. */
@@ -107,6 +108,16 @@
     sendsHeadBeforeCrash = false;
     /** Requests a second that it states in its answers to take; undefined for none. */
     limitPerS: number | undefined;
+    /** Requests that it runs at the same time; it turns further ones away. */
+    places = Infinity;
+    /** Requests that it turns away in a second before it crashes, which it states in its answers; undefined if sound. */
+    brittle: number | undefined;
+    /** Time of each run of a plain request, in milliseconds. */
+    workMs = 0;
+    /** Monotonic time until which it answers nothing, in milliseconds. */
+    silentUntilMs = -Infinity;
+    private running = 0;
+    private readonly turnedAwayAtMs: number[] = [];
     /** Called when the stand-in crashes. */
     onCrash: () => void = () => {};
 
@@ -136,6 +147,10 @@
         }
         const isCrashing = this.isCrashing(request, body);
         const behaviour = isCrashing ? "crash" : this.nextBehaviours.shift();
+        if (this.running >= this.places) {
+            this.turnAway(response, requestId);
+            return;
+        }
         if (behaviour === "full" || behaviour === "refuse") {
             if (behaviour === "refuse") {
                 response.setHeader("retry-after", "1");
@@ -158,7 +173,9 @@
             isAborted: false,
         };
         this.runs.push(run);
+        this.running += 1;
         response.on("close", () => {
+            this.running -= 1;
             run.isAborted = !response.writableFinished;
         });
         if (behaviour === "lose") {
@@ -181,7 +198,9 @@
             "x-sequoiagrade-response-stamp": `stamp-of-${this.id}`,
             ...(behaviour === "leave" ? { "server-leaving": "1" } : {}),
             ...(this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) }),
+            ...this.createBrittleHeader(),
         };
+        await this.work();
         if (behaviour?.startsWith("unframed")) {
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
@@ -220,6 +239,30 @@
             || (marker !== undefined && `${request.url} ${body.toString("utf8")}`.includes(marker));
     }
 
+    private createBrittleHeader(): Record<string, string> {
+        return this.brittle === undefined ? {} : { "server-brittle": String(this.brittle) };
+    }
+
+    private async work(): Promise<void> {
+        const workMs = Math.max(this.workMs, this.silentUntilMs - performance.now());
+        if (workMs > 0) {
+            await new Promise(resolve => setTimeout(resolve, workMs));
+        }
+    }
+
+    /** Refuses a request for want of room; one too many in a second crashes a brittle stand-in. */
+    private turnAway(response: ServerResponse, requestId: string): void {
+        const nowMs = performance.now();
+        this.turnedAwayAtMs.push(nowMs);
+        const recent = this.turnedAwayAtMs.filter(atMs => nowMs - atMs < turnedAwayWindowMs).length;
+        if (this.brittle !== undefined && recent > this.brittle) {
+            this.onCrash();
+            return;
+        }
+        const headers = { [notExecutedHeader]: "1", [attemptIdHeader]: requestId };
+        sendText(response, 503, { ...headers, ...this.createBrittleHeader() }, "full");
+    }
+
     private async breakDown(response: ServerResponse): Promise<void> {
         if (this.sendsHeadBeforeCrash) {
             response.flushHeaders();
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -153,7 +153,11 @@
         }
     }
 
-    private async addCrashingRunner(service: string, cause: CrashCause, sendsHead: boolean): Promise<void> {
+    private async addCrashingRunner(
+        service: string,
+        cause: CrashCause,
+        sendsHead: boolean,
+    ): Promise<RunnerStandIn> {
         const runner = await this.addRunner(service, {
             id: `${service}-${this.runners.length + 1}`,
             events: service === "llm" ? crashingRunnerEvents : 0,
@@ -165,6 +169,7 @@
             this.crashedAtMs.push(performance.now());
             this.restarts.push(this.replaceCrashed(runner, service));
         };
+        return runner;
     }
 
     private async replaceCrashed(crashed: RunnerStandIn, service: string): Promise<void> {
@@ -173,7 +178,9 @@
         this.registered.delete(crashed.id);
         this.store.put("servers", crashed.id, undefined);
         if (!this.isStopping) {
-            await this.addCrashingRunner(service, crashed.crashCause, crashed.sendsHeadBeforeCrash);
+            const { places, workMs, brittle, crashCause, sendsHeadBeforeCrash } = crashed;
+            const next = await this.addCrashingRunner(service, crashCause, sendsHeadBeforeCrash);
+            Object.assign(next, { places, workMs, brittle });
         }
     }
 
