Keep brittle upstreams from falling over by what they turn away

Callers would have lost what runs on an upstream that falls over because it had to turn requests away.

Cause: the statement was not read, and nodes sent on to upstreams that were full until each had refused.

One that turns a request away all the same gets none of any node for a second.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -12,6 +12,8 @@
 import { VersionRecords, versionRecordsName } from "../origins/VersionRecords";
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { peerReportsName } from "../peers/PeerReports";
+import { BrittleServices, brittleServicesName } from "../placement/BrittleServices";
+import type { ComputeRateShareOptions } from "../placement/computeRateShare";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
 import { UpstreamLimits, upstreamLimitsName } from "../placement/UpstreamLimits";
 import { PromptQuarantine, promptQuarantineName } from "../quarantine/PromptQuarantine";
@@ -174,21 +176,33 @@
 /** Registers the upstreams that the platform lists, and the limits that they state. */
 const registerUpstreams = (kernel: Kernel, options: ServingNodeOptions): void => {
     const { settings, clock } = options;
+    const readNodes = (find: FindService, name: string): Omit<ComputeRateShareOptions, "limitPerS"> => {
+        const live = find(membershipName).listLive().map(({ nodeId }) => nodeId);
+        const liveNodes = Math.max(1, live.length);
+        return {
+            rank: Math.max(0, rankByRendezvous(name, live).indexOf(settings.nodeId)),
+            liveNodes,
+            presumedNodes: Math.max(liveNodes, find(readinessName).countPresumedLive()),
+        };
+    };
     kernel.register({
         name: upstreamLimitsName,
         requires: [peerReportsName, membershipName, readinessName],
         create: find =>
             new UpstreamLimits({
                 reports: find(peerReportsName),
-                readNodes: name => {
-                    const live = find(membershipName).listLive().map(({ nodeId }) => nodeId);
-                    const liveNodes = Math.max(1, live.length);
-                    return {
-                        rank: Math.max(0, rankByRendezvous(name, live).indexOf(settings.nodeId)),
-                        liveNodes,
-                        presumedNodes: Math.max(liveNodes, find(readinessName).countPresumedLive()),
-                    };
-                },
+                readNodes: name => readNodes(find, name),
+                clock,
+                events: find(eventLogName),
+            }),
+    });
+    kernel.register({
+        name: brittleServicesName,
+        requires: [peerReportsName, membershipName, readinessName],
+        create: find =>
+            new BrittleServices({
+                reports: find(peerReportsName),
+                readNodes: name => readNodes(find, name),
                 clock,
                 events: find(eventLogName),
             }),
@@ -202,6 +216,7 @@
             servingStateName,
             readinessName,
             upstreamLimitsName,
+            brittleServicesName,
             tunnelDialerName,
         ],
         create: find =>
@@ -212,6 +227,7 @@
                 reports: find(peerReportsName),
                 sums: find(clusterSumsName),
                 limits: find(upstreamLimitsName),
+                brittle: find(brittleServicesName),
                 createClient: ({ id, address }) =>
                     new UpstreamClient({
                         address,
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -304,6 +304,10 @@
             instances.recordRefusal(upstream, metadata.refusesForMs);
         }
         instances.recordLimit(upstream, metadata.limitPerS);
+        instances.recordBrittle(upstream, metadata.turnedAwayPerS);
+        if (metadata.isNotRun) {
+            instances.recordTurnedAway(upstream);
+        }
     }
 
     /** Waits for the head of the answer, the end of the request, or the decision to fail over to another upstream. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -55,6 +55,8 @@
     readonly refusesForMs: number | undefined;
     /** Requests a second that the upstream takes from all nodes together; undefined if it states no limit. */
     readonly limitPerS: number | undefined;
+    /** Requests that the upstream may turn away in a second before it falls over; undefined if it is not brittle. */
+    readonly turnedAwayPerS: number | undefined;
 }
 
 /** Decodes and encodes the headers by which callers, this node and upstreams exchange request data. */
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -24,11 +24,12 @@
     readonly renewed: string[] = [];
     sinceRecoveryMs = Infinity;
     maxConnections = 4;
+    brittleLimit: number | undefined;
     remote = new Map<string, number>();
     readonly published: unknown[] = [];
     readonly waitMsById = new Map<string, number>();
     readonly taken: string[] = [];
-    reportLeaving: (value: unknown) => void = () => {};
+    readonly listeners = new Map<string, (value: unknown) => void>();
     readonly registry = new InstanceRegistry({
         feed: {
             records: this.records,
@@ -37,8 +38,8 @@
         clock: this.clock,
         events: new EventLog({ node: "n", clock: this.clock }),
         reports: {
-            listen: (_topic: unknown, onReceived: (value: never) => void) => {
-                this.reportLeaving = value => onReceived(value as never);
+            listen: ({ name }: { readonly name: string; }, onReceived: (value: never) => void) => {
+                this.listeners.set(name, value => onReceived(value as never));
             },
             publish: (_topic: unknown, value: unknown) => void this.published.push(value),
         },
@@ -49,6 +50,14 @@
             take: ({ id }) => void this.taken.push(id),
             isLimited: ({ id }) => this.waitMsById.has(id),
         },
+        brittle: {
+            observe: () => {},
+            isBrittle: () => this.brittleLimit !== undefined,
+            listLimits: (_service, instances) =>
+                this.brittleLimit === undefined
+                    ? undefined
+                    : new Map(instances.map(({ id }) => [id, this.brittleLimit!])),
+        },
         readMaxConnections: () => this.maxConnections,
         createClient: ({ address }) =>
             ({
@@ -57,6 +66,10 @@
             }) as unknown as UpstreamClient,
     });
 
+    report(topic: string, value: unknown): void {
+        this.listeners.get(topic)!(value);
+    }
+
     list(...instances: UpstreamInstance[]): void {
         this.records.set(new Map(instances.map(instance => [instance.id, instance])));
     }
@@ -109,6 +122,24 @@
         expect(setup.taken).toHaveLength(1);
     });
 
+    it("lists a brittle upstream up to this node's part of its places, and not after it turned a request away", async () => {
+        const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
+        setup.registry.recordTurnedAway(one);
+        expect(setup.listIds()).toEqual(["one", "two"]);
+        setup.brittleLimit = 1;
+        setup.registry.beginRequest(one);
+        expect(setup.listIds()).toEqual(["two"]);
+        setup.registry.endRequest(one);
+        setup.registry.recordTurnedAway(one);
+        setup.registry.recordTurnedAway(one);
+        expect(setup.listIds()).toEqual(["two"]);
+        expect(setup.published).toEqual([{ id: "one" }]);
+        await setup.clock.advance(1_000);
+        expect(setup.listIds()).toEqual(["one", "two"]);
+        setup.report("brittle-upstream-full", { id: "two" });
+        expect(setup.listIds()).toEqual(["one"]);
+    });
+
     it("sends requests to an upstream that has not answered for a second over new connections", async () => {
         const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
         setup.registry.renewSilent(one);
@@ -160,9 +191,9 @@
 
     it("treats an upstream as leaving when a member reports so, unless it has restarted", () => {
         setup.list(createInstance("one", { startedAtMs: 5 }), createInstance("two", second));
-        setup.reportLeaving({ id: "one", startedAtMs: 4 });
+        setup.report("upstream-leaving", { id: "one", startedAtMs: 4 });
         expect(setup.listIds()).toEqual(["one", "two"]);
-        setup.reportLeaving({ id: "one", startedAtMs: 5 });
+        setup.report("upstream-leaving", { id: "one", startedAtMs: 5 });
         expect(setup.listIds()).toEqual(["two"]);
     });
 
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -8,6 +8,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { InstanceNotices } from "./InstanceNotices";
+import type { BrittleServices } from "./BrittleServices";
 import type { UpstreamInstance, UpstreamStart, UpstreamView } from "./types";
 import type { UpstreamLimits } from "./UpstreamLimits";
 
@@ -19,6 +20,7 @@
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
     readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "take" | "isLimited">;
+    readonly brittle: Pick<BrittleServices, "observe" | "isBrittle" | "listLimits">;
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
     /** Creates the client for an upstream; default: an HTTP client. */
@@ -48,6 +50,12 @@
     name: "upstream-leaving",
     schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
 };
+/** Id and start of a brittle upstream that turned a request away. */
+const fullTopic: ReportTopic<UpstreamStart> = {
+    name: "brittle-upstream-full",
+    schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
+};
+const brittlePauseMs = 1_000; // it counts what it turns away by the second
 const storeRecoveryMs = 2_500; // entries that expired while the store was unavailable reappear within 2 s
 const missingGraceMs = 1_500; // shorter than the time after which an upstream that is gone must get no requests
 /** An upstream that restarts needs seconds; one that reset a connection is usable again immediately. */
@@ -65,6 +73,7 @@
     async start(): Promise<void> {
         this.options.sums.registerContributor(loadGroup, () => this.readOwnLoad());
         this.options.reports.listen(leavingTopic, leaving => this.applyLeavingReport(leaving));
+        this.options.reports.listen(fullTopic, full => this.applyFullReport(full));
         this.options.feed.records.onChange(records => this.update(records ?? new Map()));
         this.update(this.options.feed.records.value ?? new Map());
     }
@@ -80,8 +89,11 @@
     listUsable(service: string): TrackedInstance[] {
         const nowMs = this.options.clock.readMonotonicMs();
         const maxConnections = this.options.readMaxConnections(service);
-        return this.listInService(service).filter(tracked =>
+        const listed = this.listInService(service);
+        const limits = this.options.brittle.listLimits(service, listed.map(({ instance }) => instance));
+        return listed.filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
+            && tracked.inFlight < (limits?.get(tracked.instance.id) ?? Infinity)
             && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
             && this.options.limits.readWaitMs(tracked.instance) === 0
         );
@@ -142,6 +154,21 @@
         this.options.limits.observe(tracked.instance, limitPerS);
     }
 
+    /** Records that an upstream says in an answer that it is brittle; undefined if it does not. */
+    recordBrittle({ instance }: TrackedInstance, turnedAwayPerS: number | undefined): void {
+        this.options.brittle.observe(instance.service, turnedAwayPerS);
+    }
+
+    /** Records that an upstream turned a request away. A brittle one gets no requests of any node for a time. */
+    recordTurnedAway(tracked: TrackedInstance): void {
+        const { instance } = tracked;
+        const isRefusing = this.notices.readRefusedUntilMs(instance) > this.options.clock.readMonotonicMs();
+        if (!isRefusing && this.options.brittle.isBrittle(instance.service)) {
+            this.recordRefusal(tracked, brittlePauseMs);
+            this.options.reports.publish(fullTopic, { id: instance.id, startedAtMs: instance.startedAtMs });
+        }
+    }
+
     /** Lists the upstreams of a service that are not leaving, including ejected ones. */
     listInService(service: string): TrackedInstance[] {
         return [...this.tracked.values()].filter(({ instance }) =>
@@ -284,6 +311,13 @@
         }
     }
 
+    private applyFullReport({ id, startedAtMs }: UpstreamStart): void {
+        const tracked = this.tracked.get(id);
+        if (tracked && tracked.instance.startedAtMs === startedAtMs) {
+            this.recordRefusal(tracked, brittlePauseMs);
+        }
+    }
+
     /** Applies a change of an upstream's notices as if its entry in the store had changed. */
     private applyNotice(tracked: TrackedInstance): void {
         if (this.tracked.get(tracked.instance.id) === tracked) {
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -130,6 +130,12 @@
         "info",
         "An upstream has not answered for a time; further requests are sent over new connections.",
     ),
+    serviceBrittle: define(
+        2219,
+        "service-brittle",
+        "info",
+        "The upstreams of a service state that they are brittle, or no longer do.",
+    ),
     callSent: define(
         2301,
         "call-sent",
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -148,7 +148,7 @@
         const isCrashing = this.isCrashing(request, body);
         const behaviour = isCrashing ? "crash" : this.nextBehaviours.shift();
         if (this.running >= this.places) {
-            this.turnAway(response, requestId);
+            this.rejectForRoom(response, requestId);
             return;
         }
         if (behaviour === "full" || behaviour === "refuse") {
@@ -200,7 +200,7 @@
             ...(this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) }),
             ...this.createBrittleHeader(),
         };
-        await this.work();
+        await this.waitForWork();
         if (behaviour?.startsWith("unframed")) {
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
@@ -243,7 +243,7 @@
         return this.brittle === undefined ? {} : { "server-brittle": String(this.brittle) };
     }
 
-    private async work(): Promise<void> {
+    private async waitForWork(): Promise<void> {
         const workMs = Math.max(this.workMs, this.silentUntilMs - performance.now());
         if (workMs > 0) {
             await new Promise(resolve => setTimeout(resolve, workMs));
@@ -251,7 +251,7 @@
     }
 
     /** Refuses a request for want of room; one too many in a second crashes a brittle stand-in. */
-    private turnAway(response: ServerResponse, requestId: string): void {
+    private rejectForRoom(response: ServerResponse, requestId: string): void {
         const nowMs = performance.now();
         this.turnedAwayAtMs.push(nowMs);
         const recent = this.turnedAwayAtMs.filter(atMs => nowMs - atMs < turnedAwayWindowMs).length;
