Cut no request that goes through a member when that member is stopped

Cause: a node that stops waited for its own requests alone, and the node that is cut off went on using connections through it. Now a leaving node opens no further tunnels and waits until those that are open have been quiet for a second, within its grace time, and the nodes that used it send further requests over new connections.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -6,6 +6,7 @@
 import { servingStateName } from "../routes/ServingState";
 import type { ServingSettings } from "../settings/servingSettingsSchema";
 import { eventLogName } from "../telemetry/EventLog";
+import { tunnelServerName } from "../tunnels/TunnelServer";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { EventFields, EventKind } from "../telemetry/types";
 import { createForwardContext } from "./createForwardContext";
@@ -19,6 +20,7 @@
     "stopGraceMs",
     "entriesValidMs",
 ];
+const tunnelIdleMs = 1_000; // an answer that a member waits for takes longer only where nothing else is under way
 const drainPollMs = 50;
 const stopMarginMs = 400; // part of the grace period that is left for closing and the last log lines
 const refuseAfterShare = 3 / 8; // of the grace period; a request accepted later might not complete within it
@@ -99,6 +101,8 @@
         events.emit(eventKinds.nodeStopping, { open: server.openExchanges });
         this.kernel.find(membershipName).announceLeaving();
         server.stopKeepAlive();
+        const tunnels = this.kernel.find(tunnelServerName);
+        tunnels.refuseNewTunnels();
         void this.kernel.find(nodeRecordsName).removeOwnRecord();
         const drainEndMs = startMs + settings.stopGraceMs - stopMarginMs;
         const refuseMs = startMs + settings.stopGraceMs * refuseAfterShare;
@@ -108,7 +112,8 @@
             if (clock.readMonotonicMs() >= refuseMs) {
                 server.refuseNewRequests();
             }
-            if (clock.readMonotonicMs() >= entriesInvalidMs && server.isIdleFor(idleBeforeStopMs)) {
+            const isIdle = server.isIdleFor(idleBeforeStopMs) && tunnels.isIdleFor(tunnelIdleMs);
+            if (clock.readMonotonicMs() >= entriesInvalidMs && isIdle) {
                 break;
             }
         }
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -219,8 +219,9 @@
             brittleServicesName,
             tunnelDialerName,
         ],
-        create: find =>
-            new InstanceRegistry({
+        create: find => {
+            const tunnels = find(tunnelDialerName);
+            const registry = new InstanceRegistry({
                 feed: find(feedNames.instances),
                 clock,
                 events: find(eventLogName),
@@ -233,7 +234,7 @@
                         address,
                         connect: options.connectUpstream,
                         detour: {
-                            openTunnel: target => find(tunnelDialerName).open(target),
+                            openTunnel: target => tunnels.open(target),
                             clock,
                             onChange: way =>
                                 find(eventLogName).emit(eventKinds.upstreamWayChanged, { runner: id, way }),
@@ -244,7 +245,10 @@
                     const share = (declared ?? 0) * connectionShare / find(readinessName).countPresumedLive();
                     return Math.max(minConnections, Math.floor(share));
                 },
-            }),
+            });
+            tunnels.onMemberLeft(() => registry.renewRelayed());
+            return registry;
+        },
     });
 };
 
@@ -259,7 +263,7 @@
             new TunnelDialer({
                 nodeId,
                 dataCentre,
-                listLive: () => find(membershipName).listLive(),
+                membership: find(membershipName),
                 readClusterKey: () => find(clusterKeyName).value,
                 clock,
                 random,
@@ -273,6 +277,7 @@
                 nodeId,
                 network: find(peerNetworkName),
                 readClusterKey: () => find(clusterKeyName).value,
+                clock,
                 isUpstream: address => find(instanceRegistryName).hasAddress(address),
                 connect: options.connectUpstream,
             }),
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -215,6 +215,15 @@
         }
     }
 
+    /** Sends further requests over new connections where those in use go through other members. */
+    renewRelayed(): void {
+        for (const { client } of this.tracked.values()) {
+            if (client.isRelayed) {
+                client.renewConnections();
+            }
+        }
+    }
+
     /** Whether an upstream is listed at an address. */
     hasAddress(address: string): boolean {
         return [...this.tracked.values()].some(({ instance }) => instance.address === address);
--- a/src/tunnels/TunnelDialer.test.ts
+++ b/src/tunnels/TunnelDialer.test.ts
@@ -1,4 +1,5 @@
 import { Socket } from "node:net";
+import { ObservableValue } from "../_lib/ObservableValue";
 import { FakeClock } from "../kernel/FakeClock";
 import type { Member } from "../membership/types";
 import type { OpenTunnelOptions } from "./openTunnel";
@@ -18,16 +19,18 @@
     let asked: string[];
     let cutOff: Set<string>;
     let members: Member[];
+    let changes: ObservableValue<readonly Member[]>;
     let dialer: TunnelDialer;
 
     beforeEach(() => {
         asked = [];
         cutOff = new Set();
+        changes = new ObservableValue<readonly Member[]>([]);
         members = [createMember("self", "a"), createMember("near", "a"), createMember("far", "b")];
         dialer = new TunnelDialer({
             nodeId: "self",
             dataCentre: "a",
-            listLive: () => members,
+            membership: { listLive: () => members, members: changes },
             readClusterKey: () => "key",
             clock,
             random: { drawFloat: () => 0.5, drawInt: () => 0, drawId: () => "" },
@@ -56,6 +59,23 @@
         expect(asked.at(-2)).toBe("far:1");
     });
 
+    it("tells once when a member through which connections were opened has left", async () => {
+        let told = 0;
+        await dialer.start();
+        dialer.onMemberLeft(() => {
+            told += 1;
+        });
+        await dialer.open("upstream:1");
+        const [self, near, far] = members;
+        members = [self, far];
+        changes.set(members);
+        expect(told).toBe(0);
+        members = [self, near];
+        changes.set(members);
+        changes.set([...members]);
+        expect(told).toBe(1);
+    });
+
     it("fails where no member reaches the upstream, or there is none", async () => {
         ["far:1", "near:1"].forEach(member => cutOff.add(member));
         await expect(dialer.open("upstream:1")).rejects.toThrow("cut off");
--- a/src/tunnels/TunnelDialer.ts
+++ b/src/tunnels/TunnelDialer.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock, RandomSource } from "../kernel/types";
+import type { Membership } from "../membership/Membership";
 import type { Member } from "../membership/types";
 import { computeTunnelProof } from "./computeTunnelProof";
 import { openTunnel } from "./openTunnel";
@@ -9,7 +10,7 @@
 export interface TunnelDialerOptions {
     readonly nodeId: string;
     readonly dataCentre: string;
-    readonly listLive: () => readonly Member[];
+    readonly membership: Pick<Membership, "listLive" | "members">;
     readonly readClusterKey: () => string;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -25,9 +26,21 @@
 export class TunnelDialer {
     /** Monotonic time of the last failure of each member, in milliseconds. */
     private readonly failedMs = new Map<string, number>();
+    /** Names of the members through which connections were opened, and that were live since. */
+    private readonly usedIds = new Set<string>();
+    private readonly leftListeners: (() => void)[] = [];
 
     constructor(private readonly options: TunnelDialerOptions) {}
 
+    async start(): Promise<void> {
+        this.options.membership.members.onChange(() => this.dropLeft());
+    }
+
+    /** Adds a listener for members that leave or are lost after connections were opened through them. */
+    onMemberLeft(listener: () => void): void {
+        this.leftListeners.push(listener);
+    }
+
     /**
      * Opens a connection to an upstream through one of the members, trying several in turn.
      *
@@ -43,6 +56,7 @@
                 const proof = computeTunnelProof({ clusterKey: readClusterKey(), nodeId, target });
                 const socket = await open({ member: new URL(peersUrl).host, target, proof, timeoutMs });
                 this.failedMs.delete(nodeId);
+                this.usedIds.add(nodeId);
                 return socket;
             }
             catch (error) {
@@ -53,16 +67,25 @@
         throw lastError;
     }
 
+    private dropLeft(): void {
+        const liveIds = new Set(this.options.membership.listLive().map(({ nodeId }) => nodeId));
+        const left = [...this.usedIds].filter(nodeId => !liveIds.has(nodeId));
+        left.forEach(nodeId => this.usedIds.delete(nodeId));
+        if (left.length > 0) {
+            this.leftListeners.forEach(listener => listener());
+        }
+    }
+
     /** Lists the other members: those that failed of late last, and before them those of this node's data centre. */
     private listCandidates(): Member[] {
-        const { nodeId, dataCentre, listLive, clock, random } = this.options;
+        const { nodeId, dataCentre, membership, clock, random } = this.options;
         const nowMs = clock.readMonotonicMs();
         const rank = (member: Member): number => {
             const hasFailed = nowMs - (this.failedMs.get(member.nodeId) ?? -Infinity) < avoidedMs;
             const isNear = member.dataCentre === dataCentre; // a partition often takes a whole data centre
             return Number(hasFailed) * 2 + Number(isNear) + random.drawFloat();
         };
-        const ranked = listLive().filter(member => member.nodeId !== nodeId)
+        const ranked = membership.listLive().filter(member => member.nodeId !== nodeId)
             .map(member => ({ member, rank: rank(member) }));
         return ranked.sort((a, b) => a.rank - b.rank).map(({ member }) => member);
     }
--- a/src/tunnels/TunnelServer.test.ts
+++ b/src/tunnels/TunnelServer.test.ts
@@ -6,6 +6,7 @@
     type Server as TcpServer,
     Socket,
 } from "node:net";
+import { FakeClock } from "../kernel/FakeClock";
 import { computeTunnelProof } from "./computeTunnelProof";
 import { openTunnel } from "./openTunnel";
 import { TunnelServer } from "./TunnelServer";
@@ -15,6 +16,7 @@
 const timeoutMs = 1_000;
 
 describe("TunnelServer", () => {
+    const clock = new FakeClock();
     let members: Server;
     let upstream: TcpServer;
     let tunnels: TunnelServer;
@@ -41,6 +43,7 @@
                     ),
             },
             readClusterKey: () => clusterKey,
+            clock,
             isUpstream: address => address === target,
         });
         await tunnels.start();
@@ -90,6 +93,16 @@
         expect(tunnels.size).toBe(0);
     });
 
+    it("opens no more once it is told so, and says how long those that are open have passed nothing on", async () => {
+        expect(tunnels.isIdleFor(1)).toBe(true);
+        await open();
+        expect(tunnels.isIdleFor(1)).toBe(false);
+        await clock.advance(500);
+        expect(tunnels.isIdleFor(500)).toBe(true);
+        tunnels.refuseNewTunnels();
+        await expect(open()).rejects.toThrow("status 503");
+    });
+
     it("refuses where the upstream cannot be reached", async () => {
         upstream.close();
         await expect(open()).rejects.toThrow("status 502");
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
 import { createServiceName } from "../kernel/createServiceName";
+import type { Clock } from "../kernel/types";
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
 import { computeTunnelProof } from "./computeTunnelProof";
@@ -14,6 +15,7 @@
     readonly nodeId: string;
     readonly network: Pick<PeerNetwork, "onTunnelRequest">;
     readonly readClusterKey: () => string;
+    readonly clock: Clock;
     /** Whether an upstream is listed at an address. */
     readonly isUpstream: (address: string) => boolean;
     /** Opens connections to upstreams; default: undici's connector. */
@@ -27,6 +29,11 @@
 export class TunnelServer {
     private readonly sockets = new Set<Socket>();
     private readonly connect: buildConnector.connector;
+    private lastBytesMs = -Infinity;
+    private isLeaving = false;
+    private readonly recordBytes = (): void => {
+        this.lastBytesMs = this.options.clock.readMonotonicMs();
+    };
 
     constructor(private readonly options: TunnelServerOptions) {
         this.connect = createTimedConnector(connectTimeoutMs, options.connect);
@@ -37,6 +44,17 @@
         return this.sockets.size;
     }
 
+    /** Whether no bytes have been passed on for at least the given time, in milliseconds. */
+    isIdleFor(durationMs: number): boolean {
+        return this.sockets.size === 0
+            || this.options.clock.readMonotonicMs() - this.lastBytesMs >= durationMs;
+    }
+
+    /** Opens no more tunnels. Those that are open go on. */
+    refuseNewTunnels(): void {
+        this.isLeaving = true;
+    }
+
     async start(): Promise<void> {
         this.options.network.onTunnelRequest((request, socket) => this.serve(request, socket));
     }
@@ -65,7 +83,8 @@
                 return;
             }
             near.write("HTTP/1.1 200 Connection Established\r\n\r\n");
-            joinSockets(near, far);
+            joinSockets(near, far, this.recordBytes);
+            this.recordBytes();
         });
     }
 
@@ -80,7 +99,8 @@
         if (!isUpstream(url)) {
             return "404 Not Found";
         }
-        return this.sockets.size < maxTunnels ? undefined : "503 Service Unavailable";
+        const hasRoom = !this.isLeaving && this.sockets.size < maxTunnels;
+        return hasRoom ? undefined : "503 Service Unavailable";
     }
 }
 
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -199,11 +199,13 @@
     }
 
     /** Starts a node that can be cut off from all upstreams, and waits until it is ready. */
-    async addGatedNode(): Promise<{ readonly gate: PartitionGate; readonly node: TestNode; }> {
+    async addGatedNode(
+        settings: Record<string, unknown> = {},
+    ): Promise<{ readonly gate: PartitionGate; readonly node: TestNode; }> {
         const gate = new PartitionGate();
         await gate.start();
         this.gates.push(gate);
-        return { gate, node: await this.addNode({}, gate) };
+        return { gate, node: await this.addNode(settings, gate) };
     }
 
     /** Starts a node and waits until it is ready. */
