Reject a tunnel request whose proof is not ASCII, and say why no tunnel was opened

Found while reading the change. A proof of characters that take two bytes made the comparison of proofs throw, which would have ended the process of the node that was asked (TunnelServer.test 'refuses a proof of characters that take two bytes' failed with RangeError). Besides: a connection for a member that has lost power ends after two minutes without bytes; bytes that arrive with the answer to CONNECT are kept; the error of a failed connection names that of the tunnel; limits of brittle services are read only where there are any.

--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -90,7 +90,9 @@
         const nowMs = this.options.clock.readMonotonicMs();
         const maxConnections = this.options.readMaxConnections(service);
         const listed = this.listInService(service);
-        const limits = this.options.brittle.listLimits(service, listed.map(({ instance }) => instance));
+        const limits = this.options.brittle.isBrittle(service)
+            ? this.options.brittle.listLimits(service, listed.map(({ instance }) => instance))
+            : undefined;
         return listed.filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
             && tracked.inFlight < (limits?.get(tracked.instance.id) ?? Infinity)
--- a/src/tunnels/TunnelServer.test.ts
+++ b/src/tunnels/TunnelServer.test.ts
@@ -103,6 +103,11 @@
         await expect(open()).rejects.toThrow("status 503");
     });
 
+    it("refuses a proof of characters that take two bytes", async () => {
+        const asked = openTunnel({ member, target, proof: "é".repeat(64), timeoutMs });
+        await expect(asked).rejects.toThrow("status 407");
+    });
+
     it("refuses where the upstream cannot be reached", async () => {
         upstream.close();
         await expect(open()).rejects.toThrow("status 502");
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -23,6 +23,7 @@
 }
 
 const connectTimeoutMs = 200; // the member that asks has other members to try
+const maxIdleMs = 120_000; // of a member that has lost power, and whose connections do not end
 const maxTunnels = 1_024; // each takes two descriptors
 
 /** Opens connections to upstreams for members that cannot reach them, and passes the bytes on. */
@@ -72,6 +73,7 @@
         }
         this.sockets.add(near);
         near.on("close", () => this.sockets.delete(near));
+        near.setTimeout(maxIdleMs, () => near.destroy());
         const [hostname, port] = request.url!.split(":");
         this.connect({ hostname, port, protocol: "http:" }, (...[error, far]) => {
             if (error) {
@@ -93,7 +95,7 @@
         const { nodeId, readClusterKey, isUpstream } = this.options;
         const expected = computeTunnelProof({ clusterKey: readClusterKey(), nodeId, target: url });
         const given = String(headers[tunnelProofHeader]).padEnd(expected.length).slice(0, expected.length);
-        if (!timingSafeEqual(Buffer.from(expected), Buffer.from(given))) {
+        if (!timingSafeEqual(Buffer.from(expected, "latin1"), Buffer.from(given, "latin1"))) {
             return "407 Proxy Authentication Required";
         }
         if (!isUpstream(url)) {
--- a/src/tunnels/openTunnel.ts
+++ b/src/tunnels/openTunnel.ts
@@ -37,9 +37,10 @@
             () => asked.destroy(new Error(`no tunnel through ${member} within ${timeoutMs} ms`)),
             timeoutMs,
         );
-        asked.on("connect", (response, socket: Socket) => {
+        asked.on("connect", (response, socket: Socket, head: Buffer) => {
             clearTimeout(timer);
             if (response.statusCode === connectedStatus) {
+                socket.unshift(head);
                 resolve(socket.setNoDelay(true));
                 return;
             }
--- a/src/upstreams/UpstreamPath.ts
+++ b/src/upstreams/UpstreamPath.ts
@@ -84,10 +84,12 @@
                     .then(socket => settle(socket, upstreamWays.relayed));
                 return tunnel;
             };
-            const timer = setTimeout(() => void startTunnel().catch(() => {}), hedgeMs);
+            const timer = setTimeout(() => void startTunnel().catch(() => {}), hedgeMs); // reported by the attempt itself
             this.dial(options).then(socket => settle(socket, upstreamWays.direct), (error: Error) => {
                 clearTimeout(timer);
-                startTunnel().catch(() => reject(error));
+                startTunnel().catch((tunnelError: Error) =>
+                    reject(new Error(`${error.message}; through other members: ${tunnelError.message}`))
+                );
             });
         });
     }
