Name the quarantine and the watch after crashes, as they know more than prompts

Names of files, classes and variables only: PromptQuarantine is CrashQuarantine, PromptWatch is CrashWatch. Numbers and names of events and result codes stay.

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -4,7 +4,7 @@
 import { streamOriginsName } from "../origins/StreamOrigins";
 import { BoundedAffinityPolicy } from "../placement/BoundedAffinityPolicy";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
-import { promptQuarantineName } from "../quarantine/PromptQuarantine";
+import { crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { quotaLimiterName } from "../quotas/QuotaLimiter";
 import { retryBudgetsName } from "../retries/RetryBudgets";
 import { servingStateName } from "../routes/ServingState";
@@ -31,7 +31,7 @@
     instances: find(instanceRegistryName),
     placement: new BoundedAffinityPolicy({ random: options.random }),
     quotas: find(quotaLimiterName),
-    quarantine: find(promptQuarantineName),
+    quarantine: find(crashQuarantineName),
     origins: find(streamOriginsName),
     versions: find(softwareVersionsName),
     retryBudgets: find(retryBudgetsName),
--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -3,7 +3,7 @@
 import { membershipName } from "../membership/Membership";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { servingStateName } from "../routes/ServingState";
-import { promptQuarantineName } from "../quarantine/PromptQuarantine";
+import { crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { tunnelServerName } from "../tunnels/TunnelServer";
 import { addGauge, type GaugeValue } from "../telemetry/addGauge";
 import { peerNetworkName } from "../peers/PeerNetwork";
@@ -62,7 +62,7 @@
     addValue(
         "sequoiagrade_quarantined_parts",
         "Requests, and prompt parts, that are refused because upstreams crash under them.",
-        () => find(promptQuarantineName).size,
+        () => find(crashQuarantineName).size,
     );
     addValue(
         "sequoiagrade_tunnels_open",
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -16,7 +16,7 @@
 import type { ComputeRateShareOptions } from "../placement/computeRateShare";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
 import { UpstreamLimits, upstreamLimitsName } from "../placement/UpstreamLimits";
-import { PromptQuarantine, promptQuarantineName } from "../quarantine/PromptQuarantine";
+import { CrashQuarantine, crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { QuarantineRecords } from "../quarantine/QuarantineRecords";
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
 import { RetryBudgets, retryBudgetsName } from "../retries/RetryBudgets";
@@ -287,10 +287,10 @@
 /** Registers what keeps requests away from upstreams that their prompts crash. */
 const registerQuarantine = (kernel: Kernel, { settings, platform, clock }: ServingNodeOptions): void => {
     kernel.register({
-        name: promptQuarantineName,
+        name: crashQuarantineName,
         requires: [feedNames.quarantine, peerReportsName, membershipName, storeClockName],
         create: find =>
-            new PromptQuarantine({
+            new CrashQuarantine({
                 reports: find(peerReportsName),
                 records: new QuarantineRecords({
                     tables: platform.tables,
@@ -302,7 +302,7 @@
                     isPoller({
                         membership: find(membershipName),
                         nodeId: settings.nodeId,
-                        job: promptQuarantineName.id,
+                        job: crashQuarantineName.id,
                         count: 1,
                     }),
                 clock,
--- a/src/forwarding/PromptWatch.test.ts
+++ b/src/forwarding/CrashWatch.test.ts
@@ -2,7 +2,7 @@
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { BrokenRequest, RequestTraits } from "../quarantine/types";
 import { listSharedPartIds } from "./listSharedPartIds";
-import { PromptWatch } from "./PromptWatch";
+import { CrashWatch } from "./CrashWatch";
 import type { AttemptResult } from "./types";
 
 const upstream = { instance: { id: "u1" } } as unknown as TrackedInstance;
@@ -16,7 +16,7 @@
     asked: RequestTraits | undefined;
     sound = 0;
     lastCrashMs = -Infinity;
-    readonly watch = new PromptWatch({
+    readonly watch = new CrashWatch({
         clock: this.clock,
         quarantine: {
             readRemainingMs: traits => {
@@ -47,7 +47,7 @@
     }
 }
 
-describe("PromptWatch", () => {
+describe("CrashWatch", () => {
     let setup: Setup;
     beforeEach(() => {
         setup = new Setup();
--- a/src/forwarding/PromptWatch.ts
+++ b/src/forwarding/CrashWatch.ts
@@ -1,15 +1,15 @@
 import type { Clock } from "../kernel/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import type { PromptQuarantine } from "../quarantine/PromptQuarantine";
+import type { CrashQuarantine } from "../quarantine/CrashQuarantine";
 import type { RequestTraits } from "../quarantine/types";
 import type { RequestIdentity } from "./RequestIdentity";
 import type { AttemptResult, RequestMetadata } from "./types";
 
-/** Options of {@link PromptWatch}. */
-export interface PromptWatchOptions {
+/** Options of {@link CrashWatch}. */
+export interface CrashWatchOptions {
     readonly clock: Clock;
     readonly quarantine: Pick<
-        PromptQuarantine,
+        CrashQuarantine,
         "readRemainingMs" | "findSuspect" | "recordBreak" | "observeData" | "hasCrashSince" | "recordSound"
     >;
     /** Ids of the parts of the prompt that other requests may share. */
@@ -22,7 +22,7 @@
 const soundAfterMs = 500; // from the first event; an upstream that crashes under a request does so at once
 
 /** Tells the quarantine how the attempts of one request go, and asks whether it may be sent. */
-export class PromptWatch {
+export class CrashWatch {
     private readonly traits: RequestTraits;
     /** Whether the upstream of the latest attempt has begun to answer. */
     hasBegun = false;
@@ -32,7 +32,7 @@
     private lastDataMs = -Infinity;
     private reportedSoundMs = -Infinity;
 
-    constructor(private readonly options: PromptWatchOptions) {
+    constructor(private readonly options: CrashWatchOptions) {
         const { sharedParts: partIds, identity } = options;
         this.traits = {
             partIds,
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -10,7 +10,7 @@
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
 import type { AnswerMemory } from "../upstreams/AnswerMemory";
 import type { UsageLedger } from "../usage/UsageLedger";
-import type { PromptWatchOptions } from "./PromptWatch";
+import type { CrashWatchOptions } from "./CrashWatch";
 import type { ForwardProtocol } from "./types";
 
 /** Services of the node that forwarding a request depends on. */
@@ -24,7 +24,7 @@
     readonly instances: InstanceRegistry;
     readonly placement: PlacementPolicy;
     readonly quotas: QuotaLimiter;
-    readonly quarantine: PromptWatchOptions["quarantine"];
+    readonly quarantine: CrashWatchOptions["quarantine"];
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly versions: Pick<SoftwareVersions, "findSole">;
     readonly retryBudgets: RetryBudgets;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -19,7 +19,7 @@
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
-import { PromptWatch } from "./PromptWatch";
+import { CrashWatch } from "./CrashWatch";
 import { RequestIdentity } from "./RequestIdentity";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
@@ -55,7 +55,7 @@
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
     private readonly selection: UpstreamSelection;
-    private readonly promptWatch: PromptWatch;
+    private readonly crashWatch: CrashWatch;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
@@ -65,7 +65,7 @@
         const { sharedParts, metadata } = admitted;
         const { request, response, body } = options;
         const identity = new RequestIdentity({ request, body, accountName: admitted.account?.name });
-        this.promptWatch = new PromptWatch({ clock, quarantine, sharedParts, metadata, identity });
+        this.crashWatch = new CrashWatch({ clock, quarantine, sharedParts, metadata, identity });
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -75,7 +75,7 @@
             service,
             affinityKey: createAffinityKey(admitted.metadata.promptParts),
             binding: this.binding,
-            findSuspect: () => this.promptWatch.findSuspect(),
+            findSuspect: () => this.crashWatch.findSuspect(),
         });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
@@ -88,7 +88,7 @@
             admitted,
             recorder,
             interrupt,
-            promptWatch: this.promptWatch,
+            crashWatch: this.crashWatch,
             memory,
         });
         options.response.on("close", memory.release);
@@ -101,7 +101,7 @@
 
     /** Whether the upstream chosen last began an answer. */
     get hasBegun(): boolean {
-        return this.promptWatch.hasBegun;
+        return this.crashWatch.hasBegun;
     }
 
     /**
@@ -136,7 +136,7 @@
             if (interrupt) {
                 return { kind: "interrupted", by: interrupt };
             }
-            if (this.promptWatch.readQuarantinedMs() !== undefined) {
+            if (this.crashWatch.readQuarantinedMs() !== undefined) {
                 return createUnsentResult(quarantinedMessage);
             }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
@@ -197,7 +197,7 @@
         this.recorder.trace.sends += 1;
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
-        this.promptWatch.beginAttempt();
+        this.crashWatch.beginAttempt();
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
         const exchange = upstream.client.send({
@@ -206,14 +206,14 @@
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
             isWanted: () =>
-                this.interrupt.read() === undefined && this.promptWatch.readQuarantinedMs() === undefined
+                this.interrupt.read() === undefined && this.crashWatch.readQuarantinedMs() === undefined
                 && context.instances.isAcceptingRequests(upstream),
         });
         context.instances.beginRequest(upstream);
         try {
             const result = yield* this.receiveAnswer(upstream, exchange);
             this.recorder.recordAttempt(toAttemptOutcome(result));
-            this.promptWatch.endAttempt(upstream, result, this.recorder.trace.status);
+            this.crashWatch.endAttempt(upstream, result, this.recorder.trace.status);
             return result;
         }
         finally {
@@ -255,7 +255,7 @@
         if (start.kind === "failed" && !start.isSent && interrupt) {
             return { kind: "interrupted", by: interrupt };
         }
-        if (start.kind === "failed" && !start.isSent && this.promptWatch.readQuarantinedMs() !== undefined) {
+        if (start.kind === "failed" && !start.isSent && this.crashWatch.readQuarantinedMs() !== undefined) {
             return createUnsentResult(quarantinedMessage);
         }
         if (start.kind === "failed") {
@@ -265,7 +265,7 @@
         }
         const { head } = start;
         upstream.lastReceivedMs = context.clock.readMonotonicMs();
-        this.promptWatch.observeData(upstream);
+        this.crashWatch.observeData(upstream);
         const metadata = context.protocol.decodeResponse(head.status, head.headers);
         this.applyStatements(upstream, metadata);
         if (metadata.requestId !== undefined && metadata.requestId !== admitted.metadata.requestId) {
@@ -287,7 +287,7 @@
             };
         }
         this.recorder.recordRun(true);
-        this.promptWatch.observeAnswer();
+        this.crashWatch.observeAnswer();
         if (admitted.route.isStream && isEventStream(head)) {
             this.binding.adopt(upstream.instance);
         }
@@ -363,7 +363,7 @@
             result,
             runs: this.recorder.trace.runs,
             binding: this.binding,
-            readQuarantinedMs: () => this.promptWatch.readQuarantinedMs(),
+            readQuarantinedMs: () => this.crashWatch.readQuarantinedMs(),
             readRefusalMs: () => this.options.context.instances.readRefusalMs(this.service),
         });
     }
@@ -399,8 +399,8 @@
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
             sharedParts: describeSharedParts(admitted.sharedParts),
-            requestKey: this.promptWatch.requestKey,
-            hasBegun: this.promptWatch.hasBegun,
+            requestKey: this.crashWatch.requestKey,
+            hasBegun: this.crashWatch.hasBegun,
             reason: result.message,
             isSent: result.isSent,
             isNotRun: result.isNotRun,
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -12,7 +12,7 @@
 import { EventStreamSplitter } from "./EventStreamSplitter";
 import type { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
-import type { PromptWatch } from "./PromptWatch";
+import type { CrashWatch } from "./CrashWatch";
 import { relayEvents } from "./relayEvents";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult } from "./types";
@@ -25,7 +25,7 @@
     readonly admitted: AdmittedRequest;
     readonly recorder: ForwardRecorder;
     readonly interrupt: RequestInterrupt;
-    readonly promptWatch: PromptWatch;
+    readonly crashWatch: CrashWatch;
     /** Memory of the request for collected answers. */
     readonly memory: HeldMemory;
 }
@@ -113,7 +113,7 @@
         exchange: UpstreamExchange,
         head: AnswerHead,
     ): Task<AttemptResult> {
-        const { clock, response, admitted, interrupt, promptWatch } = this.options;
+        const { clock, response, admitted, interrupt, crashWatch } = this.options;
         if (!response.headersSent) {
             this.options.recorder.trace.status = head.status;
             const headers: OutgoingHttpHeaders = selectResponseHeaders(head.headers);
@@ -131,10 +131,10 @@
             idleTimeoutMs: isResumable ? resumableIdleTimeoutMs : unlimitedIdleTimeoutMs,
             onData: () => {
                 upstream.lastReceivedMs = clock.readMonotonicMs();
-                promptWatch.observeData(upstream);
+                crashWatch.observeData(upstream);
             },
             onFirstEvent: () => {
-                promptWatch.observeFirstEvent();
+                crashWatch.observeFirstEvent();
                 this.options.recorder.recordFirstByte();
                 this.options.recorder.recordUsage();
                 this.options.recorder.recordStream(upstream.instance.softwareVersion);
--- a/src/quarantine/PromptQuarantine.test.ts
+++ b/src/quarantine/CrashQuarantine.test.ts
@@ -1,7 +1,7 @@
 import { FakeClock } from "../kernel/FakeClock";
 import type { ReportTopic } from "../peers/PeerReports";
 import { EventLog } from "../telemetry/EventLog";
-import { PromptQuarantine } from "./PromptQuarantine";
+import { CrashQuarantine } from "./CrashQuarantine";
 import type { BrokenRequest, RequestTraits } from "./types";
 
 /** Nodes that tell each other everything at once, and their store. */
@@ -11,16 +11,16 @@
     readonly stored = new Map<string, number>();
     private readonly storeListeners: (() => void)[] = [];
     private readonly listeners = new Map<string, Map<string, (value: never) => void>>();
-    readonly nodes: PromptQuarantine[] = [];
+    readonly nodes: CrashQuarantine[] = [];
     /** Number of parts written. */
     writes = 0;
     isStoreDown = false;
     /** Whether the nodes cannot reach each other. */
     isCut = false;
 
-    async addNode(isTeller = false): Promise<PromptQuarantine> {
+    async addNode(isTeller = false): Promise<CrashQuarantine> {
         const nodeId = String(this.nodes.length);
-        const node = new PromptQuarantine({
+        const node = new CrashQuarantine({
             reports: {
                 publish: (topic, value) => this.publish(nodeId, topic, value),
                 listen: (topic, onReceived) => this.listen(nodeId, topic, onReceived),
@@ -106,7 +106,7 @@
 
 const halfAnHourMs = 1_800_000;
 
-describe("PromptQuarantine", () => {
+describe("CrashQuarantine", () => {
     let setup: Setup;
     beforeEach(() => {
         setup = new Setup();
--- a/src/quarantine/PromptQuarantine.ts
+++ b/src/quarantine/CrashQuarantine.ts
@@ -15,8 +15,8 @@
 import { RepeatLedger } from "./RepeatLedger";
 import type { BrokenPrompt, BrokenRequest, RequestTraits } from "./types";
 
-/** Options of {@link PromptQuarantine}. */
-export interface PromptQuarantineOptions {
+/** Options of {@link CrashQuarantine}. */
+export interface CrashQuarantineOptions {
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly records: Pick<QuarantineRecords, "listen" | "listAges" | "write">;
     /** Whether this node tells the others and the store what is quarantined. */
@@ -100,7 +100,7 @@
  * cause of several crashes are to be sent to one upstream only, so that the others go on and clear what is sound. What
  * is quarantined is kept in the store.
  */
-export class PromptQuarantine {
+export class CrashQuarantine {
     private readonly ledger = new CrashLedger();
     private readonly repeats = new RepeatLedger();
     /** Monotonic time at which the quarantine of each part and request began, in milliseconds. */
@@ -113,7 +113,7 @@
     private wake: () => void = () => {};
     private wakeKeeper: () => void = () => {};
 
-    constructor(private readonly options: PromptQuarantineOptions) {
+    constructor(private readonly options: CrashQuarantineOptions) {
         this.scope = createLoggedTaskScope(options.events);
     }
 
@@ -361,5 +361,5 @@
 const listIds = ({ partIds, identity }: RequestTraits): readonly string[] =>
     identity === undefined ? partIds : [...partIds, identityPrefix + identity];
 
-/** Name of the prompt quarantine service. */
-export const promptQuarantineName = createServiceName<PromptQuarantine>("prompt-quarantine");
+/** Name of the crash quarantine service. */
+export const crashQuarantineName = createServiceName<CrashQuarantine>("prompt-quarantine");
