Do not let a caller clear a crashing request by naming its id as a prompt part

Found while reading the change: ids of parts are the callers' choice, and one with the prefix of requests was taken for a request when it went well (CrashQuarantine.test 'is not cleared by another request that names its id' failed before).

--- a/src/quarantine/CrashQuarantine.test.ts
+++ b/src/quarantine/CrashQuarantine.test.ts
@@ -244,6 +244,15 @@
             nodes.forEach(node => expect(node.readRemainingMs(repeated)).toBeUndefined());
         });
 
+        it("is not cleared by another request that names its id as a part of its prompt", async () => {
+            const [node] = [await setup.addNode()];
+            await crash(2);
+            node.recordSound(named(["request:again"], "other"));
+            await crash(1, 2);
+            await setup.clock.advance(1_000);
+            expect(node.readRemainingMs(repeated)).toBeDefined();
+        });
+
         it("is known to nodes that cannot reach those that know it, and later ones, by the store", async () => {
             const first = await setup.addNode(true);
             setup.isCut = true;
--- a/src/quarantine/CrashQuarantine.ts
+++ b/src/quarantine/CrashQuarantine.ts
@@ -204,8 +204,9 @@
 
     /** Records that an upstream answers a request and does not crash. */
     recordSound(traits: RequestTraits): void {
-        const ids = this.repeats.isEmpty() ? traits.partIds : listIds(traits);
-        for (const id of ids) {
+        const { partIds } = traits;
+        const identity = this.repeats.isEmpty() ? undefined : traits.identity;
+        for (const id of listIds({ partIds, identity })) {
             if (this.markSound(id)) {
                 this.unreportedSound.add(id);
                 this.wake();
@@ -358,8 +359,11 @@
     }
 }
 
-const listIds = ({ partIds, identity }: RequestTraits): readonly string[] =>
-    identity === undefined ? partIds : [...partIds, identityPrefix + identity];
+/** Lists the ids of a request's traits. Callers choose the ids of parts; none stands for a request. */
+const listIds = ({ partIds, identity }: RequestTraits): readonly string[] => {
+    const parts = partIds.filter(id => !id.startsWith(identityPrefix));
+    return identity === undefined ? parts : [...parts, identityPrefix + identity];
+};
 
 /** Name of the crash quarantine service. */
 export const crashQuarantineName = createServiceName<CrashQuarantine>("prompt-quarantine");
