Bound the time of a connection by all ways together

Found while reading the change: with an upstream that is dark, an attempt ended only when the tunnels through three members had failed, too, up to 900 ms, where it took 400 ms before; a request that may go to another upstream waited that long. Now 400 ms bound both ways together, members are given 200 ms each, and a node whose tunnels fail that way tries by itself first (UpstreamPath.test 'fails in time').

--- a/src/tunnels/TunnelDialer.ts
+++ b/src/tunnels/TunnelDialer.ts
@@ -19,7 +19,7 @@
 }
 
 const maxTries = 3;
-const timeoutMs = 300; // of each member; covers its own attempt to connect
+const timeoutMs = 200; // of each member; covers its own attempt to connect
 const avoidedMs = 3_000; // a member through which an upstream was not reached may be cut off itself
 
 /** Opens connections to upstreams through other members. */
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -22,7 +22,7 @@
     readonly connect?: buildConnector.connector;
 }
 
-const connectTimeoutMs = 200; // the member that asks has other members to try
+const connectTimeoutMs = 150; // the member that asks has other members to try
 const maxIdleMs = 120_000; // of a member that has lost power, and whose connections do not end
 const maxTunnels = 1_024; // each takes two descriptors
 
--- a/src/upstreams/UpstreamClient.ts
+++ b/src/upstreams/UpstreamClient.ts
@@ -61,6 +61,7 @@
         this.path = detour && new UpstreamPath({
             address,
             connect,
+            timeoutMs,
             openTunnel: detour.openTunnel,
             clock: detour.clock,
             onChange: way => {
--- a/src/upstreams/UpstreamPath.test.ts
+++ b/src/upstreams/UpstreamPath.test.ts
@@ -8,6 +8,7 @@
     const clock = new FakeClock();
     let direct: "open" | "refused" | "hanging";
     let hasTunnel: boolean;
+    let isTunnelHanging: boolean;
     let tunnels: number;
     let attempts: number;
     let changes: UpstreamWay[];
@@ -16,6 +17,7 @@
     beforeEach(() => {
         direct = "open";
         hasTunnel = true;
+        isTunnelHanging = false;
         tunnels = 0;
         attempts = 0;
         changes = [];
@@ -31,12 +33,16 @@
                 }
             },
             openTunnel: async () => {
+                if (isTunnelHanging) {
+                    return new Promise<Socket>(() => {});
+                }
                 if (!hasTunnel) {
                     throw new Error("no tunnel");
                 }
                 tunnels += 1;
                 return new Socket();
             },
+            timeoutMs: 400,
             clock,
             onChange: way => changes.push(way),
         });
@@ -69,6 +75,16 @@
         expect(path.way).toBe("direct");
     });
 
+    it("fails in time where neither way leads to an answer, and tries directly first then", async () => {
+        direct = "refused";
+        await connect();
+        isTunnelHanging = true;
+        const startMs = performance.now();
+        await expect(connect()).rejects.toThrow("no connection within 400 ms");
+        expect(performance.now() - startMs).toBeLessThan(1_000);
+        expect(path.way).toBe("direct");
+    });
+
     it("goes directly again where a member no longer reaches the upstream", async () => {
         direct = "refused";
         await connect();
--- a/src/upstreams/UpstreamPath.ts
+++ b/src/upstreams/UpstreamPath.ts
@@ -14,6 +14,8 @@
     readonly address: string;
     /** Opens a connection of this node's own; ends in time. */
     readonly connect: buildConnector.connector;
+    /** Time limit of an attempt by all ways together, in milliseconds. */
+    readonly timeoutMs: number;
     /** Opens a connection through another member. */
     readonly openTunnel: (address: string) => Promise<Socket>;
     readonly clock: Clock;
@@ -43,7 +45,7 @@
         const attempt = this.currentWay === upstreamWays.direct
             ? this.openDirectly(options)
             : this.openByMember(options);
-        attempt.then(socket => callback(null, socket), error => callback(error as Error, null));
+        this.finishInTime(attempt, callback);
         return undefined as never; // undici does not use what connectors return
     };
 
@@ -64,6 +66,25 @@
         );
     }
 
+    private finishInTime(attempt: Promise<Socket>, callback: buildConnector.Callback): void {
+        const { timeoutMs } = this.options;
+        let isLate = false;
+        const timer = setTimeout(() => {
+            isLate = true;
+            this.adopt(upstreamWays.direct);
+            callback(new Error(`no connection within ${timeoutMs} ms`), null);
+        }, timeoutMs);
+        const finish = (...outcome: Parameters<buildConnector.Callback>): void => {
+            clearTimeout(timer);
+            if (isLate) {
+                outcome[1]?.destroy();
+                return;
+            }
+            callback(...outcome);
+        };
+        attempt.then(socket => finish(null, socket), (error: Error) => finish(error, null));
+    }
+
     /** Connects directly, and through a member too if that fails or takes long. */
     private openDirectly(options: buildConnector.Options): Promise<Socket> {
         return new Promise((resolve, reject) => {
