Tell requests with equal bodies and other prompts apart

Sound and crashing requests there have one caller, path and body, and differ in the parts of the prompt that a header names, so that they had one key, and what crashed under one of them was held against all; an answer that went well in time mostly cleared it. The key now holds the shared parts of the prompt, too (RequestIdentity.test). A repeat has the same prompt; its own last part is left out.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -64,7 +64,12 @@
         const { clock, quarantine } = context;
         const { sharedParts, metadata } = admitted;
         const { request, response, body } = options;
-        const identity = new RequestIdentity({ request, body, accountName: admitted.account?.name });
+        const identity = new RequestIdentity({
+            request,
+            body,
+            accountName: admitted.account?.name,
+            sharedParts,
+        });
         this.crashWatch = new CrashWatch({ clock, quarantine, sharedParts, metadata, identity });
         const { service, origin } = admitted;
         const { instances, placement } = context;
--- a/src/forwarding/RequestIdentity.test.ts
+++ b/src/forwarding/RequestIdentity.test.ts
@@ -1,7 +1,12 @@
 import { RequestIdentity, type RequestIdentityOptions } from "./RequestIdentity";
 
 const request = { method: "POST", url: "/plain/a?b=1", headers: { host: "host.example", "x-id": "1" } };
-const options: RequestIdentityOptions = { request, body: Buffer.from("body"), accountName: "alpha" };
+const options: RequestIdentityOptions = {
+    request,
+    body: Buffer.from("body"),
+    accountName: "alpha",
+    sharedParts: ["a"],
+};
 
 const readKey = (changed: Partial<RequestIdentityOptions>): string =>
     new RequestIdentity({ ...options, ...changed }).key;
@@ -12,7 +17,7 @@
         expect(readKey({ request: repeated, body: Buffer.from("body") })).toBe(readKey({}));
     });
 
-    it("differs with the caller, the method, the host, the path and the body", () => {
+    it("differs with the caller, the method, the host, the path, the body and the prompt", () => {
         const keys = [
             readKey({}),
             readKey({ accountName: "beta" }),
@@ -21,6 +26,7 @@
             readKey({ request: { ...request, headers: { host: "other.example" } } }),
             readKey({ request: { ...request, url: "/plain/a?b=2" } }),
             readKey({ body: Buffer.from("bodx") }),
+            readKey({ sharedParts: ["b"] }),
         ];
         expect(new Set(keys).size).toBe(keys.length);
     });
--- a/src/forwarding/RequestIdentity.ts
+++ b/src/forwarding/RequestIdentity.ts
@@ -7,11 +7,13 @@
     readonly body: Buffer;
     /** Name of the client account that holds the caller's key. */
     readonly accountName: string | undefined;
+    /** Ids of the parts of the prompt that other requests may share. */
+    readonly sharedParts: readonly string[];
 }
 
 const keyLength = 32;
 
-/** Tells whether two requests are the same one sent again: equal caller, method, host, path and body. */
+/** Tells whether two requests are the same one sent again: equal caller, method, host, path, body and prompt. */
 export class RequestIdentity {
     private computedKey: string | undefined;
 
@@ -24,8 +26,8 @@
     }
 
     private computeKey(): string {
-        const { request, body, accountName } = this.options;
-        const head = [accountName, request.method, request.headers.host, request.url];
+        const { request, body, accountName, sharedParts } = this.options;
+        const head = [accountName, request.method, request.headers.host, request.url, sharedParts];
         return createHash("sha256").update(JSON.stringify(head)).update(body).digest("hex").slice(
             0,
             keyLength,
