Compare the proofs of members in one place

The tunnel server had written the comparison of the peers' handshake again, and the two differed: that of the handshake still threw on a proof of 64 characters that take more bytes, so that its task ended with an error in place of a rejection. Both call isSameProof now. A tunnel's proof followed by further characters is no longer taken.

--- a/src/peers/authenticatePeer.ts
+++ b/src/peers/authenticatePeer.ts
@@ -1,4 +1,3 @@
-import { timingSafeEqual } from "node:crypto";
 import type { WebSocket } from "ws";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
@@ -7,6 +6,7 @@
 import type { FrameQueue, ReceivedFrame } from "./FrameQueue";
 import { helloSchema, proofSchema } from "./peerMessageSchema";
 import { encodeFrame } from "./encodeFrame";
+import { isSameProof } from "./isSameProof";
 
 /** Options of {@link authenticatePeer}. */
 export interface AuthenticatePeerOptions {
@@ -48,11 +48,7 @@
         nodeId: hello.data.nodeId,
         nonce,
     });
-    const isValid = timingSafeEqual(
-        Buffer.from(expected),
-        Buffer.from(proof.data.mac.padEnd(64).slice(0, 64)),
-    );
-    return isValid ? hello.data.nodeId : undefined;
+    return isSameProof(expected, proof.data.mac) ? hello.data.nodeId : undefined;
 }
 
 function* takeWithTimeout(options: AuthenticatePeerOptions): Task<unknown> {
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -1,9 +1,9 @@
-import { timingSafeEqual } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
+import { isSameProof } from "../peers/isSameProof";
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
 import { computeTunnelProof } from "./computeTunnelProof";
@@ -94,8 +94,7 @@
     private checkRequest({ headers, url = "" }: IncomingMessage): string | undefined {
         const { nodeId, readClusterKey, isUpstream } = this.options;
         const expected = computeTunnelProof({ clusterKey: readClusterKey(), nodeId, target: url });
-        const given = String(headers[tunnelProofHeader]).padEnd(expected.length).slice(0, expected.length);
-        if (!timingSafeEqual(Buffer.from(expected, "latin1"), Buffer.from(given, "latin1"))) {
+        if (!isSameProof(expected, String(headers[tunnelProofHeader]))) {
             return "407 Proxy Authentication Required";
         }
         if (!isUpstream(url)) {
