Tell callers to come back at once where a limit allows a request again meanwhile

statedLimits 'lets requests be refused at once as not run where no other upstream is left, until its limit allows more' failed once while this change was read again: Retry-After 0.3 in place of at most 0.25. On with a log line in readRefusalMs it failed in 1 of 12 runs, four at a time, and the line was there in that run alone: between the choice of an upstream and the refusal the limit had allowed one more, so that the time was taken for unknown and the default of 300 ms was sent. Where all upstreams of the service state limits and one is usable now, the time is 0.

--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -158,6 +158,15 @@
         expect(setup.renewed).toHaveLength(1);
     });
 
+    it("says that a limited upstream accepts requests now if its limit allowed one since none could be chosen", () => {
+        setup.waitMsById.set("one", 0);
+        expect(setup.registry.readRefusalMs("app")).toBeUndefined();
+        setup.waitMsById.set("two", 200);
+        expect(setup.registry.readRefusalMs("app")).toBe(0);
+        setup.registry.eject(setup.registry.listUsable("app")[0], "gone");
+        expect(setup.registry.readRefusalMs("app")).toBeUndefined();
+    });
+
     it("applies a connection limit that changes after the upstream was listed", () => {
         setup.maxConnections = 1;
         setup.list(createInstance("one"));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -110,18 +110,24 @@
     /**
      * Returns the time until the first upstream of a service accepts requests again.
      *
-     * @returns milliseconds; undefined unless every upstream of the service has asked for a pause or for fewer requests
+     * @returns milliseconds, 0 if one does now; undefined unless every upstream of the service has asked for a pause or for
+     *     fewer requests
      */
     readRefusalMs(service: string): number | undefined {
         const nowMs = this.options.clock.readMonotonicMs();
-        const waits = this.listInService(service).map(({ instance }) =>
+        const listed = this.listInService(service);
+        const waits = listed.map(({ instance }) =>
             Math.max(
                 this.notices.readRefusedUntilMs(instance) - nowMs,
                 this.options.limits.readWaitMs(instance),
             )
         );
         const shortestMs = Math.min(...waits);
-        return waits.length > 0 && shortestMs > 0 ? shortestMs : undefined;
+        if (shortestMs > 0) {
+            return waits.length > 0 ? shortestMs : undefined;
+        }
+        const areLimited = listed.every(({ instance }) => this.options.limits.isLimited(instance));
+        return areLimited && this.listUsable(service).length > 0 ? 0 : undefined;
     }
 
     /** Records that an upstream stated in an answer that it is leaving, and tells the members. */
