Keep what upstreams state, until it is not heard any more, in one place

BrittleServices had written again how UpstreamLimits keeps a statement: when it is news, when an answer without it ends it, when it expires. HeardStates holds that for both; what is told and what follows from it stays in each. Behaviour is the same.

--- a/src/placement/BrittleServices.ts
+++ b/src/placement/BrittleServices.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { computePlaceShare } from "./computePlaceShare";
+import { type HeardState, HeardStates } from "./HeardStates";
 import type { UpstreamInstance } from "./types";
 
 /** Options of {@link BrittleServices}. */
@@ -22,9 +23,7 @@
     readonly turnedAwayPerS?: number;
 }
 
-interface BrittleState {
-    /** Monotonic time at which any node last heard it, as far as this one knows, in milliseconds. */
-    heardMs: number;
+interface BrittleState extends HeardState {
     rank: number;
     nodes: number;
     nodesReadMs: number;
@@ -34,9 +33,6 @@
     name: "brittle-service",
     schema: z.object({ service: z.string(), turnedAwayPerS: z.number().nonnegative().optional() }),
 };
-const reorderMs = 500; // an answer that does not say so may have been sent before one that does
-const repeatMs = 2_000; // for nodes that send too little to hear it themselves
-const expiryMs = 10_000;
 const nodesReadMs = 250;
 const usedShare = 0.85; // of the slots; an upstream frees them a little later than the node counts them free
 
@@ -45,9 +41,11 @@
  * service say that they are brittle, each node has no more requests in flight at one than its part of its slots.
  */
 export class BrittleServices {
-    private readonly states = new Map<string, BrittleState>();
+    private readonly states: HeardStates<BrittleState>;
 
-    constructor(private readonly options: BrittleServicesOptions) {}
+    constructor(private readonly options: BrittleServicesOptions) {
+        this.states = new HeardStates(options.clock);
+    }
 
     async start(): Promise<void> {
         this.options.reports.listen(topic, ({ service, turnedAwayPerS }) => {
@@ -73,9 +71,7 @@
             }
             return;
         }
-        const known = this.find(service);
-        const isNews = !known || this.options.clock.readMonotonicMs() - known.heardMs >= repeatMs;
-        if (isNews) {
+        if (this.states.isNews(this.states.find(service))) {
             this.adopt(service, turnedAwayPerS);
             this.options.reports.publish(topic, { service, turnedAwayPerS });
         }
@@ -83,7 +79,7 @@
 
     /** Whether the upstreams of a service say that they are brittle. */
     isBrittle(service: string): boolean {
-        return this.find(service) !== undefined;
+        return this.states.find(service) !== undefined;
     }
 
     /**
@@ -97,7 +93,7 @@
         service: string,
         instances: readonly UpstreamInstance[],
     ): ReadonlyMap<string, number> | undefined {
-        const state = this.find(service);
+        const state = this.states.find(service);
         if (!state) {
             return undefined;
         }
@@ -114,38 +110,24 @@
 
     private adopt(service: string, turnedAwayPerS: number): void {
         const nowMs = this.options.clock.readMonotonicMs();
-        const known = this.find(service);
+        const known = this.states.find(service);
         if (known) {
             known.heardMs = nowMs;
             return;
         }
-        this.states.set(service, { heardMs: nowMs, rank: 0, nodes: 1, nodesReadMs: -Infinity });
+        this.states.add(service, { heardMs: nowMs, rank: 0, nodes: 1, nodesReadMs: -Infinity });
         this.options.events.emit(eventKinds.serviceBrittle, { service, turnedAwayPerS });
     }
 
     /** Drops what is known of a service, unless it was heard a moment ago; returns whether there was anything. */
     private drop(service: string): boolean {
-        const known = this.find(service);
-        if (!known || this.options.clock.readMonotonicMs() - known.heardMs < reorderMs) {
+        if (!this.states.drop(service)) {
             return false;
         }
-        this.states.delete(service);
         this.options.events.emit(eventKinds.serviceBrittle, { service });
         return true;
     }
 
-    private find(service: string): BrittleState | undefined {
-        if (this.states.size === 0) {
-            return undefined;
-        }
-        const state = this.states.get(service);
-        if (state && this.options.clock.readMonotonicMs() - state.heardMs > expiryMs) {
-            this.states.delete(service);
-            return undefined;
-        }
-        return state;
-    }
-
     private refresh(service: string, state: BrittleState): void {
         const nowMs = this.options.clock.readMonotonicMs();
         if (nowMs - state.nodesReadMs < nodesReadMs) {
--- a/src/placement/UpstreamLimits.ts
+++ b/src/placement/UpstreamLimits.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { computeRateShare, type ComputeRateShareOptions } from "./computeRateShare";
+import { type HeardState, HeardStates } from "./HeardStates";
 import { formatStartKey } from "./formatStartKey";
 import type { UpstreamStart } from "./types";
 
@@ -22,10 +23,8 @@
     readonly limitPerS?: number;
 }
 
-interface StatedLimit {
+interface StatedLimit extends HeardState {
     limitPerS: number;
-    /** Monotonic time at which any node last heard it, as far as this one knows, in milliseconds. */
-    heardMs: number;
     /** Requests a second of this node. */
     ratePerS: number;
     rateReadMs: number;
@@ -42,10 +41,7 @@
         limitPerS: z.number().nonnegative().optional(),
     }),
 };
-const reorderMs = 500; // an answer without a limit may have been sent before one with it
-const repeatMs = 2_000; // for nodes that send too little to hear it themselves
 const changedShare = 0.1;
-const expiryMs = 10_000;
 const rateReadMs = 250;
 const msPerSecond = 1_000;
 
@@ -54,9 +50,11 @@
  * limit tells the others, and each uses its part of it; see {@link computeRateShare}.
  */
 export class UpstreamLimits {
-    private readonly limits = new Map<string, StatedLimit>();
+    private readonly limits: HeardStates<StatedLimit>;
 
-    constructor(private readonly options: UpstreamLimitsOptions) {}
+    constructor(private readonly options: UpstreamLimitsOptions) {
+        this.limits = new HeardStates(options.clock);
+    }
 
     async start(): Promise<void> {
         this.options.reports.listen(topic, report => this.receive(report));
@@ -68,9 +66,8 @@
             this.observeNone(upstream);
             return;
         }
-        const nowMs = this.options.clock.readMonotonicMs();
         const known = this.find(upstream);
-        const isNews = !known || nowMs - known.heardMs >= repeatMs
+        const isNews = !known || this.limits.isNews(known)
             || Math.abs(limitPerS - known.limitPerS) > known.limitPerS * changedShare;
         this.adopt(upstream, limitPerS);
         if (isNews) {
@@ -137,8 +134,7 @@
             known.heardMs = nowMs;
             return;
         }
-        this.dropExpired();
-        this.limits.set(formatStartKey(upstream), {
+        this.limits.add(formatStartKey(upstream), {
             limitPerS,
             heardMs: nowMs,
             ratePerS: 0,
@@ -151,33 +147,15 @@
 
     /** Drops the limit of an upstream, unless it was heard a moment ago; returns whether there was one. */
     private drop(upstream: UpstreamStart): boolean {
-        const known = this.find(upstream);
-        if (!known || this.options.clock.readMonotonicMs() - known.heardMs < reorderMs) {
+        if (this.limits.isEmpty() || !this.limits.drop(formatStartKey(upstream))) {
             return false;
         }
-        this.limits.delete(formatStartKey(upstream));
         this.options.events.emit(eventKinds.upstreamLimited, { upstream: upstream.id });
         return true;
     }
 
     private find(upstream: UpstreamStart): StatedLimit | undefined {
-        if (this.limits.size === 0) {
-            return undefined;
-        }
-        const limit = this.limits.get(formatStartKey(upstream));
-        return limit && !this.isExpired(limit) ? limit : undefined;
-    }
-
-    private isExpired({ heardMs }: StatedLimit): boolean {
-        return this.options.clock.readMonotonicMs() - heardMs > expiryMs;
-    }
-
-    private dropExpired(): void {
-        for (const [key, limit] of this.limits) {
-            if (this.isExpired(limit)) {
-                this.limits.delete(key);
-            }
-        }
+        return this.limits.isEmpty() ? undefined : this.limits.find(formatStartKey(upstream));
     }
 
     /** Adds what this node may send since the last call. */
