--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -45,16 +45,11 @@
 
 /** Group of counters with the requests in flight by upstream. */
 const loadGroup = "load";
+const startSchema = z.object({ id: z.string(), startedAtMs: z.number().optional() });
 /** Id and start of an upstream that stated that it is leaving. */
-const leavingTopic: ReportTopic<UpstreamStart> = {
-    name: "upstream-leaving",
-    schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
-};
+const leavingTopic: ReportTopic<UpstreamStart> = { name: "upstream-leaving", schema: startSchema };
 /** Id and start of a brittle upstream that turned a request away. */
-const fullTopic: ReportTopic<UpstreamStart> = {
-    name: "brittle-upstream-full",
-    schema: z.object({ id: z.string(), startedAtMs: z.number().optional() }),
-};
+const fullTopic: ReportTopic<UpstreamStart> = { name: "brittle-upstream-full", schema: startSchema };
 const brittlePauseMs = 1_000; // it counts what it turns away by the second
 const storeRecoveryMs = 2_500; // entries that expired while the store was unavailable reappear within 2 s
 const missingGraceMs = 1_500; // shorter than the time after which an upstream that is gone must get no requests
@@ -134,10 +129,7 @@
     markLeaving(tracked: TrackedInstance): void {
         const { instance } = tracked;
         if (this.notices.markLeaving(instance)) {
-            this.options.reports.publish(leavingTopic, {
-                id: instance.id,
-                startedAtMs: instance.startedAtMs,
-            });
+            this.publishStart(leavingTopic, instance);
             this.applyNotice(tracked);
         }
     }
@@ -173,7 +165,7 @@
         const isRefusing = this.notices.readRefusedUntilMs(instance) > this.options.clock.readMonotonicMs();
         if (!isRefusing && this.options.brittle.isBrittle(instance.service)) {
             this.recordRefusal(tracked, brittlePauseMs);
-            this.options.reports.publish(fullTopic, { id: instance.id, startedAtMs: instance.startedAtMs });
+            this.publishStart(fullTopic, instance);
         }
     }
 
@@ -318,19 +310,25 @@
         }
     }
 
-    private applyLeavingReport({ id, startedAtMs }: UpstreamStart): void {
+    private publishStart(topic: ReportTopic<UpstreamStart>, { id, startedAtMs }: UpstreamStart): void {
+        this.options.reports.publish(topic, { id, startedAtMs });
+    }
+
+    private findStart({ id, startedAtMs }: UpstreamStart): TrackedInstance | undefined {
         const tracked = this.tracked.get(id);
-        if (
-            tracked && tracked.instance.startedAtMs === startedAtMs
-            && this.notices.markLeaving(tracked.instance)
-        ) {
+        return tracked?.instance.startedAtMs === startedAtMs ? tracked : undefined;
+    }
+
+    private applyLeavingReport(leaving: UpstreamStart): void {
+        const tracked = this.findStart(leaving);
+        if (tracked && this.notices.markLeaving(tracked.instance)) {
             this.applyNotice(tracked);
         }
     }
 
-    private applyFullReport({ id, startedAtMs }: UpstreamStart): void {
-        const tracked = this.tracked.get(id);
-        if (tracked && tracked.instance.startedAtMs === startedAtMs) {
+    private applyFullReport(full: UpstreamStart): void {
+        const tracked = this.findStart(full);
+        if (tracked) {
             this.recordRefusal(tracked, brittlePauseMs);
         }
     }
