Hold by what a request is recognised in one object

RequestForwarder put the shared parts into the key and into the watch, and the watch put parts and key together again behind a getter. ForwardTraits, which was RequestIdentity, is what the quarantine asks for. Behaviour is the same.

--- a/src/forwarding/CrashWatch.test.ts
+++ b/src/forwarding/CrashWatch.test.ts
@@ -31,9 +31,8 @@
                 this.sound += 1;
             },
         },
-        sharedParts: listSharedPartIds(promptParts),
+        traits: { partIds: listSharedPartIds(promptParts), identity: "identity" },
         metadata: { promptParts, requestId: "request" },
-        identity: { key: "identity" },
     });
 
     async stream(durationMs: number): Promise<void> {
--- a/src/forwarding/CrashWatch.ts
+++ b/src/forwarding/CrashWatch.ts
@@ -1,8 +1,7 @@
 import type { Clock } from "../kernel/types";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import type { CrashQuarantine } from "../quarantine/CrashQuarantine";
-import type { RequestTraits } from "../quarantine/types";
-import type { RequestIdentity } from "./RequestIdentity";
+import type { ForwardTraits } from "./ForwardTraits";
 import type { AttemptResult, RequestMetadata } from "./types";
 
 /** Options of {@link CrashWatch}. */
@@ -12,10 +11,8 @@
         CrashQuarantine,
         "readRemainingMs" | "findSuspect" | "recordBreak" | "observeData" | "hasCrashSince" | "recordSound"
     >;
-    /** Ids of the parts of the prompt that other requests may share. */
-    readonly sharedParts: readonly string[];
+    readonly traits: Pick<ForwardTraits, "partIds" | "identity">;
     readonly metadata: Pick<RequestMetadata, "promptParts" | "requestId">;
-    readonly identity: Pick<RequestIdentity, "key">;
 }
 
 const firstErrorStatus = 400;
@@ -23,7 +20,6 @@
 
 /** Tells the quarantine how the attempts of one request go, and asks whether it may be sent. */
 export class CrashWatch {
-    private readonly traits: RequestTraits;
     /** Whether the upstream of the latest attempt has begun to answer. */
     hasBegun = false;
     /** Monotonic time of the first event of the current attempt, in milliseconds; undefined before it. */
@@ -32,29 +28,16 @@
     private lastDataMs = -Infinity;
     private reportedSoundMs = -Infinity;
 
-    constructor(private readonly options: CrashWatchOptions) {
-        const { sharedParts: partIds, identity } = options;
-        this.traits = {
-            partIds,
-            get identity() {
-                return identity.key;
-            },
-        };
-    }
-
-    /** Equal for the request and its repeats under other ids. */
-    get requestKey(): string {
-        return this.options.identity.key;
-    }
+    constructor(private readonly options: CrashWatchOptions) {}
 
     /** Time for which the request is refused, in milliseconds; undefined if it is not. */
     readQuarantinedMs(): number | undefined {
-        return this.options.quarantine.readRemainingMs(this.traits);
+        return this.options.quarantine.readRemainingMs(this.options.traits);
     }
 
     /** Finds by what the request may crash upstreams; what has that in common is sent to one upstream only. */
     findSuspect(): string | undefined {
-        return this.options.quarantine.findSuspect(this.traits);
+        return this.options.quarantine.findSuspect(this.options.traits);
     }
 
     /** Begins an attempt. */
@@ -98,9 +81,9 @@
         ) {
             const key = promptParts.at(-1)?.id ?? requestId ?? "";
             const { hasBegun } = this;
-            const { partIds } = this.traits;
+            const { partIds, identity } = this.options.traits;
             const ranMs = this.options.clock.readMonotonicMs() - this.sentMs;
-            const broken = { key, partIds, identity: this.requestKey, ranMs, hasBegun };
+            const broken = { key, partIds, identity, ranMs, hasBegun };
             this.options.quarantine.recordBreak(instance, broken);
         }
     }
@@ -112,6 +95,6 @@
 
     private reportSound(): void {
         this.reportedSoundMs = this.lastDataMs;
-        this.options.quarantine.recordSound(this.traits);
+        this.options.quarantine.recordSound(this.options.traits);
     }
 }
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -18,9 +18,9 @@
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
+import { ForwardTraits } from "./ForwardTraits";
 import { isEventStream } from "./isEventStream";
 import { CrashWatch } from "./CrashWatch";
-import { RequestIdentity } from "./RequestIdentity";
 import { RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
@@ -55,6 +55,7 @@
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
     private readonly selection: UpstreamSelection;
+    private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
 
     constructor(private readonly options: RequestForwarderOptions) {
@@ -62,15 +63,10 @@
         const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
         this.deadlineMs = arrivedMs + allowedMs;
         const { clock, quarantine } = context;
-        const { sharedParts, metadata } = admitted;
         const { request, response, body } = options;
-        const identity = new RequestIdentity({
-            request,
-            body,
-            accountName: admitted.account?.name,
-            sharedParts,
-        });
-        this.crashWatch = new CrashWatch({ clock, quarantine, sharedParts, metadata, identity });
+        const { sharedParts: partIds, metadata } = admitted;
+        this.traits = new ForwardTraits({ request, body, accountName: admitted.account?.name, partIds });
+        this.crashWatch = new CrashWatch({ clock, quarantine, traits: this.traits, metadata });
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
@@ -404,7 +400,7 @@
             service: admitted.service,
             lastEventId: this.responseRelay.lastEventId,
             sharedParts: describeSharedParts(admitted.sharedParts),
-            requestKey: this.crashWatch.requestKey,
+            requestKey: this.traits.identity,
             hasBegun: this.crashWatch.hasBegun,
             reason: result.message,
             isSent: result.isSent,
