Review, case 2: smaller chunks, so that the limit on an answer's bytes stays far away

With 8 bytes a chunk the process ended at up to 14 of the 16 MiB that an answer may hold; a machine whose objects are smaller might have reached the limit first.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -22,12 +22,15 @@
     response.writeHead(200, headers).end("released");
 };
 
+let endlessSocket;
+
 /** Writes a body without end, a few bytes a chunk, until the caller closes. */
 const answerEndlessly = ({ response, headers }) => {
     response.writeHead(200, { ...headers, "content-type": "application/json" });
-    const piece = "8\r\ngarbled \r\n".repeat(5_000);
+    const piece = "4\r\njunk\r\n".repeat(5_000);
     const { socket } = response;
     response.flushHeaders();
+    endlessSocket = socket;
     const write = () => {
         while (!socket.destroyed && socket.write(piece)) {
             // until the connection is full
@@ -67,6 +70,7 @@
     await asked;
     const lost = outcomes.filter(outcome => outcome.status === undefined).length;
     record(`${lost} of ${keptClients} requests that a sound runner ran were closed without an answer`);
+    record(`bytes of the answer without end that were written: ${endlessSocket?.bytesWritten}`);
     record(`last lines of the node's output: ${node.log.slice(-1500)}`);
     return lost <= maxLost && node.exits.length === 0;
 });
