Review: a case that lacks a build, or fails by itself, exits with 2

Without dist/ the loader ended the script with 1, which stands for a broken rule. Measured: 2 without dist/, 2 without target/; all five cases as before, with and without their disruptions.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -10,8 +10,6 @@
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const require = createRequire(import.meta.url);
-const { StoreStandIn } = require(join(root, "dist/standins/platform/StoreStandIn.js"));
-const { FencedCloudStandIn } = require(join(root, "dist/standins/platform/FencedCloudStandIn.js"));
 
 export const exitCodes = { held: 0, broken: 1, notRun: 2 };
 /** Whether the disruption is to be brought about. */
@@ -75,6 +73,9 @@
     };
     setTimeout(() => giveUp("it ran too long"), maxRunMs).unref();
     ["SIGTERM", "SIGINT"].forEach(name => process.once(name, () => giveUp(name)));
+    ["uncaughtException", "unhandledRejection"].forEach(name =>
+        process.once(name, error => giveUp(String(error?.stack ?? error)))
+    );
     try {
         code = (await body()) ? exitCodes.held : exitCodes.broken;
     }
@@ -97,6 +98,8 @@
 
 /** Starts the platform's store and cloud API. */
 export const startPlatform = async () => {
+    const { StoreStandIn } = require(join(root, "dist/standins/platform/StoreStandIn.js"));
+    const { FencedCloudStandIn } = require(join(root, "dist/standins/platform/FencedCloudStandIn.js"));
     const store = new StoreStandIn();
     const cloud = new FencedCloudStandIn();
     await store.server.start();
