Ignore entries of upstreams with an unusable address

Cause: the decoder took any digits for an address, and creating the client throws for a URL that is none. That error left the loop over all entries: entries after it were not applied, the feed's task took it for a failure of the store, and a timer and the start did not catch it.

Evidence: stack "Invalid URL" from InstanceRegistry.endGracePeriod at the moment both processes end; the tests below fail with the same error.

The same on the chat path: a VM with a URL that is none stopped UpstreamRegistry.refresh.

--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -2,6 +2,7 @@
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { FakeClock } from "../kernel/FakeClock";
 import { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
 import type { UpstreamClient } from "../upstreams/UpstreamClient";
 import { InstanceRegistry } from "./InstanceRegistry";
 import type { UpstreamInstance } from "./types";
@@ -20,6 +21,9 @@
 class Setup {
     readonly clock = new FakeClock();
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
+    readonly events = new EventLog({ node: "n", clock: this.clock });
+    /** Addresses for which no client can be created. */
+    readonly unusable = new Set<string>();
     readonly closed: string[] = [];
     readonly renewed: string[] = [];
     sinceRecoveryMs = Infinity;
@@ -36,7 +40,7 @@
             readSinceRecoveryMs: () => this.sinceRecoveryMs,
         } as unknown as FeedFollower<UpstreamInstance>,
         clock: this.clock,
-        events: new EventLog({ node: "n", clock: this.clock }),
+        events: this.events,
         reports: {
             listen: ({ name }: { readonly name: string; }, onReceived: (value: never) => void) => {
                 this.listeners.set(name, value => onReceived(value as never));
@@ -59,11 +63,15 @@
                     : new Map(instances.map(({ id }) => [id, this.brittleLimit!])),
         },
         readMaxConnections: () => this.maxConnections,
-        createClient: ({ address }) =>
-            ({
+        createClient: ({ address }) => {
+            if (this.unusable.has(address)) {
+                throw new TypeError("Invalid URL");
+            }
+            return {
                 close: async () => void this.closed.push(address),
                 renewConnections: () => void this.renewed.push(address),
-            }) as unknown as UpstreamClient,
+            } as unknown as UpstreamClient;
+        },
     });
 
     report(topic: string, value: unknown): void {
@@ -221,6 +229,28 @@
         expect(setup.listIds()).toEqual(["one", "two"]);
     });
 
+    // Guards against an entry that ends the process, or hides the entries after it, because no client can be created.
+    it("ignores an entry with an unusable address, logs it once, and applies all others", async () => {
+        setup.unusable.add("odd");
+        setup.sinceRecoveryMs = 0;
+        setup.list(createInstance("odd", { address: "odd" }), createInstance("three"));
+        expect(setup.listIds()).toEqual(["one", "three", "two"]);
+        setup.sinceRecoveryMs = Infinity;
+        await setup.clock.advance(1_500);
+        expect(setup.listIds()).toEqual(["three"]);
+        expect(setup.events.count(eventKinds.runnerRejected)).toBe(1);
+    });
+
+    it("uses an entry once its address is usable, and logs it again if it is not any more", () => {
+        setup.unusable.add("odd");
+        setup.list(createInstance("one", { address: "odd" }));
+        setup.list(createInstance("one"));
+        expect(setup.listIds()).toEqual(["one"]);
+        setup.list(createInstance("one", { address: "odd" }));
+        expect(setup.listIds()).toEqual([]);
+        expect(setup.events.count(eventKinds.runnerRejected)).toBe(2);
+    });
+
     it("keeps an entry that is missing right after the store recovered, for a grace period", async () => {
         setup.sinceRecoveryMs = 10;
         setup.list(createInstance("two", second));
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
+import { UpstreamRejections } from "../upstreams/UpstreamRejections";
 import { InstanceNotices } from "./InstanceNotices";
 import type { BrittleServices } from "./BrittleServices";
 import type { UpstreamInstance, UpstreamStart, UpstreamView } from "./types";
@@ -62,8 +63,11 @@
     private readonly tracked = new Map<string, TrackedInstance>();
     private readonly closing = new Set<TrackedInstance>();
     private readonly notices = new InstanceNotices();
+    private readonly rejections: UpstreamRejections;
 
-    constructor(private readonly options: InstanceRegistryOptions) {}
+    constructor(private readonly options: InstanceRegistryOptions) {
+        this.rejections = new UpstreamRejections(options.events);
+    }
 
     async start(): Promise<void> {
         this.options.sums.registerContributor(loadGroup, () => this.readOwnLoad());
@@ -341,8 +345,8 @@
     }
 
     /**
-     * Applies a listed entry. An upstream that has stated that it is leaving stays leaving, if its start is known: one
-     * that has restarted under the same id is another one.
+     * Applies a listed entry, unless its address cannot be used. An upstream that has stated that it is leaving stays
+     * leaving, if its start is known: one that has restarted under the same id is another one.
      */
     private applyEntry(listed: UpstreamInstance): void {
         if (listed.isLeaving && listed.startedAtMs !== undefined) {
@@ -357,6 +361,10 @@
             this.tracked.set(instance.id, Object.assign(before, { instance }));
             return;
         }
+        const client = before?.client ?? this.tryCreateClient(instance);
+        if (!client) {
+            return;
+        }
         this.options.events.emit(instance.isLeaving ? eventKinds.runnerLeaving : eventKinds.runnerListed, {
             runner: instance.id,
             service: instance.service,
@@ -368,8 +376,6 @@
             Object.assign(before, { instance });
             return;
         }
-        const client = this.options.createClient?.(instance)
-            ?? new UpstreamClient({ address: instance.address });
         this.tracked.set(instance.id, {
             instance,
             client,
@@ -381,6 +387,12 @@
         });
     }
 
+    private tryCreateClient(instance: UpstreamInstance): UpstreamClient | undefined {
+        const { address } = instance;
+        const { createClient = () => new UpstreamClient({ address }) } = this.options;
+        return this.rejections.tryCreate(instance, () => createClient(instance));
+    }
+
     private remove(tracked: TrackedInstance): void {
         this.tracked.delete(tracked.instance.id);
         this.options.events.emit(eventKinds.runnerRemoved, { runner: tracked.instance.id });
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -136,6 +136,12 @@
         "info",
         "The upstreams of a service state that they are brittle, or no longer do.",
     ),
+    runnerRejected: define(
+        2220,
+        "runner-rejected",
+        "warn",
+        "A listed runner cannot be used because of its address; it is ignored.",
+    ),
     callSent: define(
         2301,
         "call-sent",
--- a/src/upstreams/UpstreamRegistry.ts
+++ b/src/upstreams/UpstreamRegistry.ts
@@ -14,6 +14,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { Runner } from "./Runner";
+import { UpstreamRejections } from "./UpstreamRejections";
 import type { CacheEvent, EngineClient, PlainClient } from "./types";
 
 /** Creates the clients of upstreams and thereby chooses their protocols. */
@@ -58,8 +59,10 @@
     /** Share of each service's runners that this node uses, 0 to 1. */
     private readonly selectedShares = new Map<string, number>();
     private readonly scope: TaskScope;
+    private readonly rejections: UpstreamRejections;
 
     constructor(private readonly options: UpstreamRegistryOptions) {
+        this.rejections = new UpstreamRejections(options.events);
         this.ejections = new EjectionTracker({ clock: options.clock });
         this.scope = createLoggedTaskScope(options.events);
     }
@@ -150,11 +153,13 @@
     }
 
     private updateRunner(vm: Vm): void {
-        let runner = this.runners.get(vm.id);
+        const { id, service, url: address } = vm;
+        const runner = this.runners.get(id)
+            ?? this.rejections.tryCreate({ id, service, address }, () => this.createRunner(vm));
         if (!runner) {
-            runner = this.createRunner(vm);
-            this.runners.set(vm.id, runner);
+            return;
         }
+        this.runners.set(id, runner);
         runner.vm = vm;
         if (vm.state === "leaving") {
             this.markLeaving(runner, undefined);
