Hold answers and bodies in small chunks in no more than their bytes

An event without end in small chunks occupied the process for seconds, so that other requests passed their time-out.

Cause: limits counted bytes, the cost grew with chunks. collectBody, UpstreamExchange and readBody kept a buffer for each chunk, about 100 bytes of heap each; EventStreamSplitter and NumberedEventBatcher (chat) joined an incomplete event anew for each chunk.

Evidence: heap measured after 500,000 chunks of 4 bytes is 52 MB for 2 MB of body; an event of 1 MiB in chunks of 8 bytes takes 16 s in both splitters. Ruled out: the limits on bytes themselves, which hold for chunks of 16 KiB.

--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { ChunkBuffer } from "../_lib/ChunkBuffer";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
@@ -21,8 +22,7 @@
         return Promise.resolve(emptyBody);
     }
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const body = new ChunkBuffer();
         const refuse = (message: string): void =>
             reject(new FailureError(createFailure(resultCodes.bodyTooLarge, message)));
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
@@ -32,15 +32,14 @@
             return;
         }
         request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
-                chunks.length = 0;
+            if (body.length + chunk.length > maxBytes) {
+                body.clear();
                 refuse(`the body is larger than the limit of ${maxBytes} bytes`);
                 return;
             }
-            chunks.push(chunk);
+            body.append(chunk);
         });
-        request.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+        request.on("end", () => resolve(body.toBuffer()));
         request.on("error", reject);
         request.on("close", () => {
             if (!request.complete) {
--- a/src/forwarding/EventStreamSplitter.test.ts
+++ b/src/forwarding/EventStreamSplitter.test.ts
@@ -1,6 +1,10 @@
 import fc from "fast-check";
 import { EventStreamSplitter } from "./EventStreamSplitter";
 
+const maxEventBytes = 1_048_576;
+const chunkBytes = 8;
+const maxBusyMs = 500; // how late a request may be answered after its time-out
+
 const createEvents = (first: number, last: number): string => {
     let text = "";
     for (let id = first; id <= last; id += 1) {
@@ -40,6 +44,20 @@
         expect(splitter.incompleteEvent.toString()).toBe("id: 2\nda");
     });
 
+    // Guards against an event in small chunks that occupies the process for longer than other requests may wait.
+    it("takes a long event in small chunks in a time that grows with its bytes alone", () => {
+        const splitter = new EventStreamSplitter();
+        const event = Buffer.from(`id: 1\ndata: ${"x".repeat(maxEventBytes - 100)}\n\n`);
+        const startMs = performance.now();
+        let bytes = 0;
+        for (let start = 0; start < event.length; start += chunkBytes) {
+            bytes += splitter.push(event.subarray(start, start + chunkBytes)).bytes.length;
+        }
+        expect(performance.now() - startMs).toBeLessThan(maxBusyMs);
+        expect(bytes).toBe(event.length);
+        expect(splitter.isForeign).toBe(false);
+    });
+
     it("skips events up to the given id", () => {
         const splitter = new EventStreamSplitter(3);
         const batch = splitter.push(Buffer.from(createEvents(2, 5)));
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -1,8 +1,12 @@
+import { ChunkBuffer } from "../_lib/ChunkBuffer";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idField = "id:";
 const maxEventBytes = 1_048_576;
 const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/m; // a comment has an empty name
+const maxSeparatorBytes = 3;
+const noEvents = { bytes: Buffer.alloc(0), eventCount: 0 } as const;
 const blankLines = /^[\r\n]+$/;
 
 /** Complete events of a stream. */
@@ -17,7 +21,7 @@
  * within an event can be resumed on another upstream. Events up to a given id are skipped.
  */
 export class EventStreamSplitter {
-    private incomplete: Buffer = Buffer.alloc(0);
+    private readonly incomplete = new ChunkBuffer();
     /** Id of the last complete event; undefined before the first. */
     lastEventId: number | undefined;
     /** Whether bytes have arrived that are no events: a block without a field of an event, or one that is too long. */
@@ -30,12 +34,12 @@
 
     /** Bytes of the event that is not complete yet. */
     get incompleteEvent(): Buffer {
-        return this.incomplete;
+        return this.incomplete.toBuffer();
     }
 
     /** Whether the bytes so far end inside an event. Line ends between events belong to none. */
     get isInsideEvent(): boolean {
-        return this.incomplete.some(byte => byte !== lineFeed && byte !== carriageReturn);
+        return this.incompleteEvent.some(byte => byte !== lineFeed && byte !== carriageReturn);
     }
 
     /**
@@ -45,7 +49,35 @@
      * @returns the events that are complete now
      */
     push(chunk: Buffer): EventBatch {
-        const data = this.incomplete.length > 0 ? Buffer.concat([this.incomplete, chunk]) : chunk;
+        return this.hasEventEnd(chunk)
+            ? this.splitEvents(this.joinIncomplete(chunk))
+            : this.keepIncomplete(chunk);
+    }
+
+    /** Whether an event ends with a chunk. Only the chunk is searched, and what may have begun before it. */
+    private hasEventEnd(chunk: Buffer): boolean {
+        const border = [
+            this.incomplete.readEnd(maxSeparatorBytes - 1),
+            chunk.subarray(0, maxSeparatorBytes - 1),
+        ];
+        return findEventEnd(chunk, 0) > 0 || findEventEnd(Buffer.concat(border), 0) > 0;
+    }
+
+    private joinIncomplete(chunk: Buffer): Buffer {
+        if (this.incomplete.length === 0) {
+            return chunk;
+        }
+        this.incomplete.append(chunk);
+        return this.incomplete.toBuffer();
+    }
+
+    private keepIncomplete(chunk: Buffer): EventBatch {
+        this.incomplete.append(chunk);
+        this.isForeign ||= this.incomplete.length > maxEventBytes;
+        return noEvents;
+    }
+
+    private splitEvents(data: Buffer): EventBatch {
         const events: Buffer[] = [];
         let eventCount = 0;
         let start = 0;
@@ -64,8 +96,8 @@
             eventCount += id === undefined ? 0 : 1;
             events.push(event);
         }
-        this.incomplete = data.subarray(start);
-        this.isForeign ||= this.incomplete.length > maxEventBytes;
+        this.incomplete.clear();
+        this.keepIncomplete(data.subarray(start));
         return { bytes: events.length === 1 ? events[0] : Buffer.concat(events), eventCount };
     }
 }
--- a/src/upstreams/NumberedEventBatcher.test.ts
+++ b/src/upstreams/NumberedEventBatcher.test.ts
@@ -4,6 +4,10 @@
 import { NumberedEventBatcher } from "./NumberedEventBatcher";
 import type { NumberedEventBatch } from "./types";
 
+const maxEventBytes = 1_048_576;
+const chunkBytes = 8;
+const maxBusyMs = 500; // how late a request may be answered after its time-out
+
 const createEvents = (first: number, count: number, done: boolean): string => {
     let text = "";
     for (let id = first; id < first + count; id += 1) {
@@ -75,4 +79,17 @@
             "not a number",
         );
     });
+
+    // Guards against an event in small chunks that occupies the process for longer than other requests may wait.
+    it("take a long event in small chunks in a time that grows with its bytes alone", () => {
+        const batcher = new NumberedEventBatcher();
+        const event = Buffer.from(`id: 0\ndata: ${"x".repeat(maxEventBytes - 100)}\n\n`);
+        const startMs = performance.now();
+        let bytes = 0;
+        for (let start = 0; start < event.length; start += chunkBytes) {
+            bytes += batcher.push(event.subarray(start, start + chunkBytes))?.body.length ?? 0;
+        }
+        expect(performance.now() - startMs).toBeLessThan(maxBusyMs);
+        expect(bytes).toBe(event.length);
+    });
 });
--- a/src/upstreams/NumberedEventBatcher.ts
+++ b/src/upstreams/NumberedEventBatcher.ts
@@ -1,5 +1,7 @@
+import { ChunkBuffer } from "../_lib/ChunkBuffer";
 import type { NumberedEventBatch } from "./types";
 
+const lineFeed = 0x0a;
 const eventEnd = Buffer.from("\n\n");
 const idPrefix = Buffer.from("id: ");
 const eventBoundary = Buffer.from("\n\nid: ");
@@ -11,7 +13,7 @@
  * the last event of a batch are parsed.
  */
 export class NumberedEventBatcher {
-    private incompleteEvent: Buffer | undefined;
+    private readonly incomplete = new ChunkBuffer();
     /** Whether the terminating `[DONE]` event has arrived. */
     isComplete = false;
 
@@ -23,21 +25,35 @@
      * @throws Error if the stream is not a sequence of numbered server-sent events
      */
     push(chunk: Buffer): NumberedEventBatch | undefined {
-        const data = this.incompleteEvent ? Buffer.concat([this.incompleteEvent, chunk]) : chunk;
-        const lastEnd = data.lastIndexOf(eventEnd);
-        if (lastEnd < 0) {
-            if (data.length > maxEventBytes) {
-                throw new Error(`server-sent event exceeds ${maxEventBytes} bytes`);
-            }
-            this.incompleteEvent = data;
+        const end = this.findLastEnd(chunk);
+        if (end === undefined) {
+            this.keepIncomplete(chunk);
             return undefined;
         }
-        const bodyEnd = lastEnd + eventEnd.length;
-        const body = data.subarray(0, bodyEnd);
-        this.incompleteEvent = bodyEnd < data.length ? data.subarray(bodyEnd) : undefined;
+        this.incomplete.append(chunk.subarray(0, end));
+        const body = this.incomplete.toBuffer();
+        this.incomplete.clear();
+        this.keepIncomplete(chunk.subarray(end));
         return this.toBatch(body);
     }
 
+    /** Returns the position in a chunk after the last event that ends with it. Only the chunk's bytes are searched. */
+    private findLastEnd(chunk: Buffer): number | undefined {
+        const lastEnd = chunk.lastIndexOf(eventEnd);
+        if (lastEnd >= 0) {
+            return lastEnd + eventEnd.length;
+        }
+        const isSplitEnd = this.incomplete.readEnd(1)[0] === lineFeed && chunk[0] === lineFeed;
+        return isSplitEnd ? 1 : undefined;
+    }
+
+    private keepIncomplete(bytes: Buffer): void {
+        this.incomplete.append(bytes);
+        if (this.incomplete.length > maxEventBytes) {
+            throw new Error(`server-sent event exceeds ${maxEventBytes} bytes`);
+        }
+    }
+
     private toBatch(body: Buffer): NumberedEventBatch {
         const firstOffset = parseEventId(body, 0);
         const lastStart = body.lastIndexOf(eventBoundary, body.length - eventEnd.length - 1);
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { ChunkBuffer } from "../_lib/ChunkBuffer";
 import type { ResetCheck } from "./TrackedClient";
 
 /** How the end of an answer's body is marked. */
@@ -56,7 +57,8 @@
     private interimCount = 0;
     private isReset: ResetCheck = () => false;
     private listener: ((chunk: Buffer) => void) | undefined;
-    private bufferedChunks: Buffer[] = [];
+    /** Body that arrived before the listener was set. */
+    private readonly early = new ChunkBuffer();
 
     constructor(private readonly options: UpstreamExchangeOptions = {}) {
         this.started = new Promise(resolve => {
@@ -73,15 +75,17 @@
     }
 
     /**
-     * Sets the receiver of the body. Chunks that arrived earlier are passed to it in the same call.
+     * Sets the receiver of the body. What arrived earlier is passed to it in the same call, as one chunk.
      *
      * @param listener - called with each chunk in order
      */
     listen(listener: (chunk: Buffer) => void): void {
         this.listener = listener;
-        const bufferedChunks = this.bufferedChunks;
-        this.bufferedChunks = [];
-        bufferedChunks.forEach(chunk => listener(chunk));
+        if (this.early.length > 0) {
+            const chunk = this.early.toBuffer();
+            this.early.clear();
+            listener(chunk);
+        }
     }
 
     /** Sets the check whether the call's connection was reset. */
@@ -149,7 +153,7 @@
             this.listener(chunk);
         }
         else {
-            this.bufferedChunks.push(chunk);
+            this.early.append(chunk);
         }
     }
 
--- a/src/upstreams/collectBody.ts
+++ b/src/upstreams/collectBody.ts
@@ -1,3 +1,4 @@
+import { ChunkBuffer } from "../_lib/ChunkBuffer";
 import type { HeldMemory } from "./AnswerMemory";
 import type { UpstreamExchange } from "./UpstreamExchange";
 
@@ -26,11 +27,9 @@
     options: CollectBodyOptions,
 ): Promise<CollectedBody> => {
     const { maxBytes, memory } = options;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new ChunkBuffer();
     exchange.listen(chunk => {
-        size += chunk.length;
-        if (size > maxBytes) {
+        if (body.length + chunk.length > maxBytes) {
             exchange.abort(`answer exceeds ${maxBytes} bytes`);
             return;
         }
@@ -38,10 +37,10 @@
             exchange.abort("the node's memory for answers is used up");
             return;
         }
-        chunks.push(chunk);
+        body.append(chunk);
     });
     const end = await exchange.ended;
     return end.isWhole
-        ? { kind: "whole", body: Buffer.concat(chunks) }
+        ? { kind: "whole", body: body.toBuffer() }
         : { kind: "broken", message: end.message ?? "answer ended early" };
 };
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -40,6 +40,10 @@
     | "endless-body"
     /** Sends one event without end. */
     | "endless-event"
+    /** Sends a body without end, in chunks of a few bytes. */
+    | "endless-chunks"
+    /** Sends one event without end, in chunks of a few bytes. */
+    | "endless-event-chunks"
     /** Sends lines that are no events without end, each followed by a blank line. */
     | "endless-lines"
     /** States that the request was not executed, with a body without end. */
@@ -323,17 +327,23 @@
 
 const endlessChunkBytes = 16_384;
 const eventStreamField = "content-type: text/event-stream";
+const chunkedField = "transfer-encoding: chunked";
+const smallChunks = "4\r\njunk\r\n".repeat(1_820); // as many bytes as the other answers write at a time
 
 /** Status line and further headers of endless answers; those without an entry have no head. */
 const endlessHeads: Partial<Record<RunnerBehaviour, readonly string[]>> = {
     "endless-body": ["HTTP/1.1 200 OK"],
+    "endless-chunks": ["HTTP/1.1 200 OK", chunkedField],
     "endless-event": ["HTTP/1.1 200 OK", eventStreamField],
+    "endless-event-chunks": ["HTTP/1.1 200 OK", eventStreamField, chunkedField],
     "endless-lines": ["HTTP/1.1 200 OK", eventStreamField],
     "endless-refusal": ["HTTP/1.1 503 Service Unavailable", `${notExecutedHeader}: 1`],
 };
 
 /** What endless answers repeat, where it is not a run of one letter. */
 const endlessChunks: Partial<Record<RunnerBehaviour, string>> = {
+    "endless-chunks": smallChunks,
+    "endless-event-chunks": smallChunks,
     "endless-head": `HTTP/1.1 200 OK\r\nx-field: ${"x".repeat(endlessChunkBytes)}`,
     "endless-interim": "HTTP/1.1 102 Processing\r\n\r\n",
     "endless-lines": `${"x".repeat(1_000)}\n\n`,
