Tell the end of an answer from the end of the member that passes it on

Cause: an answer with neither a length nor chunks ends with its connection, and a tunnel passed the upstream's end on as its own. The end of the tunnel, by a killed process, by TunnelServer.stop in a planned stop or by its idle limit, counted as the upstream's. Beside it, a reset that shows as an end was passed on as a regular one.

Evidence: request-forwarded said "answered" with framing "close" at the moment of the kill; TunnelServer.test shows the end of the member as a regular end. Ruled out: answers with a length or chunks, whose end is marked inside the tunnel.

Now the upstream's bytes travel in frames, and only a frame without bytes is their regular end. The framing is agreed on in the CONNECT request: where a member of an older version does not repeat it, no end of its tunnel counts as regular; older nodes get bytes as before.

--- /dev/null
+++ b/src/tunnels/TunnelConnection.ts
@@ -0,0 +1,70 @@
+import type { Socket } from "node:net";
+import { Duplex } from "node:stream";
+import { TunnelFrameDecoder } from "./TunnelFrameDecoder";
+
+/** Options of {@link TunnelConnection}. */
+export interface TunnelConnectionOptions {
+    /** Connection to the member, on which the tunnel has been opened. */
+    readonly socket: Socket;
+    /** Host and port of the member, for messages. */
+    readonly member: string;
+    /** Whether the member marks the regular end of the upstream's bytes. Members of older versions do not. */
+    readonly isFramed: boolean;
+}
+
+/**
+ * Connection to an upstream through another member. It ends regularly only if the upstream ended its own regularly; when
+ * the member ends or is lost, it fails, also where the system closes the member's connections regularly. Without frames it
+ * never ends regularly.
+ */
+export class TunnelConnection extends Duplex {
+    readonly remoteAddress: string | undefined;
+    private readonly decoder = new TunnelFrameDecoder();
+
+    constructor(private readonly options: TunnelConnectionOptions) {
+        const { socket, member } = options;
+        super({
+            allowHalfOpen: false,
+            read: () => void socket.resume(),
+            write: (chunk: Buffer, _encoding, callback) => void socket.write(chunk, callback),
+            writev: (chunks, callback) => {
+                const bytes = Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer));
+                socket.write(bytes, callback);
+            },
+            final: callback => void socket.end(callback),
+            destroy: (error, callback) => {
+                socket.destroy();
+                callback(error);
+            },
+        });
+        this.remoteAddress = socket.remoteAddress;
+        socket.on("data", (chunk: Buffer) => this.receive(chunk));
+        socket.on("error", error => this.destroy(error));
+        socket.on("close", () => {
+            if (!this.decoder.isEnded) {
+                this.destroy(
+                    new Error(`the tunnel through ${member} ended before the upstream's connection`),
+                );
+            }
+        });
+    }
+
+    private receive(chunk: Buffer): void {
+        if (!this.options.isFramed) {
+            this.deliver(chunk);
+            return;
+        }
+        for (const bytes of this.decoder.decode(chunk)) {
+            this.deliver(bytes);
+        }
+        if (this.decoder.isEnded) {
+            this.push(null);
+        }
+    }
+
+    private deliver(bytes: Buffer): void {
+        if (!this.push(bytes)) {
+            this.options.socket.pause();
+        }
+    }
+}
--- a/src/tunnels/TunnelDialer.ts
+++ b/src/tunnels/TunnelDialer.ts
@@ -1,10 +1,10 @@
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock, RandomSource } from "../kernel/types";
 import type { Membership } from "../membership/Membership";
 import type { Member } from "../membership/types";
 import { computeTunnelProof } from "./computeTunnelProof";
-import { openTunnel } from "./openTunnel";
+import { openTunnel, type OpenTunnelOptions } from "./openTunnel";
 
 /** Options of {@link TunnelDialer}. */
 export interface TunnelDialerOptions {
@@ -15,7 +15,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     /** Opens a tunnel through one member; default: {@link openTunnel}. */
-    readonly open?: typeof openTunnel;
+    readonly open?: (options: OpenTunnelOptions) => Promise<Duplex>;
 }
 
 const maxTries = 3;
@@ -48,7 +48,7 @@
      * @returns the connection
      * @throws Error if the upstream is reached through none of those tried
      */
-    async open(target: string): Promise<Socket> {
+    async open(target: string): Promise<Duplex> {
         const { readClusterKey, clock, open = openTunnel } = this.options;
         let lastError: unknown = new Error("no other member is live");
         for (const { nodeId, peersUrl } of this.listCandidates().slice(0, maxTries)) {
--- a/src/tunnels/TunnelServer.test.ts
+++ b/src/tunnels/TunnelServer.test.ts
@@ -2,13 +2,16 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import {
     type AddressInfo,
+    connect,
     createServer as createTcpServer,
     type Server as TcpServer,
     Socket,
 } from "node:net";
 import { FakeClock } from "../kernel/FakeClock";
 import { computeTunnelProof } from "./computeTunnelProof";
+import { tunnelProofHeader } from "./constants";
 import { openTunnel } from "./openTunnel";
+import type { TunnelConnection } from "./TunnelConnection";
 import { TunnelServer } from "./TunnelServer";
 
 const clusterKey = "key";
@@ -55,9 +58,10 @@
         upstream.close();
     });
 
-    const open = (address = target, key = clusterKey): Promise<Socket> => {
+    const open = async (address = target, key = clusterKey): Promise<TunnelConnection> => {
         const proof = computeTunnelProof({ clusterKey: key, nodeId, target: address });
-        return openTunnel({ member, target: address, proof, timeoutMs });
+        const near = await openTunnel({ member, target: address, proof, timeoutMs });
+        return near.on("error", () => {}); // those open at the end of a test fail
     };
 
     it("passes bytes on in both directions, and a regular end as one", async () => {
@@ -65,12 +69,55 @@
         const far = await accepted;
         near.write("ping");
         expect(String((await once(far, "data"))[0])).toBe("ping");
+        const ended = once(near, "end");
         far.end("pong");
         expect(String((await once(near, "data"))[0])).toBe("pong");
-        await once(near, "end");
+        await ended;
         expect(near.errored).toBeNull();
     });
 
+    // Guards against answers that end with their connection and look complete when the member that passes them on is lost.
+    it("does not pass its own end on as a regular end of the upstream's bytes", async () => {
+        const near = await open();
+        const received: Buffer[] = [];
+        near.on("data", (chunk: Buffer) => received.push(chunk));
+        (await accepted).write("first part");
+        await once(near, "data");
+        const isEnded = jest.fn();
+        near.on("end", isEnded);
+        await tunnels.stop();
+        const [error] = await once(near, "error").then(([failure]) => [failure as Error]);
+        expect(error.message).toBe(`the tunnel through ${member} ended before the upstream's connection`);
+        expect(isEnded).not.toHaveBeenCalled();
+        expect(String(Buffer.concat(received))).toBe("first part");
+    });
+
+    // Guards against the same while members of older versions, which do not mark the end, pass answers on.
+    it("takes no end for a regular one where the member does not mark it", async () => {
+        members.removeAllListeners("connect");
+        members.on("connect", (...[, socket]: [IncomingMessage, Socket]) => {
+            socket.write("HTTP/1.1 200 Connection Established\r\n\r\n");
+            socket.end("all bytes");
+        });
+        const near = await open();
+        near.resume();
+        await expect(once(near, "end")).rejects.toThrow("ended before");
+    });
+
+    it("passes bytes on as they are to nodes of older versions, which know no frames", async () => {
+        const proof = computeTunnelProof({ clusterKey, nodeId, target });
+        const [host, port] = member.split(":");
+        const socket = connect({ host, port: Number(port) });
+        socket.write(
+            `CONNECT ${target} HTTP/1.1\r\nhost: ${target}\r\n${tunnelProofHeader}: ${proof}\r\n\r\n`,
+        );
+        await once(socket, "data");
+        (await accepted).end("answer");
+        expect(String((await once(socket, "data"))[0])).toBe("answer");
+        await once(socket, "end");
+        expect(socket.errored).toBeNull();
+    });
+
     it("passes a reset by the upstream on as a reset", async () => {
         const near = await open();
         (await accepted).resetAndDestroy();
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -7,7 +7,7 @@
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
 import { computeTunnelProof } from "./computeTunnelProof";
-import { tunnelProofHeader } from "./constants";
+import { lengthFraming, tunnelFramingHeader, tunnelProofHeader } from "./constants";
 import { joinSockets } from "./joinSockets";
 
 /** Options of {@link TunnelServer}. */
@@ -84,8 +84,10 @@
                 far.destroy();
                 return;
             }
-            near.write("HTTP/1.1 200 Connection Established\r\n\r\n");
-            joinSockets(near, far, this.recordBytes);
+            const isFramed = request.headers[tunnelFramingHeader] === lengthFraming;
+            const fields = isFramed ? `${tunnelFramingHeader}: ${lengthFraming}\r\n` : "";
+            near.write(`HTTP/1.1 200 Connection Established\r\n${fields}\r\n`);
+            joinSockets({ near, far, isFramed, onBytes: this.recordBytes });
             this.recordBytes();
         });
     }
--- a/src/tunnels/joinSockets.ts
+++ b/src/tunnels/joinSockets.ts
@@ -1,22 +1,40 @@
 import type { Socket } from "node:net";
+import { isResetSocket } from "../upstreams/isResetSocket";
+import { TunnelFrameEncoder } from "./TunnelFrameEncoder";
+
+/** Options of {@link joinSockets}. */
+export interface JoinSocketsOptions {
+    /** Connection to the node that asked for the tunnel. */
+    readonly near: Socket;
+    /** Connection to the upstream. */
+    readonly far: Socket;
+    /** Whether bytes are passed to the near one in frames, which mark a regular end of the far one. */
+    readonly isFramed: boolean;
+    /** Called whenever bytes are passed on. */
+    readonly onBytes: () => void;
+}
 
 /**
  * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset resets it;
  * whatever ends the near one closes the far one.
  *
- * @param near - connection to the node that asked for the tunnel
- * @param far - connection to the upstream
- * @param onBytes - called whenever bytes are passed on
+ * @param options - both connections, and how bytes are passed on
  */
-export const joinSockets = (near: Socket, far: Socket, onBytes: () => void): void => {
+export const joinSockets = ({ near, far, isFramed, onBytes }: JoinSocketsOptions): void => {
     near.setNoDelay(true);
     far.setNoDelay(true);
     near.on("error", () => far.destroy());
     near.on("end", () => near.destroy());
     near.on("close", () => far.destroy());
     far.on("error", () => near.resetAndDestroy());
+    far.on("end", () => {
+        if (isResetSocket(far)) {
+            near.resetAndDestroy();
+        }
+    });
     near.on("data", onBytes);
     far.on("data", onBytes);
     near.pipe(far, { end: false });
-    far.pipe(near);
+    const received = isFramed ? far.pipe(new TunnelFrameEncoder()) : far;
+    received.pipe(near);
 };
--- a/src/tunnels/openTunnel.ts
+++ b/src/tunnels/openTunnel.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 import type { Socket } from "node:net";
-import { tunnelProofHeader } from "./constants";
+import { lengthFraming, tunnelFramingHeader, tunnelProofHeader } from "./constants";
+import { TunnelConnection } from "./TunnelConnection";
 
 /** Options of {@link openTunnel}. */
 export interface OpenTunnelOptions {
@@ -19,10 +20,12 @@
  * Opens a connection to an upstream through another member.
  *
  * @param options - member, upstream and proof
- * @returns the connection; the next bytes on it are those of the upstream
+ * @returns the connection to the upstream
  * @throws Error if the member or, from there, the upstream cannot be reached in time
  */
-export const openTunnel = ({ member, target, proof, timeoutMs }: OpenTunnelOptions): Promise<Socket> =>
+export const openTunnel = (
+    { member, target, proof, timeoutMs }: OpenTunnelOptions,
+): Promise<TunnelConnection> =>
     new Promise((resolve, reject) => {
         const [host, port] = member.split(":");
         const asked = request({
@@ -30,7 +33,11 @@
             port,
             method: "CONNECT",
             path: target,
-            headers: { host: target, [tunnelProofHeader]: proof },
+            headers: {
+                host: target,
+                [tunnelProofHeader]: proof,
+                [tunnelFramingHeader]: lengthFraming,
+            },
             agent: false,
         });
         const timer = setTimeout(
@@ -41,7 +48,9 @@
             clearTimeout(timer);
             if (response.statusCode === connectedStatus) {
                 socket.unshift(head);
-                resolve(socket.setNoDelay(true));
+                socket.setNoDelay(true);
+                const isFramed = response.headers[tunnelFramingHeader] === lengthFraming;
+                resolve(new TunnelConnection({ socket, member, isFramed }));
                 return;
             }
             socket.destroy();
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,6 +1,6 @@
-import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
+import { isResetSocket } from "./isResetSocket";
 
 /** Returns whether the connection of a call was reset. */
 export type ResetCheck = () => boolean;
@@ -30,11 +30,7 @@
     }
 
     override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        options.onConnection?.(() => isReset(this.tracked.socket));
+        options.onConnection?.(() => isResetSocket(this.tracked.socket));
         return super.dispatch(options, handler);
     }
 }
-
-/** A socket that is reset after the end of its stream was read no longer has a remote address. */
-const isReset = (socket: Socket | undefined): boolean =>
-    socket === undefined || socket.errored !== null || socket.remoteAddress === undefined;
--- a/src/upstreams/UpstreamPath.ts
+++ b/src/upstreams/UpstreamPath.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { buildConnector } from "undici";
 import type { Clock } from "../kernel/types";
 
@@ -17,7 +18,7 @@
     /** Time limit of an attempt by all ways together, in milliseconds. */
     readonly timeoutMs: number;
     /** Opens a connection through another member. */
-    readonly openTunnel: (address: string) => Promise<Socket>;
+    readonly openTunnel: (address: string) => Promise<Duplex>;
     readonly clock: Clock;
     /** Called when connections are opened by another way than before. */
     readonly onChange: (way: UpstreamWay) => void;
@@ -66,7 +67,7 @@
         );
     }
 
-    private finishInTime(attempt: Promise<Socket>, callback: buildConnector.Callback): void {
+    private finishInTime(attempt: Promise<Duplex>, callback: buildConnector.Callback): void {
         const { timeoutMs } = this.options;
         let isLate = false;
         const timer = setTimeout(() => {
@@ -74,23 +75,24 @@
             this.adopt(upstreamWays.direct);
             callback(new Error(`no connection within ${timeoutMs} ms`), null);
         }, timeoutMs);
-        const finish = (...outcome: Parameters<buildConnector.Callback>): void => {
+        const finish = (error: Error | null, socket?: Duplex): void => {
             clearTimeout(timer);
             if (isLate) {
-                outcome[1]?.destroy();
+                socket?.destroy();
                 return;
             }
-            callback(...outcome);
+            const connection = socket as Socket; // undici uses what every duplex stream has
+            callback(...(error ? [error, null] as const : [null, connection] as const));
         };
-        attempt.then(socket => finish(null, socket), (error: Error) => finish(error, null));
+        attempt.then(socket => finish(null, socket), (error: Error) => finish(error));
     }
 
     /** Connects directly, and through a member too if that fails or takes long. */
-    private openDirectly(options: buildConnector.Options): Promise<Socket> {
+    private openDirectly(options: buildConnector.Options): Promise<Duplex> {
         return new Promise((resolve, reject) => {
             let isSettled = false;
             let tunnel: Promise<void> | undefined;
-            const settle = (socket: Socket, way: UpstreamWay): void => {
+            const settle = (socket: Duplex, way: UpstreamWay): void => {
                 if (isSettled) {
                     socket.destroy();
                     return;
@@ -116,7 +118,7 @@
     }
 
     /** Connects through a member, and directly if that fails. */
-    private async openByMember(options: buildConnector.Options): Promise<Socket> {
+    private async openByMember(options: buildConnector.Options): Promise<Duplex> {
         try {
             return await this.options.openTunnel(this.options.address);
         }
@@ -127,7 +129,7 @@
         }
     }
 
-    private dial(options: buildConnector.Options): Promise<Socket> {
+    private dial(options: buildConnector.Options): Promise<Duplex> {
         return new Promise((resolve, reject) => {
             this.options.connect(options, (...[error, socket]) => error ? reject(error) : resolve(socket));
         });
