Record software versions that come while others are being written

One fault was found in it: a version that came while another one was being written was recorded with the check 5 s later. Until then a loss of all nodes and of that version would let its streams go on at another one. Cause: the loop waited for changes from the end of its write only. Ruled out: nodes that take the listed version for the only one there has been.

Now it waits for changes from before its write, so that none is missed.

--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -9,6 +9,7 @@
 
 const windowMs = 30_000;
 const table = "software-versions";
+const slowWriteMs = 300;
 
 /** A process that sees what is listed; all processes share clock and store. */
 class TestProcess {
@@ -106,6 +107,20 @@
         expect(transact).toHaveBeenCalledTimes(2);
     });
 
+    // Guards against streams joined from two versions: a version that is not recorded is not known after a loss of all nodes.
+    it("records a version that comes while another one is being written, without delay", async () => {
+        await process.start("v1");
+        const transact = tables.transact.bind(tables);
+        jest.spyOn(tables, "transact").mockImplementationOnce(async operations => {
+            await clock.sleep(slowWriteMs);
+            return transact(operations);
+        });
+        await process.list("v1", "v2");
+        await process.list("v1", "v2", "v3");
+        await clock.advance(slowWriteMs);
+        expect(await readRecord()).toEqual({ v1: null, v2: null, v3: null });
+    });
+
     it("merges what another node has written meanwhile", async () => {
         await process.start("v1");
         const listedMs = clock.readMonotonicMs();
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -86,10 +86,10 @@
         versions.completeHistory();
         onLoaded();
         while (!signal.aborted) {
-            const isWritten = yield* waitFor(this.writeChanges());
             const changed = new Promise<void>(resolve => {
                 this.wake = resolve;
             });
+            const isWritten = yield* waitFor(this.writeChanges());
             const timeoutMs = isWritten ? checkMs : retryMs;
             yield* waitFor(waitWithTimeout({ clock, promises: [changed], timeoutMs }));
         }
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -106,6 +106,8 @@
     readonly nextBehaviours: RunnerBehaviour[] = [];
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
     id: string;
+    /** Version of its software, which is named in its events. */
+    softwareVersion: string;
     /** Which requests crash the stand-in when it begins to write an answer. */
     crashCause: CrashCause = {};
     /** Whether the head of its answer is sent before it crashes. */
@@ -127,11 +129,7 @@
 
     constructor(private readonly options: RunnerStandInOptions) {
         this.id = options.id;
-    }
-
-    /** Version of its software. */
-    get softwareVersion(): string {
-        return this.options.softwareVersion ?? defaultSoftwareVersion;
+        this.softwareVersion = options.softwareVersion ?? defaultSoftwareVersion;
     }
 
     /** Host and port; available once the server has started. */
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -185,10 +185,10 @@
     }
 
     /** Writes the registry entry of an upstream to the store. */
-    registerRunner(runner: RunnerStandIn, service: string, state = "ready"): void {
+    registerRunner(runner: RunnerStandIn, service: string, state = "ready", born = 1): void {
         const { id, address } = runner;
         const { softwareVersion: version } = runner;
-        const entry = { service, address, zone: "zone-a", version, slots: 8, state, seq: 1, born: 1 };
+        const entry = { service, address, zone: "zone-a", version, slots: 8, state, seq: 1, born };
         this.registered.set(id, entry);
         this.store.put("servers", id, entry);
     }
