Believe a refusal only with the id of the request

Here, a refusal with the id of another request was rejected; one without an id was believed. Cause: ids were compared only where the answer had one, so that a statement which allows a second run needed no proof that it is about this request.

Evidence: strayAnswers.test on: with a refusal without an id, an unsafe request and a stream that may not be resumed ran at two upstreams each. Ruled out: repeats with the id of the same request, since an upstream gets a request once.

Now a refusal without the id counts as an answer that may be another request's: the request counts as run, is not sent again where it may run once, and its caller gets no promise.

The stand-in's 421 has the id now, as the protocol says of all answers.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -18,6 +18,7 @@
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
+import { findStrayReason } from "./findStrayReason";
 import { ForwardTraits } from "./ForwardTraits";
 import { isEventStream } from "./isEventStream";
 import { CrashWatch } from "./CrashWatch";
@@ -269,14 +270,10 @@
         this.crashWatch.observeData(upstream);
         const metadata = context.protocol.decodeResponse(head.status, head.headers);
         this.applyStatements(upstream, metadata);
-        if (metadata.requestId !== undefined && metadata.requestId !== admitted.metadata.requestId) {
+        const strayReason = findStrayReason(metadata, admitted.metadata);
+        if (strayReason !== undefined) {
             this.recorder.recordRun(true);
-            return {
-                kind: "failed",
-                isSent: true,
-                isNotRun: false,
-                message: "the answer carries the id of another request",
-            };
+            return { kind: "failed", isSent: true, isNotRun: false, message: strayReason };
         }
         if (metadata.isNotRun) {
             yield* this.responseRelay.drainRefusal(exchange);
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -18,6 +18,10 @@
     | "mixed"
     /** Answers and then sends an unrequested second response on the same connection. */
     | "extra"
+    /** Executes the request, and before its answer writes a refusal of an earlier request, with the id of that one. */
+    | "repeat-refusal"
+    /** Like `repeat-refusal`, with a refusal that bears no id. */
+    | "repeat-refusal-without-id"
     /** Resets the connection in the middle of the third event of a stream. */
     | "break"
     /** Sends its answer with neither a length nor chunks, complete. */
@@ -144,7 +148,8 @@
     ): Promise<undefined> {
         const requestId = String(request.headers[attemptIdHeader]);
         if (request.headers[expectInstanceHeader] !== this.id) {
-            sendText(response, 421, { "x-sequoiagrade-instance-id": this.id }, "");
+            const headers = { "x-sequoiagrade-instance-id": this.id, [attemptIdHeader]: requestId };
+            sendText(response, 421, headers, "");
             return;
         }
         const isCrashing = this.isCrashing(request, body);
@@ -202,6 +207,9 @@
             ...(this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) }),
             ...this.createBrittleHeader(),
         };
+        if (behaviour?.startsWith("repeat-refusal")) {
+            request.socket.write(createRepeatedRefusal(behaviour));
+        }
         await this.waitForWork();
         if (behaviour?.startsWith("unframed")) {
             response.useChunkedEncodingByDefault = false;
@@ -385,6 +393,12 @@
     return `${head.join("\r\n")}\r\n\r\n${body}`;
 };
 
+const createRepeatedRefusal = (behaviour: RunnerBehaviour): string => {
+    const idFields = behaviour === "repeat-refusal" ? [`${attemptIdHeader}: another`] : [];
+    const head = ["HTTP/1.1 503 Service Unavailable", `${notExecutedHeader}: 1`, ...idFields];
+    return [...head, "content-length: 4", "", "full"].join("\r\n");
+};
+
 const sendText = (
     response: ServerResponse,
     status: number,
