Break a stream off that goes on with an error

Seen here, by tests: a resumption answered 200 with an error's text, all of it arriving with the head, ended the stream as complete; a head and a text that an upstream wrote in the middle of an event were passed on inside that event; a chat stream that failed or was cancelled was framed as complete after its error, here and through another node.

Causes: relayEvents took the regular end of an answer whose foreign bytes it had just rejected, since an abort after the end does nothing; the splitters looked at one line of a block, and at the first and last event of a batch; writeStream and relayAnswer ended failed streams regularly. Ruled out: errors with any status but 200, a document, a refusal and a reset in place of a resumption, which are never written after a head.

Now foreign bytes make a stream broken off whatever its end, each line of an event has to be a field, each chat event has to begin with its id, and a chat stream that fails is broken off after its error.

--- a/src/callers/CallerServer.test.ts
+++ b/src/callers/CallerServer.test.ts
@@ -3,6 +3,7 @@
 import { createTestCluster, testKeys } from "../../standins/createTestCluster";
 import { generateAnswer } from "../../standins/generateToken";
 import type { LocalCluster } from "../../standins/LocalCluster";
+import type { ReceivedStream } from "../../standins/readEventStream";
 import { readError, TestCaller } from "../../standins/TestCaller";
 
 const large = new TestCaller(testKeys.large);
@@ -21,6 +22,13 @@
         expect(cluster.brokenInvariants).toEqual([]);
     });
 
+    const findRunningId = (): string => {
+        const chatRequests = cluster.nodes[0].kernel.find({ id: "chat-requests" } as never) as {
+            listInProgress(): { id: string; }[];
+        };
+        return chatRequests.listInProgress()[0].id;
+    };
+
     it("serves an existing chat-completions client, with a stream or one body", async () => {
         const client = new OpenAI({
             apiKey: testKeys.large,
@@ -76,14 +84,31 @@
         await streaming;
         const { body } = await large.complete(second, "other");
         expect(body.object).toBe("chat.completion");
-        const chatRequests = cluster.nodes[0].kernel.find({ id: "chat-requests" } as never) as {
-            listInProgress(): { id: string; }[];
-        };
-        const [running] = chatRequests.listInProgress();
-        const answer = await large.call(second, `/v1/requests/${running.id}`, { method: "DELETE" });
+        const answer = await large.call(second, `/v1/requests/${findRunningId()}`, { method: "DELETE" });
         expect(answer.body.state).toBe("cancelled");
     });
 
+    // Guards against streams that end with an error and are framed as complete, here and through another node.
+    it("breaks a stream off after the error that ends it", async () => {
+        const [first, second] = cluster.nodes;
+        let relayed: Promise<ReceivedStream> | undefined;
+        const streaming = large.stream(first, "cut", { max_tokens: 5_000 }, { "idempotency-key": "cut-1" }, {
+            onEvent: ({ id }) => {
+                if (id === 3) {
+                    relayed = large.resume(second, findRunningId());
+                }
+                if (id === 40) {
+                    void large.call(second, `/v1/requests/${findRunningId()}`, { method: "DELETE" });
+                }
+            },
+        });
+        for (const stream of [await streaming, await relayed!]) {
+            expect(stream).toMatchObject({ status: 200, isWhole: false, isBroken: true });
+            expect(stream.events.at(-1)?.data).toContain("\"error\"");
+            expect(stream.events.length).toBeGreaterThan(4);
+        }
+    });
+
     it("answers a retry under the same key with the first request's answer, on any node", async () => {
         const [first, second] = cluster.nodes;
         const headers = { "idempotency-key": "draft-1" };
--- a/src/callers/relayAnswer.ts
+++ b/src/callers/relayAnswer.ts
@@ -1,4 +1,4 @@
-import { abortResponse } from "../http/abortResponse";
+import { breakOffResponse } from "../http/breakOffResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { createFailure } from "../results/createFailure";
@@ -66,7 +66,7 @@
             }
             break;
         case "failed":
-            sendRemoteFailure(exchange, outcome.last, headers);
+            yield* sendRemoteFailure(exchange, outcome.last, headers);
             break;
         case "lost":
         case "closed":
@@ -93,12 +93,7 @@
     if (relayed.isStream && response.headersSent) {
         sendStreamHeaders(response, relayed.requestId);
         const comments = [": the answer is incomplete", ...urls.map(url => `: resume at ${url}`)];
-        yield* waitFor(
-            new Promise<void>(resolve =>
-                response.write(comments.map(text => `${text}\n\n`).join(""), () => resolve())
-            ),
-        );
-        abortResponse(response);
+        yield* waitFor(breakOffResponse(response, comments.map(text => `${text}\n\n`).join("")));
         return;
     }
     const keptRow = yield* waitFor(
@@ -118,22 +113,18 @@
     sendFailure(response, failure, headers);
 }
 
-const sendRemoteFailure = (
-    exchange: Exchange,
+function* sendRemoteFailure(
+    { response }: Exchange,
     lastPart: RemoteAnswerPart,
     headers: Readonly<Record<string, string>>,
-): void => {
-    if (exchange.response.headersSent) {
-        exchange.response.end(`data: ${JSON.stringify(lastPart.failure ?? {})}\n\n`);
+): Task<void> {
+    const body = lastPart.failure ?? {};
+    if (response.headersSent) {
+        yield* waitFor(breakOffResponse(response, `data: ${JSON.stringify(body)}\n\n`));
         return;
     }
-    sendJsonResponse(
-        exchange.response,
-        lastPart.status ?? defaultFailureStatus,
-        lastPart.failure ?? {},
-        headers,
-    );
-};
+    sendJsonResponse(response, lastPart.status ?? defaultFailureStatus, body, headers);
+}
 
 /** Used in place of the HTTP response to collect a relayed answer that is to be sent as one body. */
 class CollectingResponse {
--- a/src/callers/writeStream.ts
+++ b/src/callers/writeStream.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import { abortResponse } from "../http/abortResponse";
+import { breakOffResponse } from "../http/breakOffResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
@@ -52,7 +53,7 @@
                 return "moved";
             }
             if (record.hasEnded && record.state !== "handed-over" && !record.log.isComplete) {
-                return writer.endFailed();
+                return yield* writer.endFailed();
             }
             const waitMs = response.headersSent
                 ? Math.min(keepAliveIntervalMs, options.stallTimeoutMs)
@@ -116,11 +117,11 @@
     }
 
     /** Ends a failed answer. If no headers were sent, the caller of writeStream sends the error response. */
-    endFailed(): StreamOutcome {
+    *endFailed(): Task<StreamOutcome> {
         const { response, record } = this.options;
         if (response.headersSent) {
             const body = record.failure ? JSON.stringify(formatFailure(record.failure)) : "{}";
-            response.end(`data: ${body}\n\n`);
+            yield* waitFor(breakOffResponse(response, `data: ${body}\n\n`));
         }
         return "failed";
     }
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -5,6 +5,7 @@
 const idField = "id:";
 const maxEventBytes = 1_048_576;
 const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/m; // a comment has an empty name
+const fieldLine = /^[\w-]*(?::|\r?$)/; // name and value, a name alone, a comment, or the blank line
 const maxSeparatorBytes = 3;
 const noEvents = { bytes: Buffer.alloc(0), eventCount: 0 } as const;
 const blankLines = /^[\r\n]+$/;
@@ -24,7 +25,10 @@
     private readonly incomplete = new ChunkBuffer();
     /** Id of the last complete event; undefined before the first. */
     lastEventId: number | undefined;
-    /** Whether bytes have arrived that are no events: a block without a field of an event, or one that is too long. */
+    /**
+     * Whether bytes have arrived that are no events: a block without a field of an event, with a line that is no field, or
+     * one that is too long.
+     */
     isForeign = false;
 
     /** @param after - id up to which events are skipped; undefined skips none */
@@ -85,7 +89,7 @@
             const event = data.subarray(start, end);
             start = end;
             const id = readEventId(event);
-            if (id === undefined && !isEvent(event)) {
+            if (!isEvent(event)) {
                 this.isForeign = true;
                 break;
             }
@@ -123,5 +127,6 @@
 
 const isEvent = (block: Buffer): boolean => {
     const text = block.toString("latin1");
-    return eventField.test(text) || blankLines.test(text);
+    return (eventField.test(text) && text.split("\n").every(line => fieldLine.test(line)))
+        || blankLines.test(text);
 };
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -24,6 +24,8 @@
     readonly onFirstEvent: () => void;
 }
 
+const foreignMessage = "the upstream sends bytes that are no events";
+
 /** How relaying a stream ended. */
 export type RelayOutcome =
     | { readonly kind: "whole"; }
@@ -51,7 +53,7 @@
         options.onData();
         const batch = splitter.push(chunk);
         if (splitter.isForeign) {
-            exchange.abort("the upstream sends bytes that are no events");
+            exchange.abort(foreignMessage);
         }
         if (batch.eventCount > 0) {
             lastEventMs = clock.readMonotonicMs();
@@ -81,6 +83,9 @@
             if (typeof outcome === "string") {
                 return { kind: "interrupted", by: outcome };
             }
+            if (outcome && splitter.isForeign) {
+                return { kind: "broken", message: foreignMessage };
+            }
             if (outcome?.isWhole && splitter.isInsideEvent) {
                 return { kind: "broken", message: "the stream ended inside an event" };
             }
--- a/src/upstreams/NumberedEventBatcher.test.ts
+++ b/src/upstreams/NumberedEventBatcher.test.ts
@@ -80,6 +80,15 @@
         );
     });
 
+    // Guards against an engine's error in the middle of a stream.
+    it("reject bytes that are no events after and between events", () => {
+        const error = "error: out of memory\n\n";
+        const [before, after] = [createEvents(0, 2, false), createEvents(2, 2, false)];
+        for (const text of [before + error, before + error + after]) {
+            expect(() => new NumberedEventBatcher().push(Buffer.from(text))).toThrow("no id line");
+        }
+    });
+
     // Guards against an event in small chunks that occupies the process for longer than other requests may wait.
     it("take a long event in small chunks in a time that grows with its bytes alone", () => {
         const batcher = new NumberedEventBatcher();
--- a/src/upstreams/NumberedEventBatcher.ts
+++ b/src/upstreams/NumberedEventBatcher.ts
@@ -55,6 +55,7 @@
     }
 
     private toBatch(body: Buffer): NumberedEventBatch {
+        assertNumberedEvents(body);
         const firstOffset = parseEventId(body, 0);
         const lastStart = body.lastIndexOf(eventBoundary, body.length - eventEnd.length - 1);
         const lastOffset = lastStart < 0 ? firstOffset : parseEventId(body, lastStart + eventEnd.length);
@@ -63,10 +64,23 @@
     }
 }
 
-const parseEventId = (body: Buffer, start: number): number => {
-    if (body.compare(idPrefix, 0, idPrefix.length, start, start + idPrefix.length) !== 0) {
-        throw new Error("server-sent event has no id line");
+/**
+ * Checks that each event begins with its id.
+ *
+ * @throws Error if one does not
+ */
+const assertNumberedEvents = (body: Buffer): void => {
+    for (let start = 0; start < body.length; start = body.indexOf(eventEnd, start) + eventEnd.length) {
+        if (!hasIdAt(body, start)) {
+            throw new Error("server-sent event has no id line");
+        }
     }
+};
+
+const hasIdAt = (body: Buffer, start: number): boolean =>
+    body.subarray(start, start + idPrefix.length).equals(idPrefix);
+
+const parseEventId = (body: Buffer, start: number): number => {
     let position = start + idPrefix.length;
     let id = 0;
     let digits = 0;
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -30,6 +30,16 @@
     | "unframed-close"
     /** Like `unframed`, but resets the connection in the middle of the third event of a stream or of the body. */
     | "unframed-reset"
+    /** Like `unframed`, but writes an error's head and text in the middle of the third event of a stream, and closes. */
+    | "unframed-error"
+    /** Answers 500 with an event that tells of the error. */
+    | "error-event"
+    /** Answers 500 with a text of neither a type nor a length, and closes. */
+    | "error-unframed"
+    /** Answers 200 with an error's text of no type. */
+    | "error-untyped"
+    /** Answers 200 with an error's text of no type, which ends like an event. */
+    | "error-untyped-block"
     /** Ends a chunked stream regularly in the middle of its third event. */
     | "chunked-end"
     /** Closes the connection regularly in the middle of the third event of a chunked stream that announced the close. */
@@ -222,6 +232,11 @@
             sendUnframed(response, responseHeaders, `${this.id} ${requestId}`, behaviour);
             return;
         }
+        const error = behaviour && errorAnswers[behaviour];
+        if (error) {
+            sendError(response, responseHeaders, error);
+            return;
+        }
         if (behaviour === "document") {
             sendText(response, 200, { ...responseHeaders, "content-type": "application/json" }, "{}");
             return;
@@ -364,9 +379,37 @@
 };
 
 /** How a stream breaks off in the middle of its third event. */
+/** Answers that tell of an error. */
+interface ErrorAnswer {
+    readonly status: number;
+    readonly type?: string;
+    readonly text: string;
+    readonly isUnframed?: boolean;
+}
+
+const errorAnswers: Partial<Record<RunnerBehaviour, ErrorAnswer>> = {
+    "error-event": { status: 500, type: "text/event-stream", text: "id: 99\ndata: error: out of memory\n\n" },
+    "error-unframed": { status: 500, text: "error: out of memory\n\n", isUnframed: true },
+    "error-untyped": { status: 200, text: "error: out of memory" },
+    "error-untyped-block": { status: 200, text: "error: out of memory\n\n" },
+};
+
+const sendError = (response: ServerResponse, headers: Record<string, string>, error: ErrorAnswer): void => {
+    response.useChunkedEncodingByDefault = error.isUnframed !== true;
+    response.shouldKeepAlive = error.isUnframed !== true;
+    response.writeHead(error.status, { ...headers, ...(error.type ? { "content-type": error.type } : {}) });
+    response.end(error.text);
+};
+
+const writeErrorAndClose = (response: ServerResponse): void => {
+    const head = ["HTTP/1.1 500 Internal Server Error", "content-type: text/plain", "content-length: 20"];
+    response.end(`${head.join("\r\n")}\r\n\r\nerror: out of memory`);
+};
+
 const streamCuts: Partial<Record<RunnerBehaviour, (response: ServerResponse) => void>> = {
     "break": resetConnection,
     "unframed-close": closeConnection,
+    "unframed-error": writeErrorAndClose,
     "unframed-reset": resetConnection,
     "chunked-end": response => response.end(),
     "chunked-close": closeConnection,
