Close the connection of a refused tunnel request

Cause: the server ended its half of the connection and waited for the other half without a bound, and the server of the members' port closes only when all connections have.

Evidence: TunnelServer.test, a client that leaves its half open: the server does not close within 3 s, for a wrong proof and for an upstream that cannot be reached. Ruled out: open tunnels, which are destroyed when the service stops.

--- a/src/tunnels/TunnelServer.test.ts
+++ b/src/tunnels/TunnelServer.test.ts
@@ -17,6 +17,7 @@
 const clusterKey = "key";
 const nodeId = "node-1";
 const timeoutMs = 1_000;
+const closeTimeoutMs = 3_000; // the grace period of a planned stop is 8 s
 
 describe("TunnelServer", () => {
     const clock = new FakeClock();
@@ -155,6 +156,25 @@
         await expect(asked).rejects.toThrow("status 407");
     });
 
+    // Guards against a process that does not end because the other side leaves a refused connection open.
+    it.each([["without a proof", "x"], ["to an upstream that cannot be reached", undefined]])(
+        "closes the connection of a request that it refuses: %s",
+        async (_name, wrongProof) => {
+            upstream.close();
+            const proof = wrongProof ?? computeTunnelProof({ clusterKey, nodeId, target });
+            const [host, port] = member.split(":");
+            const socket = connect({ host, port: Number(port), allowHalfOpen: true });
+            socket.resume();
+            socket.write(
+                `CONNECT ${target} HTTP/1.1\r\nhost: ${target}\r\n${tunnelProofHeader}: ${proof}\r\n\r\n`,
+            );
+            await once(socket, "end");
+            await new Promise<void>(resolve => members.close(() => resolve()));
+            socket.destroy();
+        },
+        closeTimeoutMs,
+    );
+
     it("refuses where the upstream cannot be reached", async () => {
         upstream.close();
         await expect(open()).rejects.toThrow("status 502");
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -68,7 +68,7 @@
         near.on("error", () => near.destroy());
         const refusal = this.checkRequest(request);
         if (refusal !== undefined) {
-            near.end(`HTTP/1.1 ${refusal}\r\n\r\n`);
+            refuseTunnel(near, refusal);
             return;
         }
         this.sockets.add(near);
@@ -77,7 +77,7 @@
         const [hostname, port] = request.url!.split(":");
         this.connect({ hostname, port, protocol: "http:" }, (...[error, far]) => {
             if (error) {
-                near.end("HTTP/1.1 502 Bad Gateway\r\n\r\n");
+                refuseTunnel(near, "502 Bad Gateway");
                 return;
             }
             if (near.destroyed) {
@@ -107,5 +107,11 @@
     }
 }
 
+/** Answers a request and closes its connection, also if the other side leaves it open. */
+const refuseTunnel = (near: Socket, status: string): void => {
+    near.write(`HTTP/1.1 ${status}\r\n\r\n`);
+    near.destroySoon();
+};
+
 /** Name of the tunnel server service. */
 export const tunnelServerName = createServiceName<TunnelServer>("tunnel-server");
