Join no stream at an upstream that restarted while the store is down

Cause: a stream was bound to the version in the upstream's entry, however old. While the store is down, and until upstreams have written their entries again, another process may be at that address.

Ruled out: the registry, which takes an entry with another version for another upstream as soon as it can read it.

Now entries count while they were confirmed within 2 s and no outage ended within 2.5 s. A connection that was opened while they counted leads to the process that is listed for as long as it lasts; a stream on any other one begins at an unknown version and is resumed nowhere, and none is resumed over one. findSole names no version meanwhile.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -15,6 +15,7 @@
 import { BrittleServices, brittleServicesName } from "../placement/BrittleServices";
 import type { ComputeRateShareOptions } from "../placement/computeRateShare";
 import { InstanceRegistry, instanceRegistryName } from "../placement/InstanceRegistry";
+import { isListingCurrent } from "../placement/isListingCurrent";
 import { UpstreamLimits, upstreamLimitsName } from "../placement/UpstreamLimits";
 import { CrashQuarantine, crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { QuarantineRecords } from "../quarantine/QuarantineRecords";
@@ -233,6 +234,7 @@
                     new UpstreamClient({
                         address,
                         connect: options.connectUpstream,
+                        isListingCurrent: () => isListingCurrent(find(feedNames.instances)),
                         detour: {
                             openTunnel: target => tunnels.open(target),
                             clock,
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -42,6 +42,7 @@
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
 const minRemainingMs = 10; // no upstream answers faster than this
+const unknownVersionMessage = "the upstream may run another software version since the store cannot be read";
 
 /**
  * Forwards one admitted request to an upstream and relays the answer. Retries on other upstreams where the retry rule
@@ -58,6 +59,8 @@
     private readonly selection: UpstreamSelection;
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
+    /** Whether the upstream chosen last was not used since its software version was not known. */
+    private isVersionRefused = false;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
@@ -91,6 +94,7 @@
             recorder,
             interrupt,
             crashWatch: this.crashWatch,
+            binding: this.binding,
             memory,
         });
         options.response.on("close", memory.release);
@@ -200,6 +204,7 @@
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
         this.crashWatch.beginAttempt();
+        this.isVersionRefused = false;
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
         const exchange = upstream.client.send({
@@ -207,9 +212,9 @@
             path: request.url!,
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
-            isWanted: () =>
+            isWanted: isConfirmed =>
                 this.interrupt.read() === undefined && this.crashWatch.readQuarantinedMs() === undefined
-                && context.instances.isAcceptingRequests(upstream),
+                && context.instances.isAcceptingRequests(upstream) && this.checkVersion(isConfirmed),
         });
         context.instances.beginRequest(upstream);
         try {
@@ -260,6 +265,9 @@
         if (start.kind === "failed" && !start.isSent && this.crashWatch.readQuarantinedMs() !== undefined) {
             return createUnsentResult(quarantinedMessage);
         }
+        if (start.kind === "failed" && !start.isSent && this.isVersionRefused) {
+            return createUnsentResult(unknownVersionMessage);
+        }
         if (start.kind === "failed") {
             this.recorder.recordRun(start.isSent);
             context.instances.eject(upstream, start.message);
@@ -287,11 +295,28 @@
         this.recorder.recordRun(true);
         this.crashWatch.observeAnswer();
         if (admitted.route.isStream && isEventStream(head)) {
-            this.binding.adopt(upstream.instance);
+            const { softwareVersion } = upstream.instance;
+            const isKnown = this.isVersionKnown(exchange.isConfirmed);
+            this.binding.adopt({ softwareVersion: isKnown ? softwareVersion : undefined });
         }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
+    /** Checks that a bound request goes to its version, and records if that is not known. */
+    private checkVersion(isConfirmed: boolean): boolean {
+        this.isVersionRefused = this.binding.isBound && !this.isVersionKnown(isConfirmed);
+        return !this.isVersionRefused;
+    }
+
+    /**
+     * Whether the upstream at the other end of a connection runs the software version that is listed.
+     *
+     * @param isConfirmed - whether the connection was opened to the process that is listed
+     */
+    private isVersionKnown(isConfirmed: boolean): boolean {
+        return isConfirmed || this.options.context.instances.isListingCurrent();
+    }
+
     /** Applies what an upstream states about itself in an answer, before the answer is passed on. */
     private applyStatements(upstream: TrackedInstance, metadata: ResponseMetadata): void {
         const { instances } = this.options.context;
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -14,6 +14,7 @@
 import { isEventStream } from "./isEventStream";
 import type { CrashWatch } from "./CrashWatch";
 import { relayEvents } from "./relayEvents";
+import type { StreamBinding } from "./StreamBinding";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 import type { AttemptResult } from "./types";
 
@@ -26,6 +27,8 @@
     readonly recorder: ForwardRecorder;
     readonly interrupt: RequestInterrupt;
     readonly crashWatch: CrashWatch;
+    /** The software version that begins the stream. */
+    readonly binding: Pick<StreamBinding, "softwareVersion">;
     /** Memory of the request for collected answers. */
     readonly memory: HeldMemory;
 }
@@ -137,7 +140,7 @@
                 crashWatch.observeFirstEvent();
                 this.options.recorder.recordFirstByte();
                 this.options.recorder.recordUsage();
-                this.options.recorder.recordStream(upstream.instance.softwareVersion);
+                this.options.recorder.recordStream(this.options.binding.softwareVersion);
             },
         });
         this.lastEventId = splitter.lastEventId;
--- a/src/origins/SoftwareVersions.test.ts
+++ b/src/origins/SoftwareVersions.test.ts
@@ -9,8 +9,13 @@
     readonly clock = new FakeClock();
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     ageMs = 0;
+    sinceRecoveryMs = Infinity;
     readonly versions = new SoftwareVersions({
-        feed: { records: this.records, readAgeMs: () => this.ageMs },
+        feed: {
+            records: this.records,
+            readAgeMs: () => this.ageMs,
+            readSinceRecoveryMs: () => this.sinceRecoveryMs,
+        },
         clock: this.clock,
         readWindowMs: () => windowMs,
     });
@@ -65,6 +70,13 @@
         expect(setup.versions.findSole("llm")).toBeUndefined();
     });
 
+    it("finds none right after an outage of the store", () => {
+        setup.versions.completeHistory();
+        setup.list("v1");
+        setup.sinceRecoveryMs = 1_000;
+        expect(setup.versions.findSole("llm")).toBeUndefined();
+    });
+
     it("finds none where an upstream does not state its version", () => {
         setup.versions.completeHistory();
         setup.list(undefined);
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -1,11 +1,12 @@
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
+import { isListingCurrent } from "../placement/isListingCurrent";
 import type { UpstreamInstance } from "../placement/types";
 
 /** Options of {@link SoftwareVersions}. */
 export interface SoftwareVersionsOptions {
-    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs">;
+    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs" | "readSinceRecoveryMs">;
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
@@ -19,7 +20,6 @@
     readonly sinceListedMs: number;
 }
 
-const maxAgeMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
 const unknownVersion = "";
 
 /** Software versions of the upstreams of each service: those that are listed, and those that were a moment ago. */
@@ -88,7 +88,7 @@
      */
     findSole(service: string): string | undefined {
         const [version, ...others] = this.listRecent(service);
-        const isKnown = this.hasWholeHistory() && this.options.feed.readAgeMs() <= maxAgeMs;
+        const isKnown = this.hasWholeHistory() && isListingCurrent(this.options.feed);
         return isKnown && others.length === 0 && version !== unknownVersion ? version : undefined;
     }
 
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -9,6 +9,7 @@
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UpstreamRejections } from "../upstreams/UpstreamRejections";
 import { InstanceNotices } from "./InstanceNotices";
+import { isListingCurrent } from "./isListingCurrent";
 import type { BrittleServices } from "./BrittleServices";
 import type { UpstreamInstance, UpstreamStart, UpstreamView } from "./types";
 import type { UpstreamLimits } from "./UpstreamLimits";
@@ -129,6 +130,11 @@
         return areLimited && this.listUsable(service).length > 0 ? 0 : undefined;
     }
 
+    /** Whether what is listed of the upstreams is that of the processes that run now. */
+    isListingCurrent(): boolean {
+        return isListingCurrent(this.options.feed);
+    }
+
     /** Records that an upstream stated in an answer that it is leaving, and tells the members. */
     markLeaving(tracked: TrackedInstance): void {
         const { instance } = tracked;
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -2,13 +2,25 @@
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 import { isResetSocket } from "./isResetSocket";
 
-/** Returns whether the connection of a call was reset. */
-export type ResetCheck = () => boolean;
+/** The connection of a call. */
+export interface CallConnection {
+    /** Returns whether it was reset. */
+    readonly isReset: () => boolean;
+    /** Returns whether it was opened to the process that is listed; known once the call is written. */
+    readonly isConfirmed: () => boolean;
+}
 
-/** Dispatch options with a callback that receives the reset check of the call's connection. */
+/** Dispatch options with a callback that receives the call's connection. */
 export interface TrackedDispatchOptions extends Dispatcher.DispatchOptions {
     /** Called when the call is assigned to a connection. */
-    readonly onConnection?: (isReset: ResetCheck) => void;
+    readonly onConnection?: (connection: CallConnection) => void;
+}
+
+/** How a {@link TrackedClient} opens its connection. */
+export interface TrackedConnectOptions {
+    readonly connect: buildConnector.connector;
+    /** Whether a connection that is opened now leads to the process that is listed. */
+    readonly isListingCurrent: () => boolean;
 }
 
 /**
@@ -21,16 +33,21 @@
     /**
      * @param origin - scheme, host and port
      * @param options - undici's options
-     * @param connect - opens the connection
+     * @param connecting - opens the connection
      */
-    constructor(origin: string, options: Client.Options, connect: buildConnector.connector) {
-        const tracked: TrackedSocket = { socket: undefined };
-        super(origin, { ...options, connect: createTrackedConnector(tracked, connect) });
+    constructor(origin: string, options: Client.Options, connecting: TrackedConnectOptions) {
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
+        const { connect, isListingCurrent } = connecting;
+        super(origin, { ...options, connect: createTrackedConnector(tracked, connect, isListingCurrent) });
         this.tracked = tracked;
     }
 
     override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        options.onConnection?.(() => isResetSocket(this.tracked.socket));
+        const { tracked } = this;
+        options.onConnection?.({
+            isReset: () => isResetSocket(tracked.socket),
+            isConfirmed: () => tracked.isConfirmed,
+        });
         return super.dispatch(options, handler);
     }
 }
--- a/src/upstreams/UpstreamClient.test.ts
+++ b/src/upstreams/UpstreamClient.test.ts
@@ -100,6 +100,40 @@
         await single.close();
     });
 
+    it("tells which connections were opened to the process that is listed", async () => {
+        const sockets: Socket[] = [];
+        await startUpstream(() => {});
+        server.on("connection", socket => {
+            sockets.push(socket);
+            socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+        });
+        let isCurrent = true;
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const tracked = new UpstreamClient({
+            address,
+            maxConnections: 1,
+            isListingCurrent: () => isCurrent,
+        });
+        const call = async (): Promise<boolean> => {
+            const exchange = tracked.send({
+                method: "GET",
+                path: "/",
+                headers: ["host", "h"],
+                body: undefined,
+            });
+            exchange.listen(() => {});
+            await exchange.ended;
+            return exchange.isConfirmed;
+        };
+        expect(await call()).toBe(true);
+        isCurrent = false;
+        expect([await call(), sockets.length]).toEqual([true, 1]);
+        sockets[0].destroy();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect([await call(), sockets.length]).toEqual([false, 2]);
+        await tracked.close();
+    });
+
     it("distinguishes calls that were never written from those that may have been received", async () => {
         await startUpstream(socket => socket.resetAndDestroy());
         expect((await callOnce()).start).toMatchObject({ kind: "failed", isSent: true });
--- a/src/upstreams/UpstreamClient.ts
+++ b/src/upstreams/UpstreamClient.ts
@@ -13,10 +13,10 @@
     readonly headers: string[];
     readonly body: Buffer | undefined;
     /**
-     * Checked immediately before the call is written to its connection; if it returns false, nothing is written.
-     * Default: always true.
+     * Checked immediately before the call is written to its connection; if it returns false, nothing is written. Receives
+     * whether the connection was opened to the process that is listed. Default: always true.
      */
-    readonly isWanted?: () => boolean;
+    readonly isWanted?: (isConfirmed: boolean) => boolean;
 }
 
 /** Options of {@link UpstreamClient}. */
@@ -34,6 +34,8 @@
     readonly keepAliveMs?: number;
     /** Opens connections; default: undici's connector. */
     readonly connect?: buildConnector.connector;
+    /** Whether a connection that is opened now leads to the process that is listed; default: always true. */
+    readonly isListingCurrent?: () => boolean;
     /** Other way to the upstream, for when it cannot be reached directly. */
     readonly detour?: UpstreamDetour;
 }
@@ -99,7 +101,7 @@
             path: call.path,
             headers: call.headers,
             body: call.body,
-            onConnection: isReset => exchange.setResetCheck(isReset),
+            onConnection: connection => exchange.setConnection(connection),
         };
         this.pool.dispatch(options, exchange);
         return exchange;
@@ -119,7 +121,8 @@
     }
 
     private createPool(): Pool {
-        const { address, maxConnections, keepAliveMs } = this.options;
+        const { address, maxConnections, keepAliveMs, isListingCurrent = () => true } = this.options;
+        const connecting = { connect: this.connect, isListingCurrent };
         return new Pool(`http://${address}`, {
             connections: maxConnections ?? null,
             pipelining: 1,
@@ -128,7 +131,7 @@
             headersTimeout: 0,
             bodyTimeout: 0,
             factory: (origin, clientOptions) =>
-                new TrackedClient(String(origin), clientOptions as Client.Options, this.connect),
+                new TrackedClient(String(origin), clientOptions as Client.Options, connecting),
         });
     }
 }
--- a/src/upstreams/UpstreamExchange.test.ts
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -11,7 +11,7 @@
 /** Runs an exchange with one complete answer; resolves to whether it counts as whole. */
 const playAnswer = async (headers: IncomingHttpHeaders, isReset: boolean): Promise<boolean> => {
     const exchange = new UpstreamExchange();
-    exchange.setResetCheck(() => isReset);
+    exchange.setConnection({ isReset: () => isReset, isConfirmed: () => true });
     exchange.onRequestStart(controller);
     exchange.onResponseStart(controller, 200, headers);
     exchange.onResponseData(controller, Buffer.from("bytes"));
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { ChunkBuffer } from "../_lib/ChunkBuffer";
-import type { ResetCheck } from "./TrackedClient";
+import type { CallConnection } from "./TrackedClient";
 
 /** How the end of an answer's body is marked. */
 export const answerFramings = { length: "length", chunked: "chunked", close: "close" } as const;
@@ -33,8 +33,11 @@
 
 /** Options of {@link UpstreamExchange}. */
 export interface UpstreamExchangeOptions {
-    /** Checked immediately before the call is written; false prevents the write. Default: always true. */
-    readonly isWanted?: () => boolean;
+    /**
+     * Checked immediately before the call is written; false prevents the write. Receives whether the connection was opened
+     * to the process that is listed. Default: always true.
+     */
+    readonly isWanted?: (isConfirmed: boolean) => boolean;
 }
 
 /**
@@ -55,7 +58,7 @@
     private isEnded = false;
     private hasHead = false;
     private interimCount = 0;
-    private isReset: ResetCheck = () => false;
+    private connection: CallConnection | undefined;
     private listener: ((chunk: Buffer) => void) | undefined;
     /** Body that arrived before the listener was set. */
     private readonly early = new ChunkBuffer();
@@ -88,9 +91,14 @@
         }
     }
 
-    /** Sets the check whether the call's connection was reset. */
-    setResetCheck(isReset: ResetCheck): void {
-        this.isReset = isReset;
+    /** Sets the connection to which the call is assigned. */
+    setConnection(connection: CallConnection): void {
+        this.connection = connection;
+    }
+
+    /** Whether the call's connection was opened to the process that is listed. */
+    get isConfirmed(): boolean {
+        return this.connection?.isConfirmed() ?? false;
     }
 
     /**
@@ -121,7 +129,7 @@
             controller.abort(new Error("call aborted before it was sent"));
             return;
         }
-        if (this.options.isWanted?.() === false) {
+        if (this.options.isWanted?.(this.isConfirmed) === false) {
             controller.abort(new Error("call no longer wanted when its connection became free"));
             return;
         }
@@ -159,7 +167,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        const isTruncated = this.framing === answerFramings.close && this.isReset();
+        const isTruncated = this.framing === answerFramings.close && this.connection?.isReset() === true;
         this.settleEnd(
             isTruncated
                 ? {
--- a/src/upstreams/createTrackedConnector.test.ts
+++ b/src/upstreams/createTrackedConnector.test.ts
@@ -3,11 +3,15 @@
 
 describe("createTrackedConnector", () => {
     it("stores the socket and replaces the code of a reset error", () => {
-        const tracked: TrackedSocket = { socket: undefined };
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
         const socket = new Socket();
-        const connect = createTrackedConnector(tracked, (_options, callback) => callback(null, socket));
+        const connect = createTrackedConnector(
+            tracked,
+            (_options, callback) => callback(null, socket),
+            () => true,
+        );
         connect({ hostname: "10.0.0.1", protocol: "http:", port: "80" }, () => {});
-        expect(tracked.socket).toBe(socket);
+        expect(tracked).toEqual({ socket, isConfirmed: true });
         const reset: NodeJS.ErrnoException = Object.assign(new Error("reset"), { code: "ECONNRESET" });
         socket.on("error", () => {});
         socket.emit("error", reset);
@@ -15,10 +19,11 @@
     });
 
     it("stores no socket after a failed attempt", () => {
-        const tracked: TrackedSocket = { socket: undefined };
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
         const connect = createTrackedConnector(
             tracked,
             (_options, callback) => callback(new Error("none"), null),
+            () => true,
         );
         connect({ hostname: "10.0.0.1", protocol: "http:", port: "80" }, () => {});
         expect(tracked.socket).toBeUndefined();
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -5,6 +5,8 @@
 /** Holds the current socket of a client with at most one connection. */
 export interface TrackedSocket {
     socket: Socket | undefined;
+    /** Whether the socket was opened to the process that is listed. */
+    isConfirmed: boolean;
 }
 
 /**
@@ -12,16 +14,19 @@
  *
  * @param tracked - receives the socket; undefined after a failed attempt
  * @param connect - opens the connection
+ * @param isListingCurrent - whether a connection that is opened now leads to the process that is listed
  * @returns the connector
  */
 export const createTrackedConnector = (
     tracked: TrackedSocket,
     connect: buildConnector.connector,
+    isListingCurrent: () => boolean,
 ): buildConnector.connector => {
     const connectMarked = createResetMarkingConnector(connect);
     return (options, callback) =>
         connectMarked(options, (...outcome) => {
             tracked.socket = outcome[1] ?? undefined;
+            tracked.isConfirmed = isListingCurrent();
             callback(...outcome);
         });
 };
--- a/standins/StandInServer.ts
+++ b/standins/StandInServer.ts
@@ -70,9 +70,14 @@
 
     async stop(): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.closeConnections();
+        await closed;
+    }
+
+    /** Closes all connections, as a process that ends does. */
+    closeConnections(): void {
         this.server.closeAllConnections();
         this.sockets.forEach(socket => socket.destroy());
-        await closed;
     }
 
     /** Injects a fault; kind `none` ends the current one. */
