--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -50,7 +50,7 @@
 const staleRetryAfterMs = 500; // another node that reaches the store can answer immediately
 
 /**
- * Admits a request for forwarding and chooses its service. Checks configuration, route, key and quota, in this order.
+ * Admits a request for forwarding and chooses its service. Checks configuration, route, key, id and quota, in this order.
  *
  * @param context - services of the node
  * @param request - the incoming request; its body has not been read
@@ -81,6 +81,12 @@
     trace.route = route.name;
     const account = authenticate(context, table, route, metadata.apiKey);
     trace.account = account?.name;
+    if (!metadata.requestId) {
+        throw createRefusal(
+            "badField",
+            "the request has no id, without which its answer cannot be told from others",
+        );
+    }
     const quarantinedMs = context.quarantine.readRemainingMs({ partIds: sharedParts, identity: undefined });
     if (quarantinedMs !== undefined) {
         throw createRefusal("promptQuarantined", quarantinedMessage, quarantinedMs);
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -22,6 +22,8 @@
     | "repeat-refusal"
     /** Like `repeat-refusal`, with a refusal that bears no id. */
     | "repeat-refusal-without-id"
+    /** Executes the request, and before its answer writes a success that nobody asked for and that bears no id. */
+    | "stray-success"
     /** Resets the connection in the middle of the third event of a stream. */
     | "break"
     /** Sends its answer with neither a length nor chunks, complete. */
@@ -220,6 +222,9 @@
         if (behaviour?.startsWith("repeat-refusal")) {
             request.socket.write(createRepeatedRefusal(behaviour));
         }
+        if (behaviour === "stray-success") {
+            request.socket.write(createUnrequestedResponse([]));
+        }
         await this.waitForWork();
         if (behaviour?.startsWith("unframed")) {
             response.useChunkedEncodingByDefault = false;
@@ -244,7 +249,10 @@
         if (behaviour === "fail" || !this.options.events) {
             const { socket } = request;
             if (behaviour === "extra") {
-                response.on("finish", () => socket.write(createUnrequestedResponse()));
+                response.on(
+                    "finish",
+                    () => socket.write(createUnrequestedResponse([`${attemptIdHeader}: another`])),
+                );
             }
             sendText(response, behaviour === "fail" ? 500 : 200, responseHeaders, `${this.id} ${requestId}`);
             return;
@@ -430,9 +438,9 @@
     response.end(text);
 };
 
-const createUnrequestedResponse = (): string => {
+const createUnrequestedResponse = (idFields: readonly string[]): string => {
     const body = "not asked for";
-    const head = ["HTTP/1.1 200 OK", `${attemptIdHeader}: another`, `content-length: ${body.length}`];
+    const head = ["HTTP/1.1 200 OK", ...idFields, `content-length: ${body.length}`];
     return `${head.join("\r\n")}\r\n\r\n${body}`;
 };
 
