--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -4,11 +4,11 @@
 const carriageReturn = 0x0d;
 const idField = "id:";
 const maxEventBytes = 1_048_576;
-const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/m; // a comment has an empty name
+const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/; // a comment has an empty name
 const fieldLine = /^[\w-]*(?::|\r?$)/; // name and value, a name alone, a comment, or the blank line
 const maxSeparatorBytes = 3;
 const noEvents = { bytes: Buffer.alloc(0), eventCount: 0 } as const;
-const blankLines = /^[\r\n]+$/;
+const blankLine = /^\r*$/;
 
 /** Complete events of a stream. */
 export interface EventBatch {
@@ -88,11 +88,12 @@
         for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
             const event = data.subarray(start, end);
             start = end;
-            const id = readEventId(event);
-            if (!isEvent(event)) {
+            const lines = event.toString("latin1").split("\n");
+            if (!isEvent(lines)) {
                 this.isForeign = true;
                 break;
             }
+            const id = readEventId(lines);
             if (id !== undefined && this.lastEventId !== undefined && id <= this.lastEventId) {
                 continue;
             }
@@ -119,14 +120,12 @@
     return 0;
 };
 
-const readEventId = (event: Buffer): number | undefined => {
-    const line = event.toString("latin1").split("\n").find(text => text.startsWith(idField));
+const readEventId = (lines: readonly string[]): number | undefined => {
+    const line = lines.find(text => text.startsWith(idField));
     const id = line === undefined ? NaN : Number.parseInt(line.slice(idField.length), 10);
     return Number.isNaN(id) ? undefined : id;
 };
 
-const isEvent = (block: Buffer): boolean => {
-    const text = block.toString("latin1");
-    return (eventField.test(text) && text.split("\n").every(line => fieldLine.test(line)))
-        || blankLines.test(text);
-};
+const isEvent = (lines: readonly string[]): boolean =>
+    (lines.some(line => eventField.test(line)) && lines.every(line => fieldLine.test(line)))
+    || lines.every(line => blankLine.test(line));
--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -1,15 +1,22 @@
 import type { Clock } from "../kernel/types";
 import type { StreamOrigins } from "../origins/StreamOrigins";
+import type { UpstreamInstance } from "../placement/types";
 import { retryRules } from "../routes/types";
+import { eventKinds } from "../telemetry/eventKinds";
+import type { EventLog } from "../telemetry/EventLog";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
 import type { AnswerFraming } from "../upstreams/UpstreamExchange";
 import type { UsageLedger } from "../usage/UsageLedger";
 import type { AdmittedRequest } from "./admitRequest";
+import type { RetryDecision } from "./decideRetry";
+import { describeSharedParts } from "./describeSharedParts";
+import type { FailedAttemptResult } from "./types";
 
 /** Options of {@link ForwardRecorder}. */
 export interface ForwardRecorderOptions {
     readonly context: {
         readonly clock: Clock;
+        readonly events: EventLog;
         readonly metrics: ForwardMetrics;
         readonly usage: UsageLedger;
         readonly origins: Pick<StreamOrigins, "record">;
@@ -39,6 +46,21 @@
     openEventBytes: number | undefined;
 }
 
+/** An attempt that failed, for its log line. */
+export interface FailedAttemptReport {
+    readonly upstream: UpstreamInstance;
+    readonly result: FailedAttemptResult;
+    readonly next: RetryDecision;
+    /** Id of the last complete event that was relayed. */
+    readonly lastEventId: number | undefined;
+    /** What a repeat of the request under another id is recognised by. */
+    readonly requestKey: string;
+    /** Whether the upstream began an answer. */
+    readonly hasBegun: boolean;
+    /** Time until the request's deadline, in milliseconds. */
+    readonly remainingMs: number;
+}
+
 /** Records what is done for one request: for its log line, the metrics and the usage of its account. */
 export class ForwardRecorder {
     readonly trace: ForwardTrace = {
@@ -67,6 +89,30 @@
         context.metrics.upstreamSends.inc({ service: admitted.service, outcome });
     }
 
+    /** Writes the log line of an attempt that failed. */
+    reportFailedAttempt({ upstream, result, next, remainingMs, ...report }: FailedAttemptReport): void {
+        const { context, admitted } = this.options;
+        context.events.emit(eventKinds.attemptEnded, {
+            requestId: admitted.metadata.requestId,
+            upstream: upstream.id,
+            softwareVersion: upstream.softwareVersion,
+            service: admitted.service,
+            lastEventId: report.lastEventId,
+            sharedParts: describeSharedParts(admitted.sharedParts),
+            requestKey: report.requestKey,
+            hasBegun: report.hasBegun,
+            reason: result.message,
+            isSent: result.isSent,
+            isNotRun: result.isNotRun,
+            sends: this.trace.sends,
+            runs: this.trace.runs,
+            framing: this.trace.framing,
+            openEventBytes: this.trace.openEventBytes,
+            remainingMs: Math.round(remainingMs),
+            next,
+        });
+    }
+
     /**
      * Counts the end of an answer's body in the metrics, by how the end was marked.
      *
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -5,7 +5,6 @@
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
 import { retryRules } from "../routes/types";
-import { eventKinds } from "../telemetry/eventKinds";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
@@ -13,7 +12,6 @@
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
 import { quarantinedMessage } from "./constants";
 import { createAffinityKey } from "./createAffinityKey";
-import { describeSharedParts } from "./describeSharedParts";
 import { createFinalFailure } from "./createFinalFailure";
 import { decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
@@ -160,7 +158,15 @@
                 sends: this.recorder.trace.sends,
                 takeRetry: () => budget.takeRetry(),
             });
-            this.reportFailedAttempt(upstream, result, next);
+            this.recorder.reportFailedAttempt({
+                upstream: upstream.instance,
+                result,
+                next,
+                lastEventId: this.responseRelay.lastEventId,
+                requestKey: this.traits.identity,
+                hasBegun: this.hasBegun,
+                remainingMs: this.computeRemainingMs(),
+            });
             if (next === "stop" || this.computeRemainingMs() < minRemainingMs) {
                 return result;
             }
@@ -408,33 +414,6 @@
             context.quotas.release(admitted.account.name, admitted.quotaCost);
         }
     }
-
-    private reportFailedAttempt(
-        upstream: TrackedInstance,
-        result: FailedAttemptResult,
-        next: string,
-    ): void {
-        const { context, admitted } = this.options;
-        context.events.emit(eventKinds.attemptEnded, {
-            requestId: admitted.metadata.requestId,
-            upstream: upstream.instance.id,
-            softwareVersion: upstream.instance.softwareVersion,
-            service: admitted.service,
-            lastEventId: this.responseRelay.lastEventId,
-            sharedParts: describeSharedParts(admitted.sharedParts),
-            requestKey: this.traits.identity,
-            hasBegun: this.crashWatch.hasBegun,
-            reason: result.message,
-            isSent: result.isSent,
-            isNotRun: result.isNotRun,
-            sends: this.recorder.trace.sends,
-            runs: this.recorder.trace.runs,
-            framing: this.recorder.trace.framing,
-            openEventBytes: this.recorder.trace.openEventBytes,
-            remainingMs: Math.round(this.computeRemainingMs()),
-            next,
-        });
-    }
 }
 
 const createUnsentResult = (message: string): FailedAttemptResult => ({
