Doubt listed versions after a pause of confirmations, not after one node's failed calls

Cause: the listing counted as doubtful for 2.5 s on all nodes when one reader reached the store again.

Now the listing is doubtful after a pause of over 2 s in which nobody confirmed it, after a restore, and after a first reading that had failed for a second.

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -103,6 +103,18 @@
         return this.options.clock.readMonotonicMs() - this.recoveredAtMs;
     }
 
+    /**
+     * Returns the time since the records were confirmed again after a pause in which they may have been outdated: the store
+     * could not be read for long, here and by other nodes, or was restored.
+     *
+     * @returns milliseconds; infinite if there was no such pause
+     */
+    readSinceResumedMs(): number {
+        const nowMs = this.options.storeClock.readStoreMs();
+        const { resumedStoreMs } = this.replica;
+        return nowMs === undefined || resumedStoreMs === undefined ? Infinity : nowMs - resumedStoreMs;
+    }
+
     private *follow(signal: AbortSignal): Task<void> {
         let retryMs = firstRetryMs;
         while (!signal.aborted) {
--- a/src/feeds/FeedReplica.ts
+++ b/src/feeds/FeedReplica.ts
@@ -5,6 +5,8 @@
 /** Result of applying an update: `gap` means that changes are missing and the records have to be listed. */
 export type ApplyResult = "applied" | "gap";
 
+const maxPauseMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
+
 /** A node's copy of the records of a feed, with its position in the feed and the time of its confirmation. */
 export class FeedReplica<T> {
     /** The records as last read; undefined before the first listing. */
@@ -13,6 +15,7 @@
     private feedPosition = 0;
     private feedEra: number | undefined;
     private confirmedMs: number | undefined;
+    private resumedMs: number | undefined;
 
     /** Position after which to request changes. */
     get position(): number {
@@ -29,6 +32,14 @@
         return this.confirmedMs;
     }
 
+    /**
+     * Time on the store's clock at which confirmations went on after a pause in which the records may have been outdated,
+     * in milliseconds; undefined if there was none.
+     */
+    get resumedStoreMs(): number | undefined {
+        return this.resumedMs;
+    }
+
     /** Whether hidden records count again now, so that the records have to be listed again. */
     hasDueRecords(nowMs: number): boolean {
         return this.restoredFilter.isDue(nowMs);
@@ -51,7 +62,7 @@
         if (update.position > this.feedPosition) {
             this.applyChanges(update, nowMs);
         }
-        this.confirm(update.storeMs);
+        this.confirm(update.storeMs, false);
         return "applied";
     }
 
@@ -88,7 +99,8 @@
         const isRestored = this.feedEra !== undefined && update.era !== this.feedEra;
         this.feedEra = update.era;
         this.feedPosition = update.position;
-        this.confirm(update.storeMs);
+        const isAfterOutage = update.isRecovery && this.records.value === undefined;
+        this.confirm(update.storeMs, isRestored || isAfterOutage);
         this.records.set(this.restoredFilter.filter(listed, { isRestored, nowMs }));
     }
 
@@ -109,7 +121,10 @@
         this.records.set(next);
     }
 
-    private confirm(storeMs: number): void {
+    private confirm(storeMs: number, isInterrupted: boolean): void {
+        if (isInterrupted || storeMs - (this.confirmedMs ?? storeMs) > maxPauseMs) {
+            this.resumedMs = storeMs;
+        }
         this.confirmedMs = Math.max(this.confirmedMs ?? -Infinity, storeMs);
     }
 }
--- a/src/origins/SoftwareVersions.test.ts
+++ b/src/origins/SoftwareVersions.test.ts
@@ -9,12 +9,12 @@
     readonly clock = new FakeClock();
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     ageMs = 0;
-    sinceRecoveryMs = Infinity;
+    sinceResumedMs = Infinity;
     readonly versions = new SoftwareVersions({
         feed: {
             records: this.records,
             readAgeMs: () => this.ageMs,
-            readSinceRecoveryMs: () => this.sinceRecoveryMs,
+            readSinceResumedMs: () => this.sinceResumedMs,
         },
         clock: this.clock,
         readWindowMs: () => windowMs,
@@ -73,7 +73,7 @@
     it("finds none right after an outage of the store", () => {
         setup.versions.completeHistory();
         setup.list("v1");
-        setup.sinceRecoveryMs = 1_000;
+        setup.sinceResumedMs = 1_000;
         expect(setup.versions.findSole("llm")).toBeUndefined();
     });
 
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -6,7 +6,7 @@
 
 /** Options of {@link SoftwareVersions}. */
 export interface SoftwareVersionsOptions {
-    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs" | "readSinceRecoveryMs">;
+    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs" | "readSinceResumedMs">;
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -20,7 +20,7 @@
 
     constructor(readonly clock: FakeClock, readonly tables: MemoryTableService) {
         this.versions = new SoftwareVersions({
-            feed: { records: this.listed, readAgeMs: () => 0, readSinceRecoveryMs: () => Infinity },
+            feed: { records: this.listed, readAgeMs: () => 0, readSinceResumedMs: () => Infinity },
             clock,
             readWindowMs: () => windowMs,
         });
--- a/src/placement/isListingCurrent.test.ts
+++ b/src/placement/isListingCurrent.test.ts
@@ -5,10 +5,10 @@
         ["confirmed lately", 2_000, Infinity, true],
         ["not confirmed for long", 2_001, Infinity, false],
         ["never confirmed", Infinity, Infinity, false],
-        ["confirmed right after an outage", 0, 2_500, false],
-        ["confirmed some time after an outage", 0, 2_501, true],
-    ])("tells whether records can be relied on: %s", (_name, ageMs, sinceRecoveryMs, expected) => {
-        const feed = { readAgeMs: () => ageMs, readSinceRecoveryMs: () => sinceRecoveryMs };
+        ["confirmed right after a pause", 0, 2_500, false],
+        ["confirmed some time after a pause", 0, 2_501, true],
+    ])("tells whether records can be relied on: %s", (_name, ageMs, sinceResumedMs, expected) => {
+        const feed = { readAgeMs: () => ageMs, readSinceResumedMs: () => sinceResumedMs };
         expect(isListingCurrent(feed)).toBe(expected);
     });
 });
--- a/src/placement/isListingCurrent.ts
+++ b/src/placement/isListingCurrent.ts
@@ -1,15 +1,15 @@
 import type { FeedFollower } from "../feeds/FeedFollower";
 
 const maxAgeMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
-const recoveryMs = 2_500; // after an outage of the store, upstreams have written their entries again within 2 s
+const rewriteMs = 2_500; // after an outage of the store, upstreams have written their entries again within 2 s
 
 /**
- * Returns whether what is listed of the upstreams is that of the processes that run now: it was confirmed lately, and no
- * outage of the store has ended just before.
+ * Returns whether what is listed of the upstreams is that of the processes that run now: it was confirmed lately, and for
+ * some time without a longer pause.
  *
  * @param feed - feed of the upstreams
  * @returns false if an upstream may have restarted with another software version under its id and address
  */
 export const isListingCurrent = (
-    feed: Pick<FeedFollower<unknown>, "readAgeMs" | "readSinceRecoveryMs">,
-): boolean => feed.readAgeMs() <= maxAgeMs && feed.readSinceRecoveryMs() > recoveryMs;
+    feed: Pick<FeedFollower<unknown>, "readAgeMs" | "readSinceResumedMs">,
+): boolean => feed.readAgeMs() <= maxAgeMs && feed.readSinceResumedMs() > rewriteMs;
