Keep one age up to which listed records count, and drop special cases from the splitter

Reading of the whole change: the age up to which records count as current stood twice, for the listing and for pauses of its confirmations; the splitter treated an empty buffer apart, though ChunkBuffer returns a single chunk uncopied, and joined the border of each chunk also where the chunk had an event's end; StreamBinding had a field and a getter for one state.

--- a/src/feeds/FeedReplica.ts
+++ b/src/feeds/FeedReplica.ts
@@ -1,12 +1,11 @@
 import { ObservableValue } from "../_lib/ObservableValue";
+import { maxConfirmedAgeMs } from "./constants";
 import { RestoredRecordFilter } from "./RestoredRecordFilter";
 import type { FeedUpdate } from "./types";
 
 /** Result of applying an update: `gap` means that changes are missing and the records have to be listed. */
 export type ApplyResult = "applied" | "gap";
 
-const maxPauseMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
-
 /** A node's copy of the records of a feed, with its position in the feed and the time of its confirmation. */
 export class FeedReplica<T> {
     /** The records as last read; undefined before the first listing. */
@@ -122,7 +121,7 @@
     }
 
     private confirm(storeMs: number, isInterrupted: boolean): void {
-        if (isInterrupted || storeMs - (this.confirmedMs ?? storeMs) > maxPauseMs) {
+        if (isInterrupted || storeMs - (this.confirmedMs ?? storeMs) > maxConfirmedAgeMs) {
             this.resumedMs = storeMs;
         }
         this.confirmedMs = Math.max(this.confirmedMs ?? -Infinity, storeMs);
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -60,17 +60,16 @@
 
     /** Whether an event ends with a chunk. Only the chunk is searched, and what may have begun before it. */
     private hasEventEnd(chunk: Buffer): boolean {
-        const border = [
-            this.incomplete.readEnd(maxSeparatorBytes - 1),
-            chunk.subarray(0, maxSeparatorBytes - 1),
-        ];
-        return findEventEnd(chunk, 0) > 0 || findEventEnd(Buffer.concat(border), 0) > 0;
+        return findEventEnd(chunk, 0) > 0 || findEventEnd(this.joinBorder(chunk), 0) > 0;
+    }
+
+    /** Joins the last bytes before a chunk and its first ones, between which a separator may be split. */
+    private joinBorder(chunk: Buffer): Buffer {
+        const before = this.incomplete.readEnd(maxSeparatorBytes - 1);
+        return Buffer.concat([before, chunk.subarray(0, maxSeparatorBytes - 1)]);
     }
 
     private joinIncomplete(chunk: Buffer): Buffer {
-        if (this.incomplete.length === 0) {
-            return chunk;
-        }
         this.incomplete.append(chunk);
         return this.incomplete.toBuffer();
     }
--- a/src/forwarding/StreamBinding.ts
+++ b/src/forwarding/StreamBinding.ts
@@ -17,11 +17,12 @@
 export class StreamBinding {
     /** Undefined also where the upstream that began the stream did not state its version. */
     private version: string | undefined;
-    private isVersionSet: boolean;
+    /** Whether the request may be sent to upstreams of its version only. */
+    isBound: boolean;
 
     constructor(private readonly options: StreamBindingOptions) {
         this.version = options.origin?.softwareVersion;
-        this.isVersionSet = options.origin !== undefined;
+        this.isBound = options.origin !== undefined;
     }
 
     /** The version at which the stream goes on; undefined if none is known. */
@@ -29,15 +30,10 @@
         return this.version;
     }
 
-    /** Whether the request may be sent to upstreams of its version only. */
-    get isBound(): boolean {
-        return this.isVersionSet;
-    }
-
     /** Adopts the version of an upstream, unless the request is bound. */
     adopt({ softwareVersion }: Pick<UpstreamInstance, "softwareVersion">): void {
         if (!this.isBound) {
-            this.isVersionSet = true;
+            this.isBound = true;
             this.version = softwareVersion;
         }
     }
--- a/src/placement/isListingCurrent.ts
+++ b/src/placement/isListingCurrent.ts
@@ -1,6 +1,6 @@
+import { maxConfirmedAgeMs } from "../feeds/constants";
 import type { FeedFollower } from "../feeds/FeedFollower";
 
-const maxAgeMs = 2_000; // records are confirmed at least every 1.4 s while the store or a member is reachable
 const rewriteMs = 2_500; // after an outage of the store, upstreams have written their entries again within 2 s
 
 /**
@@ -12,4 +12,4 @@
  */
 export const isListingCurrent = (
     feed: Pick<FeedFollower<unknown>, "readAgeMs" | "readSinceResumedMs">,
-): boolean => feed.readAgeMs() <= maxAgeMs && feed.readSinceResumedMs() > rewriteMs;
+): boolean => feed.readAgeMs() <= maxConfirmedAgeMs && feed.readSinceResumedMs() > rewriteMs;
