Log each call of a duty with its lease's age and whether it was written

The log could not tell a call that was abandoned before it was written from one whose bytes may arrive later, nor how old the lease was by either clock when it was checked. Each call now leaves a duty-called line (2708). DutyCaller checks the lease and logs, for both duties; sendStagedJson opens a connection first and writes then, so that the moment of the write is known. When calls are made, and what is sent, stays as it was: the lease is checked before the connection is opened, and an abandoned connection is closed in order.

--- a/src/fleet/InstanceScaler.ts
+++ b/src/fleet/InstanceScaler.ts
@@ -2,8 +2,8 @@
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { DutyCaller, type DutyTarget } from "../leases/DutyCaller";
 import type { Lease } from "../leases/Lease";
-import type { HeldLease } from "../leases/types";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { FencedCloud, UpstreamOrder } from "../platform/types";
 import type { ServingState } from "../routes/ServingState";
@@ -55,6 +55,7 @@
 /** Orders upstreams for each service and data centre to match the load, while this node holds the lease. */
 export class InstanceScaler {
     private readonly scope: TaskScope;
+    private readonly caller: DutyCaller;
     private readonly samples = new Map<string, LoadSample[]>();
     /** Monotonic time until which reclaimable upstreams count as unavailable, by service and data centre. */
     private readonly refusedUntilMs = new Map<string, number>();
@@ -66,6 +67,7 @@
 
     constructor(private readonly options: InstanceScalerOptions) {
         this.scope = createLoggedTaskScope(options.events);
+        this.caller = new DutyCaller(options);
     }
 
     async start(): Promise<void> {
@@ -218,28 +220,35 @@
     }
 
     private *sendOrderIfDue(order: UpstreamOrder, needed: number): Task<void> {
-        const lease = this.options.lease.readHeldFor(this.options.callTimeoutMs);
+        const isHolder = this.options.lease.readHeldFor(this.options.callTimeoutMs) !== undefined;
         const last = this.acceptedOrders.get(formatOrderKey(order));
         const isUnneededFirstOrder = last === undefined && order.market === "reclaimable"
             && order.count === 0;
-        if (!lease || isUnneededFirstOrder) {
+        if (!isHolder || isUnneededFirstOrder) {
             return;
         }
         const nowMs = this.options.clock.readMonotonicMs();
         if (last?.count !== order.count || nowMs - last.atMs > orderRepeatMs) {
-            yield* this.sendOrder(order, lease, needed);
+            yield* this.sendOrder(order, needed);
         }
     }
 
-    private *sendOrder(order: UpstreamOrder, lease: HeldLease, needed: number): Task<void> {
+    private *sendOrder(order: UpstreamOrder, needed: number): Task<void> {
         const { events, clock, cloud } = this.options;
         const { service, dataCentre, market, count } = order;
         const atMs = clock.readMonotonicMs();
         try {
-            const isAccepted = yield* waitFor(cloud.orderUpstreams(order, lease.fencing));
+            const answered = yield* waitFor(this.caller.call(
+                toDutyTarget(order),
+                (fencing, stages) => cloud.orderUpstreams(order, fencing, stages),
+            ));
+            if (!answered) {
+                return;
+            }
+            const { answer: isAccepted, fencing } = answered;
             this.recordOutcome(order, isAccepted, atMs);
             const kind = isAccepted ? eventKinds.fleetSized : eventKinds.fleetRefused;
-            events.emit(kind, { service, dataCentre, market, count, needed, fencing: lease.fencing });
+            events.emit(kind, { service, dataCentre, market, count, needed, fencing });
         }
         catch (error) {
             events.emit(eventKinds.dutyFailed, { duty: "fleet", service, dataCentre, error: String(error) });
@@ -268,6 +277,8 @@
 /** Target of an order; a later order for the same target replaces it. */
 type OrderTarget = Omit<UpstreamOrder, "count">;
 
+const toDutyTarget = (order: OrderTarget): DutyTarget => ({ duty: "fleet", subject: formatTargetKey(order) });
+
 const formatOrderKey = (order: OrderTarget): string => `${formatTargetKey(order)} ${order.market}`;
 
 const formatTargetKey = (order: OrderTarget): string => `${order.service} ${order.dataCentre}`;
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -98,16 +98,16 @@
             return undefined;
         }
         const nowMs = this.options.clock.readMonotonicMs();
-        const elapsedMs = Math.max(
-            nowMs - holding.renewedAtMs,
-            this.options.clock.readWallMs() - holding.renewedAtWallMs,
-        );
-        const remainingMs = this.durationMs * (1 - safetyMarginShare) - elapsedMs;
+        const monotonicAgeMs = nowMs - holding.renewedAtMs;
+        const wallAgeMs = this.options.clock.readWallMs() - holding.renewedAtWallMs;
+        const remainingMs = this.durationMs * (1 - safetyMarginShare) - Math.max(monotonicAgeMs, wallAgeMs);
         if (remainingMs <= 0) {
             this.dropHolding("the lease expired before it was renewed");
             return undefined;
         }
-        return nowMs < holding.activeFromMs ? undefined : { fencing: holding.fencing, remainingMs };
+        return nowMs < holding.activeFromMs
+            ? undefined
+            : { fencing: holding.fencing, remainingMs, monotonicAgeMs, wallAgeMs };
     }
 
     /** Returns the lease if it remains valid for the duration of a call that starts now, in milliseconds. */
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -18,4 +18,8 @@
     readonly fencing: number;
     /** Time in which the holder may still act, by its own clocks, in milliseconds. */
     readonly remainingMs: number;
+    /** Time since the last renewal began, by the monotonic clock, in milliseconds. */
+    readonly monotonicAgeMs: number;
+    /** The same by the wall clock. */
+    readonly wallAgeMs: number;
 }
--- /dev/null
+++ b/src/platform/sendStagedJson.ts
@@ -0,0 +1,103 @@
+import { type Agent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { JsonAnswer } from "./sendJson";
+import { StoreError } from "./StoreError";
+import type { CallStages } from "./types";
+
+/** Options of {@link sendStagedJson}. */
+export interface SendStagedJsonOptions {
+    /** Pool of connections. */
+    readonly agent: Agent;
+    readonly url: string;
+    readonly body: unknown;
+    /** Headers in addition to those that describe the body. */
+    readonly headers: Readonly<Record<string, string>>;
+    /** Time-out of the whole exchange, in milliseconds. */
+    readonly timeoutMs: number;
+    readonly stages: CallStages;
+}
+
+const maxAnswerBytes = 1_048_576; // 1 MiB, far above every answer to such a call
+
+/**
+ * Sends a JSON body with POST in two steps: it opens a connection, and writes the request once that is open. Nothing is
+ * written after the time-out.
+ *
+ * @param options - destination, request, time-out and what to call at each step
+ * @returns status, headers and parsed body
+ * @throws StoreError if no complete answer arrived or the service answered with status 503. Its effect is "none" if
+ * nothing was written, or if the status was 503.
+ */
+export const sendStagedJson = async (options: SendStagedJsonOptions): Promise<JsonAnswer> => {
+    const { agent, url, timeoutMs, stages } = options;
+    const body = JSON.stringify(options.body);
+    const headers = {
+        ...options.headers,
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+    };
+    const request = openRequest(url, { agent, method: "POST", headers });
+    const failed = rejectOnError(request);
+    const timer = setTimeout(
+        () => request.destroy(new Error(`no complete answer within ${timeoutMs} ms`)),
+        timeoutMs,
+    );
+    let isWritten = false;
+    try {
+        await Promise.race([waitForConnection(request), failed]);
+        const answered = waitForAnswer(request);
+        stages.onWrite();
+        isWritten = true;
+        request.end(body);
+        const answer = await Promise.race([answered, failed]);
+        if (answer.status === 503) {
+            isWritten = false;
+            throw new Error("service answered with status 503");
+        }
+        return answer;
+    }
+    catch (error) {
+        request.destroy();
+        throw new StoreError(`POST ${url}: ${(error as Error).message}`, isWritten ? "unknown" : "none");
+    }
+    finally {
+        clearTimeout(timer);
+    }
+};
+
+const rejectOnError = (request: ClientRequest): Promise<never> => {
+    const failed = new Promise<never>((_resolve, reject) => request.on("error", reject));
+    failed.catch(() => {});
+    return failed;
+};
+
+const waitForConnection = async (request: ClientRequest): Promise<Socket> => {
+    const socket = await new Promise<Socket>(resolve => request.once("socket", resolve));
+    if (socket.connecting) {
+        await new Promise<void>(resolve => socket.once("connect", resolve));
+    }
+    return socket;
+};
+
+const waitForAnswer = async (request: ClientRequest): Promise<JsonAnswer> => {
+    const response = await new Promise<IncomingMessage>(resolve => request.once("response", resolve));
+    const text = await readText(response);
+    return {
+        status: response.statusCode!,
+        headers: response.headers,
+        body: text === "" ? undefined : JSON.parse(text),
+    };
+};
+
+const readText = async (response: IncomingMessage): Promise<string> => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        if (bytes > maxAnswerBytes) {
+            throw new Error(`answer has more than ${maxAnswerBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+};
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -122,15 +122,21 @@
     readonly count: number;
 }
 
+/** What the caller is told while a call is on its way. */
+export interface CallStages {
+    /** Called when the connection is open, right before the call is written to it. */
+    onWrite(): void;
+}
+
 /**
  * Calls to the cloud that only the holder of a lease makes, one node at a time. `fencing` is the lease's fencing token,
- * which increases with each holder.
+ * which increases with each holder. Calls reject with {@link StoreError} if no answer arrives.
  */
 export interface FencedCloud {
-    /** Reports the usage of a window; idempotent. Rejects if no answer arrives. */
-    reportUsage(report: UsageReport, fencing: number): Promise<void>;
-    /** Orders upstreams; resolves to false if none are available there now. Rejects if no answer arrives. */
-    orderUpstreams(order: UpstreamOrder, fencing: number): Promise<boolean>;
+    /** Reports the usage of a window; idempotent. */
+    reportUsage(report: UsageReport, fencing: number, stages: CallStages): Promise<void>;
+    /** Orders upstreams; resolves to false if none are available there now. */
+    orderUpstreams(order: UpstreamOrder, fencing: number, stages: CallStages): Promise<boolean>;
 }
 
 /** Store of model weights with a limited transfer rate. */
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -231,6 +231,12 @@
         "warn",
         "A call of a lease holder, to scale the fleet or to report usage, failed.",
     ),
+    dutyCalled: define(
+        2708,
+        "duty-called",
+        "info",
+        "A call of a lease holder ended: answered, unsent, or abandoned after it was written.",
+    ),
     storeFailed: define(2801, "store-failed", "warn", "A call to the platform's stores failed."),
     rowUnreadable: define(
         2803,
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -4,6 +4,7 @@
 import { waitFor } from "../kernel/waitFor";
 import type { ClusterClock } from "../feeds/ClusterClock";
 import type { StoreEra } from "../feeds/StoreEra";
+import { DutyCaller, type DutyTarget } from "../leases/DutyCaller";
 import type { Lease } from "../leases/Lease";
 import type { FencedCloud, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
@@ -36,6 +37,8 @@
 const allProcesses = "all";
 /** Holds the counts of unreported windows for the next lease holder. */
 const countsTable = "usage-counts";
+/** All reports are about one subject. */
+const usageTarget: DutyTarget = { duty: "usage", subject: "usage" };
 const cycleMs = 500;
 const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the sums
 const keyDigits = 12;
@@ -51,6 +54,7 @@
  */
 export class UsageReporter {
     private readonly scope: TaskScope;
+    private readonly caller: DutyCaller;
     private nextWindow: number | undefined;
     /** Reports that this process has stored, by window. */
     private readonly storedReports = new Map<number, UsageReport>();
@@ -61,6 +65,7 @@
 
     constructor(private readonly options: UsageReporterOptions) {
         this.scope = createLoggedTaskScope(options.events);
+        this.caller = new DutyCaller(options);
     }
 
     async start(): Promise<void> {
@@ -201,17 +206,19 @@
 
     /** Reports one window; returns false if it must be retried. */
     private *tryReport(window: number): Task<boolean> {
-        const { ledger, clusterClock, events, lease, callTimeoutMs } = this.options;
+        const { ledger, clusterClock, events, cloud } = this.options;
         try {
             const report = yield* this.recordReport({ window, counts: ledger.computeTotals(window) });
-            const held = lease.readHeldFor(callTimeoutMs);
-            if (!held) {
+            const answered = yield* waitFor(this.caller.call(
+                usageTarget,
+                (fencing, stages) => cloud.reportUsage(report, fencing, stages),
+            ));
+            if (!answered) {
                 return false;
             }
-            yield* waitFor(this.options.cloud.reportUsage(report, held.fencing));
             events.emit(eventKinds.usageReported, {
                 window,
-                fencing: held.fencing,
+                fencing: answered.fencing,
                 requests: sumCounts(report.counts),
                 lateMs: Math.round(clusterClock.readMs() - ledger.computeWindowEndMs(window)),
             });
