--- a/standins/platform/FencedCloudStandIn.ts
+++ b/standins/platform/FencedCloudStandIn.ts
@@ -3,6 +3,8 @@
 
 /** A call by the holder of the cloud lease, with its fencing token. */
 export interface FencedCall {
+    /** Monotonic time of the arrival, in milliseconds. */
+    readonly atMs: number;
     readonly path: string;
     readonly holder: string;
     readonly fencing: number;
@@ -23,6 +25,7 @@
 
     private handle(request: IncomingMessage, body: Buffer): unknown {
         this.calls.push({
+            atMs: performance.now(),
             path: request.url!,
             holder: String(request.headers["x-sequoiagrade-duty-holder"]),
             fencing: Number(request.headers["x-sequoiagrade-fence-token"]),
--- /dev/null
+++ b/standins/platform/HoldingLink.ts
@@ -0,0 +1,99 @@
+import { connect as connectSocket, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** One connection through the link, and the bytes of its opener that are held up. */
+interface LinkedConnection {
+    readonly near: Socket;
+    readonly far: Socket;
+    held: Buffer[];
+    /** Whether the opener has closed the connection in order, which the other side learns after the bytes. */
+    hasEnded: boolean;
+}
+
+/**
+ * Link between a node and a service. While it is held, nothing passes in either direction; the bytes sent meanwhile arrive
+ * once it is released, as with TCP, also those of connections that their opener has closed in order. Bytes of a
+ * connection that its opener has reset are lost.
+ */
+export class HoldingLink {
+    private isHeld = false;
+    private readonly connections = new Set<LinkedConnection>();
+    private readonly server: Server = createServer({ allowHalfOpen: true }, socket => this.accept(socket));
+
+    /** @param target - host and port of the service */
+    constructor(private readonly target: string) {}
+
+    /** Host and port of the link; available once it has started. */
+    get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Bytes that are held up now. */
+    get heldBytes(): number {
+        return [...this.connections].flatMap(({ held }) => held).reduce((sum, { length }) => sum + length, 0);
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+    }
+
+    async stop(): Promise<void> {
+        this.connections.forEach(({ near, far }) => [near, far].forEach(socket => socket.destroy()));
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    hold(): void {
+        this.isHeld = true;
+        this.connections.forEach(({ far }) => far.pause());
+    }
+
+    release(): void {
+        this.isHeld = false;
+        this.connections.forEach(connection => {
+            connection.held.forEach(bytes => connection.far.write(bytes));
+            connection.held = [];
+            if (connection.hasEnded) {
+                connection.far.end();
+            }
+            connection.far.resume();
+        });
+    }
+
+    private accept(near: Socket): void {
+        const [host, port] = this.target.split(":");
+        const far = connectSocket(Number(port), host);
+        const connection: LinkedConnection = { near, far, held: [], hasEnded: false };
+        this.connections.add(connection);
+        near.on("data", (bytes: Buffer) => this.pass(connection, bytes));
+        near.on("end", () => this.end(connection));
+        near.on("error", () => this.lose(connection));
+        far.on("data", (bytes: Buffer) => near.writable && near.write(bytes));
+        far.on("end", () => near.end());
+        far.on("error", () => near.destroy());
+        far.on("close", () => this.connections.delete(connection));
+        if (this.isHeld) {
+            far.pause();
+        }
+    }
+
+    private pass(connection: LinkedConnection, bytes: Buffer): void {
+        if (this.isHeld) {
+            connection.held.push(bytes);
+            return;
+        }
+        connection.far.write(bytes);
+    }
+
+    private end(connection: LinkedConnection): void {
+        connection.hasEnded = true;
+        if (!this.isHeld) {
+            connection.far.end();
+        }
+    }
+
+    /** The opener has reset the connection. */
+    private lose(connection: LinkedConnection): void {
+        connection.held = [];
+        connection.far.destroy();
+    }
+}
