--- a/standins/platform/HoldingLink.ts
+++ b/standins/platform/HoldingLink.ts
@@ -64,9 +64,9 @@
         const far = connectSocket(Number(port), host);
         const connection: LinkedConnection = { near, far, held: [], hasEnded: false };
         this.connections.add(connection);
-        near.on("data", (bytes: Buffer) => this.pass(connection, bytes));
+        near.on("data", (bytes: Buffer) => this.forward(connection, bytes));
         near.on("end", () => this.end(connection));
-        near.on("error", () => this.lose(connection));
+        near.on("error", () => this.drop(connection));
         far.on("data", (bytes: Buffer) => near.writable && near.write(bytes));
         far.on("end", () => near.end());
         far.on("error", () => near.destroy());
@@ -76,7 +76,7 @@
         }
     }
 
-    private pass(connection: LinkedConnection, bytes: Buffer): void {
+    private forward(connection: LinkedConnection, bytes: Buffer): void {
         if (this.isHeld) {
             connection.held.push(bytes);
             return;
@@ -92,7 +92,7 @@
     }
 
     /** The opener has reset the connection. */
-    private lose(connection: LinkedConnection): void {
+    private drop(connection: LinkedConnection): void {
         connection.held = [];
         connection.far.destroy();
     }
--- a/standins/platform/judgeFencedCalls.ts
+++ b/standins/platform/listFencingBreaches.ts
@@ -1,7 +1,7 @@
 import type { FencedCall } from "./FencedCloudStandIn";
 
-/** Options of {@link judgeFencedCalls}. */
-export interface JudgeFencedCallsOptions {
+/** Options of {@link listFencingBreaches}. */
+export interface ListFencingBreachesOptions {
     /** Time within which two holders must not act in the order A, B, A, in milliseconds. */
     readonly leaseMs: number;
 }
@@ -21,9 +21,9 @@
  * @param options - length of the lease
  * @returns one line for each breach
  */
-export const judgeFencedCalls = (
+export const listFencingBreaches = (
     calls: readonly FencedCall[],
-    { leaseMs }: JudgeFencedCallsOptions,
+    { leaseMs }: ListFencingBreachesOptions,
 ): string[] => {
     const subjects = new Map<string, SubjectHistory>();
     return calls.flatMap(call => {
