Keep the estimated time of day when the local wall clock is stepped

The wall clock is now the VM's own time of day, which may be stepped. A step makes the store's clock unknown until the store's next answer, and for that time the estimate fell back to the stepped clock: usage windows would be closed early, or requests counted in the wrong one.

The estimate now goes on by the monotonic clock from its last value. After a suspension it is late by the suspension until the store answers, so that no window is closed early.

--- a/src/feeds/ClusterClock.ts
+++ b/src/feeds/ClusterClock.ts
@@ -25,6 +25,9 @@
  * wall clock and the store's monotonic clock; the median of these offsets is used.
  */
 export class ClusterClock {
+    /** Time of day minus monotonic time at the last estimate, in milliseconds; undefined before the first estimate. */
+    private lastOffsetMs: number | undefined;
+
     constructor(private readonly options: ClusterClockOptions) {}
 
     async start(): Promise<void> {
@@ -32,16 +35,29 @@
     }
 
     /**
-     * Estimates the time of day.
+     * Estimates the time of day. While the store's clock is unknown, the last estimate goes on by the monotonic clock, since
+     * the wall clock may be the one that has jumped.
      *
-     * @returns milliseconds since the epoch; this VM's wall-clock time as long as the store's clock is unknown
+     * @returns milliseconds since the epoch; this VM's wall-clock time before the first answer of the store
      */
     readMs(): number {
-        const { clock, storeClock, sums } = this.options;
+        const { clock } = this.options;
+        const monotonicMs = clock.readMonotonicMs();
+        const estimateMs = this.estimateMs();
+        if (estimateMs === undefined) {
+            return this.lastOffsetMs === undefined ? clock.readWallMs() : monotonicMs + this.lastOffsetMs;
+        }
+        this.lastOffsetMs = estimateMs - monotonicMs;
+        return estimateMs;
+    }
+
+    /** Estimates the time of day from the store's clock; undefined while that one is unknown. */
+    private estimateMs(): number | undefined {
+        const { storeClock, sums } = this.options;
         const ownOffsetMs = storeClock.readWallMinusStoreMs();
         const storeMs = storeClock.readStoreMs();
         if (ownOffsetMs === undefined || storeMs === undefined) {
-            return clock.readWallMs();
+            return undefined;
         }
         const others = [...sums.readOthers(offsetGroup)].map(([offset, nodes]) => ({
             offsetMs: Number(offset),
--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -73,4 +73,14 @@
         const clock = new SplitClock();
         expect(createClusterClock(clock, [999_500, 5]).readMs()).toBe(1_000_000);
     });
+
+    // Guards against windows of usage that are closed early at a node whose wall clock is stepped.
+    it("keeps its pace when the local wall clock is stepped, until the store answers", () => {
+        const clock = new SplitClock();
+        const clusterClock = createClusterClock(clock, [999_500, 999_501, 999_499]);
+        expect(clusterClock.readMs()).toBeCloseTo(1_000_000, -1);
+        clock.wallMs += 2_400;
+        clock.advance(700);
+        expect(clusterClock.readMs()).toBeCloseTo(1_000_700, -1);
+    });
 });
