Reset the connection of an abandoned call to the cloud

Callers saw: the cloud gets a call with a lower number than one it has seen.

Cause: a call that was given up after 800 ms had its connection closed in order, and the operating system goes on delivering what was written, for as long as the path is held up. It arrived when the next holder had acted, since that one waits only for a call's time-out. Class: a time-out ends the wait, but not the effect.

No handle is left behind.

Left: a process that is killed has its connections closed in order by the system.

--- /dev/null
+++ b/src/platform/sendStagedJson.test.ts
@@ -0,0 +1,96 @@
+import { Agent } from "node:http";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { pause } from "../../standins/pause";
+import type { JsonAnswer } from "./sendJson";
+import { sendStagedJson } from "./sendStagedJson";
+
+const okAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+describe("sendStagedJson", () => {
+    let server: Server;
+    let agent: Agent;
+    let sockets: Socket[];
+    let seen: string[];
+    let answer: string | undefined;
+
+    beforeEach(async () => {
+        [sockets, seen, answer] = [[], [], okAnswer];
+        agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        server = createServer(socket => {
+            sockets.push(socket);
+            socket.on("error", (error: NodeJS.ErrnoException) => seen.push(error.code!));
+            socket.on("end", () => seen.push("end"));
+            socket.on("data", (bytes: Buffer) => {
+                seen.push(bytes.toString("utf8").split(" ")[0]);
+                if (answer !== undefined) {
+                    socket.write(answer);
+                }
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    });
+
+    afterEach(async () => {
+        agent.destroy();
+        sockets.forEach(socket => socket.destroy());
+        await new Promise(resolve => server.close(resolve));
+    });
+
+    const send = (call: AbortController, onWrite = (): void => {}): Promise<JsonAnswer> =>
+        sendStagedJson({
+            agent,
+            url: `http://127.0.0.1:${(server.address() as AddressInfo).port}/scale`,
+            headers: {},
+            body: { count: 1 },
+            signal: call.signal,
+            stages: { onWrite },
+        });
+
+    it("keeps the connection of answered calls", async () => {
+        expect(await send(new AbortController())).toMatchObject({ status: 200, body: {} });
+        expect(await send(new AbortController())).toMatchObject({ status: 200, body: {} });
+        expect(sockets).toHaveLength(1);
+        expect(seen).toEqual(["POST", "POST"]);
+    });
+
+    it("resets the connection of an abandoned call, so that its bytes do not arrive later", async () => {
+        answer = undefined;
+        const call = new AbortController();
+        const sent = send(call);
+        await pause(50);
+        call.abort(new Error("given up"));
+        await expect(sent).rejects.toMatchObject({ effect: "unknown" });
+        await pause(50);
+        expect(seen).toEqual(["POST", "ECONNRESET"]);
+        expect(Object.keys(agent.sockets)).toEqual([]);
+    });
+
+    it("writes nothing for a call that was abandoned before it had a connection", async () => {
+        answer = undefined;
+        const [first, second] = [new AbortController(), new AbortController()];
+        const firstSent = send(first);
+        let isWritten = false;
+        const secondSent = send(second, () => isWritten = true);
+        await pause(50);
+        second.abort(new Error("given up"));
+        await expect(secondSent).rejects.toMatchObject({ effect: "none" });
+        first.abort(new Error("given up"));
+        await expect(firstSent).rejects.toMatchObject({ effect: "unknown" });
+        await pause(50);
+        expect(isWritten).toBe(false);
+        expect(seen.filter(event => event === "POST")).toHaveLength(1);
+    });
+
+    it("takes status 503 for a call without effect", async () => {
+        answer = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+        await expect(send(new AbortController())).rejects.toMatchObject({ effect: "none" });
+    });
+
+    it("does not take an answer for whole whose connection was reset", async () => {
+        answer = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}";
+        const sent = send(new AbortController());
+        await pause(50);
+        sockets[0].resetAndDestroy();
+        await expect(sent).rejects.toMatchObject({ effect: "unknown" });
+    });
+});
--- a/src/platform/sendStagedJson.ts
+++ b/src/platform/sendStagedJson.ts
@@ -12,24 +12,26 @@
     readonly body: unknown;
     /** Headers in addition to those that describe the body. */
     readonly headers: Readonly<Record<string, string>>;
-    /** Time-out of the whole exchange, in milliseconds. */
-    readonly timeoutMs: number;
+    /** Abandons the call. */
+    readonly signal: AbortSignal;
     readonly stages: CallStages;
 }
 
+const unavailable = 503; // HTTP status; nothing was done
 const maxAnswerBytes = 1_048_576; // 1 MiB, far above every answer to such a call
 
 /**
- * Sends a JSON body with POST in two steps: it opens a connection, and writes the request once that is open. Nothing is
- * written after the time-out.
+ * Sends a JSON body with POST in two steps: it opens a connection, and writes the request once that is open. When the call
+ * is abandoned or fails, the connection is reset: the operating system would deliver bytes of a connection that was closed
+ * in order, however late.
  *
- * @param options - destination, request, time-out and what to call at each step
+ * @param options - destination, request and what to call at each step
  * @returns status, headers and parsed body
  * @throws StoreError if no complete answer arrived or the service answered with status 503. Its effect is "none" if
  * nothing was written, or if the status was 503.
  */
 export const sendStagedJson = async (options: SendStagedJsonOptions): Promise<JsonAnswer> => {
-    const { agent, url, timeoutMs, stages } = options;
+    const { agent, url, signal, stages } = options;
     const body = JSON.stringify(options.body);
     const headers = {
         ...options.headers,
@@ -37,11 +39,20 @@
         "content-length": Buffer.byteLength(body),
     };
     const request = openRequest(url, { agent, method: "POST", headers });
-    const failed = rejectOnError(request);
-    const timer = setTimeout(
-        () => request.destroy(new Error(`no complete answer within ${timeoutMs} ms`)),
-        timeoutMs,
-    );
+    const failed = rejectOnFailure(request, signal);
+    const answer = await exchange(request, failed, body, stages);
+    if (answer.status === unavailable) {
+        throw new StoreError(`POST ${url}: service answered with status ${unavailable}`, "none");
+    }
+    return answer;
+};
+
+const exchange = async (
+    request: ClientRequest,
+    failed: Promise<never>,
+    body: string,
+    stages: CallStages,
+): Promise<JsonAnswer> => {
     let isWritten = false;
     try {
         await Promise.race([waitForConnection(request), failed]);
@@ -49,28 +60,32 @@
         stages.onWrite();
         isWritten = true;
         request.end(body);
-        const answer = await Promise.race([answered, failed]);
-        if (answer.status === 503) {
-            isWritten = false;
-            throw new Error("service answered with status 503");
-        }
-        return answer;
+        return await Promise.race([answered, failed]);
     }
     catch (error) {
-        request.destroy();
-        throw new StoreError(`POST ${url}: ${(error as Error).message}`, isWritten ? "unknown" : "none");
-    }
-    finally {
-        clearTimeout(timer);
+        resetConnection(request);
+        const name = `POST ${request.host}${request.path}`;
+        throw new StoreError(`${name}: ${(error as Error).message}`, isWritten ? "unknown" : "none");
     }
 };
 
-const rejectOnError = (request: ClientRequest): Promise<never> => {
-    const failed = new Promise<never>((_resolve, reject) => request.on("error", reject));
+const rejectOnFailure = (request: ClientRequest, signal: AbortSignal): Promise<never> => {
+    const failed = new Promise<never>((_resolve, reject) => {
+        request.on("error", reject);
+        signal.addEventListener("abort", () => reject(signal.reason as Error), { once: true });
+    });
     failed.catch(() => {});
     return failed;
 };
 
+const resetConnection = (request: ClientRequest): void => {
+    const { socket } = request;
+    if (socket && !socket.connecting && !socket.destroyed) {
+        socket.resetAndDestroy();
+    }
+    request.destroy();
+};
+
 const waitForConnection = async (request: ClientRequest): Promise<Socket> => {
     const socket = await new Promise<Socket>(resolve => request.once("socket", resolve));
     if (socket.connecting) {
