Resume reading of an answer when its connection ends, so that the node does not end

Callers saw: all requests of a node lost at once. A node ended by itself when an upstream's connection ended while reading of its answer was paused for a slow caller.

Cause: undici's parser asserts at the end of a connection that it is not paused (Parser.finish in onHttpSocketEnd). The end is reported as soon as the last byte has been read, also if the reader of that byte asked for a pause: an exception in an event listener, which nothing catches. Last bytes and end have to wait together, which is the rule through another node (its last frames arrive at once), and the exception on a node's own connections. On a connection that was to be kept alive, a whole answer counted as broken off for the same reason.

Ruled out: answers that end while the caller reads (slowCallers.test, "gets it whole", passed before); ends that are seen while bytes still wait in the parser (in chunks, whole: passed before).

Fix: the exchange resumes reading when the bytes of its connection have ended, in a listener that is called before undici's. All bytes have been passed on then, so nothing more is held. Resuming makes undici report a read of no bytes, which is no longer passed on.

--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -8,6 +8,10 @@
     readonly isReset: () => boolean;
     /** Returns whether it was opened to the process that is listed; known once the call is written. */
     readonly isConfirmed: () => boolean;
+    /** Sets the function that is called when its bytes have ended, before undici ends the answer. */
+    readonly setEndListener: (listener: () => void) => void;
+    /** Removes such a function, unless another one has been set. */
+    readonly dropEndListener: (listener: () => void) => void;
 }
 
 /** Dispatch options with a callback that receives the call's connection. */
@@ -47,6 +51,12 @@
         options.onConnection?.({
             isReset: () => isResetSocket(tracked.socket),
             isConfirmed: () => tracked.isConfirmed,
+            setEndListener: listener => {
+                tracked.onEnd = listener;
+            },
+            dropEndListener: listener => {
+                tracked.onEnd = tracked.onEnd === listener ? undefined : tracked.onEnd;
+            },
         });
         return super.dispatch(options, handler);
     }
--- a/src/upstreams/UpstreamClient.test.ts
+++ b/src/upstreams/UpstreamClient.test.ts
@@ -34,6 +34,9 @@
 
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
 const unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+const sizedHead = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+const endTimeoutMs = 3_000;
+const pausedMs = 60; // the upstream's end arrives meanwhile
 
 describe("UpstreamClient", () => {
     afterEach(async () => {
@@ -71,6 +74,31 @@
         expect((await callOnce()).end.isWhole).toBe(false);
     });
 
+    // Guards against a process that ends when an answer ends while its reading is paused for a slow caller.
+    it.each([
+        ["without framing, whole", `${unframedHead}part`, true],
+        ["with a length, whole", `${sizedHead}Connection: close\r\n\r\npart`, true],
+        ["with a length and kept alive, whole", `${sizedHead}\r\npart`, true],
+        ["with a length, cut", `${sizedHead}Connection: close\r\n\r\npar`, false],
+        ["with a length and kept alive, cut", `${sizedHead}\r\npar`, false],
+        ["in chunks, whole", `${chunkedHead}4\r\npart\r\n0\r\n\r\n`, true],
+        ["in chunks, cut", `${chunkedHead}4\r\npar`, false],
+    ])("ends an answer that ends while its reading is paused: %s", async (_name, answer, isWhole) => {
+        await startUpstream(socket => {
+            socket.write(answer.slice(0, -1));
+            setTimeout(() => socket.end(answer.slice(-1)), pausedMs / 2);
+        });
+        const exchange = client.send({ method: "GET", path: "/a/", headers: ["host", "h"], body: undefined });
+        const received: string[] = [];
+        exchange.listen(chunk => {
+            received.push(chunk.toString("latin1"));
+            exchange.pause();
+            setTimeout(() => exchange.resume(), pausedMs);
+        });
+        expect((await exchange.ended).isWhole).toBe(isWhole);
+        expect(received.join("")).toBe(isWhole ? "part" : "par");
+    }, endTimeoutMs);
+
     it("does not write a queued call that is no longer wanted when it gets a connection", async () => {
         const received: string[] = [];
         await startUpstream(() => {});
--- a/src/upstreams/UpstreamExchange.test.ts
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -11,7 +11,12 @@
 /** Runs an exchange with one complete answer; resolves to whether it counts as whole. */
 const playAnswer = async (headers: IncomingHttpHeaders, isReset: boolean): Promise<boolean> => {
     const exchange = new UpstreamExchange();
-    exchange.setConnection({ isReset: () => isReset, isConfirmed: () => true });
+    exchange.setConnection({
+        isReset: () => isReset,
+        isConfirmed: () => true,
+        setEndListener: () => {},
+        dropEndListener: () => {},
+    });
     exchange.onRequestStart(controller);
     exchange.onResponseStart(controller, 200, headers);
     exchange.onResponseData(controller, Buffer.from("bytes"));
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -62,6 +62,7 @@
     private listener: ((chunk: Buffer) => void) | undefined;
     /** Body that arrived before the listener was set. */
     private readonly early = new ChunkBuffer();
+    private readonly onConnectionEnd = (): void => this.resume(); // undici throws if reading is paused at the end
 
     constructor(private readonly options: UpstreamExchangeOptions = {}) {
         this.started = new Promise(resolve => {
@@ -134,6 +135,7 @@
             return;
         }
         this.controller = controller;
+        this.connection?.setEndListener(this.onConnectionEnd);
     }
 
     onResponseStart(
@@ -154,7 +156,7 @@
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        if (this.isAborted) {
+        if (this.isAborted || chunk.length === 0) {
             return;
         }
         if (this.listener) {
@@ -167,6 +169,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
+        this.connection?.dropEndListener(this.onConnectionEnd);
         const isTruncated = this.framing === answerFramings.close && this.connection?.isReset() === true;
         this.settleEnd(
             isTruncated
@@ -183,6 +186,7 @@
     }
 
     private fail(message: string): void {
+        this.connection?.dropEndListener(this.onConnectionEnd);
         if (!this.hasHead) {
             this.settleStart({ kind: "failed", isSent: this.isSent, message });
         }
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -7,6 +7,8 @@
     socket: Socket | undefined;
     /** Whether the socket was opened to the process that is listed. */
     isConfirmed: boolean;
+    /** Called when the bytes of the socket have ended, before undici learns of it. */
+    onEnd?: (() => void) | undefined;
 }
 
 /**
@@ -27,6 +29,7 @@
         connectMarked(options, (...outcome) => {
             tracked.socket = outcome[1] ?? undefined;
             tracked.isConfirmed = isListingCurrent();
+            tracked.socket?.prependListener("end", () => tracked.onEnd?.());
             callback(...outcome);
         });
 };
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -8,6 +8,7 @@
 import { FencedCloudStandIn } from "./FencedCloudStandIn";
 import { findFreeAddresses } from "./findFreeAddresses";
 import { PartitionGate } from "./PartitionGate";
+import { RawRunner, type WriteRawAnswer } from "../RawRunner";
 import { type CrashCause, RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
 import { StoreStandIn } from "./StoreStandIn";
 
@@ -105,6 +106,7 @@
     readonly cloud = new FencedCloudStandIn();
     readonly nodes: TestNode[] = [];
     readonly runners: RunnerStandIn[] = [];
+    private readonly rawRunners: RawRunner[] = [];
     /** Last registry entry of each upstream, by its id. */
     private readonly registered = new Map<string, Record<string, unknown>>();
     /** Monotonic times at which upstreams crashed, in milliseconds. */
@@ -129,7 +131,7 @@
             await node.kernel.stop();
         }));
         await Promise.all(this.gates.map(gate => gate.stop()));
-        await Promise.all(this.runners.map(runner => runner.server.stop()));
+        await Promise.all([...this.runners, ...this.rawRunners].map(runner => runner.server.stop()));
         await this.cloud.server.stop();
         await this.store.server.stop();
     }
@@ -143,6 +145,15 @@
         return runner;
     }
 
+    /** Starts an upstream whose answers are written by the given function, and registers it in the store. */
+    async addRawRunner(service: string, id: string, writeAnswer: WriteRawAnswer): Promise<RawRunner> {
+        const runner = new RawRunner(id, writeAnswer);
+        await runner.server.start();
+        this.rawRunners.push(runner);
+        this.registerRunner(runner, service);
+        return runner;
+    }
+
     /**
      * Starts upstreams that crash when they begin an answer to certain requests, and that start again as others a moment
      * later.
@@ -185,7 +196,12 @@
     }
 
     /** Writes the registry entry of an upstream to the store. */
-    registerRunner(runner: RunnerStandIn, service: string, state = "ready", born = 1): void {
+    registerRunner(
+        runner: Pick<RunnerStandIn, "id" | "address" | "softwareVersion">,
+        service: string,
+        state = "ready",
+        born = 1,
+    ): void {
         const { id, address } = runner;
         const { softwareVersion: version } = runner;
         const entry = { service, address, zone: "zone-a", version, slots: 8, state, seq: 1, born };
