Read the store after a caller's attempt before taking one version for the only one

Cause: "only one version is possible" was concluded from a reading of up to 2 s, by the store's estimated clock. The stream may be younger than the reading. The history of versions counted as whole although the readings had paused.

Now the conclusion needs a reading that began after the attempt arrived. A stream begins after its upstream is listed, so that this reading lists the version whatever the clocks say. Attempts share readings, at most one every 100 ms; a stream that runs, or that some node knows, costs none. After a pause of over 2 s the record of versions is read again. `stream-taken-up` tells whether the version was confirmed.

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -1,6 +1,6 @@
 import type { ForwardContext } from "../forwarding/ForwardContext";
 import type { FindService } from "../kernel/types";
-import { softwareVersionsName } from "../origins/SoftwareVersions";
+import { soleVersionsName } from "../origins/SoleVersions";
 import { streamOriginsName } from "../origins/StreamOrigins";
 import { BoundedAffinityPolicy } from "../placement/BoundedAffinityPolicy";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
@@ -33,7 +33,7 @@
     quotas: find(quotaLimiterName),
     quarantine: find(crashQuarantineName),
     origins: find(streamOriginsName),
-    versions: find(softwareVersionsName),
+    soleVersions: find(soleVersionsName),
     retryBudgets: find(retryBudgetsName),
     usage: find(usageLedgerName),
     answerMemory: new AnswerMemory(),
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -8,6 +8,7 @@
 import { membershipName } from "../membership/Membership";
 import { Readiness, readinessName } from "../membership/Readiness";
 import { SoftwareVersions, softwareVersionsName } from "../origins/SoftwareVersions";
+import { SoleVersions, soleVersionsName } from "../origins/SoleVersions";
 import { StreamOrigins, streamOriginsName } from "../origins/StreamOrigins";
 import { VersionRecords, versionRecordsName } from "../origins/VersionRecords";
 import { peerNetworkName } from "../peers/PeerNetwork";
@@ -22,6 +23,7 @@
 import { QuotaLimiter, quotaLimiterName } from "../quotas/QuotaLimiter";
 import { RetryBudgets, retryBudgetsName } from "../retries/RetryBudgets";
 import { isPoller } from "../membership/isPoller";
+import { rankReaders } from "../membership/rankReaders";
 import { ConfigurationKeeper, configurationKeeperName } from "../routes/ConfigurationKeeper";
 import { ServingState, servingStateName } from "../routes/ServingState";
 import { EventLog, eventLogName } from "../telemetry/EventLog";
@@ -347,6 +349,27 @@
                 events: find(eventLogName),
             }),
     });
+    kernel.register({
+        name: soleVersionsName,
+        requires: [
+            feedNames.instances,
+            softwareVersionsName,
+            versionRecordsName,
+            peerNetworkName,
+            membershipName,
+        ],
+        create: find =>
+            new SoleVersions({
+                feed: find(feedNames.instances),
+                versions: find(softwareVersionsName),
+                records: find(versionRecordsName),
+                network: find(peerNetworkName),
+                listReaders: () =>
+                    rankReaders({ feed: feedNames.instances.id, members: find(membershipName).listLive() })
+                        .filter(reader => reader !== nodeId),
+                clock,
+            }),
+    });
     kernel.register({
         name: streamOriginsName,
         requires: [peerNetworkName, membershipName, softwareVersionsName],
--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -82,6 +82,29 @@
         expect(follower.readAgeMs()).toBeLessThan(100);
     });
 
+    it("confirms its records by a reading that begins after it was asked to", async () => {
+        const waiting = feed.pendingWait;
+        const confirmed = follower.confirm();
+        await clock.advance(1);
+        expect(feed.pendingWait).not.toBe(waiting);
+        feed.sendChanges([["b", "2"]]);
+        await clock.advance(1);
+        expect(await confirmed).toBe(true);
+        expect([...follower.records.value!]).toEqual([["a", "1"], ["b", "2"]]);
+    });
+
+    it("confirms nothing where the call for it fails, or the history no longer contains its position", async () => {
+        const failed = follower.confirm();
+        await clock.advance(1);
+        feed.pendingWait!.reject(new Error("down"));
+        expect(await failed).toBe(false);
+        await clock.advance(1_000);
+        const outdated = follower.confirm();
+        await clock.advance(1);
+        feed.pendingWait!.resolve(undefined);
+        expect(await outdated).toBe(false);
+    });
+
     it("does not treat a reset connection as an outage", async () => {
         feed.pendingWait!.reject(new Error("reset"));
         await clock.advance(1);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -2,12 +2,14 @@
 import type { ObservableValue } from "../_lib/ObservableValue";
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
+import { runTask } from "../kernel/runTask";
 import { waitFor } from "../kernel/waitFor";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { computeReadAgeMs } from "./computeReadAgeMs";
 import { FeedReplica } from "./FeedReplica";
+import { SharedReading } from "./SharedReading";
 import type { StoreClock } from "./StoreClock";
 import type { StoreEra } from "./StoreEra";
 import type { FeedChanges, FeedSharing, FeedSnapshot, FeedUpdate, RecordFeed } from "./types";
@@ -31,6 +33,7 @@
 const minOutageMs = 1_000; // a reset connection is not an outage
 const minSleepMs = 20;
 const minWaitMs = 1; // a node that only confirms its records wants the answer at once
+const confirmIntervalMs = 100; // bounds the calls while many ask for a confirmation
 
 /**
  * Follows a feed: lists its records, then applies changes. Lists them again after a gap in the history, an error, or a
@@ -42,6 +45,7 @@
 export class FeedFollower<T> {
     private readonly replica = new FeedReplica<T>();
     private readonly scope: TaskScope;
+    private readonly confirmation: SharedReading;
     private sharing: FeedSharing<T> | undefined;
     private isListed = false;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
@@ -52,6 +56,11 @@
 
     constructor(private readonly options: FeedFollowerOptions<T>) {
         this.scope = createLoggedTaskScope(options.events);
+        this.confirmation = new SharedReading({
+            clock: options.clock,
+            read: () => this.readNow(),
+            intervalMs: confirmIntervalMs,
+        });
     }
 
     /** The records as last read; undefined before the first listing. */
@@ -87,6 +96,16 @@
         }
     }
 
+    /**
+     * Confirms the records by a reading of the store that begins after this call, whatever the clocks say. Readings are
+     * shared by all that wait for one.
+     *
+     * @returns whether the records are those of the store at a time after the call; false if the store can't be read now
+     */
+    confirm(): Promise<boolean> {
+        return this.confirmation.join();
+    }
+
     /**
      * Returns the time since the store last confirmed that the records are up to date.
      *
@@ -115,6 +134,31 @@
         return nowMs === undefined || resumedStoreMs === undefined ? Infinity : nowMs - resumedStoreMs;
     }
 
+    /**
+     * Time on the store's clock of the latest end of such a pause, in milliseconds; undefined if there was none. It tells
+     * two pauses apart.
+     */
+    get resumedStoreMs(): number | undefined {
+        return this.replica.resumedStoreMs;
+    }
+
+    private async readNow(): Promise<boolean> {
+        try {
+            const task = runTask(() => this.receiveChanges(minWaitMs), {
+                name: `confirm-${this.options.name}`,
+            });
+            return await task.done === true;
+        }
+        catch (error) {
+            this.options.events.emit(eventKinds.storeFailed, {
+                feed: this.options.name,
+                call: "confirm records",
+                error: String(error),
+            });
+            return false;
+        }
+    }
+
     private *follow(signal: AbortSignal): Task<void> {
         let retryMs = firstRetryMs;
         while (!signal.aborted) {
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -1,5 +1,5 @@
 import type { Clock, RandomSource } from "../kernel/types";
-import type { SoftwareVersions } from "../origins/SoftwareVersions";
+import type { SoleVersions } from "../origins/SoleVersions";
 import type { StreamOrigins } from "../origins/StreamOrigins";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
@@ -26,7 +26,7 @@
     readonly quotas: QuotaLimiter;
     readonly quarantine: CrashWatchOptions["quarantine"];
     readonly origins: Pick<StreamOrigins, "find" | "record">;
-    readonly versions: Pick<SoftwareVersions, "findSole">;
+    readonly soleVersions: Pick<SoleVersions, "find">;
     readonly retryBudgets: RetryBudgets;
     readonly usage: UsageLedger;
     /** Memory for answers that are collected before they are sent. */
--- a/src/forwarding/resolveOrigin.ts
+++ b/src/forwarding/resolveOrigin.ts
@@ -10,7 +10,13 @@
 import type { AdmittedRequest } from "./admitRequest";
 import type { ForwardContext } from "./ForwardContext";
 
+interface SoleOrigin {
+    readonly origin: StreamOrigin | undefined;
+    readonly isConfirmed: boolean;
+}
+
 const unknownRetryAfterMs = 300; // the nodes that know the stream may be out of reach for a moment
+const unconfirmed: SoleOrigin = { origin: undefined, isConfirmed: false };
 const unsearched: OriginSearch = { origin: undefined, source: "nobody", unanswered: 0 };
 
 /**
@@ -31,7 +37,8 @@
     const search = metadata.resumedRequestId === undefined
         ? unsearched
         : yield* waitFor(context.origins.find(metadata.resumedRequestId));
-    const origin = search.origin ?? findSoleOrigin(context, admitted);
+    const sole = search.origin ? unconfirmed : yield* findSoleOrigin(context, admitted);
+    const origin = search.origin ?? sole.origin;
     const isAllowed = origin !== undefined
         && listTargets(route).some(target => target.service === origin.service);
     context.events.emit(eventKinds.streamTakenUp, {
@@ -41,6 +48,7 @@
         service: origin?.service,
         softwareVersion: origin?.softwareVersion,
         source: search.origin === undefined && origin !== undefined ? "sole-version" : search.source,
+        isConfirmed: search.origin ? undefined : sole.isConfirmed,
         unanswered: search.unanswered,
         isAllowed,
     });
@@ -52,13 +60,15 @@
 }
 
 /** The origin of every stream of a route with one service, all of whose upstreams have run one version lately. */
-const findSoleOrigin = (context: ForwardContext, { route }: AdmittedRequest): StreamOrigin | undefined => {
+function* findSoleOrigin(context: ForwardContext, { route }: AdmittedRequest): Task<SoleOrigin> {
     const [target, ...others] = listTargets(route);
-    const softwareVersion = target && others.length === 0
-        ? context.versions.findSole(target.service)
-        : undefined;
-    return softwareVersion === undefined ? undefined : { service: target.service, softwareVersion };
-};
+    if (!target || others.length > 0) {
+        return unconfirmed;
+    }
+    const { version, isConfirmed } = yield* waitFor(context.soleVersions.find(target.service));
+    const origin = version === undefined ? undefined : { service: target.service, softwareVersion: version };
+    return { origin, isConfirmed };
+}
 
 const listTargets = (route: Route): RouteTarget[] => route.targets.filter(target => target.weight > 0);
 
--- a/src/origins/SoftwareVersions.test.ts
+++ b/src/origins/SoftwareVersions.test.ts
@@ -10,16 +10,21 @@
     readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     ageMs = 0;
     sinceResumedMs = Infinity;
+    resumedStoreMs: number | undefined;
     readonly versions = new SoftwareVersions({
-        feed: {
-            records: this.records,
-            readAgeMs: () => this.ageMs,
-            readSinceResumedMs: () => this.sinceResumedMs,
-        },
+        feed: this,
         clock: this.clock,
         readWindowMs: () => windowMs,
     });
 
+    readAgeMs(): number {
+        return this.ageMs;
+    }
+
+    readSinceResumedMs(): number {
+        return this.sinceResumedMs;
+    }
+
     list(...softwareVersions: (string | undefined)[]): void {
         const instances = softwareVersions.map((softwareVersion, index) =>
             [`i-${index}`, { id: `i-${index}`, service: "llm", softwareVersion } as UpstreamInstance] as const
@@ -39,7 +44,7 @@
     it("finds the sole version once the history is known", () => {
         setup.list("v1", "v1");
         expect(setup.versions.findSole("llm")).toBeUndefined();
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         expect(setup.versions.findSole("llm")).toBe("v1");
         expect(setup.versions.isMixed("llm")).toBe(false);
         expect(setup.versions.findSole("unknown")).toBeUndefined();
@@ -52,7 +57,7 @@
     });
 
     it("finds none while there are two, and for as long as a stream of the former one may go on", async () => {
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         setup.list("v1", "v2");
         expect(setup.versions.findSole("llm")).toBeUndefined();
         setup.list("v2");
@@ -64,21 +69,21 @@
     });
 
     it("finds none while the records may be outdated", () => {
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         setup.list("v1");
         setup.ageMs = 5_000;
         expect(setup.versions.findSole("llm")).toBeUndefined();
     });
 
     it("finds none right after an outage of the store", () => {
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         setup.list("v1");
         setup.sinceResumedMs = 1_000;
         expect(setup.versions.findSole("llm")).toBeUndefined();
     });
 
     it("finds none where an upstream does not state its version", () => {
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         setup.list(undefined);
         expect(setup.versions.findSole("llm")).toBeUndefined();
     });
@@ -87,14 +92,14 @@
         setup.list("v2");
         setup.versions.addHistory("llm", "v1", windowMs - 1_000);
         setup.versions.addHistory("llm", "v2", 0);
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         expect(setup.versions.findSole("llm")).toBeUndefined();
         await setup.clock.advance(1_000);
         expect(setup.versions.findSole("llm")).toBe("v2");
     });
 
     it("counts a version again that comes back", async () => {
-        setup.versions.completeHistory();
+        setup.versions.completeHistory(undefined);
         setup.list("v1");
         setup.list();
         await setup.clock.advance(windowMs);
--- a/src/origins/SoftwareVersions.ts
+++ b/src/origins/SoftwareVersions.ts
@@ -6,7 +6,10 @@
 
 /** Options of {@link SoftwareVersions}. */
 export interface SoftwareVersionsOptions {
-    readonly feed: Pick<FeedFollower<UpstreamInstance>, "records" | "readAgeMs" | "readSinceResumedMs">;
+    readonly feed: Pick<
+        FeedFollower<UpstreamInstance>,
+        "records" | "readAgeMs" | "readSinceResumedMs" | "resumedStoreMs"
+    >;
     readonly clock: Clock;
     /** Time for which a version that is no longer listed still counts, in milliseconds. */
     readonly readWindowMs: () => number;
@@ -27,7 +30,8 @@
     /** For each service, the monotonic time at which each version was last listed; infinite while it is. */
     private readonly lastListedMs = new Map<string, Map<string, number>>();
     private firstListedMs = Infinity;
-    private isHistoryKnown = false;
+    /** Latest pause of the readings when the history was complete; versions may have come and gone in a later one. */
+    private completedAfter: { readonly pause: number | undefined; } | undefined;
     private readonly listeners: (() => void)[] = [];
 
     constructor(private readonly options: SoftwareVersionsOptions) {}
@@ -70,9 +74,27 @@
         versions.set(version, Math.max(versions.get(version) ?? -Infinity, listedMs));
     }
 
-    /** Marks the history before this process as known. */
-    completeHistory(): void {
-        this.isHistoryKnown = true;
+    /**
+     * Marks the history before this process, and in the pauses of its readings, as known.
+     *
+     * @param pause - latest pause when the history was read, as {@link latestPause}
+     */
+    completeHistory(pause: number | undefined): void {
+        this.completedAfter = { pause };
+    }
+
+    /** Tells the latest pause of the readings from others; undefined if there was none. */
+    get latestPause(): number | undefined {
+        return this.options.feed.resumedStoreMs;
+    }
+
+    /** Whether no version that a stream may have begun at is missing, other than those that joined since the last reading. */
+    hasWholeHistory(): boolean {
+        const { clock, feed, readWindowMs } = this.options;
+        const observedMs = Math.min(clock.readMonotonicMs() - this.firstListedMs, feed.readSinceResumedMs());
+        const isCompleted = this.completedAfter !== undefined
+            && this.completedAfter.pause === this.latestPause;
+        return isCompleted || observedMs >= readWindowMs();
     }
 
     /** Whether a stream of a service that goes on now may have begun at another version than one that begins now. */
@@ -88,16 +110,16 @@
      */
     findSole(service: string): string | undefined {
         const [version, ...others] = this.listRecent(service);
-        const isKnown = this.hasWholeHistory() && isListingCurrent(this.options.feed);
-        return isKnown && others.length === 0 && version !== unknownVersion ? version : undefined;
+        return this.isCurrent() && others.length === 0 && version !== unknownVersion ? version : undefined;
     }
 
-    private hasWholeHistory(): boolean {
-        const observedMs = this.options.clock.readMonotonicMs() - this.firstListedMs;
-        return this.isHistoryKnown || observedMs >= this.options.readWindowMs();
+    /** Whether what is listed is up to date, and the history whole. */
+    isCurrent(): boolean {
+        return this.hasWholeHistory() && isListingCurrent(this.options.feed);
     }
 
-    private listRecent(service: string): string[] {
+    /** Lists the versions at which a stream of a service that may go on now can have begun. */
+    listRecent(service: string): string[] {
         const windowMs = this.options.readWindowMs();
         return this.listVersions(service)
             .filter(({ sinceListedMs }) => sinceListedMs < windowMs)
--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -13,18 +13,19 @@
 
 /** A process that sees what is listed; all processes share clock and store. */
 class TestProcess {
-    readonly listed = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
+    readonly records = new ObservableValue<ReadonlyMap<string, UpstreamInstance> | undefined>(undefined);
     readonly versions: SoftwareVersions;
-    readonly records: VersionRecords;
+    readonly versionRecords: VersionRecords;
     isWriter = true;
+    resumedStoreMs: number | undefined;
 
     constructor(readonly clock: FakeClock, readonly tables: MemoryTableService) {
         this.versions = new SoftwareVersions({
-            feed: { records: this.listed, readAgeMs: () => 0, readSinceResumedMs: () => Infinity },
+            feed: this,
             clock,
             readWindowMs: () => windowMs,
         });
-        this.records = new VersionRecords({
+        this.versionRecords = new VersionRecords({
             tables,
             versions: this.versions,
             storeClock: { readStoreMs: () => clock.readMonotonicMs() },
@@ -34,18 +35,28 @@
         });
     }
 
+    readAgeMs(): number {
+        return 0;
+    }
+
+    readSinceResumedMs(): number {
+        return this.resumedStoreMs === undefined
+            ? Infinity
+            : this.clock.readMonotonicMs() - this.resumedStoreMs;
+    }
+
     async list(...versions: string[]): Promise<void> {
         const instances = versions.map(softwareVersion =>
             [softwareVersion, { service: "llm", softwareVersion } as UpstreamInstance] as const
         );
-        this.listed.set(new Map(instances));
+        this.records.set(new Map(instances));
         await this.clock.advance(100);
     }
 
     async start(...versions: string[]): Promise<void> {
         await this.versions.start();
         await this.list(...versions);
-        const started = this.records.start();
+        const started = this.versionRecords.start();
         await this.clock.advance(100);
         await started;
     }
@@ -64,7 +75,7 @@
         process = new TestProcess(clock, tables);
     });
 
-    afterEach(() => process.records.stop());
+    afterEach(() => process.versionRecords.stop());
 
     it("tells a process that starts of a version that left before its start", async () => {
         await process.start("v1");
@@ -75,7 +86,7 @@
         expect(next.versions.findSole("llm")).toBeUndefined();
         await clock.advance(windowMs);
         expect(next.versions.findSole("llm")).toBe("v2");
-        await next.records.stop();
+        await next.versionRecords.stop();
     });
 
     it("tells a process that starts that there has been one version only", async () => {
@@ -83,7 +94,7 @@
         const next = new TestProcess(clock, tables);
         await next.start("v1");
         expect(next.versions.findSole("llm")).toBe("v1");
-        await next.records.stop();
+        await next.versionRecords.stop();
     });
 
     it("takes a version whose end nobody recorded as listed until the next start", async () => {
@@ -95,7 +106,7 @@
         await next.start("v2");
         expect(next.versions.findSole("llm")).toBeUndefined();
         expect(await readRecord()).toMatchObject({ v1: expect.any(Number), v2: null });
-        await next.records.stop();
+        await next.versionRecords.stop();
     });
 
     it("writes only when a version comes or goes", async () => {
@@ -121,6 +132,23 @@
         expect(await readRecord()).toEqual({ v1: null, v2: null, v3: null });
     });
 
+    it("tells a process, once it has read again, of a version that came and went in a pause of its readings", async () => {
+        await process.start("v1");
+        const late = new TestProcess(clock, tables);
+        await late.start("v1");
+        await process.list("v1", "v2");
+        await process.list("v1");
+        late.resumedStoreMs = clock.readMonotonicMs();
+        await clock.advance(windowMs / 2);
+        expect(late.versions.findSole("llm")).toBeUndefined();
+        expect(await late.versionRecords.reload()).toBe(true);
+        expect(late.versions.hasWholeHistory()).toBe(true);
+        expect(late.versions.findSole("llm")).toBeUndefined();
+        await clock.advance(windowMs);
+        expect(late.versions.findSole("llm")).toBe("v1");
+        await late.versionRecords.stop();
+    });
+
     it("merges what another node has written meanwhile", async () => {
         await process.start("v1");
         const listedMs = clock.readMonotonicMs();
@@ -134,7 +162,7 @@
     it("does not delay a start for long while the store does not answer", async () => {
         jest.spyOn(tables, "list").mockRejectedValue(new StoreError("down", "none"));
         await process.versions.start();
-        const started = process.records.start();
+        const started = process.versionRecords.start();
         await clock.advance(500);
         await started;
         await process.list("v1");
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { retryStoreCall } from "../feeds/retryStoreCall";
+import { SharedReading } from "../feeds/SharedReading";
 import type { StoreClock } from "../feeds/StoreClock";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
@@ -38,6 +39,7 @@
 const maxServices = 500;
 const checkMs = 5_000;
 const retryMs = 500;
+const reloadIntervalMs = 100;
 const startTimeoutMs = 300;
 const clockPollMs = 10;
 const keptMs = 600_000; // longer than any stream
@@ -48,11 +50,18 @@
  */
 export class VersionRecords {
     private readonly scope: TaskScope;
+    private readonly reloading: SharedReading;
     private stored = new Map<string, StoredRecord>();
     private wake: () => void = () => {};
 
     constructor(private readonly options: VersionRecordsOptions) {
         this.scope = createLoggedTaskScope(options.events);
+        const { clock } = options;
+        this.reloading = new SharedReading({
+            clock,
+            read: () => this.readAgain(),
+            intervalMs: reloadIntervalMs,
+        });
     }
 
     /** Starts, and waits a moment for the records, since callers take their streams up right after a restart. */
@@ -70,8 +79,34 @@
         await this.scope.cancel();
     }
 
+    /**
+     * Reads the records again, after a pause in which versions may have come and gone unseen. Readings are shared by all
+     * that wait for one.
+     *
+     * @returns whether a reading that began after this call succeeded
+     */
+    reload(): Promise<boolean> {
+        return this.reloading.join();
+    }
+
+    private async readAgain(): Promise<boolean> {
+        const { versions, events } = this.options;
+        const { latestPause } = versions;
+        try {
+            await this.load();
+        }
+        catch (error) {
+            events.emit(eventKinds.storeFailed, { call: "load version records", error: String(error) });
+            return false;
+        }
+        this.reportHistory();
+        versions.completeHistory(latestPause);
+        return true;
+    }
+
     private *keep(signal: AbortSignal, onLoaded: () => void): Task<void> {
         const { clock, versions, events, storeClock } = this.options;
+        const { latestPause } = versions;
         const call = async (): Promise<true> => this.load();
         const isLoaded = yield* waitFor(
             retryStoreCall({ name: "load version records", call, clock, events, signal }),
@@ -83,7 +118,7 @@
             return;
         }
         this.reportHistory();
-        versions.completeHistory();
+        versions.completeHistory(latestPause);
         onLoaded();
         while (!signal.aborted) {
             const changed = new Promise<void>(resolve => {
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -3,6 +3,7 @@
 import { DiscoveryServer } from "../../platform/DiscoveryServer";
 import { ServingNode } from "../../src/daemon/ServingNode";
 import { SystemClock } from "../../src/kernel/SystemClock";
+import type { Clock } from "../../src/kernel/types";
 import { SystemRandom } from "../../src/kernel/SystemRandom";
 import { servingSettingsSchema } from "../../src/settings/servingSettingsSchema";
 import { FencedCloudStandIn } from "./FencedCloudStandIn";
@@ -209,7 +210,11 @@
     }
 
     /** Starts a node and waits until it is ready. */
-    async addNode(settings: Record<string, unknown> = {}, gate?: PartitionGate): Promise<TestNode> {
+    async addNode(
+        settings: Record<string, unknown> = {},
+        gate?: PartitionGate,
+        clock: Clock = new SystemClock(),
+    ): Promise<TestNode> {
         const [callersAddress, peers, metricsAddress, readyAddress, directoryAddress] =
             await findFreeAddresses(5);
         const nodeSettings = servingSettingsSchema.parse({
@@ -230,7 +235,7 @@
         const node = new ServingNode({
             settings: nodeSettings,
             platform,
-            clock: new SystemClock(),
+            clock,
             random,
             connectUpstream: gate?.connect,
         });
