--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -132,6 +132,16 @@
         expect(await readRecord()).toEqual({ v1: null, v2: null, v3: null });
     });
 
+    // Guards against streams joined from two versions: the node that writes stands still while a version comes and goes.
+    it("records within a second what another writer has missed", async () => {
+        await process.start("v1");
+        process.isWriter = false;
+        await process.list("v1", "v2");
+        process.isWriter = true;
+        await clock.advance(1_000);
+        expect(await readRecord()).toEqual({ v1: null, v2: null });
+    });
+
     it("tells a process, once it has read again, of a version that came and went in a pause of its readings", async () => {
         await process.start("v1");
         const late = new TestProcess(clock, tables);
