Do not learn the store's clock from a call that began before a suspension

What callers could see: a key that was taken away goes on being accepted for longer than allowed by a node that was suspended, as its records count as confirmed a moment ago.

Cause: the answer to a waiting call may have arrived at the VM before its suspension and be read after it.

Now an answer counts only if its call began after the last jump between the clocks was noticed.

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -220,6 +220,7 @@
     /** Lists all records; returns false if the store was restored meanwhile. */
     private *listRecords(): Task<boolean> {
         const eraBefore = this.readEra();
+        const sentAtMs = this.options.clock.readMonotonicMs();
         const snapshot: FeedSnapshot<T> = yield* waitFor(this.options.feed.list());
         const era = this.readEra();
         if (era !== eraBefore && eraBefore !== undefined) {
@@ -250,7 +251,7 @@
             removed: [],
         };
         const difference = this.sharing && this.replica.compareListing(listing);
-        this.options.storeClock.update(snapshot.storeMs);
+        this.options.storeClock.update(snapshot.storeMs, sentAtMs);
         this.replica.apply(listing, nowMs);
         if (difference) {
             this.sharing?.publish(difference);
@@ -261,6 +262,7 @@
     /** Waits for changes once; returns false if the records must be listed again. */
     private *receiveChanges(waitMs: number): Task<boolean> {
         const { position, era } = this.replica;
+        const sentAtMs = this.options.clock.readMonotonicMs();
         const answer: FeedChanges<T> | undefined = yield* waitFor(
             this.options.feed.waitForChanges(position, waitMs),
         );
@@ -277,7 +279,7 @@
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
             removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
         };
-        this.options.storeClock.update(answer.storeMs);
+        this.options.storeClock.update(answer.storeMs, sentAtMs);
         const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
         const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
         if (isWanted) {
--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -27,26 +27,39 @@
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
         expect(storeClock.readStoreMs()).toBeUndefined();
-        storeClock.update(7_000);
+        storeClock.update(7_000, clock.monotonicMs);
         clock.advance(100);
-        storeClock.update(7_060); // 40 ms of network delay
+        storeClock.update(7_060, clock.monotonicMs); // 40 ms of network delay
         expect(storeClock.readStoreMs()).toBe(7_100);
     });
 
     it("is unknown after a suspension, in which the monotonic clock stops, until the store answers", () => {
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
-        storeClock.update(7_000);
+        storeClock.update(7_000, clock.monotonicMs);
         clock.wallMs += 3_000;
         expect(storeClock.readStoreMs()).toBeUndefined();
-        storeClock.update(10_000);
+        storeClock.update(10_000, clock.monotonicMs);
         expect(storeClock.readStoreMs()).toBe(10_000);
     });
 
+    // Guards against keys that count as confirmed lately because the store's last answer was read after a suspension.
+    it("does not learn from an answer to a call that began before a suspension", () => {
+        const clock = new SplitClock();
+        const storeClock = new StoreClock({ clock });
+        const sentAtMs = clock.monotonicMs;
+        clock.advance(100);
+        clock.wallMs += 5_000;
+        storeClock.update(7_000, sentAtMs);
+        expect(storeClock.readStoreMs()).toBeUndefined();
+        storeClock.update(12_000, clock.monotonicMs);
+        expect(storeClock.readStoreMs()).toBe(12_000);
+    });
+
     it("treats a jump of the wall clock in either direction as a suspension", () => {
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
-        storeClock.update(7_000);
+        storeClock.update(7_000, clock.monotonicMs);
         clock.wallMs -= 2_000;
         expect(storeClock.readStoreMs()).toBeUndefined();
     });
@@ -55,7 +68,7 @@
 describe("ClusterClock", () => {
     const createClusterClock = (clock: SplitClock, offsets: readonly number[]): ClusterClock => {
         const storeClock = new StoreClock({ clock });
-        storeClock.update(500);
+        storeClock.update(500, clock.monotonicMs);
         const sums = {
             registerContributor: () => {},
             readOthers: () => new Map(offsets.map(offset => [String(offset), 1])),
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -19,6 +19,8 @@
     /** Store time minus monotonic time; the largest observed value includes the least network delay. */
     private offsetMs: number | undefined;
     private wallOffsetMs: number;
+    /** Monotonic time at which the last jump was noticed, in milliseconds. */
+    private jumpedAtMs = -Infinity;
     private readonly jumpThresholdMs: number;
 
     constructor(private readonly options: StoreClockOptions) {
@@ -27,12 +29,17 @@
     }
 
     /**
-     * Updates the estimate from an answer of the store.
+     * Updates the estimate from an answer of the store. An answer to a call that began before a suspension may have waited
+     * for its end, so that it does not count.
      *
      * @param storeMs - the store's clock when it answered, in milliseconds
+     * @param sentAtMs - monotonic time at which the call began, in milliseconds
      */
-    update(storeMs: number): void {
+    update(storeMs: number, sentAtMs: number): void {
         this.resetOnJump();
+        if (sentAtMs < this.jumpedAtMs) {
+            return;
+        }
         const offsetMs = storeMs - this.options.clock.readMonotonicMs();
         this.offsetMs = Math.max(this.offsetMs ?? -Infinity, offsetMs);
     }
@@ -57,6 +64,7 @@
         const wallOffsetMs = this.readWallOffsetMs();
         if (Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs) {
             this.offsetMs = undefined;
+            this.jumpedAtMs = this.options.clock.readMonotonicMs();
         }
         this.wallOffsetMs = wallOffsetMs;
     }
