Read the store at once when a jump of the clocks has made ages unknown

Callers saw, once the wall clock is the VM's own: after a step of the time of day, a node refuses requests with keys (503) until its next regular reading of the store, up to 1.2 s.

Now each follower asks the store as soon as the jump is noticed, by the same shared reading that confirms versions. A step and a suspension can't be told apart by a node's own clocks, so that both are treated alike. The new test failed before: no call was begun.

--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -105,6 +105,18 @@
         expect(await outdated).toBe(false);
     });
 
+    // Guards against requests that are refused until the next regular reading after a step of the wall clock.
+    it("reads the store at once when a jump of the wall clock has made the age of its records unknown", async () => {
+        const waiting = feed.pendingWait;
+        clock.stepWall(2_400);
+        expect(follower.readAgeMs()).toBe(Infinity);
+        await clock.advance(5);
+        expect(feed.pendingWait).not.toBe(waiting);
+        feed.sendChanges([]);
+        await clock.advance(1);
+        expect(follower.readAgeMs()).toBeLessThan(10);
+    });
+
     it("does not treat a reset connection as an outage", async () => {
         feed.pendingWait!.reject(new Error("reset"));
         await clock.advance(1);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -48,6 +48,7 @@
     private readonly confirmation: SharedReading;
     private sharing: FeedSharing<T> | undefined;
     private isListed = false;
+    private hasStopped = false;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
     private recoveredAtMs = -Infinity;
@@ -61,6 +62,7 @@
             read: () => this.readNow(),
             intervalMs: confirmIntervalMs,
         });
+        options.storeClock.jumps.onChange(() => this.confirmAfterJump());
     }
 
     /** The records as last read; undefined before the first listing. */
@@ -73,6 +75,7 @@
     }
 
     async stop(): Promise<void> {
+        this.hasStopped = true;
         this.pauseAbort.abort(abortReason);
         await this.scope.cancel();
     }
@@ -142,6 +145,13 @@
         return this.replica.resumedStoreMs;
     }
 
+    /** Reads the store at once when the age of the records has become unknown, as requests wait for it to be known. */
+    private confirmAfterJump(): void {
+        if (this.replica.confirmedStoreMs !== undefined && !this.hasStopped) {
+            void this.confirm();
+        }
+    }
+
     private async readNow(): Promise<boolean> {
         try {
             const task = runTask(() => this.receiveChanges(minWaitMs), {
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -1,3 +1,4 @@
+import { ObservableValue } from "../_lib/ObservableValue";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
 
@@ -16,6 +17,8 @@
  * to it invalidates the estimate until the store answers again.
  */
 export class StoreClock {
+    /** Number of jumps of the wall clock, each of which made the store's clock unknown. */
+    readonly jumps = new ObservableValue(0);
     /** Store time minus monotonic time; the largest observed value includes the least network delay. */
     private offsetMs: number | undefined;
     private wallOffsetMs: number;
@@ -62,11 +65,13 @@
 
     private resetOnJump(): void {
         const wallOffsetMs = this.readWallOffsetMs();
-        if (Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs) {
+        const hasJumped = Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs;
+        this.wallOffsetMs = wallOffsetMs;
+        if (hasJumped) {
             this.offsetMs = undefined;
             this.jumpedAtMs = this.options.clock.readMonotonicMs();
+            this.jumps.set(this.jumps.value + 1);
         }
-        this.wallOffsetMs = wallOffsetMs;
     }
 
     private readWallOffsetMs(): number {
--- a/src/kernel/FakeClock.ts
+++ b/src/kernel/FakeClock.ts
@@ -26,6 +26,7 @@
     private readonly heap: Sleeper[] = [];
     private readonly eventLoopTurns: number;
     private currentMs: number;
+    private wallStepMs = 0;
     private order = 0;
 
     constructor(options: FakeClockOptions = {}) {
@@ -34,7 +35,12 @@
     }
 
     readWallMs(): number {
-        return this.currentMs;
+        return this.currentMs + this.wallStepMs;
+    }
+
+    /** Sets the wall clock forward, or back by a negative step, in milliseconds. */
+    stepWall(stepMs: number): void {
+        this.wallStepMs += stepMs;
     }
 
     readMonotonicMs(): number {
