Let the store confirm the lease on an open connection, right before a call is written

Callers saw: two nodes act as the holder of the cloud lease; a lower number than one seen.

Cause: the lease was checked by the holder's clocks, before there was a connection. Connecting may take as long as the call may, and the clocks do not show a suspension during which the time of day is set back. Class: check and effect are apart, and the check asks those who cannot know.

Each call now opens its connection first, reads the lease's row (one read more for each call), and is written within 280 ms of that by both clocks, or not at all. The store's answers are linearizable: while the row names this holding, no other node has taken over, and one that does waits for a call's time-out before it acts. A holder whose row names another holding gives up at once. While the store does not answer, no calls are made.

--- /dev/null
+++ b/src/leases/DutyCaller.test.ts
@@ -0,0 +1,123 @@
+import { FakeClock } from "../kernel/FakeClock";
+import { SeededRandom } from "../kernel/SeededRandom";
+import { MemoryTableService } from "../platform/MemoryTableService";
+import { StoreError } from "../platform/StoreError";
+import { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
+import { type DutyAnswer, DutyCaller } from "./DutyCaller";
+import { Lease } from "./Lease";
+
+const durationMs = 3_600;
+const callTimeoutMs = 800;
+
+describe("DutyCaller", () => {
+    let clock: FakeClock;
+    let tables: MemoryTableService;
+    let events: EventLog;
+    let lease: Lease;
+    let caller: DutyCaller;
+    let arrived: number[];
+    let connectMs: number;
+
+    beforeEach(async () => {
+        clock = new FakeClock();
+        tables = new MemoryTableService();
+        events = new EventLog({ node: "a", clock });
+        arrived = [];
+        connectMs = 0;
+        lease = createLease("a", clock);
+        caller = new DutyCaller({ lease, clock, events, callTimeoutMs });
+        await lease.start();
+        await clock.advance(durationMs);
+    });
+
+    afterEach(async () => {
+        const stopped = lease.stop();
+        await clock.advance(durationMs);
+        await stopped;
+    });
+
+    const createLease = (nodeId: string, ownClock: FakeClock): Lease =>
+        new Lease({
+            duty: "cloud",
+            nodeId,
+            tables,
+            clock: ownClock,
+            random: new SeededRandom(1),
+            events,
+            isCandidate: () => true,
+            durationMs,
+            takeoverDelayMs: callTimeoutMs,
+        });
+
+    const call = (): Promise<DutyAnswer<number> | undefined> =>
+        caller.call({ duty: "usage", subject: "usage" }, async (fencing, stages) => {
+            if (connectMs > 0) {
+                await clock.sleep(connectMs);
+            }
+            try {
+                await stages.onConnected();
+                stages.onWrite();
+            }
+            catch (error) {
+                throw new StoreError((error as Error).message, "none");
+            }
+            arrived.push(fencing);
+            return arrived.length;
+        });
+
+    /** Lets another node take over while the first one and its clocks stand still. */
+    const takeOver = async (): Promise<number> => {
+        const otherClock = new FakeClock();
+        const other = createLease("b", otherClock);
+        await other.start();
+        await otherClock.advance(2 * durationMs);
+        const { fencing } = other.readHeld()!;
+        const stopped = other.stop();
+        await otherClock.advance(durationMs);
+        await stopped;
+        return fencing;
+    };
+
+    const listOutcomes = (): unknown[] =>
+        events.list().filter(({ event }) => event === eventKinds.dutyCalled.number).map(({ fields }) =>
+            fields.outcome
+        );
+
+    it("calls under the lease that the store confirms", async () => {
+        expect(await call()).toMatchObject({ answer: 1 });
+        expect(arrived).toEqual([lease.readHeld()!.fencing]);
+        expect(listOutcomes()).toEqual(["answered"]);
+    });
+
+    it("does not call after a suspension that neither clock shows, when another node holds the lease", async () => {
+        const fencing = await takeOver();
+        expect(lease.readHeld()!.fencing).toBeLessThan(fencing);
+        await expect(call()).rejects.toMatchObject({ effect: "none" });
+        expect(arrived).toEqual([]);
+        expect(lease.readHeld()).toBeUndefined();
+        expect(listOutcomes()).toEqual(["unsent"]);
+    });
+
+    it("does not call when another node took the lease over while the connection was opened", async () => {
+        connectMs = 500;
+        const called = call();
+        await takeOver();
+        const rejected = expect(called).rejects.toMatchObject({ effect: "none" });
+        await clock.advance(connectMs);
+        await rejected;
+        expect(arrived).toEqual([]);
+    });
+
+    it("does not call while the store cannot confirm the lease in time", async () => {
+        const read = tables.read.bind(tables);
+        tables.read = async addresses => {
+            await clock.sleep(400);
+            return read(addresses);
+        };
+        const rejected = expect(call()).rejects.toMatchObject({ effect: "none" });
+        await clock.advance(500);
+        await rejected;
+        expect(arrived).toEqual([]);
+    });
+});
--- a/src/leases/DutyCaller.ts
+++ b/src/leases/DutyCaller.ts
@@ -36,12 +36,26 @@
 
 type Outcome = typeof outcomes[keyof typeof outcomes];
 
+interface ClockReading {
+    readonly monotonicMs: number;
+    readonly wallMs: number;
+}
+
+const noReading: ClockReading = { monotonicMs: -Infinity, wallMs: -Infinity };
+
+const readClock = (clock: Clock): ClockReading => ({
+    monotonicMs: clock.readMonotonicMs(),
+    wallMs: clock.readWallMs(),
+});
+
+const maxConfirmationAgeMs = 280; // answers take up to 250 ms when the store is slow
+
 /** Makes the calls that only the holder of a lease may make, and logs each of them. */
 export class DutyCaller {
     constructor(private readonly options: DutyCallerOptions) {}
 
     /**
-     * Makes a call if the lease lasts for it.
+     * Makes a call if the lease lasts for it. The store confirms the lease once the connection of the call is open.
      *
      * @param target - duty and subject of the call
      * @param send - sends the call
@@ -55,8 +69,15 @@
             return undefined;
         }
         const record = new DutyCallRecord(this.options, target, held);
+        const confirmation = new LeaseConfirmation(this.options, held);
         try {
-            const answer = await send(held.fencing, { onWrite: () => record.markWritten() });
+            const answer = await send(held.fencing, {
+                onConnected: () => confirmation.request(),
+                onWrite: () => {
+                    confirmation.require();
+                    record.markWritten();
+                },
+            });
             record.finish(outcomes.answered);
             return { answer, fencing: held.fencing };
         }
@@ -67,6 +88,38 @@
     }
 }
 
+/**
+ * Confirmation by the store that a lease is held, for one call. A next holder waits for the time-out of a call before it
+ * acts, so that a call that is written soon after it was confirmed arrives first.
+ */
+class LeaseConfirmation {
+    private requested: ClockReading | undefined;
+
+    constructor(
+        private readonly options: Pick<DutyCallerOptions, "clock" | "lease">,
+        private readonly held: HeldLease,
+    ) {}
+
+    async request(): Promise<void> {
+        this.requested = readClock(this.options.clock);
+        if (!await this.options.lease.confirmHeld()) {
+            throw new Error("the lease is no longer held");
+        }
+    }
+
+    require(): void {
+        const now = readClock(this.options.clock);
+        const { monotonicMs, wallMs } = this.requested ?? noReading;
+        const ageMs = Math.max(now.monotonicMs - monotonicMs, now.wallMs - wallMs);
+        if (ageMs > maxConfirmationAgeMs) {
+            throw new Error(`the lease was confirmed ${ageMs} ms ago`);
+        }
+        if (this.options.lease.readHeld()?.fencing !== this.held.fencing) {
+            throw new Error("the lease is no longer held");
+        }
+    }
+}
+
 /** Times of one call, for its log line. */
 class DutyCallRecord {
     private readonly checkedMs: number;
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -116,6 +116,26 @@
         return held && held.remainingMs > callMs ? held : undefined;
     }
 
+    /**
+     * Reads the row and tells whether it still names the holding that this node acts under. Unlike the clocks, the store
+     * knows of a next holder also after a suspension that no clock shows.
+     *
+     * @throws StoreError if the store cannot be read
+     */
+    async confirmHeld(): Promise<boolean> {
+        const { holding } = this;
+        const row = await this.readRow();
+        const found = row?.value as LeaseRow | undefined;
+        if (!holding || this.holding?.holdingId !== holding.holdingId) {
+            return false;
+        }
+        if (found?.holdingId !== holding.holdingId) {
+            this.dropHolding("the lease row names another holding");
+            return false;
+        }
+        return true;
+    }
+
     private *run(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             try {
--- a/src/platform/sendStagedJson.test.ts
+++ b/src/platform/sendStagedJson.test.ts
@@ -36,16 +36,26 @@
         await new Promise(resolve => server.close(resolve));
     });
 
-    const send = (call: AbortController, onWrite = (): void => {}): Promise<JsonAnswer> =>
+    const send = (
+        call: AbortController,
+        onWrite = (): void => {},
+        onConnected = async (): Promise<void> => {},
+    ): Promise<JsonAnswer> =>
         sendStagedJson({
             agent,
             url: `http://127.0.0.1:${(server.address() as AddressInfo).port}/scale`,
             headers: {},
             body: { count: 1 },
             signal: call.signal,
-            stages: { onWrite },
+            stages: { onConnected, onWrite },
         });
 
+    const waitUntilSeen = async (event: string): Promise<void> => {
+        while (!seen.includes(event)) {
+            await pause(5);
+        }
+    };
+
     it("keeps the connection of answered calls", async () => {
         expect(await send(new AbortController())).toMatchObject({ status: 200, body: {} });
         expect(await send(new AbortController())).toMatchObject({ status: 200, body: {} });
@@ -57,10 +67,10 @@
         answer = undefined;
         const call = new AbortController();
         const sent = send(call);
-        await pause(50);
+        await waitUntilSeen("POST");
         call.abort(new Error("given up"));
         await expect(sent).rejects.toMatchObject({ effect: "unknown" });
-        await pause(50);
+        await waitUntilSeen("ECONNRESET");
         expect(seen).toEqual(["POST", "ECONNRESET"]);
         expect(Object.keys(agent.sockets)).toEqual([]);
     });
@@ -71,7 +81,7 @@
         const firstSent = send(first);
         let isWritten = false;
         const secondSent = send(second, () => isWritten = true);
-        await pause(50);
+        await waitUntilSeen("POST");
         second.abort(new Error("given up"));
         await expect(secondSent).rejects.toMatchObject({ effect: "none" });
         first.abort(new Error("given up"));
@@ -81,6 +91,17 @@
         expect(seen.filter(event => event === "POST")).toHaveLength(1);
     });
 
+    it("writes nothing when the caller stops the call on an open connection", async () => {
+        const stop = (): never => {
+            throw new Error("not held");
+        };
+        await expect(send(new AbortController(), stop)).rejects.toMatchObject({ effect: "none" });
+        const rejected = send(new AbortController(), () => {}, async () => stop());
+        await expect(rejected).rejects.toMatchObject({ effect: "none" });
+        await pause(50);
+        expect(seen).not.toContain("POST");
+    });
+
     it("takes status 503 for a call without effect", async () => {
         answer = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
         await expect(send(new AbortController())).rejects.toMatchObject({ effect: "none" });
@@ -89,7 +110,7 @@
     it("does not take an answer for whole whose connection was reset", async () => {
         answer = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}";
         const sent = send(new AbortController());
-        await pause(50);
+        await waitUntilSeen("POST");
         sockets[0].resetAndDestroy();
         await expect(sent).rejects.toMatchObject({ effect: "unknown" });
     });
--- a/src/platform/sendStagedJson.ts
+++ b/src/platform/sendStagedJson.ts
@@ -21,7 +21,7 @@
 const maxAnswerBytes = 1_048_576; // 1 MiB, far above every answer to such a call
 
 /**
- * Sends a JSON body with POST in two steps: it opens a connection, and writes the request once that is open. When the call
+ * Sends a JSON body with POST in steps: it opens a connection, asks the caller, and then writes the request. When the call
  * is abandoned or fails, the connection is reset: the operating system would deliver bytes of a connection that was closed
  * in order, however late.
  *
@@ -56,6 +56,7 @@
     let isWritten = false;
     try {
         await Promise.race([waitForConnection(request), failed]);
+        await Promise.race([stages.onConnected(), failed]);
         const answered = waitForAnswer(request);
         stages.onWrite();
         isWritten = true;
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -122,9 +122,11 @@
     readonly count: number;
 }
 
-/** What the caller is told while a call is on its way. */
+/** Steps of a call at which its caller can still stop it. */
 export interface CallStages {
-    /** Called when the connection is open, right before the call is written to it. */
+    /** Called when the connection is open. Rejects if the call must not be written. */
+    onConnected(): Promise<void>;
+    /** Called right before the call is written. Throws if it must not be written. */
     onWrite(): void;
 }
 
