Give each write of a lease an id, so that a retried renewal is not taken for a later one

What could be seen: a holder that counts on its lease for up to one renewal interval (a third of the lease) and a time-out longer than the store's row says.

Cause: after a lost answer the holder recognised its write by holding and number of renewals. A renewal that was tried twice has the same number, so that the second attempt took the first one's write for its own and counted the lease from its own start. Class: two attempts share an identity.

Each write now has an id of its own. If the row still names the holding, but another write, the holder keeps its earlier time and renews again; before, it gave the lease up although the row was its own.

--- a/src/leases/Lease.test.ts
+++ b/src/leases/Lease.test.ts
@@ -35,6 +35,8 @@
     }
 }
 
+const leaseAddress = { table: "leases", key: "fleet" };
+
 const createLeases = (
     seed: number,
 ): {
@@ -133,6 +135,28 @@
         await Promise.all(leases.map(lease => lease.stop()));
     });
 
+    it("counts its duration from the write that the store has, not from a later attempt at the same renewal", async () => {
+        const { clock, leases: [lease], tables } = createLeases(5);
+        await lease.start();
+        await clock.advance(12_000);
+        const written = async (): Promise<unknown> => (await tables.memory.read([leaseAddress]))[0]?.revision;
+        const before = await written();
+        tables.faults = { outage: 0, lostAnswer: 1, lateEffect: 0 };
+        const read = jest.spyOn(tables, "read").mockRejectedValue(new Error("cut off"));
+        while (await written() === before) {
+            await clock.advance(10);
+        }
+        const writtenAtMs = clock.readMonotonicMs();
+        await clock.advance(1_000);
+        tables.faults = { outage: 0, lostAnswer: 0, lateEffect: 0 };
+        read.mockRestore();
+        await clock.advance(1_500);
+        tables.faults = { outage: 1, lostAnswer: 0, lateEffect: 0 };
+        await clock.advance(writtenAtMs + 0.8 * 6_000 - clock.readMonotonicMs());
+        expect(lease.readHeld()).toBeUndefined();
+        await lease.stop();
+    });
+
     it("has at most one holder at a time and never-decreasing fencing numbers, under faults and pauses", async () => {
         const step = fc.record({
             paused: fc.option(fc.nat(2), { nil: undefined }),
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -42,6 +42,13 @@
     readonly activeFromMs: number;
 }
 
+/** The row after a write that this node tried. */
+interface WrittenRow {
+    readonly revision: number;
+    /** Whether the row has this write, or an earlier one of the same holding. */
+    readonly isThisWrite: boolean;
+}
+
 interface Observation {
     readonly revision: number;
     readonly era: number;
@@ -52,6 +59,7 @@
 const table = "leases";
 const absentRevision = 0;
 const renewalsPerDuration = 3;
+const writeIdBytes = 4;
 const fencingNumbersPerEra = 1_000_000; // numbers of a later era are higher than those that the store may have lost
 const safetyMarginShare = 0.2; // of the duration; allows for clocks that run at slightly different rates
 
@@ -186,15 +194,15 @@
         const renewedAtWallMs = this.options.clock.readWallMs();
         const next = { ...holding, renewals: holding.renewals + 1, renewedAtMs, renewedAtWallMs };
         const condition: RowCondition = { kind: "revision", revision: holding.revision };
-        const revision = yield* this.writeRow(next, condition);
+        const written = yield* this.writeRow(next, condition);
         if (this.holding !== holding || this.readEra() !== holding.era) {
             return; // after a restore of the store, the next renewal reads the row first
         }
-        if (revision === undefined) {
+        if (!written) {
             this.dropHolding("the renewal failed: the lease row no longer belongs to this holding");
             return;
         }
-        this.holding = { ...next, revision };
+        this.holding = { ...(written.isThisWrite ? next : holding), revision: written.revision };
     }
 
     private *tryAcquire(): Task<void> {
@@ -218,9 +226,9 @@
         const condition: RowCondition = row
             ? { kind: "revision", revision: row.revision }
             : { kind: "absent" };
-        const revision = yield* this.writeRow(next, condition);
-        if (revision !== undefined && this.readEra() === era) {
-            this.holding = { ...next, revision };
+        const written = yield* this.writeRow(next, condition);
+        if (written && this.readEra() === era) {
+            this.holding = { ...next, revision: written.revision };
             this.options.events.emit(eventKinds.leaseAcquired, {
                 duty: this.options.duty,
                 fencing: next.fencing,
@@ -244,21 +252,23 @@
         return nowMs - this.observation.firstSeenMs >= this.durationMs;
     }
 
-    /** Writes the row and returns its revision. After a lost answer, reads the row to find out if it was written. */
-    private *writeRow(next: Holding, condition: RowCondition): Task<number | undefined> {
+    /** Writes the row. After a lost answer, reads it; returns undefined if the row names another holding. */
+    private *writeRow(next: Holding, condition: RowCondition): Task<WrittenRow | undefined> {
+        const writeId = this.options.random.drawId(writeIdBytes);
         const value: LeaseRow = {
             holder: this.options.nodeId,
             holdingId: next.holdingId,
             fencing: next.fencing,
             durationMs: this.durationMs,
             renewals: next.renewals,
+            writeId,
         };
         try {
             const outcome = yield* waitFor(
                 this.options.tables.transact([{ table, key: this.options.duty, condition, value }]),
             );
             if (outcome.kind === "committed") {
-                return outcome.revisions[0];
+                return { revision: outcome.revisions[0], isThisWrite: true };
             }
         }
         catch {
@@ -266,8 +276,9 @@
         }
         const row = yield* waitFor(this.readRow());
         const found = row?.value as LeaseRow | undefined;
-        const isOwn = found?.holdingId === next.holdingId && found.renewals === next.renewals;
-        return isOwn ? row!.revision : undefined;
+        return found?.holdingId === next.holdingId
+            ? { revision: row!.revision, isThisWrite: found.writeId === writeId }
+            : undefined;
     }
 
     private async readRow(): Promise<Row | undefined> {
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -11,6 +11,8 @@
     readonly durationMs: number;
     /** Number of renewals. Each renewal therefore changes the row. */
     readonly renewals: number;
+    /** Identifies one write, as a renewal may be tried more than once; absent in rows of earlier versions. */
+    readonly writeId?: string;
 }
 
 /** A lease that this node holds. */
