--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -105,6 +105,8 @@
     readonly cloud = new FencedCloudStandIn();
     readonly nodes: TestNode[] = [];
     readonly runners: RunnerStandIn[] = [];
+    /** Rows that nodes reported as unreadable, as `NODE TABLE KEY`, once for each report. */
+    readonly unreadableRows: string[] = [];
     /** Last registry entry of each upstream, by its id. */
     private readonly registered = new Map<string, Record<string, unknown>>();
     /** Monotonic times at which upstreams crashed, in milliseconds. */
@@ -226,7 +228,11 @@
             ...settings,
         });
         const random = new SystemRandom();
-        const platform = createServingPlatform({ settings: nodeSettings, onUnreadableRow: () => {} });
+        const platform = createServingPlatform({
+            settings: nodeSettings,
+            onUnreadableRow: (table, key) =>
+                this.unreadableRows.push(`${nodeSettings.nodeId} ${table} ${key}`),
+        });
         const node = new ServingNode({
             settings: nodeSettings,
             platform,
--- a/standins/platform/StoreStandIn.ts
+++ b/standins/platform/StoreStandIn.ts
@@ -36,6 +36,9 @@
 }
 
 const feedPollMs = 5;
+const maxEntries = 100;
+const maxNameBytes = 200;
+const maxValueBytes = 65_536;
 
 /** Stand-in for the platform's store, with versioned rows, conditional transactions and feeds of limited history. */
 export class StoreStandIn {
@@ -74,18 +77,23 @@
      * @returns version of the write
      */
     put(table: string, key: string, value: unknown): number {
-        this.latestVer += 1;
-        const encoded = value === undefined
-            ? undefined
-            : Buffer.from(JSON.stringify(value)).toString("base64");
-        this.applyChange({
+        return this.putEncoded(
             table,
-            part: "",
             key,
-            value: encoded,
-            ver: this.latestVer,
-            removed: value === undefined || undefined,
-        });
+            value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"),
+        );
+    }
+
+    /**
+     * Writes a row whose value need not be JSON in base64, as another writer may.
+     *
+     * @param encoded - the value as it is stored; undefined removes the row
+     * @returns version of the write
+     */
+    putEncoded(table: string, key: string, encoded: string | undefined): number {
+        this.latestVer += 1;
+        const removed = encoded === undefined || undefined;
+        this.applyChange({ table, part: "", key, value: encoded, ver: this.latestVer, removed });
         return this.latestVer;
     }
 
@@ -136,6 +144,9 @@
     }
 
     private transact(request: IncomingMessage, body: TransactionBody): unknown {
+        if (!isWithinLimits(body)) {
+            return new StandInResponse(400, { error: "too many entries, or a key or value is too long" });
+        }
         const expected = body.expectedRev ?? [];
         const current = expected.map(({ table, part, key }) => this.rows.get(formatRowKey(table, part, key)));
         if (expected.some((row, index) => (current[index]?.ver ?? 0) !== row.ver)) {
@@ -200,5 +211,15 @@
     }
 }
 
+/** Whether a transaction is within the limits of the store. */
+const isWithinLimits = ({ expectedRev = [], writes = [], remove = [] }: TransactionBody): boolean => {
+    const entries = [...expectedRev, ...writes, ...remove];
+    return entries.length <= maxEntries
+        && entries.every(({ table, key }) => isName(table) && isName(key))
+        && writes.every(({ value = "" }) => value.length <= maxValueBytes);
+};
+
+const isName = (text: string): boolean => Buffer.byteLength(text) <= maxNameBytes;
+
 const formatRowKey = (table: string, part: string, key: string): string =>
     `${table}\u0000${part}\u0000${key}`;
