--- a/standins/platform/StoreStandIn.ts
+++ b/standins/platform/StoreStandIn.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { StandInResponse, StandInServer } from "../StandInServer";
 
 export interface StoredRow {
@@ -44,7 +44,8 @@
 export class StoreStandIn {
     readonly server = new StandInServer((request, response, body) => {
         const answer = this.handle(request, body);
-        return answer.finally(() => response.setHeader("store-era", String(this.era)));
+        return answer.finally(() => response.setHeader("store-era", String(this.era)))
+            .then(result => this.alterAnswer(result, response));
     });
     /** Number of requests received. */
     callCount = 0;
@@ -52,6 +53,8 @@
     dropsNextResponse = false;
     /** Error statuses for the next requests, in order, such as 429; each is used once. */
     readonly nextErrorStatuses: number[] = [];
+    /** Changes the text of the next answers with status 200, in order; each is used once. */
+    readonly nextAlterations: ((text: string) => string)[] = [];
     private readonly rows = new Map<string, StoredRow>();
     private history: StoredRow[] = [];
     private era = 1;
@@ -143,6 +146,15 @@
         return new StandInResponse(404, { error: "path does not exist" });
     }
 
+    private alterAnswer(result: unknown, response: ServerResponse): unknown {
+        if (result === undefined || result instanceof StandInResponse || this.nextAlterations.length === 0) {
+            return result;
+        }
+        const alter = this.nextAlterations.shift()!;
+        response.end(alter(JSON.stringify(result)));
+        return undefined;
+    }
+
     private transact(request: IncomingMessage, body: TransactionBody): unknown {
         if (!isWithinLimits(body)) {
             return new StandInResponse(400, { error: "too many entries, or a key or value is too long" });
