Reject answers of the store whose version or time is no number that it can be

After one answer with a version such as 1e400, 1e308 or 2^64 a node ignored every later listing and change as older; after such a time it took its records for outdated for good, and refused requests with keys (503). Members were told the same reading.

Cause: `z.number()` accepts infinite and unsafe numbers, and both the position in a feed and the estimate of the store's clock only rise.

Not covered: a version that is too high but possible. Nothing distinguishes it from a sound one, and no row of another writer can cause it.

--- a/src/feeds/FeedDistribution.ts
+++ b/src/feeds/FeedDistribution.ts
@@ -15,11 +15,12 @@
     readonly followers: ReadonlyMap<string, FeedFollower<unknown>>;
 }
 
+const positionSchema = z.number().int().nonnegative().safe();
 const updateSchema = z.object({
-    era: z.number().optional(),
-    after: z.number().optional(),
-    position: z.number(),
-    storeMs: z.number(),
+    era: z.number().finite().optional(),
+    after: positionSchema.optional(),
+    position: positionSchema,
+    storeMs: z.number().max(Number.MAX_SAFE_INTEGER),
     isRecovery: z.boolean(),
     written: z.array(z.tuple([z.string(), z.unknown()])),
     removed: z.array(z.string()),
