--- a/standins/platform/StoreStandIn.ts
+++ b/standins/platform/StoreStandIn.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { StandInResponse, StandInServer } from "../StandInServer";
 
 export interface StoredRow {
@@ -36,12 +36,16 @@
 }
 
 const feedPollMs = 5;
+const maxEntries = 100;
+const maxNameBytes = 200;
+const maxValueBytes = 65_536;
 
 /** Stand-in for the platform's store, with versioned rows, conditional transactions and feeds of limited history. */
 export class StoreStandIn {
     readonly server = new StandInServer((request, response, body) => {
         const answer = this.handle(request, body);
-        return answer.finally(() => response.setHeader("store-era", String(this.era)));
+        return answer.finally(() => response.setHeader("store-era", String(this.era)))
+            .then(result => this.alterAnswer(result, response));
     });
     /** Number of requests received. */
     callCount = 0;
@@ -49,6 +53,8 @@
     dropsNextResponse = false;
     /** Error statuses for the next requests, in order, such as 429; each is used once. */
     readonly nextErrorStatuses: number[] = [];
+    /** Changes the text of the next answers with status 200, in order; each is used once. */
+    readonly nextAlterations: ((text: string) => string)[] = [];
     private readonly rows = new Map<string, StoredRow>();
     private history: StoredRow[] = [];
     private era = 1;
@@ -74,18 +80,23 @@
      * @returns version of the write
      */
     put(table: string, key: string, value: unknown): number {
-        this.latestVer += 1;
-        const encoded = value === undefined
-            ? undefined
-            : Buffer.from(JSON.stringify(value)).toString("base64");
-        this.applyChange({
+        return this.putEncoded(
             table,
-            part: "",
             key,
-            value: encoded,
-            ver: this.latestVer,
-            removed: value === undefined || undefined,
-        });
+            value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"),
+        );
+    }
+
+    /**
+     * Writes a row whose value need not be JSON in base64, as another writer may.
+     *
+     * @param encoded - the value as it is stored; undefined removes the row
+     * @returns version of the write
+     */
+    putEncoded(table: string, key: string, encoded: string | undefined): number {
+        this.latestVer += 1;
+        const removed = encoded === undefined || undefined;
+        this.applyChange({ table, part: "", key, value: encoded, ver: this.latestVer, removed });
         return this.latestVer;
     }
 
@@ -135,7 +146,19 @@
         return new StandInResponse(404, { error: "path does not exist" });
     }
 
+    private alterAnswer(result: unknown, response: ServerResponse): unknown {
+        if (result === undefined || result instanceof StandInResponse || this.nextAlterations.length === 0) {
+            return result;
+        }
+        const alter = this.nextAlterations.shift()!;
+        response.end(alter(JSON.stringify(result)));
+        return undefined;
+    }
+
     private transact(request: IncomingMessage, body: TransactionBody): unknown {
+        if (!isWithinLimits(body)) {
+            return new StandInResponse(400, { error: "too many entries, or a key or value is too long" });
+        }
         const expected = body.expectedRev ?? [];
         const current = expected.map(({ table, part, key }) => this.rows.get(formatRowKey(table, part, key)));
         if (expected.some((row, index) => (current[index]?.ver ?? 0) !== row.ver)) {
@@ -200,5 +223,15 @@
     }
 }
 
+/** Whether a transaction is within the limits of the store. */
+const isWithinLimits = ({ expectedRev = [], writes = [], remove = [] }: TransactionBody): boolean => {
+    const entries = [...expectedRev, ...writes, ...remove];
+    return entries.length <= maxEntries
+        && entries.every(({ table, key }) => isName(table) && isName(key))
+        && writes.every(({ value = "" }) => value.length <= maxValueBytes);
+};
+
+const isName = (text: string): boolean => Buffer.byteLength(text) <= maxNameBytes;
+
 const formatRowKey = (table: string, part: string, key: string): string =>
     `${table}\u0000${part}\u0000${key}`;
