Limit durations of a configuration to what timers accept

A process ended with its first response under a configuration whose idle time-out is infinite (1e400 in JSON): the server sets a timer with it and throws outside of every handler (`The value of "msecs" is out of range`). A time-out of more than 2^31 ms of a route fired at once, so that its requests were refused as late.

Cause: both were passed on to timers as they came. Now the clock sleeps for at most 2^31-1 ms at a time-out, and the server's time-outs are kept within 0 and that. The guard stands where the values are used, since members of older builds pass on the configurations that they accepted.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -37,6 +37,7 @@
 const firstRequestGraceMs = 1_000; // a connection may be idle for a moment before its first request
 const startingRetryAfterMs = 300;
 const msPerSecond = 1_000;
+const maxTimerMs = 2_147_483_647;
 const leavingRetryAfterMs = 50; // callers can use another node immediately
 
 /** HTTP server for requests to be forwarded. Each exchange runs as one task. */
@@ -90,8 +91,8 @@
 
     /** Applies the time-outs of the configuration to callers' connections. */
     applyLimits(limits: Pick<CallerLimits, "headerTimeoutMs" | "idleTimeoutMs">): void {
-        this.listener.server.keepAliveTimeout = limits.idleTimeoutMs;
-        this.listener.server.headersTimeout = limits.headerTimeoutMs + firstRequestGraceMs;
+        this.listener.server.keepAliveTimeout = toTimerMs(limits.idleTimeoutMs);
+        this.listener.server.headersTimeout = toTimerMs(limits.headerTimeoutMs + firstRequestGraceMs);
     }
 
     /** Closes each keep-alive connection after its next response. Requests are still served. */
@@ -230,6 +231,9 @@
     }
 }
 
+/** Limits a duration to what timers accept: a server with another one throws at its next response. */
+const toTimerMs = (durationMs: number): number => Math.min(maxTimerMs, Math.max(0, durationMs));
+
 interface EndedExchange {
     readonly response: ServerResponse;
     readonly arrivedMs: number;
--- a/src/kernel/SystemClock.ts
+++ b/src/kernel/SystemClock.ts
@@ -1,6 +1,8 @@
 import { performance } from "node:perf_hooks";
 import type { Clock } from "./types";
 
+const maxTimerMs = 2_147_483_647; // a timer of Node.js that is longer fires at once
+
 /** Clock of the process. Its wall-clock time is the time at process start plus the monotonic time since then. */
 export class SystemClock implements Clock {
     readWallMs(): number {
@@ -22,7 +24,7 @@
                 signal?.removeEventListener("abort", finish);
                 resolve();
             };
-            const timer = setTimeout(finish, delayMs);
+            const timer = setTimeout(finish, Math.min(delayMs, maxTimerMs));
             signal?.addEventListener("abort", finish);
         });
     }
