--- a/src/routes/ServingState.ts
+++ b/src/routes/ServingState.ts
@@ -39,8 +39,8 @@
     /** Puts a configuration in force if its version is higher than the present one's. */
     adopt(configuration: ServingConfiguration): void {
         const before = this.table.value?.configuration.version ?? -Infinity;
-        if (configuration.version <= before) {
-            return;
+        if (configuration.version <= before || !Number.isSafeInteger(configuration.version)) {
+            return; // no later version would be higher than one that is no safe integer
         }
         this.table.set(new RouteTable(configuration));
         this.options.events.emit(eventKinds.configurationAdopted, {
--- a/standins/platform/StoreStandIn.ts
+++ b/standins/platform/StoreStandIn.ts
@@ -45,7 +45,7 @@
     readonly server = new StandInServer((request, response, body) => {
         const answer = this.handle(request, body);
         return answer.finally(() => response.setHeader("store-era", String(this.era)))
-            .then(result => this.alterAnswer(result, response));
+            .then(result => this.replaceAnswer(result, response));
     });
     /** Number of requests received. */
     callCount = 0;
@@ -54,7 +54,7 @@
     /** Error statuses for the next requests, in order, such as 429; each is used once. */
     readonly nextErrorStatuses: number[] = [];
     /** Changes the text of the next answers with status 200, in order; each is used once. */
-    readonly nextAlterations: ((text: string) => string)[] = [];
+    readonly nextReplacements: ((text: string) => string)[] = [];
     private readonly rows = new Map<string, StoredRow>();
     private history: StoredRow[] = [];
     private era = 1;
@@ -146,12 +146,12 @@
         return new StandInResponse(404, { error: "path does not exist" });
     }
 
-    private alterAnswer(result: unknown, response: ServerResponse): unknown {
-        if (result === undefined || result instanceof StandInResponse || this.nextAlterations.length === 0) {
+    private replaceAnswer(result: unknown, response: ServerResponse): unknown {
+        if (result === undefined || result instanceof StandInResponse || this.nextReplacements.length === 0) {
             return result;
         }
-        const alter = this.nextAlterations.shift()!;
-        response.end(alter(JSON.stringify(result)));
+        const replace = this.nextReplacements.shift()!;
+        response.end(replace(JSON.stringify(result)));
         return undefined;
     }
 
