Report usage in spite of odd rows of saved counts, stored reports and their era

The usage of windows was not reported: a new holder of the duty failed at a saved row that holds no counts and tried again each 500 ms until its windows were overdue; a stored report of another writer went to the cloud as it was, which cannot accept it, until that window was overdue; an era that is no number counted as a restore of the store, which leaves out the windows before.

Cause: rows were cast to the type that this node writes. Now they are parsed: saved counts that are none count as empty, a stored report that holds none is replaced under its revision (the one step that may change a report, which no holder can have sent with success), and an era that is no number as absent. Each such row is logged when it is read. An account named like a property of every object, such as `constructor`, had counts that are no numbers; they are looked up as own properties.

--- a/src/usage/UsageLedger.ts
+++ b/src/usage/UsageLedger.ts
@@ -48,7 +48,7 @@
     recordRequest(accountName: string): void {
         const window = this.toWindow(this.options.clusterClock.readMs());
         const counts = this.own.get(window) ?? {};
-        counts[accountName] = (counts[accountName] ?? 0) + 1;
+        counts[accountName] = readCount(counts, accountName) + 1;
         this.own.set(window, counts);
     }
 
@@ -72,7 +72,7 @@
         this.recovered.delete(window);
         const present = this.computeTotals(window);
         const missing = Object.entries(saved).map(([account, count]) =>
-            [account, Math.max(0, count - (present[account] ?? 0))] as const
+            [account, Math.max(0, count - readCount(present, account))] as const
         );
         this.recovered.set(window, Object.fromEntries(missing));
     }
@@ -107,9 +107,13 @@
     }
 }
 
+/** Reads the count of an account, which may be named like a property that every object has. */
+const readCount = (counts: UsageCounts, account: string): number =>
+    Object.hasOwn(counts, account) ? counts[account] : 0;
+
 const addCounts = (sum: MutableCounts, counts: UsageCounts): void => {
     for (const [account, count] of Object.entries(counts)) {
-        sum[account] = (sum[account] ?? 0) + count;
+        sum[account] = readCount(sum, account) + count;
     }
 };
 
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -1,3 +1,4 @@
+import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
@@ -5,7 +6,7 @@
 import type { ClusterClock } from "../feeds/ClusterClock";
 import type { StoreEra } from "../feeds/StoreEra";
 import type { Lease } from "../leases/Lease";
-import type { FencedCloud, TableService } from "../platform/types";
+import type { FencedCloud, Row, RowCondition, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -29,6 +30,9 @@
     readonly callTimeoutMs: number;
 }
 
+const countsSchema = z.record(z.number().int().nonnegative().safe());
+/** Counts by the process that counted them. */
+const savedCountsSchema = z.record(countsSchema);
 const reportsTable = "usage-reports";
 /** Row of {@link reportsTable} with the era of the store in which the last holder wrote its reports. */
 const eraKey = "era";
@@ -104,7 +108,7 @@
             }
             for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
                 const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
-                ledger.recoverTotals(window, sumProcesses((row?.value ?? {}) as Record<string, UsageCounts>));
+                ledger.recoverTotals(window, this.readSavedTotals(row));
             }
             this.nextWindow = first;
         }
@@ -113,6 +117,19 @@
         }
     }
 
+    /** Sums the saved counts of a window; a row of another writer that holds none counts as empty. */
+    private readSavedTotals(row: Row | undefined): UsageCounts {
+        const saved = savedCountsSchema.safeParse(row?.value ?? {});
+        if (!saved.success) {
+            this.reportUnreadable(countsTable, row!.key);
+        }
+        return sumProcesses(saved.data ?? {});
+    }
+
+    private reportUnreadable(table: string, key: string): void {
+        this.options.events.emit(eventKinds.rowUnreadable, { table, key });
+    }
+
     private readEra(): number | undefined {
         return this.options.storeEra?.current.value;
     }
@@ -120,7 +137,7 @@
     /** Whether the store was restored from an older copy after the last holder had written its reports. */
     private *isRestoredSinceLastHolder(): Task<boolean> {
         const [row] = yield* waitFor(this.options.tables.read([{ table: reportsTable, key: eraKey }]));
-        return row !== undefined && row.value !== this.readEra();
+        return typeof row?.value === "number" && row.value !== this.readEra();
     }
 
     /** Writes the stored reports again if the store lost them; returns false if that must be retried. */
@@ -232,33 +249,48 @@
         return stored;
     }
 
-    /** Stores a report, or reads the one stored before, and deletes a report that is too old to be retried. */
+    /**
+     * Stores a report, or reads the one stored before, and deletes a report that is too old to be retried. A row of another
+     * writer that holds no counts is replaced.
+     */
     private *storeReport(report: UsageReport): Task<UsageReport> {
         const { tables } = this.options;
         const key = formatKey(report.window);
-        const oldKey = formatKey(report.window - retainedReports);
-        const outcome = yield* waitFor(tables.transact([
-            { table: reportsTable, key, condition: { kind: "absent" }, value: report.counts },
-            { table: reportsTable, key: oldKey, condition: { kind: "any" }, value: undefined },
-        ]));
-        if (outcome.kind === "committed") {
+        if (yield* this.writeReport(report, { kind: "absent" })) {
             return report;
         }
         const [row] = yield* waitFor(tables.read([{ table: reportsTable, key }]));
         if (!row) {
             throw new Error(`the stored report of window ${report.window} no longer exists`);
         }
-        return { window: report.window, counts: row.value as UsageCounts };
+        const stored = countsSchema.safeParse(row.value);
+        if (stored.success) {
+            return { window: report.window, counts: stored.data };
+        }
+        this.reportUnreadable(reportsTable, key);
+        if (yield* this.writeReport(report, { kind: "revision", revision: row.revision })) {
+            return report;
+        }
+        throw new Error(`the stored report of window ${report.window} has changed meanwhile`);
+    }
+
+    private *writeReport({ window, counts }: UsageReport, condition: RowCondition): Task<boolean> {
+        const oldKey = formatKey(window - retainedReports);
+        const outcome = yield* waitFor(this.options.tables.transact([
+            { table: reportsTable, key: formatKey(window), condition, value: counts },
+            { table: reportsTable, key: oldKey, condition: { kind: "any" }, value: undefined },
+        ]));
+        return outcome.kind === "committed";
     }
 }
 
 /** Sums saved counts by process; earlier versions saved them for each process. */
 const sumProcesses = (processes: Readonly<Record<string, UsageCounts>>): UsageCounts => {
-    const sum: Record<string, number> = {};
+    const sum = new Map<string, number>();
     for (const [account, count] of Object.values(processes).flatMap(counts => Object.entries(counts))) {
-        sum[account] = (sum[account] ?? 0) + count;
+        sum.set(account, (sum.get(account) ?? 0) + count);
     }
-    return sum;
+    return Object.fromEntries(sum);
 };
 
 const formatKey = (window: number): string => String(window).padStart(keyDigits, "0");
