Take fencing numbers from the revisions of the lease's row, whatever its value says

What could be seen: after the row of a lease was removed, or replaced by another writer, the next holder used a number that had been used before (1, or the first of the era), or none at all (NaN, 1e300).

Cause: the next number was the number in the row plus one, and the row's value was believed. Class: an order that has to hold depends on data that anyone can write.

The number now follows the row's revision, which rises with each write, and stays above the number in the row if that is a usable one, since earlier versions add one to it. Where there is no row, one without a holder is created first, for its revision: one transaction more when the row is absent. Rows of either version can be read by the other; while an earlier version is at work beside this one, a removed row still makes that one start at the first number of the era.

MemoryTableService gave a row that was written again after its removal the revisions of the first one; the platform's store counts on, and so does it now.

--- a/src/leases/Lease.test.ts
+++ b/src/leases/Lease.test.ts
@@ -157,6 +157,34 @@
         await lease.stop();
     });
 
+    it.each([
+        ["removed", undefined],
+        ["null", null],
+        ["a text", "row"],
+        ["without a number", { holder: "x", holdingId: "x:1" }],
+        ["with a text as number", { fencing: "12" }],
+        ["with a negative number", { fencing: -5 }],
+        ["with a fraction", { fencing: 0.5 }],
+        ["with a lower number", { fencing: 1 }],
+        ["with a number beyond the safe ones", { fencing: 1e300 }],
+        ["deeply nested", { fencing: [[[{}]]] }],
+    ])("raises the fencing number beyond those used before when its row is %s", async (_name, value) => {
+        const { clock, leases, tables } = createLeases(6);
+        leases.forEach(lease => void lease.start());
+        const used: number[] = [];
+        for (let change = 0; change < 3; change += 1) {
+            await clock.advance(20_000);
+            const [held] = leases.flatMap(lease => lease.readHeld() ?? []);
+            expect(Number.isSafeInteger(held.fencing)).toBe(true);
+            expect(held.fencing).toBeGreaterThan(Math.max(0, ...used));
+            used.push(held.fencing);
+            tables.memory.commit([{ ...leaseAddress, condition: { kind: "any" }, value }]);
+        }
+        const stopped = Promise.all(leases.map(lease => lease.stop()));
+        await clock.advance(100);
+        await stopped;
+    });
+
     it("has at most one holder at a time and never-decreasing fencing numbers, under faults and pauses", async () => {
         const step = fc.record({
             paused: fc.option(fc.nat(2), { nil: undefined }),
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -6,6 +6,7 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { computeNextFencing } from "./computeNextFencing";
 import type { HeldLease, LeaseRow } from "./types";
 
 /** Options of {@link Lease}. */
@@ -60,7 +61,6 @@
 const absentRevision = 0;
 const renewalsPerDuration = 3;
 const writeIdBytes = 4;
-const fencingNumbersPerEra = 1_000_000; // numbers of a later era are higher than those that the store may have lost
 const safetyMarginShare = 0.2; // of the duration; allows for clocks that run at slightly different rates
 
 /**
@@ -206,16 +206,19 @@
     }
 
     private *tryAcquire(): Task<void> {
-        const row = yield* waitFor(this.readRow());
+        const found = yield* waitFor(this.readRow());
         const nowMs = this.options.clock.readMonotonicMs();
         const era = this.readEra();
-        if (!this.hasBeenUnchanged(row, era, nowMs)) {
+        if (!this.hasBeenUnchanged(found, era, nowMs)) {
+            return;
+        }
+        const row = found ?? (yield* this.createRow());
+        if (!row || this.readEra() !== era) {
             return;
         }
-        const previous = row?.value as LeaseRow | undefined;
         const next: Holding = {
             holdingId: `${this.options.nodeId}:${this.options.random.drawId(8)}`,
-            fencing: Math.max((previous?.fencing ?? 0) + 1, era * fencingNumbersPerEra),
+            fencing: computeNextFencing(row, era),
             revision: 0,
             era,
             renewals: 0,
@@ -223,9 +226,7 @@
             renewedAtWallMs: this.options.clock.readWallMs(),
             activeFromMs: nowMs + this.takeoverDelayMs,
         };
-        const condition: RowCondition = row
-            ? { kind: "revision", revision: row.revision }
-            : { kind: "absent" };
+        const condition: RowCondition = { kind: "revision", revision: row.revision };
         const written = yield* this.writeRow(next, condition);
         if (written && this.readEra() === era) {
             this.holding = { ...next, revision: written.revision };
@@ -236,6 +237,22 @@
         }
     }
 
+    /** Creates the row without a holder, for its revision; returns undefined if another node was faster. */
+    private *createRow(): Task<Row | undefined> {
+        const { duty: key, tables } = this.options;
+        const value: LeaseRow = {
+            holder: "",
+            holdingId: "",
+            fencing: 0,
+            durationMs: this.durationMs,
+            renewals: 0,
+        };
+        const outcome = yield* waitFor(
+            tables.transact([{ table, key, condition: { kind: "absent" }, value }]),
+        );
+        return outcome.kind === "committed" ? { key, revision: outcome.revisions[0], value } : undefined;
+    }
+
     /**
      * Whether the row has been observed unchanged for the whole duration. The same is required of its absence if the
      * store states eras, as such a store may have lost the row.
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -5,7 +5,7 @@
     readonly holder: string;
     /** Identifies one holding; a node that acquires the lease again gets a new one. */
     readonly holdingId: string;
-    /** Fencing number: increases by one with each new holding. Orders carry it. */
+    /** Fencing number: increases with each new holding. Orders carry it. */
     readonly fencing: number;
     /** Time for which the lease is valid after a renewal, in milliseconds. */
     readonly durationMs: number;
--- a/src/platform/MemoryTableService.ts
+++ b/src/platform/MemoryTableService.ts
@@ -3,6 +3,8 @@
 /** In-memory table service: the reference implementation, used by tests and by the stand-in. */
 export class MemoryTableService implements TableService {
     private readonly tables = new Map<string, Map<string, Row>>();
+    /** Revisions at which rows were removed, by table and key. */
+    private readonly removedRevisions = new Map<string, number>();
     /** Number of transactions so far, including those that failed with a conflict. */
     transactions = 0;
     /** Number of rows written so far. */
@@ -53,15 +55,19 @@
     /** Replaces the rows by an older copy. Later writes are lost, and their revisions are assigned again. */
     restore(copy: ReadonlyMap<string, ReadonlyMap<string, Row>>): void {
         this.tables.clear();
+        this.removedRevisions.clear();
         copy.forEach((rows, name) => this.tables.set(name, new Map(rows)));
     }
 
     private write(operation: RowOperation): number {
         this.rowsWritten += 1;
         const table = this.getOrCreateTable(operation.table);
-        const revision = (table.get(operation.key)?.revision ?? 0) + 1;
+        const name = JSON.stringify([operation.table, operation.key]);
+        const revision = (table.get(operation.key)?.revision ?? this.removedRevisions.get(name) ?? 0) + 1;
+        this.removedRevisions.delete(name);
         if (operation.value === undefined) {
             table.delete(operation.key);
+            this.removedRevisions.set(name, revision);
         }
         else {
             table.set(operation.key, { key: operation.key, revision, value: operation.value });
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -16,7 +16,7 @@
     readonly value: unknown;
 }
 
-/** A stored row. `revision` increases with each write. */
+/** A stored row. `revision` increases with each write, also across the removal of the row. */
 export interface Row {
     readonly key: string;
     readonly revision: number;
