Count a new holder's wait from its row's write, not from before it

What could be seen: with a slow store a new holder acts only a part of its wait after the row names it (115 ms of 800 ms for a write of 685 ms), while a call that the store had confirmed for the former holder just before may still be on its way.

Cause: the wait began when the new holder had read the row, before it wrote. Class: a wait that is to cover an event begins before the event.

--- a/src/leases/Lease.test.ts
+++ b/src/leases/Lease.test.ts
@@ -185,6 +185,27 @@
         await stopped;
     });
 
+    it("lets a new holder act only after its wait from the write on, when the store is slow to write", async () => {
+        const { clock, leases: [lease], tables } = createLeases(7);
+        let writtenAtMs = Infinity;
+        const transact = tables.transact.bind(tables);
+        tables.transact = async operations => {
+            await clock.sleep(650);
+            const outcome = await transact(operations);
+            writtenAtMs = Math.min(writtenAtMs, clock.readMonotonicMs());
+            return outcome;
+        };
+        tables.memory.commit([{ ...leaseAddress, condition: { kind: "any" }, value: {} }]);
+        await lease.start();
+        while (!lease.readHeld()) {
+            await clock.advance(10);
+        }
+        expect(clock.readMonotonicMs()).toBeGreaterThanOrEqual(writtenAtMs + 2_000);
+        const stopped = lease.stop();
+        await clock.advance(1_000);
+        await stopped;
+    });
+
     it("has at most one holder at a time and never-decreasing fencing numbers, under faults and pauses", async () => {
         const step = fc.record({
             paused: fc.option(fc.nat(2), { nil: undefined }),
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -24,7 +24,7 @@
     readonly isCandidate: () => boolean;
     /** Time for which the lease is valid after a renewal; default 6,000 ms. */
     readonly durationMs?: number;
-    /** Time after a takeover in which orders of the previous holder may still arrive; default 2,000 ms. */
+    /** Time after the write of a takeover in which orders of the previous holder may still arrive; default 2,000 ms. */
     readonly takeoverDelayMs?: number;
 }
 
@@ -224,12 +224,13 @@
             renewals: 0,
             renewedAtMs: nowMs,
             renewedAtWallMs: this.options.clock.readWallMs(),
-            activeFromMs: nowMs + this.takeoverDelayMs,
+            activeFromMs: Infinity,
         };
         const condition: RowCondition = { kind: "revision", revision: row.revision };
         const written = yield* this.writeRow(next, condition);
         if (written && this.readEra() === era) {
-            this.holding = { ...next, revision: written.revision };
+            const activeFromMs = this.options.clock.readMonotonicMs() + this.takeoverDelayMs;
+            this.holding = { ...next, revision: written.revision, activeFromMs };
             this.options.events.emit(eventKinds.leaseAcquired, {
                 duty: this.options.duty,
                 fencing: next.fencing,
