Judge the calls of duties as they arrive, over random orders of what happens to nodes, paths and clocks

dutyCalls.test runs three nodes with Lease and DutyCaller on clocks that can be frozen, suspended and stepped, paths to the store and to the cloud that are cut, slow, lossy or held up, restarts, restores, late writes and odd rows, and judges what arrives at the cloud.

Not in the model: an earlier version beside this one, and a process that is killed while its bytes are held up.

--- /dev/null
+++ b/src/leases/dutyCalls.test.ts
@@ -0,0 +1,128 @@
+import fc from "fast-check";
+import { LeaseholderModel, type ModelNode } from "../../standins/LeaseholderModel";
+import { listFencingBreaches } from "../../standins/platform/listFencingBreaches";
+
+const leaseMs = 3_000;
+const longDelayMs = 8_000; // retransmissions of a lossy path
+
+const lastHolder = 3; // in place of a node's index
+const nodeIndex = fc.constantFrom(0, 1, 2, lastHolder, lastHolder, lastHolder);
+const onNode = <K extends string>(kind: K): fc.Arbitrary<{ kind: K; node: number; }> =>
+    fc.record({ kind: fc.constant(kind), node: nodeIndex });
+
+const troubles = fc.record({
+    refused: fc.constantFrom(0, 0, 0.3, 1),
+    lostAnswer: fc.constantFrom(0, 0, 0.3),
+    lateEffect: fc.constantFrom(0, 0, 0.3),
+    delayMs: fc.constantFrom(10, 125, 300),
+});
+
+const oddRows: readonly unknown[] = [undefined, null, "x", { fencing: -1 }, { fencing: "7" }, {
+    fencing: 1e300,
+}];
+
+const event = fc.oneof(
+    onNode("suspend"),
+    onNode("freeze"),
+    onNode("hold-cloud"),
+    onNode("cut-store"),
+    onNode("cut-off"),
+    onNode("restart"),
+    onNode("heal"),
+    onNode("delay-cloud"),
+    onNode("delay-cloud-and-cut-store"),
+    fc.record({
+        kind: fc.constant("step"),
+        node: nodeIndex,
+        byMs: fc.constantFrom(-20_000, -5_000, -1_000, 1_000, 5_000),
+    }),
+    fc.record({ kind: fc.constant("trouble-store"), node: nodeIndex, troubles }),
+    fc.record({ kind: fc.constant("restore"), copiesAgo: fc.integer({ min: 1, max: 6 }) }),
+    fc.record({ kind: fc.constant("odd-row"), value: fc.constantFrom(...oddRows) }),
+);
+
+type ModelEvent = {
+    readonly kind: string;
+    readonly node?: number;
+    readonly byMs?: number;
+    readonly copiesAgo?: number;
+    readonly value?: unknown;
+    readonly troubles?: ModelNode["troubles"];
+};
+
+const nodeActions: Readonly<Record<string, (node: ModelNode) => void>> = {
+    "suspend": node => node.clock.pauseWithClock(),
+    "freeze": node => node.clock.pause(),
+    "hold-cloud": node => node.holdCloud(),
+    "cut-store": node => node.isStoreCut = true,
+    "cut-off": node => {
+        node.isStoreCut = true;
+        node.holdCloud();
+    },
+    "delay-cloud": node => node.cloudDelayMs = longDelayMs,
+    "delay-cloud-and-cut-store": node => {
+        node.isStoreCut = true;
+        node.cloudDelayMs = longDelayMs;
+    },
+    "restart": node => void node.startProcess(),
+    "heal": node => node.recover(),
+};
+
+const apply = (
+    model: LeaseholderModel,
+    { kind, node, byMs, copiesAgo, value, troubles }: ModelEvent,
+): void => {
+    const target = model.nodes[node ?? 0] ?? model.findLastHolder();
+    nodeActions[kind]?.(target);
+    if (kind === "step") {
+        target.clock.step(byMs!);
+    }
+    if (kind === "trouble-store") {
+        target.troubles = troubles!;
+    }
+    if (kind === "restore") {
+        model.store.restore(copiesAgo!);
+    }
+    if (kind === "odd-row") {
+        model.store.memory.commit([{ table: "leases", key: "cloud", condition: { kind: "any" }, value }]);
+    }
+};
+
+describe("calls of duties under a lease", () => {
+    it(
+        "arrive from one holder at a time with numbers that never fall, whatever happens to nodes, paths and clocks",
+        async () => {
+            let arrived = 0;
+            let holders = 0;
+            await fc.assert(
+                fc.asyncProperty(
+                    fc.integer(),
+                    fc.array(fc.record({ event, waitMs: fc.integer({ min: 10, max: 4_000 }) }), {
+                        minLength: 1,
+                        maxLength: 16,
+                    }),
+                    async (seed, steps) => {
+                        const model = new LeaseholderModel(seed);
+                        await model.start();
+                        await model.world.advance(6_000);
+                        for (const step of steps) {
+                            apply(model, step.event);
+                            await model.world.advance(step.waitMs);
+                            model.store.keepCopy();
+                        }
+                        model.nodes.forEach(node => node.recover());
+                        await model.world.advance(10_000);
+                        await model.stop();
+                        arrived += model.arrivals.length;
+                        holders += new Set(model.arrivals.map(({ fencing }) => fencing)).size;
+                        expect(listFencingBreaches(model.arrivals, { leaseMs })).toEqual([]);
+                    },
+                ),
+                { seed: 41, numRuns: 120 },
+            );
+            expect(arrived).toBeGreaterThan(1_000);
+            expect(holders).toBeGreaterThan(100);
+        },
+        120_000,
+    );
+});
--- /dev/null
+++ b/standins/LeaseholderModel.ts
@@ -0,0 +1,306 @@
+import { StoreEra } from "../src/feeds/StoreEra";
+import { FakeClock } from "../src/kernel/FakeClock";
+import { SeededRandom } from "../src/kernel/SeededRandom";
+import { DutyCaller } from "../src/leases/DutyCaller";
+import { Lease } from "../src/leases/Lease";
+import { MemoryTableService } from "../src/platform/MemoryTableService";
+import { StoreError } from "../src/platform/StoreError";
+import type {
+    CallStages,
+    Row,
+    RowAddress,
+    RowOperation,
+    TableService,
+    TransactionOutcome,
+} from "../src/platform/types";
+import { EventLog } from "../src/telemetry/EventLog";
+import type { FencedCall } from "./platform/FencedCloudStandIn";
+import { SuspendableClock } from "./SuspendableClock";
+
+/** Times of the model, as in the platform's adapters, in milliseconds. */
+const times = {
+    lease: 3_600,
+    call: 800,
+    storeCall: 700,
+    cycle: 500,
+    poll: 20,
+    lateEffect: 4_000,
+    stray: 300,
+} as const;
+
+/** What ails the store: probabilities per call, and the longest delay of an answer in milliseconds. */
+export interface StoreTroubles {
+    readonly refused: number;
+    readonly lostAnswer: number;
+    readonly lateEffect: number;
+    readonly delayMs: number;
+}
+
+const noTroubles: StoreTroubles = { refused: 0, lostAnswer: 0, lateEffect: 0, delayMs: 10 };
+const newConnectionShare = 0.2; // of the calls; the others use a kept connection
+const subjects = [
+    { path: "/usage", target: { duty: "usage", subject: "usage" }, body: {} },
+    {
+        path: "/scale",
+        target: { duty: "fleet", subject: "llm zone-a" },
+        body: { service: "llm", zone: "zone-a" },
+    },
+] as const;
+
+type Subject = typeof subjects[number];
+
+/** The store that all nodes share. */
+class SharedStore {
+    readonly memory = new MemoryTableService();
+    era = 1;
+    private readonly copies = [this.memory.takeCopy()];
+
+    keepCopy(): void {
+        this.copies.push(this.memory.takeCopy());
+    }
+
+    /** Restores the copy that was kept some copies ago. */
+    restore(copiesAgo: number): void {
+        this.memory.restore(this.copies.at(-copiesAgo) ?? this.copies[0]);
+        this.era += 1;
+    }
+}
+
+/** Simulated node: its clocks, its paths to the store and to the cloud, and its process. */
+export class ModelNode implements TableService {
+    readonly clock: SuspendableClock;
+    troubles: StoreTroubles = noTroubles;
+    isStoreCut = false;
+    private isCloudHeld = false;
+    /** Longest time for which the path to the cloud delays bytes, in milliseconds. */
+    cloudDelayMs = 20;
+    /** World time of the last recovery of the node or of its path to the cloud. */
+    private recoveredAtMs = -Infinity;
+    private generation = 0;
+    private storeEra = new StoreEra();
+    private lease: Lease | undefined;
+    private caller: DutyCaller | undefined;
+
+    constructor(private readonly model: LeaseholderModel, readonly nodeId: string) {
+        this.clock = new SuspendableClock(model.world);
+    }
+
+    /** Starts a process; one that runs already loses power, with the bytes that it has sent. */
+    async startProcess(): Promise<void> {
+        this.generation += 1;
+        void this.lease?.stop();
+        this.storeEra = new StoreEra();
+        const { clock } = this;
+        const events = new EventLog({ node: this.nodeId, clock, maxRetainedEvents: 0 });
+        this.lease = new Lease({
+            duty: "cloud",
+            nodeId: this.nodeId,
+            tables: this.createView(),
+            storeEra: this.storeEra,
+            clock,
+            random: this.model.random,
+            events,
+            isCandidate: () => true,
+            durationMs: times.lease,
+            takeoverDelayMs: times.call,
+        });
+        this.caller = new DutyCaller({ lease: this.lease, clock, events, callTimeoutMs: times.call });
+        await this.lease.start();
+        subjects.forEach(subject => void this.callRepeatedly(subject, this.generation));
+    }
+
+    stop(): void {
+        this.generation += 1;
+        void this.lease?.stop();
+    }
+
+    holdCloud(): void {
+        this.isCloudHeld = true;
+    }
+
+    /** Ends all that ails the node and its paths. */
+    recover(): void {
+        this.clock.resume();
+        this.isCloudHeld = false;
+        this.isStoreCut = false;
+        this.cloudDelayMs = 20;
+        this.troubles = noTroubles;
+        this.recoveredAtMs = this.model.world.readMonotonicMs();
+    }
+
+    async transact(operations: readonly RowOperation[]): Promise<TransactionOutcome> {
+        return this.callStore(() => this.model.store.memory.commit(operations), true);
+    }
+
+    async read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]> {
+        const rows = await this.callStore(() => this.model.store.memory.read(addresses), false);
+        return rows;
+    }
+
+    async list(): Promise<readonly Row[]> {
+        return [];
+    }
+
+    /** Store of one process, which ends with it. */
+    private createView(): TableService {
+        const { generation } = this;
+        const keep = async <T>(result: Promise<T>): Promise<T> => {
+            const value = await result;
+            return this.generation === generation ? value : new Promise<never>(() => {});
+        };
+        return {
+            transact: operations => keep(this.transact(operations)),
+            read: addresses => keep(this.read(addresses)),
+            list: () => this.list(),
+        };
+    }
+
+    private async callStore<T>(perform: () => T, isWrite: boolean): Promise<T> {
+        const { random, world, store } = this.model;
+        const { refused, lostAnswer, lateEffect, delayMs } = this.troubles;
+        const { storeEra } = this;
+        await this.clock.sleep(random.drawInt(delayMs));
+        const draw = random.drawFloat();
+        if (draw < refused) {
+            throw new StoreError("refused", "none");
+        }
+        if (this.isStoreCut) {
+            await this.clock.sleep(times.storeCall);
+            throw new StoreError("no answer", "unknown");
+        }
+        if (isWrite && draw < refused + lateEffect) {
+            void world.sleep(random.drawInt(times.lateEffect)).then(perform);
+            await this.clock.sleep(times.storeCall);
+            throw new StoreError("no answer", "unknown");
+        }
+        const { era } = store;
+        const answer = perform();
+        if (draw < refused + lateEffect + lostAnswer) {
+            await this.clock.sleep(times.storeCall);
+            throw new StoreError("no answer", "unknown");
+        }
+        await this.clock.sleep(random.drawInt(delayMs));
+        if (!storeEra.observe(era)) {
+            throw new StoreError("answer of an earlier era", "unknown");
+        }
+        return answer;
+    }
+
+    private async callRepeatedly(subject: Subject, generation: number): Promise<void> {
+        while (this.generation === generation) {
+            await this.clock.sleep(times.cycle);
+            try {
+                await this.caller!.call(
+                    subject.target,
+                    (fencing, stages) => this.send(subject, fencing, stages, generation),
+                );
+            }
+            catch {
+                // The next cycle tries again.
+            }
+        }
+    }
+
+    /** Sends a call as {@link sendStagedJson} does: nothing is written, and no byte arrives, once it is given up. */
+    private async send(
+        subject: Subject,
+        fencing: number,
+        stages: CallStages,
+        generation: number,
+    ): Promise<void> {
+        const { random } = this.model;
+        const endMs = this.clock.readMonotonicMs() + times.call;
+        if (random.drawFloat() < newConnectionShare) {
+            await this.clock.sleep(random.drawInt(this.cloudDelayMs));
+        }
+        const isOver = (): boolean => this.clock.readMonotonicMs() >= endMs || this.generation !== generation;
+        try {
+            await stages.onConnected();
+            if (isOver()) {
+                throw new Error("given up");
+            }
+            stages.onWrite();
+        }
+        catch (error) {
+            throw new StoreError((error as Error).message, "none");
+        }
+        let hasArrived = false;
+        void this.deliver(isOver).then(arrived => {
+            hasArrived = arrived;
+            if (arrived) {
+                this.model.receive(this, subject.path, subject.body, fencing);
+            }
+        });
+        while (!hasArrived) {
+            if (isOver()) {
+                throw new StoreError("no answer", "unknown");
+            }
+            await this.clock.sleep(times.poll);
+        }
+    }
+
+    /** Carries bytes to the cloud; returns false if their connection was reset before they arrived. */
+    private async deliver(isReset: () => boolean): Promise<boolean> {
+        const { world, random } = this.model;
+        await world.sleep(1 + random.drawInt(this.cloudDelayMs));
+        while ((this.isCloudHeld || this.clock.isSuspended) && !isReset()) {
+            await world.sleep(times.poll);
+        }
+        return !isReset();
+    }
+
+    /** Whether the node or its path has recovered so lately that its calls are not judged. */
+    hasRecoveredLately(): boolean {
+        return this.model.world.readMonotonicMs() - this.recoveredAtMs <= times.stray;
+    }
+}
+
+/** Nodes that compete for the lease on the cloud's duties, and the cloud as it sees their calls arrive. */
+export class LeaseholderModel {
+    readonly world = new FakeClock();
+    readonly random: SeededRandom;
+    readonly store = new SharedStore();
+    readonly nodes: readonly ModelNode[];
+    /** Calls that are judged, in the order of their arrival. */
+    readonly arrivals: FencedCall[] = [];
+    private lastHolderId: string | undefined;
+
+    constructor(seed: number) {
+        this.random = new SeededRandom(seed);
+        this.nodes = ["a", "b", "c"].map(nodeId => new ModelNode(this, nodeId));
+    }
+
+    async start(): Promise<void> {
+        for (const node of this.nodes) {
+            await node.startProcess();
+        }
+    }
+
+    /** Finds the node whose call arrived last; the first node before any call. */
+    findLastHolder(): ModelNode {
+        return this.nodes.find(({ nodeId }) => nodeId === this.lastHolderId) ?? this.nodes[0];
+    }
+
+    /** Lets all processes end. */
+    async stop(): Promise<void> {
+        this.nodes.forEach(node => {
+            node.recover();
+            node.stop();
+        });
+        await this.world.advance(times.lateEffect);
+    }
+
+    /** Records the arrival of a call at the cloud. */
+    receive(node: ModelNode, path: string, body: FencedCall["body"], fencing: number): void {
+        this.lastHolderId = node.nodeId;
+        if (!node.hasRecoveredLately()) {
+            this.arrivals.push({
+                atMs: this.world.readMonotonicMs(),
+                holder: node.nodeId,
+                path,
+                body,
+                fencing,
+            });
+        }
+    }
+}
