Do not take an answer in an unknown transfer coding for whole after a reset

Cause: every answer with a transfer-encoding was taken for one that marks its own end, so that nothing asked whether its connection was reset. undici ends such an answer with its connection, unless chunked is the last coding.

Ruled out, by cutting answers in 21 forms at every byte (CUT_EVERY=1, by a regular end, a reset and a regular end after a pause; on new and on kept connections; directly, through a member and through one of an older version that does not mark ends): a part of a head taken for a head, other answers taken for whole, bytes of a head in a body, a second request on a cut connection, a next request that is not served.

Fix: an answer counts as chunked only where chunked is its last coding; any other one ends with its connection, which must not be reset.

--- a/src/upstreams/UpstreamExchange.test.ts
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -30,6 +30,16 @@
         expect(await playAnswer({}, false)).toBe(true);
     });
 
+    // Guards against the same where the answer has a transfer coding that does not mark its end.
+    it("treats an answer whose last coding is not chunked as close-delimited", async () => {
+        for (const codings of ["gzip", "chunked, gzip", "x-chunked"]) {
+            expect(await playAnswer({ "transfer-encoding": codings }, true)).toBe(false);
+        }
+        for (const codings of ["gzip, chunked", "Chunked "]) {
+            expect(await playAnswer({ "transfer-encoding": codings }, true)).toBe(true);
+        }
+    });
+
     it("treats an answer with a length or chunks as whole even if its connection was reset afterwards", async () => {
         expect(await playAnswer({ "content-length": "5" }, true)).toBe(true);
         expect(await playAnswer({ "transfer-encoding": "chunked" }, true)).toBe(true);
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -194,9 +194,12 @@
     }
 }
 
+const endsWithChunked = /(?:^|,)\s*chunked\s*$/i; // after any other last coding, the answer ends with its connection
+
 const readFraming = (headers: IncomingHttpHeaders): AnswerFraming => {
-    if (headers["transfer-encoding"] !== undefined) {
-        return answerFramings.chunked;
+    const codings = headers["transfer-encoding"];
+    if (codings !== undefined) {
+        return endsWithChunked.test(codings) ? answerFramings.chunked : answerFramings.close;
     }
     return headers["content-length"] === undefined ? answerFramings.close : answerFramings.length;
 };
