Treat a stream that ends with its connection before its first event as broken off

Cause: relayEvents took the close of the connection for the end of such a stream unless it came inside an event; before the first event it is inside none.

Ruled out: heads that are cut (never taken for heads, see cutAnswers.test); streams with a length or chunks, which mark their end.

Fix: an answer that ends with its connection, and of which no byte has arrived after the head, is broken off: resumed where the route allows it, otherwise the caller's response ends truncated. A resumption that is empty in this way does not end the stream as complete either.

--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -2,7 +2,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
-import type { ExchangeEnd, UpstreamExchange } from "../upstreams/UpstreamExchange";
+import { answerFramings, type ExchangeEnd, type UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { EventStreamSplitter } from "./EventStreamSplitter";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
 
@@ -44,6 +44,7 @@
     let lastEventMs = clock.readMonotonicMs();
     let isPaused = false;
     let hasEvent = false;
+    let hasBytes = false;
     const resume = (): void => {
         isPaused = false;
         exchange.resume();
@@ -51,6 +52,7 @@
     response.on("drain", resume);
     exchange.listen(chunk => {
         options.onData();
+        hasBytes = true;
         const batch = splitter.push(chunk);
         if (splitter.isForeign) {
             exchange.abort(foreignMessage);
@@ -89,6 +91,9 @@
             if (outcome?.isWhole && splitter.isInsideEvent) {
                 return { kind: "broken", message: "the stream ended inside an event" };
             }
+            if (outcome?.isWhole && !hasBytes && exchange.framing === answerFramings.close) {
+                return { kind: "broken", message: "the connection ended before the first event" };
+            }
             if (outcome?.isWhole) {
                 response.write(splitter.incompleteEvent);
                 return { kind: "whole" };
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -32,6 +32,8 @@
     | "unframed-close"
     /** Like `unframed`, but resets the connection in the middle of the third event of a stream or of the body. */
     | "unframed-reset"
+    /** Like `unframed`, but closes the connection regularly before the first event of a stream. */
+    | "unframed-empty"
     /** Like `unframed`, but writes an error's head and text in the middle of the third event of a stream, and closes. */
     | "unframed-error"
     /** Answers 500 with an event that tells of the error. */
@@ -326,6 +328,10 @@
         behaviour: RunnerBehaviour | undefined,
     ): Promise<void> {
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+        if (behaviour === "unframed-empty") {
+            response.end();
+            return;
+        }
         for (let id = lastEventId + 1; id <= this.options.events!; id += 1) {
             const cut = behaviour && id === lastEventId + 3 ? streamCuts[behaviour] : undefined;
             if (cut) {
