Take no answer from before a suspension for a fresh one, and read the store again at once

What callers would see after their node's machine was suspended: requests with a key that was withdrawn meanwhile run (CONFIG), a configuration and a list of upstreams count as confirmed that are as old as the suspension.

Cause: a jump of the time of day against the steady clock makes the store's clock unknown, until the store answers. An answer that had waited in the connection since before the suspension counted for that: by it what was read seemed 0 s old, and was as old as the suspension, until the next answer (up to 1 s). The same for a process that stands still while it waits for its first answer.

Now an answer to a call that began before the jump, or a first one that took over a second longer than its call may wait, leaves the store's clock unknown. Followers of feeds give up such waits and read at once, also where other nodes read for them, so that a machine whose time of day is set accepts keys again soon.

--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -7,11 +7,14 @@
 
 type Change = FeedChanges<string> | undefined;
 
-/** Feed whose answers the test controls; the store's clock is 5,000 ms ahead of the monotonic clock. */
+/** Feed whose answers the test controls. */
 class FakeFeed implements RecordFeed<string> {
     listCount = 0;
     content = new Map([["a", "1"]]);
     isDown = false;
+    storeAheadMs = 5_000;
+    /** Number of calls for changes. */
+    waitCount = 0;
     pendingWait: { resolve: (change: Change) => void; reject: (error: Error) => void; } | undefined;
 
     constructor(private readonly clock: FakeClock) {}
@@ -25,6 +28,7 @@
     }
 
     waitForChanges(): Promise<Change> {
+        this.waitCount += 1;
         return new Promise((resolve, reject) => {
             this.pendingWait = { resolve, reject };
         });
@@ -34,8 +38,8 @@
         this.pendingWait!.resolve({ changes: new Map(changes), position: 9, storeMs: this.readStoreMs() });
     }
 
-    private readStoreMs(): number {
-        return this.clock.readMonotonicMs() + 5_000;
+    readStoreMs(): number {
+        return this.clock.readMonotonicMs() + this.storeAheadMs;
     }
 }
 
@@ -105,6 +109,76 @@
         expect(await outdated).toBe(false);
     });
 
+    describe("after a suspension, in which the steady clock stood still", () => {
+        const suspendedMs = 4_000;
+        let before: NonNullable<FakeFeed["pendingWait"]>;
+        let beforeMs: number;
+
+        beforeEach(() => {
+            before = feed.pendingWait!;
+            beforeMs = feed.readStoreMs();
+            clock.stepWall(suspendedMs);
+            feed.storeAheadMs += suspendedMs;
+        });
+
+        // Guards against old records taken for fresh ones: the answer waited in the connection while the machine stood still.
+        it("takes no answer to an earlier call for a fresh one", async () => {
+            before.resolve({ changes: new Map(), position: 9, storeMs: beforeMs });
+            await clock.advance(1);
+            expect(follower.readAgeMs()).toBe(Infinity);
+            feed.sendChanges([]);
+            await clock.advance(1);
+            expect(follower.readAgeMs()).toBeLessThanOrEqual(2);
+            expect(follower.readSinceResumedMs()).toBeLessThanOrEqual(2);
+        });
+
+        it("reads the store at once, even if an earlier call is never answered", async () => {
+            expect(follower.readAgeMs()).toBe(Infinity);
+            await clock.advance(1);
+            expect(feed.pendingWait).not.toBe(before);
+            feed.sendChanges([]);
+            await clock.advance(1);
+            expect(follower.readAgeMs()).toBeLessThanOrEqual(2);
+        });
+
+        it("reads the store at once where other nodes read it otherwise", async () => {
+            feed.sendChanges([]);
+            await clock.advance(1);
+            follower.setSharing({ readRank: () => 5, publish: () => {} });
+            feed.sendChanges([]);
+            await clock.advance(1);
+            const { waitCount } = feed;
+            clock.stepWall(suspendedMs);
+            expect(follower.readAgeMs()).toBe(Infinity);
+            await clock.advance(1);
+            expect(feed.waitCount).toBe(waitCount + 1);
+        });
+    });
+
+    // Guards against old records taken for fresh ones: the process stood still while it waited for its first answer.
+    it("knows no age from an answer that took longer than a call may", async () => {
+        const late = new FeedFollower({
+            name: "late",
+            feed,
+            clock,
+            storeClock: new StoreClock({ clock }),
+            events: new EventLog({ node: "n", clock }),
+            waitMs: 1_000,
+        });
+        jest.spyOn(feed, "list").mockImplementationOnce(async () => {
+            const storeMs = feed.readStoreMs();
+            await clock.sleep(4_000);
+            return { records: new Map(), position: 1, storeMs };
+        });
+        await late.start();
+        await clock.advance(4_001);
+        expect(late.readAgeMs()).toBe(Infinity);
+        feed.sendChanges([]);
+        await clock.advance(1);
+        expect(late.readAgeMs()).toBeLessThanOrEqual(2);
+        await late.stop();
+    });
+
     it("does not treat a reset connection as an outage", async () => {
         feed.pendingWait!.reject(new Error("reset"));
         await clock.advance(1);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { computeReadAgeMs } from "./computeReadAgeMs";
-import { FeedReplica } from "./FeedReplica";
+import { type ApplyResult, FeedReplica } from "./FeedReplica";
 import { SharedReading } from "./SharedReading";
 import type { StoreClock } from "./StoreClock";
 import type { StoreEra } from "./StoreEra";
@@ -53,6 +53,8 @@
     private recoveredAtMs = -Infinity;
     /** Ends the current pause of a node that does not read now. */
     private pauseAbort = new AbortController();
+    /** End the waits for answers of calls that began before a suspension. */
+    private readonly interrupts = new Set<() => void>();
 
     constructor(private readonly options: FeedFollowerOptions<T>) {
         this.scope = createLoggedTaskScope(options.events);
@@ -61,6 +63,7 @@
             read: () => this.readNow(),
             intervalMs: confirmIntervalMs,
         });
+        options.storeClock.onJump(() => this.interruptWaits());
     }
 
     /** The records as last read; undefined before the first listing. */
@@ -147,7 +150,7 @@
             const task = runTask(() => this.receiveChanges(minWaitMs), {
                 name: `confirm-${this.options.name}`,
             });
-            return await task.done === true;
+            return await task.done === "applied";
         }
         catch (error) {
             this.options.events.emit(eventKinds.storeFailed, {
@@ -171,7 +174,7 @@
             try {
                 this.isListed = this.hasToList()
                     ? yield* this.listRecords()
-                    : yield* this.receiveChanges(readAgeMs === 0 ? this.options.waitMs : minWaitMs);
+                    : (yield* this.receiveChanges(this.computeWaitMs(readAgeMs))) !== "gap";
                 retryMs = firstRetryMs;
                 this.reportStoreState(undefined);
             }
@@ -203,6 +206,17 @@
             : 0;
     }
 
+    /** Computes how long a call may wait for changes, in milliseconds. One after a suspension only confirms the records. */
+    private computeWaitMs(readAgeMs: number): number {
+        const isRegular = readAgeMs === 0 && this.options.storeClock.readStoreMs() !== undefined;
+        return isRegular ? this.options.waitMs : minWaitMs;
+    }
+
+    private interruptWaits(): void {
+        this.pauseAbort.abort(abortReason);
+        this.interrupts.forEach(interrupt => interrupt());
+    }
+
     private *pause(durationMs: number): Task<void> {
         this.pauseAbort = new AbortController();
         yield* waitFor(this.options.clock.sleep(durationMs, this.pauseAbort.signal));
@@ -220,6 +234,7 @@
     /** Lists all records; returns false if the store was restored meanwhile. */
     private *listRecords(): Task<boolean> {
         const eraBefore = this.readEra();
+        const updateClock = this.options.storeClock.beginCall(0);
         const snapshot: FeedSnapshot<T> = yield* waitFor(this.options.feed.list());
         const era = this.readEra();
         if (era !== eraBefore && eraBefore !== undefined) {
@@ -250,7 +265,7 @@
             removed: [],
         };
         const difference = this.sharing && this.replica.compareListing(listing);
-        this.options.storeClock.update(snapshot.storeMs);
+        updateClock(snapshot.storeMs);
         this.replica.apply(listing, nowMs);
         if (difference) {
             this.sharing?.publish(difference);
@@ -258,14 +273,19 @@
         return true;
     }
 
-    /** Waits for changes once; returns false if the records must be listed again. */
-    private *receiveChanges(waitMs: number): Task<boolean> {
+    /** Waits for changes once; `interrupted` means that the machine was suspended meanwhile. */
+    private *receiveChanges(waitMs: number): Task<ApplyResult | "interrupted"> {
         const { position, era } = this.replica;
-        const answer: FeedChanges<T> | undefined = yield* waitFor(
+        const updateClock = this.options.storeClock.beginCall(waitMs);
+        const received = yield* this.waitUnlessInterrupted(
             this.options.feed.waitForChanges(position, waitMs),
         );
+        if (!received) {
+            return "interrupted";
+        }
+        const { answer } = received;
         if (!answer || this.readEra() !== era) {
-            return false;
+            return "gap";
         }
         const changes = [...answer.changes];
         const update: FeedUpdate<T> = {
@@ -277,13 +297,30 @@
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
             removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
         };
-        this.options.storeClock.update(answer.storeMs);
+        updateClock(answer.storeMs);
         const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
         const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
         if (isWanted) {
             this.sharing?.publish(update);
         }
-        return result === "applied";
+        return result;
+    }
+
+    /** Waits for an answer; returns undefined if the machine was suspended meanwhile, since it may never arrive then. */
+    private *waitUnlessInterrupted(
+        call: Promise<FeedChanges<T> | undefined>,
+    ): Task<{ readonly answer: FeedChanges<T> | undefined; } | undefined> {
+        let interrupt = (): void => {};
+        const interrupted = new Promise<undefined>(resolve => {
+            interrupt = () => resolve(undefined);
+        });
+        this.interrupts.add(interrupt);
+        try {
+            return yield* waitFor(Promise.race([call.then(answer => ({ answer })), interrupted]));
+        }
+        finally {
+            this.interrupts.delete(interrupt);
+        }
     }
 
     private reportStoreState(error: Error | undefined): void {
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -8,6 +8,7 @@
     readonly jumpThresholdMs?: number;
 }
 
+const maxCallMs = 1_000; // a call fails sooner; where it does not, this process stood still
 const defaultJumpThresholdMs = 400; // above the drift between two readings and below the safety margin of every lease
 
 /**
@@ -20,12 +21,38 @@
     private offsetMs: number | undefined;
     private wallOffsetMs: number;
     private readonly jumpThresholdMs: number;
+    private jumps = 0;
+    private readonly jumpListeners: (() => void)[] = [];
 
     constructor(private readonly options: StoreClockOptions) {
         this.jumpThresholdMs = options.jumpThresholdMs ?? defaultJumpThresholdMs;
         this.wallOffsetMs = this.readWallOffsetMs();
     }
 
+    /** Adds a listener that is called when the estimate is invalidated. */
+    onJump(listener: () => void): void {
+        this.jumpListeners.push(listener);
+    }
+
+    /**
+     * Begins a call of the store. An answer that may have waited for this machine or process counts for nothing.
+     *
+     * @param waitMs - time for which the store may wait before it answers, in milliseconds
+     * @returns updates the estimate; to be called with the store's clock in the answer, in milliseconds
+     */
+    beginCall(waitMs: number): (storeMs: number) => void {
+        this.resetOnJump();
+        const { jumps } = this;
+        const sentMs = this.options.clock.readMonotonicMs();
+        return storeMs => {
+            this.resetOnJump();
+            const isLate = this.options.clock.readMonotonicMs() - sentMs > waitMs + maxCallMs;
+            if (jumps === this.jumps && !(isLate && this.offsetMs === undefined)) {
+                this.update(storeMs);
+            }
+        };
+    }
+
     /**
      * Updates the estimate from an answer of the store.
      *
@@ -55,10 +82,13 @@
 
     private resetOnJump(): void {
         const wallOffsetMs = this.readWallOffsetMs();
-        if (Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs) {
+        const hasJumped = Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs;
+        this.wallOffsetMs = wallOffsetMs;
+        if (hasJumped) {
             this.offsetMs = undefined;
+            this.jumps += 1;
+            this.jumpListeners.forEach(listener => listener());
         }
-        this.wallOffsetMs = wallOffsetMs;
     }
 
     private readWallOffsetMs(): number {
--- a/src/kernel/FakeClock.ts
+++ b/src/kernel/FakeClock.ts
@@ -26,6 +26,7 @@
     private readonly heap: Sleeper[] = [];
     private readonly eventLoopTurns: number;
     private currentMs: number;
+    private wallStepsMs = 0;
     private order = 0;
 
     constructor(options: FakeClockOptions = {}) {
@@ -34,7 +35,7 @@
     }
 
     readWallMs(): number {
-        return this.currentMs;
+        return this.currentMs + this.wallStepsMs;
     }
 
     readMonotonicMs(): number {
@@ -60,6 +61,11 @@
         });
     }
 
+    /** Moves the wall clock only, by milliseconds, as when it is set or the machine was suspended. */
+    stepWall(durationMs: number): void {
+        this.wallStepsMs += durationMs;
+    }
+
     /**
      * Advances the time and wakes the sleepers that become due. Sleepers with the same due time wake together; their
      * tasks run before the time advances further.
--- a/standins/platform/SuspendableClock.ts
+++ b/standins/platform/SuspendableClock.ts
@@ -1,20 +1,34 @@
 import { SystemClock } from "../../src/kernel/SystemClock";
 
-/** Clock of a machine that can be suspended: the steady clock doesn't count that time, the time of day does. */
+/**
+ * Clock of a machine that can be suspended: no code runs meanwhile, so that both clocks stand still until the machine goes on;
+ * then the time of day has moved and the steady clock has not. The time of day can also be set.
+ */
 export class SuspendableClock extends SystemClock {
-    private suspendedAtMs: number | undefined;
+    private pausedAtMs: number | undefined;
     private lostMs = 0;
+    private wallStepsMs = 0;
+
+    override readWallMs(): number {
+        const sincePauseMs = super.readMonotonicMs() - (this.pausedAtMs ?? super.readMonotonicMs());
+        return Math.floor(super.readWallMs() - sincePauseMs + this.wallStepsMs);
+    }
 
     override readMonotonicMs(): number {
-        return (this.suspendedAtMs ?? super.readMonotonicMs()) - this.lostMs;
+        return (this.pausedAtMs ?? super.readMonotonicMs()) - this.lostMs;
+    }
+
+    /** Moves the time of day, by milliseconds. */
+    stepWall(durationMs: number): void {
+        this.wallStepsMs += durationMs;
     }
 
     pause(): void {
-        this.suspendedAtMs = super.readMonotonicMs();
+        this.pausedAtMs = super.readMonotonicMs();
     }
 
     resume(): void {
-        this.lostMs += super.readMonotonicMs() - (this.suspendedAtMs ?? super.readMonotonicMs());
-        this.suspendedAtMs = undefined;
+        this.lostMs += super.readMonotonicMs() - (this.pausedAtMs ?? super.readMonotonicMs());
+        this.pausedAtMs = undefined;
     }
 }
