Let the cluster's time of day go on steadily while the store's clock is unknown

What the platform would see: a usage report of a window that has not ended (Duty), and requests counted in another window, where the time of day of a machine is set forward by seconds while it cannot ask the store, and it holds the duty.

Cause: ClusterClock takes the median of the nodes' offsets so that one wrong clock does not count, but without the store's clock, which a jump of the time of day makes unknown, it returned just that machine's time of day. Now its latest estimate goes on by the steady clock. After a suspension it is late until the store answers, but never early.

Evidence: StoreClock.test "goes on by the steady clock" failed before (7 s early), passes now.

--- a/src/feeds/ClusterClock.ts
+++ b/src/feeds/ClusterClock.ts
@@ -25,6 +25,9 @@
  * wall clock and the store's monotonic clock; the median of these offsets is used.
  */
 export class ClusterClock {
+    /** The latest estimate by the store's clock, and the monotonic time of it, in milliseconds. */
+    private latest: { readonly atMs: number; readonly monotonicMs: number; } | undefined;
+
     constructor(private readonly options: ClusterClockOptions) {}
 
     async start(): Promise<void> {
@@ -32,22 +35,32 @@
     }
 
     /**
-     * Estimates the time of day.
+     * Estimates the time of day. Where the store's clock becomes unknown, the estimate goes on steadily: after a suspension it
+     * is late until the store answers, but never early.
      *
-     * @returns milliseconds since the epoch; this VM's wall-clock time as long as the store's clock is unknown
+     * @returns milliseconds since the epoch; this VM's wall-clock time before the store's clock is known
      */
     readMs(): number {
         const { clock, storeClock, sums } = this.options;
         const ownOffsetMs = storeClock.readWallMinusStoreMs();
         const storeMs = storeClock.readStoreMs();
         if (ownOffsetMs === undefined || storeMs === undefined) {
-            return clock.readWallMs();
+            return this.readSteadyMs();
         }
         const others = [...sums.readOthers(offsetGroup)].map(([offset, nodes]) => ({
             offsetMs: Number(offset),
             nodes,
         }));
-        return storeMs + findMedian([{ offsetMs: ownOffsetMs, nodes: 1 }, ...others]);
+        const atMs = storeMs + findMedian([{ offsetMs: ownOffsetMs, nodes: 1 }, ...others]);
+        this.latest = { atMs, monotonicMs: clock.readMonotonicMs() };
+        return atMs;
+    }
+
+    private readSteadyMs(): number {
+        const { clock } = this.options;
+        return this.latest
+            ? this.latest.atMs + clock.readMonotonicMs() - this.latest.monotonicMs
+            : clock.readWallMs();
     }
 
     private countOwnOffset(): ReadonlyMap<string, number> {
--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -69,6 +69,22 @@
         expect(createClusterClock(clock, [999_500, 999_501, 999_499]).readMs()).toBeCloseTo(1_000_000, -1);
     });
 
+    // Guards against windows of usage that end early: the time of day is set while the store cannot be asked.
+    it("goes on by the steady clock where the store's clock becomes unknown, and takes the time of day before", () => {
+        const clock = new SplitClock();
+        const sums = { registerContributor: () => {}, readOthers: () => new Map<string, number>() };
+        const storeClock = new StoreClock({ clock });
+        const clusterClock = new ClusterClock({ clock, storeClock, sums });
+        expect(clusterClock.readMs()).toBe(1_000_000);
+        storeClock.update(500);
+        expect(clusterClock.readMs()).toBe(1_000_000);
+        clock.advance(100);
+        clock.wallMs += 7_000;
+        expect(clusterClock.readMs()).toBe(1_000_100);
+        clock.advance(50);
+        expect(clusterClock.readMs()).toBe(1_000_150);
+    });
+
     it("is not affected by one node with a wrong clock", () => {
         const clock = new SplitClock();
         expect(createClusterClock(clock, [999_500, 5]).readMs()).toBe(1_000_000);
