Reset the connections of abandoned calls to the store and to the product's own cloud

Connections of service agents are now reset when they are given up with an error. Errors of the connection itself, and the error that a call is told, stay as they were.

Looked at, and left: connections to upstreams. A call that was written counts as run there, so nothing is promised for it; a caller that left may have its bytes delivered late by a harmed link.

--- a/src/platform/createServiceAgent.test.ts
+++ b/src/platform/createServiceAgent.test.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { pause } from "../../standins/pause";
 import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
@@ -41,6 +42,25 @@
         await expect(call()).rejects.toMatchObject({ effect: "unknown" });
     });
 
+    it("resets the connection of an abandoned call, so that its bytes do not arrive later", async () => {
+        const seen: string[] = [];
+        answer = socket => {
+            socket.on("end", () => seen.push("end"));
+            socket.on("error", (error: NodeJS.ErrnoException) => seen.push(error.code!));
+        };
+        const dispatcher = createServiceAgent({ maxConnections: 1, connectTimeoutMs: timeoutMs });
+        const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/rows`;
+        const abandoned = sendJson({ dispatcher, url, method: "POST", body: {}, timeoutMs: 200 });
+        await expect(abandoned).rejects.toMatchObject({ effect: "unknown" });
+        while (seen.length === 0) {
+            await pause(5);
+        }
+        expect(seen).toEqual(["ECONNRESET"]);
+        answer = socket => socket.end("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n[2]");
+        expect((await sendJson({ dispatcher, url, method: "GET", timeoutMs })).body).toEqual([2]);
+        await dispatcher.destroy();
+    });
+
     it("gives up on an answer without an end, within bounded memory", async () => {
         let written = 0;
         answer = socket => {
--- a/src/platform/createServiceAgent.ts
+++ b/src/platform/createServiceAgent.ts
@@ -1,5 +1,6 @@
 import { Agent } from "undici";
 import { createResetMarkingConnector } from "../upstreams/createResetMarkingConnector";
+import { createResettingConnector } from "../upstreams/createResettingConnector";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
 
 /** Options of {@link createServiceAgent}. */
@@ -24,5 +25,7 @@
     new Agent({
         connections: options.maxConnections,
         maxResponseSize: maxAnswerBytes,
-        connect: createResetMarkingConnector(createTimedConnector(options.connectTimeoutMs)),
+        connect: createResettingConnector(
+            createResetMarkingConnector(createTimedConnector(options.connectTimeoutMs)),
+        ),
     });
