Ask the store at once when the estimate of its clock is lost

Callers would see: after a suspension, or a step of a node's wall clock, that node answers 503 to requests with a key until its next reading of the store, which may be as long as a call waits for changes (or, at nodes that read seldom, a quarter more).

Cause: since the wall clock is the time of day, StoreClock's jumps are real, and the age of the configuration is unknown after one. Nothing asked the store before the next regular reading.

Each follower now asks the store once when the estimate is lost, beside the call that is waiting.

--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -39,14 +39,23 @@
     }
 }
 
+/** Clock whose wall-clock time can be stepped. */
+class SteppedClock extends FakeClock {
+    wallOffsetMs = 0;
+
+    override readWallMs(): number {
+        return super.readWallMs() + this.wallOffsetMs;
+    }
+}
+
 describe("FeedFollower", () => {
-    let clock: FakeClock;
+    let clock: SteppedClock;
     let feed: FakeFeed;
     let follower: FeedFollower<string>;
     let storeEra: StoreEra;
 
     beforeEach(async () => {
-        clock = new FakeClock();
+        clock = new SteppedClock();
         feed = new FakeFeed(clock);
         const events = new EventLog({ node: "n", clock });
         const storeClock = new StoreClock({ clock });
@@ -82,6 +91,24 @@
         expect(follower.readAgeMs()).toBeLessThan(100);
     });
 
+    it("asks the store again at once when its clock is lost by a suspension or a step, while a call waits", async () => {
+        const waiting = feed.pendingWait!;
+        clock.wallOffsetMs = 5_000;
+        expect(follower.readAgeMs()).toBe(Infinity);
+        await clock.advance(1);
+        expect(feed.pendingWait).not.toBe(waiting);
+        feed.sendChanges([]);
+        await clock.advance(1);
+        expect(follower.readAgeMs()).toBeLessThan(100);
+        waiting.resolve({
+            changes: new Map([["b", "2"]]),
+            position: 10,
+            storeMs: clock.readMonotonicMs() + 5_000,
+        });
+        await clock.advance(1);
+        expect([...follower.records.value!.keys()]).toEqual(["a", "b"]);
+    });
+
     it("does not treat a reset connection as an outage", async () => {
         feed.pendingWait!.reject(new Error("reset"));
         await clock.advance(1);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -49,6 +49,7 @@
     private recoveredAtMs = -Infinity;
     /** Ends the current pause of a node that does not read now. */
     private pauseAbort = new AbortController();
+    private isStopped = false;
 
     constructor(private readonly options: FeedFollowerOptions<T>) {
         this.scope = createLoggedTaskScope(options.events);
@@ -61,9 +62,11 @@
 
     async start(): Promise<void> {
         this.scope.run(`feed-${this.options.name}`, signal => this.follow(signal));
+        this.options.storeClock.losses.onChange(() => this.confirmSoon());
     }
 
     async stop(): Promise<void> {
+        this.isStopped = true;
         this.pauseAbort.abort(abortReason);
         await this.scope.cancel();
     }
@@ -159,6 +162,22 @@
             : 0;
     }
 
+    /** Asks the store once, beside the call that may be waiting, since the age of the records is unknown. */
+    private confirmSoon(): void {
+        if (this.isListed && !this.isStopped) {
+            this.scope.run(`confirm-${this.options.name}`, () => this.confirm());
+        }
+    }
+
+    private *confirm(): Task<void> {
+        try {
+            yield* this.receiveChanges(minWaitMs);
+        }
+        catch {
+            // The follower's next call reports the state of the store.
+        }
+    }
+
     private *pause(durationMs: number): Task<void> {
         this.pauseAbort = new AbortController();
         yield* waitFor(this.options.clock.sleep(durationMs, this.pauseAbort.signal));
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -1,3 +1,4 @@
+import { ObservableValue } from "../_lib/ObservableValue";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
 
@@ -16,6 +17,8 @@
  * to it invalidates the estimate until the store answers again.
  */
 export class StoreClock {
+    /** Number of times that a known estimate was lost to a jump. Listeners are called within the reading that shows it. */
+    readonly losses = new ObservableValue(0);
     /** Store time minus monotonic time; the largest observed value includes the least network delay. */
     private offsetMs: number | undefined;
     private wallOffsetMs: number;
@@ -55,10 +58,12 @@
 
     private resetOnJump(): void {
         const wallOffsetMs = this.readWallOffsetMs();
-        if (Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs) {
+        const hasJumped = Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs;
+        this.wallOffsetMs = wallOffsetMs;
+        if (hasJumped && this.offsetMs !== undefined) {
             this.offsetMs = undefined;
+            this.losses.set(this.losses.value + 1);
         }
-        this.wallOffsetMs = wallOffsetMs;
     }
 
     private readWallOffsetMs(): number {
