Replace a secret of another writer that is none, and take over one that replaced the own

A node did not start while the row of the cluster's secret held an object or a deeply nested value: reading it as text threw, and the read was repeated for good. Any other odd row (null, a number, an empty text) became the secret of the nodes that started then, which whoever can guess it could prove to know; they and the nodes that ran before stayed apart, as after a removed row.

Cause: the row was taken for a secret as it was, and nodes in use read it again only in a new era of the store. Now a row that is not 64 hexadecimal digits is replaced under its revision, with the node's own secret if it has one, and logged; and a node to which a member proves another secret reads the row again, at most every 2 s. A wrong proof is no time-out, so that partitions cause no such reads.

--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -107,6 +107,7 @@
                 nodeId,
                 dataCentre: settings.dataCentre,
                 readClusterKey: () => find(clusterKeyName).value,
+                onWrongProof: () => void find(clusterKeyName).recheck(),
                 ...splitAddress(settings.peers),
                 heartbeatMs,
                 linkTimeoutMs,
--- a/src/peers/ClusterKey.ts
+++ b/src/peers/ClusterKey.ts
@@ -1,9 +1,11 @@
+import { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import { retryStoreCall } from "../feeds/retryStoreCall";
 import type { StoreEra } from "../feeds/StoreEra";
 import type { Clock, RandomSource } from "../kernel/types";
-import type { TableService } from "../platform/types";
+import type { RowCondition, TableService } from "../platform/types";
 import type { EventLog } from "../telemetry/EventLog";
+import { eventKinds } from "../telemetry/eventKinds";
 
 /** Options of {@link ClusterKey}. */
 export interface ClusterKeyOptions {
@@ -17,10 +19,17 @@
 
 const address = { table: "cluster", key: "key" } as const;
 const keyBytes = 32;
+const keySchema = z.string().regex(new RegExp(`^[0-9a-f]{${keyBytes * 2}}$`));
+const recheckMs = 2_000; // between two reads of the row because members have another secret
 
-/** The secret with which nodes authenticate each other. Kept in the store; the first node of a cluster creates it. */
+/**
+ * The secret with which nodes authenticate each other. Kept in the store; the first node of a cluster creates it. A row of
+ * another writer that holds no secret is replaced.
+ */
 export class ClusterKey {
     private key: string | undefined;
+    /** Monotonic time of the last {@link recheck} that read the row, in milliseconds. */
+    private recheckedMs = -Infinity;
 
     constructor(private readonly options: ClusterKeyOptions) {}
 
@@ -35,6 +44,25 @@
         this.options.storeEra.current.onChange(() => void this.load());
     }
 
+    /**
+     * Reads the secret again, at most every 2 s. To be called when a member has another one: the row was lost or replaced,
+     * and a process that started then has stored a new one.
+     */
+    async recheck(): Promise<void> {
+        const nowMs = this.options.clock.readMonotonicMs();
+        if (nowMs - this.recheckedMs < recheckMs) {
+            return;
+        }
+        this.recheckedMs = nowMs;
+        try {
+            this.key = await this.loadOrCreate() ?? this.key;
+        }
+        catch (error) {
+            const fields = { call: "recheck cluster key", error: String(error) };
+            this.options.events.emit(eventKinds.storeFailed, fields);
+        }
+    }
+
     private async load(): Promise<void> {
         const { clock, events } = this.options;
         this.key = await retryStoreCall({
@@ -47,13 +75,20 @@
 
     /** Returns undefined when another node has created the key at the same time; the next try reads it. */
     private async loadOrCreate(): Promise<string | undefined> {
-        const { tables, random } = this.options;
+        const { tables, random, events } = this.options;
         const [row] = await tables.read([address]);
+        const stored = keySchema.safeParse(row?.value);
+        if (stored.success) {
+            return stored.data;
+        }
         if (row) {
-            return String(row.value);
+            events.emit(eventKinds.rowUnreadable, address);
         }
         const value = this.key ?? random.drawId(keyBytes);
-        const outcome = await tables.transact([{ ...address, condition: { kind: "absent" }, value }]);
+        const condition: RowCondition = row
+            ? { kind: "revision", revision: row.revision }
+            : { kind: "absent" };
+        const outcome = await tables.transact([{ ...address, condition, value }]);
         return outcome.kind === "committed" ? value : undefined;
     }
 }
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -39,6 +39,8 @@
     readonly dataCentre?: string;
     /** Reads the secret that members prove to each other; it may change. */
     readonly readClusterKey: () => string;
+    /** Called when a peer proves that it knows another secret. */
+    readonly onWrongProof?: () => void;
     readonly host: string;
     readonly port: number;
     readonly heartbeatMs: number;
@@ -324,6 +326,7 @@
                 timeoutMs: this.options.linkTimeoutMs,
                 clock: this.options.clock,
                 signal,
+                onWrongProof: this.options.onWrongProof,
             });
             if (!peerId) {
                 this.options.events.emit(eventKinds.peerRejected, { reason: "handshake failed", side });
--- a/src/peers/authenticatePeer.ts
+++ b/src/peers/authenticatePeer.ts
@@ -20,6 +20,8 @@
     readonly timeoutMs: number;
     readonly clock: Clock;
     readonly signal: AbortSignal;
+    /** Called when the peer proves that it knows another key. */
+    readonly onWrongProof?: () => void;
 }
 
 /**
@@ -48,7 +50,11 @@
         nodeId: hello.data.nodeId,
         nonce,
     });
-    return isSameProof(expected, proof.data.mac) ? hello.data.nodeId : undefined;
+    if (!isSameProof(expected, proof.data.mac)) {
+        options.onWrongProof?.();
+        return undefined;
+    }
+    return hello.data.nodeId;
 }
 
 function* takeWithTimeout(options: AuthenticatePeerOptions): Task<unknown> {
