Write a node's row again when another writer replaced it, and dial by no odd one

Nodes stayed apart: one that started while the row of another held a URL that is none, such as `ws://127.0.0.1:99999`, ended its task that keeps the link (`Invalid URL`) and did not begin it again once it learned the right one; the two had a link only if the other one dials. A running node's own row that was replaced by one of a sound form stayed replaced.

Cause: any text was a URL, a throw of the socket's constructor was no PeerError, and a node wrote its row again only if it was missing. Now a record's URL is one that a web socket can be opened to, its name fits a member's, what the constructor throws counts as unreachable, and a node compares its whole row and writes it again, at most every 500 ms, so that two writers cannot keep each other busy.

--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -1,9 +1,12 @@
+import { z } from "zod";
 import { retryStoreCall } from "../feeds/retryStoreCall";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { FeedFollower } from "../feeds/FeedFollower";
+import { isPeerUrl } from "../peers/isPeerUrl";
+import { maxNodeIdLength } from "../peers/peerMessageSchema";
 import type { PeerAddress } from "../peers/PeerNetwork";
 import type { TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
@@ -31,17 +34,26 @@
 
 const sweepMs = 30_000;
 const staleAfterMs = 600_000; // longer than an outage after which a node comes back
+const rewriteMs = 500; // between two writes of the own record because it was removed or replaced
+const maxTextLength = 200;
+const recordSchema = z.object({
+    nodeId: z.string().min(1).max(maxNodeIdLength),
+    url: z.string().max(maxTextLength).refine(isPeerUrl),
+    dataCentre: z.string().max(maxTextLength).optional(),
+});
 
 /**
  * Node discovery through the store. Writes this node's address, passes the addresses of all nodes to the membership,
- * and removes the records of nodes that have been gone for long. A running node whose record is removed writes it
- * again.
+ * and removes the records of nodes that have been gone for long. A running node whose record is removed or replaced writes
+ * it again.
  */
 export class NodeRecords {
     private readonly scope: TaskScope;
     /** Monotonic time since which each recorded node has not been a live member, in milliseconds. */
     private readonly missingSinceMs = new Map<string, number>();
     private isWritten = false;
+    /** Monotonic time from which the own record may be written again, in milliseconds. */
+    private nextRewriteMs = -Infinity;
     private isLeaving = false;
 
     constructor(private readonly options: NodeRecordsOptions) {
@@ -73,13 +85,18 @@
     private adoptRecords(): void {
         const recorded = this.listRecorded();
         this.options.membership.setRecordedNodes(recorded);
-        const isRecorded = recorded.some(({ nodeId }) => nodeId === this.options.nodeId);
+        const isRecorded = recorded.some(record => this.isOwnRecord(record));
         if (this.isWritten && !isRecorded && !this.isLeaving) {
             this.isWritten = false;
-            this.scope.run("node-record", signal => this.writeRecord(signal));
+            this.scope.run("node-record", signal => this.rewriteRecord(signal));
         }
     }
 
+    private isOwnRecord({ nodeId, url, dataCentre }: PeerAddress): boolean {
+        const { options } = this;
+        return nodeId === options.nodeId && url === options.peersUrl && dataCentre === options.dataCentre;
+    }
+
     private *sweep(signal: AbortSignal): Task<void> {
         const { clock, isSweeper } = this.options;
         while (!signal.aborted) {
@@ -117,6 +134,15 @@
         }
     }
 
+    private *rewriteRecord(signal: AbortSignal): Task<void> {
+        const { clock } = this.options;
+        yield* waitFor(clock.sleep(Math.max(0, this.nextRewriteMs - clock.readMonotonicMs()), signal));
+        this.nextRewriteMs = clock.readMonotonicMs() + rewriteMs;
+        if (!signal.aborted && !this.isLeaving) {
+            yield* this.writeRecord(signal);
+        }
+    }
+
     private *writeRecord(signal: AbortSignal): Task<void> {
         const { nodeId, dataCentre, peersUrl, tables, events, clock } = this.options;
         const record = { nodeId, url: peersUrl, dataCentre };
@@ -144,12 +170,8 @@
  * @returns the node's address, or undefined when the row is not a valid record
  */
 export const decodeNodeRecord = (key: string, value: unknown): PeerAddress | undefined => {
-    const record = value as Partial<PeerAddress> | undefined;
-    if (record?.nodeId !== key || typeof record.url !== "string") {
-        return undefined;
-    }
-    const dataCentre = typeof record.dataCentre === "string" ? record.dataCentre : undefined;
-    return { nodeId: key, url: record.url, dataCentre };
+    const record = recordSchema.safeParse(value).data;
+    return record?.nodeId === key ? record : undefined;
 };
 
 /** Name of the node records service. */
--- a/src/peers/dialPeer.ts
+++ b/src/peers/dialPeer.ts
@@ -27,10 +27,7 @@
  * @throws PeerError when the socket cannot be opened within the time limit
  */
 export const dialPeer = (options: DialPeerOptions): Promise<PeerConnection> => {
-    const socket = new WebSocket(options.url, {
-        maxPayload: options.maxFrameBytes,
-        perMessageDeflate: false,
-    });
+    const socket = openSocket(options);
     const queue = new FrameQueue(socket);
     const timer = new AbortController();
     return new Promise<PeerConnection>((resolve, reject) => {
@@ -49,3 +46,13 @@
         });
     }).finally(() => timer.abort(abortReason));
 };
+
+/** Begins to open a socket. The constructor throws for a URL that none can be opened to. */
+const openSocket = ({ url, maxFrameBytes }: DialPeerOptions): WebSocket => {
+    try {
+        return new WebSocket(url, { maxPayload: maxFrameBytes, perMessageDeflate: false });
+    }
+    catch (error) {
+        throw new PeerError(`${url}: ${(error as Error).message}`, "unreachable");
+    }
+};
--- a/src/peers/peerMessageSchema.ts
+++ b/src/peers/peerMessageSchema.ts
@@ -1,7 +1,9 @@
 import { z } from "zod";
 
 const hybridTimeSchema = z.object({ wallMs: z.number(), counter: z.number().int() }).strict();
-const nodeIdSchema = z.string().min(1).max(63);
+/** Maximum length of a node's name, in characters. */
+export const maxNodeIdLength = 63;
+const nodeIdSchema = z.string().min(1).max(maxNodeIdLength);
 
 /** First message of the handshake, sent by both sides. */
 export const helloSchema = z.object({
