Reject a head that contains the status line of another one

Callers saw: a 200 with the stamp and the body of a run that had failed, or another status than the runner gave (MIXED).

Cause: an upstream wrote a part of a head, cut in the value of a field, and then the answer to the request. The status line of the answer continued that value, so that both were one head with the status of the first and the id of the second.

Ruled out: parts that are cut elsewhere; the parser rejects what follows (each byte is tried). Whole answers of other requests, told by their ids.

Fix: a head with a status line in a value or in its reason is no answer; the call may have run, and its connection is closed.

--- a/src/upstreams/UpstreamClient.test.ts
+++ b/src/upstreams/UpstreamClient.test.ts
@@ -74,6 +74,21 @@
         expect((await callOnce()).end.isWhole).toBe(false);
     });
 
+    // Guards against a failure that reaches its caller as a success since a part of another answer's head came before it.
+    it("takes no status from a part of a head that comes before the head of the answer", async () => {
+        const left = "HTTP/1.1 200 OK\r\nx-left: over\r\n";
+        const answer =
+            "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 4\r\n\r\npart";
+        let cut = 0;
+        await startUpstream(socket => socket.write(left.slice(0, cut) + answer));
+        for (; cut <= left.length; cut += 1) {
+            const { start } = await callOnce();
+            expect(start).toMatchObject(
+                cut === 0 ? { kind: "answered", head: { status: 500 } } : { kind: "failed", isSent: true },
+            );
+        }
+    }, endTimeoutMs);
+
     // Guards against a process that ends when an answer ends while its reading is paused for a slow caller.
     it.each([
         ["without framing, whole", `${unframedHead}part`, true],
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -142,6 +142,7 @@
         _controller: Dispatcher.DispatchController,
         status: number,
         headers: IncomingHttpHeaders,
+        reason = "",
     ): void {
         if (status < 200) {
             this.interimCount += 1;
@@ -150,6 +151,10 @@
             }
             return;
         }
+        if (hasStatusLine([reason, ...Object.values(headers).flat()])) {
+            this.abort("the head contains another one, so that it belongs to no answer");
+            return;
+        }
         this.hasHead = true;
         this.framing = readFraming(headers);
         this.settleStart({ kind: "answered", head: { status, headers } });
@@ -194,6 +199,12 @@
     }
 }
 
+const statusLine = /HTTP\/1\.[01] \d{3}/;
+
+/** Whether one of the texts of a head contains a status line: a part of a head came before, and was never completed. */
+const hasStatusLine = (texts: readonly (string | undefined)[]): boolean =>
+    texts.some(text => text !== undefined && statusLine.test(text));
+
 const endsWithChunked = /(?:^|,)\s*chunked\s*$/i; // after any other last coding, the answer ends with its connection
 
 const readFraming = (headers: IncomingHttpHeaders): AnswerFraming => {
