Record software versions in spite of many odd rows, long names and times in the future

The versions of all services were no longer recorded, so that a process that started then knew of no earlier ones and streams could be taken up at another version: while one listed entry named a service of more than 200 bytes (one name in the transaction of all), after some 50 services with unfinished records of another writer (more operations than a transaction may have), and for services beyond the first 500 rows (their write expected no row, for good). A time in the future counted as listed just now at each start, for good.

Now records are written 40 at a time, those that no row can hold are left out, up to 20 pages are read at the start and only the rows in conflict afterwards, and a time that has not come is replaced by the one that the node knows.

--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -107,7 +107,7 @@
                 nodeId,
                 dataCentre: settings.dataCentre,
                 readClusterKey: () => find(clusterKeyName).value,
-                onWrongProof: () => void find(clusterKeyName).recheck(),
+                onWrongProof: () => void find(clusterKeyName).reload(),
                 ...splitAddress(settings.peers),
                 heartbeatMs,
                 linkTimeoutMs,
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -6,7 +6,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
-import type { RowOperation, TableService } from "../platform/types";
+import type { Row, RowOperation, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -34,8 +34,13 @@
 type RecordOperation = RowOperation & { readonly value: VersionRecord; };
 
 const table = "software-versions";
-const recordSchema = z.record(z.number().nullable());
-const maxServices = 500;
+const recordSchema = z.record(z.number().finite().nullable());
+const pageRows = 500;
+const maxPages = 20;
+const maxKeyBytes = 200; // limit of the platform's store
+const maxRecordBytes = 24_000; // half of what a row of the platform's store holds
+const maxOperations = 40; // of one transaction; each states the row's revision besides
+const clockToleranceMs = 1_000; // the estimates of the store's clock differ between nodes
 const checkMs = 5_000;
 const retryMs = 500;
 const startTimeoutMs = 300;
@@ -95,15 +100,36 @@
         }
     }
 
+    /** Loads the records of all services, or as many as rows that other writers may have added leave room for. */
     private async load(): Promise<true> {
-        const rows = await this.options.tables.list(table, "", maxServices);
-        this.stored = new Map(rows.map(({ key, revision, value }) => {
-            const record: VersionRecord = recordSchema.safeParse(value).data ?? {};
-            return [key, { revision, record }];
-        }));
+        const stored = new Map<string, StoredRecord>();
+        let after = "";
+        for (let page = 0; page < maxPages; page += 1) {
+            const rows = await this.options.tables.list(table, "", pageRows, after);
+            rows.forEach(row => stored.set(row.key, toStoredRecord(row)));
+            after = rows.at(-1)?.key ?? "";
+            if (rows.length < pageRows) {
+                break;
+            }
+        }
+        this.stored = stored;
         return true;
     }
 
+    /** Reads the records of some services again. */
+    private async reload(services: readonly string[]): Promise<void> {
+        const rows = await this.options.tables.read(services.map(key => ({ table, key })));
+        services.forEach((service, index) => {
+            const row = rows[index];
+            if (row) {
+                this.stored.set(service, toStoredRecord(row));
+            }
+            else {
+                this.stored.delete(service);
+            }
+        });
+    }
+
     /** Passes the stored times on. A version whose end is not recorded may have been listed until now. */
     private reportHistory(): void {
         const nowMs = this.options.storeClock.readStoreMs();
@@ -117,7 +143,7 @@
 
     /** Writes what has changed, if this node writes for all. Returns false if that has to be tried again. */
     private async writeChanges(): Promise<boolean> {
-        const { tables, isWriter, storeClock, events } = this.options;
+        const { isWriter, storeClock, events } = this.options;
         const nowMs = storeClock.readStoreMs();
         if (!isWriter() || nowMs === undefined) {
             return true;
@@ -125,19 +151,12 @@
         const operations = this.options.versions.listServices()
             .map(service => this.createOperation(service, nowMs))
             .filter(operation => operation !== undefined);
-        if (operations.length === 0) {
-            return true;
-        }
         try {
-            const outcome = await tables.transact(operations);
-            if (outcome.kind === "conflict") {
-                await this.load();
-                return false;
+            let isWritten = true;
+            for (let first = 0; first < operations.length; first += maxOperations) {
+                isWritten = await this.write(operations.slice(first, first + maxOperations)) && isWritten;
             }
-            operations.forEach(({ key, value }, index) =>
-                this.stored.set(key, { revision: outcome.revisions[index], record: value })
-            );
-            return true;
+            return isWritten;
         }
         catch (error) {
             events.emit(eventKinds.storeFailed, { call: "write version records", error: String(error) });
@@ -145,13 +164,28 @@
         }
     }
 
-    /** Returns undefined if the stored record of a service is up to date. */
+    /** Writes some records; reads those again that others have changed, and returns false if there are such. */
+    private async write(operations: readonly RecordOperation[]): Promise<boolean> {
+        const outcome = await this.options.tables.transact(operations);
+        if (outcome.kind === "conflict") {
+            await this.reload(outcome.failed.map(index => operations[index].key));
+            return false;
+        }
+        operations.forEach(({ key, value }, index) =>
+            this.stored.set(key, { revision: outcome.revisions[index], record: value })
+        );
+        return true;
+    }
+
+    /** Returns undefined if the stored record of a service is up to date, or if the store cannot hold it. */
     private createOperation(service: string, nowMs: number): RecordOperation | undefined {
         const stored = this.stored.get(service);
         const known = this.options.versions.listVersions(service);
         const isUpToDate = known.every(({ version, isListed, sinceListedMs }) => {
             const value = stored?.record[version];
-            return value === undefined ? sinceListedMs > keptMs : (value === null) === isListed;
+            return value === undefined
+                ? sinceListedMs > keptMs
+                : (value === null) === isListed && (value ?? 0) <= nowMs + clockToleranceMs;
         });
         if (isUpToDate) {
             return undefined;
@@ -167,9 +201,16 @@
         const condition = stored
             ? { kind: "revision", revision: stored.revision } as const
             : { kind: "absent" } as const;
-        return { table, key: service, condition, value };
+        const isStorable = Buffer.byteLength(service) <= maxKeyBytes
+            && Buffer.byteLength(JSON.stringify(value)) <= maxRecordBytes;
+        return isStorable ? { table, key: service, condition, value } : undefined;
     }
 }
 
+const toStoredRecord = ({ revision, value }: Row): StoredRecord => ({
+    revision,
+    record: recordSchema.safeParse(value).data ?? {},
+});
+
 /** Name of the version records service. */
 export const versionRecordsName = createServiceName<VersionRecords>("version-records");
--- a/src/peers/ClusterKey.test.ts
+++ b/src/peers/ClusterKey.test.ts
@@ -8,7 +8,7 @@
 
 const address = { table: "cluster", key: "key" } as const;
 const anyCondition = { kind: "any" } as const;
-const recheckMs = 2_000;
+const reloadMs = 2_000;
 
 /** Parses a stored value as a table service does; undefined if it is not JSON. */
 const parseValue = (bytes: Buffer): unknown => {
@@ -67,7 +67,7 @@
             putRow(odd);
             const second = await startKey();
             expect(second.value).not.toBe(first.value);
-            await first.recheck();
+            await first.reload();
             expect(first.value).toBe(second.value);
         },
     );
@@ -76,13 +76,13 @@
         const first = await startKey();
         const { value } = first;
         putRow("odd");
-        await first.recheck();
+        await first.reload();
         expect((await tables.read([address]))[0]?.value).toBe(value);
         const { reads } = tables;
-        await first.recheck();
+        await first.reload();
         expect(tables.reads).toBe(reads);
-        await clock.advance(recheckMs);
-        await first.recheck();
+        await clock.advance(reloadMs);
+        await first.reload();
         expect(tables.reads).toBe(reads + 1);
     });
 });
--- a/src/peers/ClusterKey.ts
+++ b/src/peers/ClusterKey.ts
@@ -20,7 +20,7 @@
 const address = { table: "cluster", key: "key" } as const;
 const keyBytes = 32;
 const keySchema = z.string().regex(new RegExp(`^[0-9a-f]{${keyBytes * 2}}$`));
-const recheckMs = 2_000; // between two reads of the row because members have another secret
+const reloadMs = 2_000; // between two reads of the row because members have another secret
 
 /**
  * The secret with which nodes authenticate each other. Kept in the store; the first node of a cluster creates it. A row of
@@ -28,8 +28,8 @@
  */
 export class ClusterKey {
     private key: string | undefined;
-    /** Monotonic time of the last {@link recheck} that read the row, in milliseconds. */
-    private recheckedMs = -Infinity;
+    /** Monotonic time of the last {@link reload} that read the row, in milliseconds. */
+    private reloadedMs = -Infinity;
 
     constructor(private readonly options: ClusterKeyOptions) {}
 
@@ -48,17 +48,17 @@
      * Reads the secret again, at most every 2 s. To be called when a member has another one: the row was lost or replaced,
      * and a process that started then has stored a new one.
      */
-    async recheck(): Promise<void> {
+    async reload(): Promise<void> {
         const nowMs = this.options.clock.readMonotonicMs();
-        if (nowMs - this.recheckedMs < recheckMs) {
+        if (nowMs - this.reloadedMs < reloadMs) {
             return;
         }
-        this.recheckedMs = nowMs;
+        this.reloadedMs = nowMs;
         try {
             this.key = await this.loadOrCreate() ?? this.key;
         }
         catch (error) {
-            const fields = { call: "recheck cluster key", error: String(error) };
+            const fields = { call: "reload cluster key", error: String(error) };
             this.options.events.emit(eventKinds.storeFailed, fields);
         }
     }
