Keep the position of readings that other nodes do not get

What it would cost: where a node has confirmed its records just before it takes over reading for all, every other node lists the whole table.

Cause: a reading without changes that is not passed on moved the node's position in the feed, as the version is shared by all tables. The first reading that it passes on then begins after the others' position, which they take for a gap.

Now only readings that are passed on, or hold changes, move the position.

Evidence: FeedSharing.test "need no listing by other nodes" failed before (each of the nodes that could reach the store listed again), passes now; all tests of feeds and origins pass.

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -288,17 +288,17 @@
             return "gap";
         }
         const changes = [...answer.changes];
+        updateClock(answer.storeMs);
+        const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
         const update: FeedUpdate<T> = {
             era,
             after: position,
-            position: answer.position,
+            position: isWanted ? answer.position : position, // one that others do not get would lead to a gap for them
             storeMs: answer.storeMs,
             isRecovery: false,
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
             removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
         };
-        updateClock(answer.storeMs);
-        const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
         const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
         if (isWanted) {
             this.sharing?.publish(update);
--- a/src/feeds/FeedSharing.test.ts
+++ b/src/feeds/FeedSharing.test.ts
@@ -25,16 +25,25 @@
         return this.clock.readMonotonicMs() + storeAheadMs;
     }
 
+    /** Writes to another table, which raises the version that all tables share. */
+    writeElsewhere(): void {
+        this.add(this.history[this.version]);
+    }
+
     write(key: string, isRemoval: boolean): void {
         const next = new Map(this.history[this.version]);
-        this.version += 1;
         if (isRemoval) {
             next.delete(key);
         }
         else {
-            next.set(key, this.version);
+            next.set(key, this.version + 1);
         }
-        this.history.push(next);
+        this.add(next);
+    }
+
+    private add(records: ReadonlyMap<string, number>): void {
+        this.version += 1;
+        this.history.push(records);
         this.writtenMs.push(this.readMs());
     }
 }
@@ -42,6 +51,7 @@
 /** One node's access to the store, and its follower. */
 class FakeNode implements RecordFeed<number> {
     calls = 0;
+    lists = 0;
     /** Readings passed on. */
     published = 0;
     isTurnedAway = false;
@@ -63,6 +73,7 @@
     }
 
     async list(): Promise<FeedSnapshot<number>> {
+        this.lists += 1;
         await this.begin();
         const { version: position, history } = this.store;
         return { records: history[position], position, storeMs: this.store.readMs() };
@@ -211,6 +222,24 @@
         cluster.nodes.forEach(node => expect(node.follower.readAgeMs()).toBeLessThan(1_700));
     });
 
+    it("need no listing by other nodes where one that confirmed its records begins to read for all", async () => {
+        cluster.nodes[0].isTurnedAway = true;
+        cluster.nodes[1].isTurnedAway = true;
+        const readers = cluster.nodes.slice(0, 2);
+        const published = readers.map(node => node.published);
+        while (readers.some((node, index) => node.published === published[index])) {
+            await runFor(pollMs); // the calls that are under way are still answered
+        }
+        cluster.store.writeElsewhere();
+        const confirmed = cluster.nodes[2].follower.confirm();
+        await runFor(100);
+        expect(await confirmed).toBe(true);
+        const before = cluster.nodes.slice(3).map(node => node.lists);
+        await runFor(4_000);
+        expect(cluster.nodes.slice(3).map(node => node.lists)).toEqual(before);
+        cluster.nodes.forEach(node => expect(node.follower.readAgeMs()).toBeLessThan(1_700));
+    });
+
     it("are replaced by a node's own when nothing reaches it", async () => {
         cluster.lossShare = 1;
         cluster.store.write("a", false);
