Close the connection on which an answer of another request arrived

Callers saw: 502 for requests that ran and that their upstream answered, one after the other on the same connection.

Cause: an answer with another id, or none, was rejected, but its connection counted as free when that answer was complete. The next request sent on it got the answer to the one before, and so on.

Ruled out: a wrong answer that is passed on (told by the ids, as before); incomplete stray answers, whose connection was closed already.

Fix: the attempt closes the connection, also if the answer was complete, unless another call has begun on it.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -286,6 +286,7 @@
         this.applyStatements(upstream, metadata);
         const strayReason = findStrayReason(metadata, admitted.metadata);
         if (strayReason !== undefined) {
+            exchange.dropConnection(strayReason);
             this.recorder.recordRun(true);
             return { kind: "failed", isSent: true, isNotRun: false, message: strayReason };
         }
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -8,10 +8,12 @@
     readonly isReset: () => boolean;
     /** Returns whether it was opened to the process that is listed; known once the call is written. */
     readonly isConfirmed: () => boolean;
-    /** Sets the function that is called when its bytes have ended, before undici ends the answer. */
-    readonly setEndListener: (listener: () => void) => void;
-    /** Removes such a function, unless another one has been set. */
-    readonly dropEndListener: (listener: () => void) => void;
+    /** Begins a call. The listener is called when the connection's bytes have ended, before undici ends the answer. */
+    readonly beginCall: (listener: () => void) => void;
+    /** Ends the call that began with the listener; another one may have begun since. */
+    readonly endCall: (listener: () => void) => void;
+    /** Closes it, unless another call has begun on it. */
+    readonly close: () => void;
 }
 
 /** Dispatch options with a callback that receives the call's connection. */
@@ -40,7 +42,7 @@
      * @param connecting - opens the connection
      */
     constructor(origin: string, options: Client.Options, connecting: TrackedConnectOptions) {
-        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false, callCount: 0 };
         const { connect, isListingCurrent } = connecting;
         super(origin, { ...options, connect: createTrackedConnector(tracked, connect, isListingCurrent) });
         this.tracked = tracked;
@@ -48,15 +50,23 @@
 
     override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
         const { tracked } = this;
+        let callNumber = 0;
         options.onConnection?.({
             isReset: () => isResetSocket(tracked.socket),
             isConfirmed: () => tracked.isConfirmed,
-            setEndListener: listener => {
+            beginCall: listener => {
                 tracked.onEnd = listener;
+                tracked.callCount += 1;
+                callNumber = tracked.callCount;
             },
-            dropEndListener: listener => {
+            endCall: listener => {
                 tracked.onEnd = tracked.onEnd === listener ? undefined : tracked.onEnd;
             },
+            close: () => {
+                if (tracked.callCount === callNumber) {
+                    tracked.socket?.destroy();
+                }
+            },
         });
         return super.dispatch(options, handler);
     }
--- a/src/upstreams/UpstreamExchange.test.ts
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -14,8 +14,9 @@
     exchange.setConnection({
         isReset: () => isReset,
         isConfirmed: () => true,
-        setEndListener: () => {},
-        dropEndListener: () => {},
+        beginCall: () => {},
+        endCall: () => {},
+        close: () => {},
     });
     exchange.onRequestStart(controller);
     exchange.onResponseStart(controller, 200, headers);
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -116,6 +116,19 @@
         this.fail(reason);
     }
 
+    /**
+     * Aborts the call and closes its connection, also if an answer has arrived completely: one that is not the call's own, so
+     * that the next answer on the connection would not be that of the next call.
+     *
+     * @param reason - message of the failure, if the call has not ended
+     */
+    dropConnection(reason: string): void {
+        this.abort(reason);
+        if (this.isEnded) {
+            this.connection?.close();
+        }
+    }
+
     /** Pauses reading, which applies back-pressure to the upstream. */
     pause(): void {
         this.controller?.pause();
@@ -135,7 +148,7 @@
             return;
         }
         this.controller = controller;
-        this.connection?.setEndListener(this.onConnectionEnd);
+        this.connection?.beginCall(this.onConnectionEnd);
     }
 
     onResponseStart(
@@ -174,7 +187,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        this.connection?.dropEndListener(this.onConnectionEnd);
+        this.connection?.endCall(this.onConnectionEnd);
         const isTruncated = this.framing === answerFramings.close && this.connection?.isReset() === true;
         this.settleEnd(
             isTruncated
@@ -191,7 +204,7 @@
     }
 
     private fail(message: string): void {
-        this.connection?.dropEndListener(this.onConnectionEnd);
+        this.connection?.endCall(this.onConnectionEnd);
         if (!this.hasHead) {
             this.settleStart({ kind: "failed", isSent: this.isSent, message });
         }
--- a/src/upstreams/createTrackedConnector.test.ts
+++ b/src/upstreams/createTrackedConnector.test.ts
@@ -3,7 +3,7 @@
 
 describe("createTrackedConnector", () => {
     it("stores the socket and replaces the code of a reset error", () => {
-        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false, callCount: 0 };
         const socket = new Socket();
         const connect = createTrackedConnector(
             tracked,
@@ -11,7 +11,7 @@
             () => true,
         );
         connect({ hostname: "10.0.0.1", protocol: "http:", port: "80" }, () => {});
-        expect(tracked).toEqual({ socket, isConfirmed: true });
+        expect(tracked).toEqual({ socket, isConfirmed: true, callCount: 0 });
         const reset: NodeJS.ErrnoException = Object.assign(new Error("reset"), { code: "ECONNRESET" });
         socket.on("error", () => {});
         socket.emit("error", reset);
@@ -19,7 +19,7 @@
     });
 
     it("stores no socket after a failed attempt", () => {
-        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false };
+        const tracked: TrackedSocket = { socket: undefined, isConfirmed: false, callCount: 0 };
         const connect = createTrackedConnector(
             tracked,
             (_options, callback) => callback(new Error("none"), null),
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -7,6 +7,8 @@
     socket: Socket | undefined;
     /** Whether the socket was opened to the process that is listed. */
     isConfirmed: boolean;
+    /** Number of calls that have begun on this socket and earlier ones. */
+    callCount: number;
     /** Called when the bytes of the socket have ended, before undici learns of it. */
     onEnd?: (() => void) | undefined;
 }
