Leave a silent upstream only if its stream can go on elsewhere

Cause: relayEvents took 1.5 s without an event for the end of the answer and closed the connection; whether a retry was left was asked afterwards, and without one the answer was broken off. The same with no attempt left, at the only upstream, at the only one of its version, and while the store is down.

Ruled out: the stop itself (the same without a stop).

Fix: a silent upstream is left only if at that moment a retry, an attempt and time are left, the versions are known, and another upstream of the version has a free slot, or the same one is reached through another node. Else the node waits on and asks again each 200 ms, until the deadline or until the caller leaves. The failover before the head of an answer asks the same, but for the free slot.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -11,9 +11,10 @@
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
 import { quarantinedMessage } from "./constants";
+import { computeIdleTimeoutMs, minIdleTimeoutMs } from "./computeIdleTimeoutMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { createFinalFailure } from "./createFinalFailure";
-import { decideRetry } from "./decideRetry";
+import { type AttemptHistory, decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { findStrayReason } from "./findStrayReason";
@@ -93,6 +94,7 @@
             interrupt,
             crashWatch: this.crashWatch,
             binding: this.binding,
+            isResumableElsewhere: (upstream, idleMs) => this.isResumableElsewhere(upstream, idleMs),
             memory,
         });
         options.response.on("close", memory.release);
@@ -131,8 +133,7 @@
     }
 
     private *sendWithRetries(): Task<AttemptResult> {
-        const { context, admitted } = this.options;
-        const budget = context.retryBudgets.get(admitted.service);
+        const budget = this.options.context.retryBudgets.get(this.service);
         budget.countRequest();
         yield* waitFor(waitForPendingInput());
         for (;;) {
@@ -151,13 +152,8 @@
             if (result.kind !== "failed") {
                 return result;
             }
-            const next = decideRetry(result, {
-                retryRule: admitted.route.retryRule,
-                runs: this.recorder.trace.runs,
-                maxRuns: admitted.route.maxRuns,
-                sends: this.recorder.trace.sends,
-                takeRetry: () => budget.takeRetry(),
-            });
+            const { runs } = this.recorder.trace;
+            const next = decideRetry(result, this.createHistory(runs, () => budget.takeRetry()));
             this.recorder.reportFailedAttempt({
                 upstream: upstream.instance,
                 result,
@@ -198,8 +194,9 @@
         return undefined;
     }
 
+    /** Chooses an upstream; for a stream that has begun, one with room if there is one. */
     private chooseUpstream(): TrackedInstance | undefined {
-        const selected = this.selection.choose();
+        const selected = this.selection.choose({ prefersRoom: this.options.response.headersSent });
         this.recorder.trace.upstreamLoad = selected?.load;
         return selected?.upstream;
     }
@@ -343,14 +340,16 @@
     private *waitForHead(upstream: TrackedInstance, exchange: UpstreamExchange): Task<ResponseStartOutcome> {
         const { context, admitted } = this.options;
         const { retryRule, targetLatencyMs, maxRuns } = admitted.route;
-        const mayRunAgain = this.recorder.trace.runs + 1 < maxRuns;
+        const runs = this.recorder.trace.runs + 1; // this one has not been recorded yet
+        const mayRunAgain = runs < maxRuns;
         const sentMs = context.clock.readMonotonicMs();
         return yield* waitForResponseStart({
             exchange,
             interrupt: this.interrupt,
             clock: context.clock,
             failoverDelayMs: computeFailoverDelayMs({ retryRule, targetLatencyMs, mayRunAgain }),
-            mayFailOver: () => this.isSilent(upstream, sentMs) && this.hasAlternative(upstream),
+            mayFailOver: () =>
+                this.isSilent(upstream, sentMs) && this.hasRetry(runs) && this.selection.hasOther(upstream),
         });
     }
 
@@ -363,10 +362,44 @@
             || upstream.lastReceivedMs < sentMs;
     }
 
-    private hasAlternative(upstream: TrackedInstance): boolean {
-        const { context, admitted } = this.options;
-        return context.retryBudgets.get(admitted.service).hasRetry()
-            && this.selection.hasOther(upstream);
+    /**
+     * Whether a stream whose upstream has sent no event for a time may go on at another upstream now.
+     *
+     * @param upstream - upstream that is silent
+     * @param idleMs - time since the last event, in milliseconds
+     */
+    private isResumableElsewhere(upstream: TrackedInstance, idleMs: number): boolean {
+        const { targetLatencyMs, eventGapTargetMs = 0 } = this.options.admitted.route;
+        const remainingMs = this.computeRemainingMs() + idleMs;
+        return idleMs >= computeIdleTimeoutMs({ targetLatencyMs, eventGapTargetMs, remainingMs })
+            && this.hasRetry(this.recorder.trace.runs)
+            && (this.selection.hasRoomElsewhere(upstream) || this.hasOtherPath(upstream, idleMs));
+    }
+
+    /** Whether a silent upstream has answered other requests through another member meanwhile. */
+    private hasOtherPath({ client, lastReceivedMs }: TrackedInstance, idleMs: number): boolean {
+        const sinceReceivedMs = this.options.context.clock.readMonotonicMs() - lastReceivedMs;
+        return client.isRelayed && sinceReceivedMs < idleMs - minIdleTimeoutMs / 2;
+    }
+
+    /**
+     * Whether a request whose upstream is silent may be sent to another one now, so that it is not given up for nothing.
+     *
+     * @param runs - number of attempts after which the request may have run, the current one included
+     */
+    private hasRetry(runs: number): boolean {
+        const { context } = this.options;
+        const budget = context.retryBudgets.get(this.service);
+        const history = this.createHistory(runs, () => budget.hasRetry());
+        return decideRetry({ isSent: true, isNotRun: false }, history) === "another-upstream"
+            && this.computeRemainingMs() >= minRemainingMs
+            && this.crashWatch.readQuarantinedMs() === undefined
+            && (!this.binding.isBound || context.instances.isListingCurrent());
+    }
+
+    private createHistory(runs: number, takeRetry: () => boolean): AttemptHistory {
+        const { retryRule, maxRuns } = this.options.admitted.route;
+        return { retryRule, runs, maxRuns, sends: this.recorder.trace.sends, takeRetry };
     }
 
     /**
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -4,11 +4,11 @@
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import { retryRules } from "../routes/types";
 import type { HeldMemory } from "../upstreams/AnswerMemory";
 import { collectBody, type CollectedBody } from "../upstreams/collectBody";
 import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
+import { minIdleTimeoutMs } from "./computeIdleTimeoutMs";
 import { EventStreamSplitter } from "./EventStreamSplitter";
 import type { ForwardRecorder } from "./ForwardRecorder";
 import { isEventStream } from "./isEventStream";
@@ -29,6 +29,8 @@
     readonly crashWatch: CrashWatch;
     /** The software version that begins the stream. */
     readonly binding: Pick<StreamBinding, "softwareVersion">;
+    /** Whether a stream may go on at another upstream now, after a time without an event, in milliseconds. */
+    readonly isResumableElsewhere: (upstream: TrackedInstance, idleMs: number) => boolean;
     /** Memory of the request for collected answers. */
     readonly memory: HeldMemory;
 }
@@ -36,8 +38,6 @@
 const maxBufferedBytes = 16_777_216; // 16 MiB; larger answers have to be streams
 const maxRefusalBytes = 65_536;
 const refusalTimeoutMs = 100;
-const resumableIdleTimeoutMs = 1_500; // callers abandon a stream that is silent for 2 s or more
-const unlimitedIdleTimeoutMs = 86_400_000; // longer than any stream; the request's deadline ends it
 
 /**
  * Relays upstream answers to one caller. An event stream is relayed event by event and continues when it is resumed on
@@ -116,7 +116,7 @@
         exchange: UpstreamExchange,
         head: AnswerHead,
     ): Task<AttemptResult> {
-        const { clock, response, admitted, interrupt, crashWatch } = this.options;
+        const { clock, response, interrupt, crashWatch } = this.options;
         if (!response.headersSent) {
             this.options.recorder.trace.status = head.status;
             const headers: OutgoingHttpHeaders = selectResponseHeaders(head.headers);
@@ -124,14 +124,14 @@
             response.flushHeaders();
         }
         const splitter = new EventStreamSplitter(this.lastEventId);
-        const isResumable = admitted.route.retryRule === retryRules.resumable;
         const end = yield* relayEvents({
             exchange,
             splitter,
             response,
             interrupt,
             clock,
-            idleTimeoutMs: isResumable ? resumableIdleTimeoutMs : unlimitedIdleTimeoutMs,
+            idleTimeoutMs: minIdleTimeoutMs,
+            isResumableElsewhere: idleMs => this.options.isResumableElsewhere(upstream, idleMs),
             onData: () => {
                 upstream.lastReceivedMs = clock.readMonotonicMs();
                 crashWatch.observeData(upstream);
--- a/src/forwarding/UpstreamSelection.test.ts
+++ b/src/forwarding/UpstreamSelection.test.ts
@@ -6,13 +6,16 @@
     ({ instance: { id: `i-${index}`, softwareVersion } }) as TrackedInstance
 );
 
-const createSelection = (version?: string, suspectPart?: string): UpstreamSelection =>
+const createSelection = (version?: string, suspectPart?: string, slots = [8, 8, 8]): UpstreamSelection =>
     new UpstreamSelection({
         instances: {
             listUsable: () => upstreams,
             listInService: () => upstreams,
             createViews: instances =>
-                instances.map(({ instance }) => ({ id: instance.id, inFlight: 3 }) as UpstreamView),
+                instances.map(instance => {
+                    const index = upstreams.indexOf(instance);
+                    return { id: instance.instance.id, inFlight: 3, slots: slots[index] } as UpstreamView;
+                }),
         },
         placement: { choose: (_request, views) => views[0] },
         service: "llm",
@@ -42,6 +45,16 @@
         expect(selection.hasOther(upstreams[0])).toBe(true);
     });
 
+    it("prefers upstreams with a free slot where asked to, and tells whether there is another one", () => {
+        const selection = createSelection("v1", undefined, [3, 4, 8]);
+        expect(selection.choose()?.upstream).toBe(upstreams[0]);
+        expect(selection.choose({ prefersRoom: true })?.upstream).toBe(upstreams[1]);
+        expect(selection.hasRoomElsewhere(upstreams[0])).toBe(true);
+        expect(selection.hasRoomElsewhere(upstreams[1])).toBe(false);
+        selection.markTried(upstreams[1]);
+        expect(selection.choose({ prefersRoom: true })?.upstream).toBe(upstreams[0]);
+    });
+
     it("chooses the same single upstream for all requests with a part that may crash upstreams", () => {
         const chosen = createSelection(undefined, "part").choose()!.upstream;
         const selection = createSelection(undefined, "part");
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -1,6 +1,6 @@
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
 import type { InstanceRegistry, TrackedInstance } from "../placement/InstanceRegistry";
-import type { PlacementPolicy } from "../placement/types";
+import type { PlacementPolicy, UpstreamView } from "../placement/types";
 import type { StreamBinding } from "./StreamBinding";
 
 /** Options of {@link UpstreamSelection}. */
@@ -28,11 +28,17 @@
 
     constructor(private readonly options: UpstreamSelectionOptions) {}
 
-    /** Chooses a usable upstream to which the request has not been sent, and at which its stream may go on. */
-    choose(): SelectedUpstream | undefined {
+    /**
+     * Chooses a usable upstream to which the request has not been sent, and at which its stream may go on.
+     *
+     * @param options - whether upstreams with a free slot are preferred; default false
+     */
+    choose({ prefersRoom = false } = {}): SelectedUpstream | undefined {
         const { instances, placement, affinityKey } = this.options;
         const untried = this.listUntried();
-        const view = placement.choose({ affinityKey }, instances.createViews(untried));
+        const views = instances.createViews(untried);
+        const withRoom = prefersRoom ? views.filter(hasRoom) : [];
+        const view = placement.choose({ affinityKey }, withRoom.length > 0 ? withRoom : views);
         const upstream = untried.find(({ instance }) => instance.id === view?.id);
         return view && upstream && { upstream, load: view.inFlight };
     }
@@ -42,6 +48,12 @@
         return this.listUntried().some(other => other !== upstream);
     }
 
+    /** Whether an upstream other than the given one has a free slot and could be chosen. */
+    hasRoomElsewhere(upstream: TrackedInstance): boolean {
+        const others = this.listUntried().filter(other => other !== upstream);
+        return this.options.instances.createViews(others).some(hasRoom);
+    }
+
     /** Marks an upstream as one to which the request has been sent. */
     markTried(upstream: TrackedInstance): void {
         this.triedIds.add(upstream.instance.id);
@@ -73,3 +85,5 @@
         return rankByRendezvous(suspect, ids).at(0);
     }
 }
+
+const hasRoom = ({ inFlight, slots }: UpstreamView): boolean => inFlight < slots;
--- a/src/forwarding/relayEvents.test.ts
+++ b/src/forwarding/relayEvents.test.ts
@@ -13,6 +13,7 @@
     readonly clock = new FakeClock();
     readonly written: string[] = [];
     outcome: RelayOutcome | undefined;
+    isResumableElsewhere = true;
     private send: (chunk: Buffer) => void = () => {};
 
     constructor() {
@@ -34,6 +35,7 @@
             interrupt: { interrupted: new Promise(() => {}) } as unknown as RequestInterrupt,
             clock: this.clock,
             idleTimeoutMs,
+            isResumableElsewhere: () => this.isResumableElsewhere,
             onData: () => {},
             onFirstEvent: () => {},
         });
@@ -63,6 +65,20 @@
         expect(setup.written).toHaveLength(10);
     });
 
+    // Guards against streams that are cut at a silent upstream although they cannot go on at another one.
+    it("does not end a silent stream before it may go on elsewhere", async () => {
+        const setup = new Setup();
+        setup.isResumableElsewhere = false;
+        await setup.clock.advance(10 * idleTimeoutMs);
+        expect(setup.outcome).toBeUndefined();
+        await setup.sendRepeatedly(index => `id: ${index + 1}\ndata: x\n\n`, 1, idleTimeoutMs - 100);
+        setup.isResumableElsewhere = true;
+        await setup.clock.advance(99);
+        expect(setup.outcome).toBeUndefined();
+        await setup.clock.advance(1);
+        expect(setup.outcome).toMatchObject({ kind: "broken" });
+    });
+
     it("ends a stalled stream that sends a byte now and then", async () => {
         const setup = new Setup();
         await setup.sendRepeatedly(() => "x", 4, idleTimeoutMs / 2);
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -14,16 +14,19 @@
     readonly interrupt: RequestInterrupt;
     readonly clock: Clock;
     /**
-     * Time without a complete event with an id after which the stream counts as broken, in milliseconds. Other bytes do
-     * not extend it.
+     * Time without a complete event with an id after which {@link isResumableElsewhere} is first asked, in milliseconds. Other
+     * bytes do not extend it.
      */
     readonly idleTimeoutMs: number;
+    /** Whether the stream may go on at another upstream now, after a time without an event, in milliseconds. */
+    readonly isResumableElsewhere: (idleMs: number) => boolean;
     /** Called whenever a chunk arrives. */
     readonly onData: () => void;
     /** Called once, when the first complete event with an id arrives. */
     readonly onFirstEvent: () => void;
 }
 
+const recheckIntervalMs = 200; // between questions whether the stream may go on elsewhere
 const foreignMessage = "the upstream sends bytes that are no events";
 
 /** How relaying a stream ended. */
@@ -34,7 +37,8 @@
 
 /**
  * Relays the events of a stream as they arrive, complete events only. Applies backpressure: reading from the upstream
- * pauses while the caller's connection is full, and that time does not count as idle.
+ * pauses while the caller's connection is full, and that time does not count as idle. An upstream that falls silent is left
+ * only if the stream may go on elsewhere.
  *
  * @param options - exchange, splitter, and the response, whose headers have been sent
  * @returns how the stream ended; the response stays open
@@ -70,14 +74,16 @@
     try {
         for (;;) {
             const idleMs = isPaused ? 0 : clock.readMonotonicMs() - lastEventMs;
-            if (idleMs >= options.idleTimeoutMs) {
+            if (idleMs >= options.idleTimeoutMs && options.isResumableElsewhere(idleMs)) {
                 return { kind: "broken", message: `no event from the upstream for ${Math.round(idleMs)} ms` };
             }
             const outcome = yield* waitFor(
                 waitWithTimeout<ExchangeEnd | InterruptKind>({
                     clock,
                     promises: [exchange.ended, interrupt.interrupted],
-                    timeoutMs: options.idleTimeoutMs - idleMs,
+                    timeoutMs: idleMs < options.idleTimeoutMs
+                        ? options.idleTimeoutMs - idleMs
+                        : recheckIntervalMs,
                 }),
             );
             if (typeof outcome === "string") {
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -33,6 +33,11 @@
     readonly timeoutMs: number;
     /** Latency target for the first byte of a stream or for the complete answer otherwise, in milliseconds. */
     readonly targetLatencyMs: number;
+    /**
+     * Longest pause between the events of a stream for which it is on time, in milliseconds; absent if none is stated, and
+     * in configurations that come from nodes of older versions.
+     */
+    readonly eventGapTargetMs?: number;
     /** Priority of the route's requests; 0 is the most urgent. */
     readonly priority: number;
     /** Maximum number of times that one request may run. */
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -68,6 +68,8 @@
     | "hang"
     /** Sends two events of a stream and then nothing, with the connection left open. */
     | "stall"
+    /** Sends two events of a stream, then nothing for a time, and then the others. */
+    | "pause"
     /** Begins a stream and crashes at its first event. */
     | "crash";
 
@@ -138,6 +140,8 @@
     workMs = 0;
     /** Monotonic time until which it answers nothing, in milliseconds. */
     silentUntilMs = -Infinity;
+    /** Duration of its pauses in streams, in milliseconds. */
+    pauseMs = 0;
     private running = 0;
     private readonly turnedAwayAtMs: number[] = [];
     /** Called when the stand-in crashes. */
@@ -336,6 +340,9 @@
             if (behaviour === "stall" && id === lastEventId + 3) {
                 return;
             }
+            if (behaviour === "pause" && id === lastEventId + 3) {
+                await new Promise(resolve => setTimeout(resolve, this.pauseMs));
+            }
             if (behaviour === "crash") {
                 await this.breakDown(response);
                 return;
