Count a stream as idle only from the moment at which it is read again

What callers saw: a caller that read slowly for over 1.5 s could lose its place at a sound upstream. While the caller's connection is full, the node does not read from the upstream; when the caller read on, the time since the last event counted as idle, though the upstream's bytes waited in the node's buffer.

Cause: relayEvents left out the time only while reading was paused, not after it.

Fix: the time counts from the moment at which reading is resumed.

--- a/src/forwarding/relayEvents.test.ts
+++ b/src/forwarding/relayEvents.test.ts
@@ -7,6 +7,7 @@
 import type { RequestInterrupt } from "./RequestInterrupt";
 
 const idleTimeoutMs = 1_500;
+const event = "id: 1\ndata: x\n\n";
 
 /** A relayed stream whose bytes the test sends. */
 class Setup {
@@ -14,19 +15,27 @@
     readonly written: string[] = [];
     outcome: RelayOutcome | undefined;
     isResumableElsewhere = true;
-    private send: (chunk: Buffer) => void = () => {};
+    isCallerFull = false;
+    /** Passes bytes on as the upstream's. */
+    send: (chunk: Buffer) => void = () => {};
+    /** Lets the caller read on. */
+    drain: () => void = () => {};
 
     constructor() {
         const exchange = {
             listen: (listener: (chunk: Buffer) => void) => {
                 this.send = listener;
             },
+            pause: () => {},
+            resume: () => {},
             ended: new Promise(() => {}),
         } as unknown as UpstreamExchange;
         const response = {
-            on: () => {},
+            on: (_name: string, listener: () => void) => {
+                this.drain = listener;
+            },
             off: () => {},
-            write: (bytes: Buffer) => this.written.push(bytes.toString()) > 0,
+            write: (bytes: Buffer) => this.written.push(bytes.toString()) > 0 && !this.isCallerFull,
         } as unknown as ServerResponse;
         const relay = relayEvents({
             exchange,
@@ -79,6 +88,18 @@
         expect(setup.outcome).toMatchObject({ kind: "broken" });
     });
 
+    // Guards against streams that are cut after their caller, not their upstream, has paused.
+    it("does not count the time in which the caller's connection was full", async () => {
+        const setup = new Setup();
+        setup.isCallerFull = true;
+        await setup.sendRepeatedly(() => event, 1, idleTimeoutMs - 1);
+        setup.drain();
+        await setup.clock.advance(idleTimeoutMs - 1);
+        expect(setup.outcome).toBeUndefined();
+        await setup.clock.advance(1);
+        expect(setup.outcome).toMatchObject({ kind: "broken" });
+    });
+
     it("ends a stalled stream that sends a byte now and then", async () => {
         const setup = new Setup();
         await setup.sendRepeatedly(() => "x", 4, idleTimeoutMs / 2);
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -50,6 +50,7 @@
     let hasEvent = false;
     const resume = (): void => {
         isPaused = false;
+        lastEventMs = clock.readMonotonicMs();
         exchange.resume();
     };
     response.on("drain", resume);
