Read what has arrived before an upstream counts as silent

What callers saw: after a node was held up (paused, or starved of processor time) for longer than a time-out, it left upstreams that had answered meanwhile: their bytes waited in its sockets.

Cause: where the event loop is late, it runs timers before it reads from connections, so the time-out of relayEvents and waitForResponseStart was seen before the input that had arrived long before it.

Fix: waitForInput reads what has arrived (waitForPendingInput, as before a request is sent) before it reports a time-out.

--- a/src/forwarding/relayEvents.test.ts
+++ b/src/forwarding/relayEvents.test.ts
@@ -100,6 +100,15 @@
         expect(setup.outcome).toMatchObject({ kind: "broken" });
     });
 
+    // Guards against streams that are cut since the node, not their upstream, was held up.
+    it("reads what has arrived before it takes an upstream for silent", async () => {
+        const setup = new Setup();
+        void setup.clock.sleep(idleTimeoutMs).then(() => setImmediate(() => setup.send(Buffer.from(event))));
+        await setup.clock.advance(2 * idleTimeoutMs - 1);
+        expect(setup.outcome).toBeUndefined();
+        expect(setup.written).toEqual([event]);
+    });
+
     it("ends a stalled stream that sends a byte now and then", async () => {
         const setup = new Setup();
         await setup.sendRepeatedly(() => "x", 4, idleTimeoutMs / 2);
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -1,10 +1,10 @@
 import type { ServerResponse } from "node:http";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
-import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { ExchangeEnd, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { EventStreamSplitter } from "./EventStreamSplitter";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
+import { waitForInput } from "./waitForInput";
 
 /** Options of {@link relayEvents}. */
 export interface RelayEventsOptions {
@@ -79,7 +79,7 @@
                 return { kind: "broken", message: `no event from the upstream for ${Math.round(idleMs)} ms` };
             }
             const outcome = yield* waitFor(
-                waitWithTimeout<ExchangeEnd | InterruptKind>({
+                waitForInput<ExchangeEnd | InterruptKind>({
                     clock,
                     promises: [exchange.ended, interrupt.interrupted],
                     timeoutMs: idleMs < options.idleTimeoutMs
--- a/src/forwarding/waitForResponseStart.ts
+++ b/src/forwarding/waitForResponseStart.ts
@@ -1,8 +1,8 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
-import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { ExchangeStart, UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { InterruptKind, RequestInterrupt } from "./RequestInterrupt";
+import { waitForInput } from "./waitForInput";
 
 /** Options of {@link waitForResponseStart}. */
 export interface WaitForResponseStartOptions {
@@ -33,7 +33,7 @@
         return yield* waitFor(Promise.race(promises));
     }
     for (let timeoutMs = failoverDelayMs;; timeoutMs = recheckIntervalMs) {
-        const outcome = yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs }));
+        const outcome = yield* waitFor(waitForInput({ clock, promises, timeoutMs }));
         if (outcome !== undefined || options.mayFailOver()) {
             return outcome ?? "silent";
         }
