--- a/src/forwarding/relayEvents.test.ts
+++ b/src/forwarding/relayEvents.test.ts
@@ -7,25 +7,35 @@
 import type { RequestInterrupt } from "./RequestInterrupt";
 
 const idleTimeoutMs = 1_500;
+const event = "id: 1\ndata: x\n\n";
 
 /** A relayed stream whose bytes the test sends. */
 class Setup {
     readonly clock = new FakeClock();
     readonly written: string[] = [];
     outcome: RelayOutcome | undefined;
-    private send: (chunk: Buffer) => void = () => {};
+    isResumableElsewhere = true;
+    isCallerFull = false;
+    /** Passes bytes on as the upstream's. */
+    send: (chunk: Buffer) => void = () => {};
+    /** Lets the caller read on. */
+    drain: () => void = () => {};
 
     constructor() {
         const exchange = {
             listen: (listener: (chunk: Buffer) => void) => {
                 this.send = listener;
             },
+            pause: () => {},
+            resume: () => {},
             ended: new Promise(() => {}),
         } as unknown as UpstreamExchange;
         const response = {
-            on: () => {},
+            on: (_name: string, listener: () => void) => {
+                this.drain = listener;
+            },
             off: () => {},
-            write: (bytes: Buffer) => this.written.push(bytes.toString()) > 0,
+            write: (bytes: Buffer) => this.written.push(bytes.toString()) > 0 && !this.isCallerFull,
         } as unknown as ServerResponse;
         const relay = relayEvents({
             exchange,
@@ -34,6 +44,7 @@
             interrupt: { interrupted: new Promise(() => {}) } as unknown as RequestInterrupt,
             clock: this.clock,
             idleTimeoutMs,
+            isResumableElsewhere: () => this.isResumableElsewhere,
             onData: () => {},
             onFirstEvent: () => {},
         });
@@ -63,6 +74,41 @@
         expect(setup.written).toHaveLength(10);
     });
 
+    // Guards against streams that are cut at a silent upstream although they cannot go on at another one.
+    it("does not end a silent stream before it may go on elsewhere", async () => {
+        const setup = new Setup();
+        setup.isResumableElsewhere = false;
+        await setup.clock.advance(10 * idleTimeoutMs);
+        expect(setup.outcome).toBeUndefined();
+        await setup.sendRepeatedly(index => `id: ${index + 1}\ndata: x\n\n`, 1, idleTimeoutMs - 100);
+        setup.isResumableElsewhere = true;
+        await setup.clock.advance(99);
+        expect(setup.outcome).toBeUndefined();
+        await setup.clock.advance(1);
+        expect(setup.outcome).toMatchObject({ kind: "broken" });
+    });
+
+    // Guards against streams that are cut after their caller, not their upstream, has paused.
+    it("does not count the time in which the caller's connection was full", async () => {
+        const setup = new Setup();
+        setup.isCallerFull = true;
+        await setup.sendRepeatedly(() => event, 1, idleTimeoutMs - 1);
+        setup.drain();
+        await setup.clock.advance(idleTimeoutMs - 1);
+        expect(setup.outcome).toBeUndefined();
+        await setup.clock.advance(1);
+        expect(setup.outcome).toMatchObject({ kind: "broken" });
+    });
+
+    // Guards against streams that are cut since the node, not their upstream, was held up.
+    it("reads what has arrived before it takes an upstream for silent", async () => {
+        const setup = new Setup();
+        void setup.clock.sleep(idleTimeoutMs).then(() => setImmediate(() => setup.send(Buffer.from(event))));
+        await setup.clock.advance(2 * idleTimeoutMs - 1);
+        expect(setup.outcome).toBeUndefined();
+        expect(setup.written).toEqual([event]);
+    });
+
     it("ends a stalled stream that sends a byte now and then", async () => {
         const setup = new Setup();
         await setup.sendRepeatedly(() => "x", 4, idleTimeoutMs / 2);
