Wait for a further retry where an idle stream's resumption was refused

What callers saw: a stream that was left since its upstream sent no events, and whose resumption the other upstream refused as full, was cut at once if no further retry was left. The silent upstream might have gone on.

Cause: that another upstream seems to have room is known from reports that lag; a refusal takes a second retry, which was not asked for when the first upstream was left.

Fix: decideRetry tells a stream that was left only for a silence to wait for a retry; it is cut only when its attempts are used up, at its deadline, or when its caller leaves. A stream whose upstream broke off is ended as before.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -58,6 +58,8 @@
     private readonly selection: UpstreamSelection;
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
+    /** Whether the stream was left since its upstream sent no events, though it might have gone on. */
+    private hasLeftIdle = false;
     /** Whether the upstream chosen last was not used since its software version was not known. */
     private isVersionRefused = false;
 
@@ -152,6 +154,7 @@
             if (result.kind !== "failed") {
                 return result;
             }
+            this.hasLeftIdle ||= result.isIdle === true;
             const { runs } = this.recorder.trace;
             const next = decideRetry(result, this.createHistory(runs, () => budget.takeRetry()));
             this.recorder.reportFailedAttempt({
@@ -166,7 +169,20 @@
             if (next === "stop" || this.computeRemainingMs() < minRemainingMs) {
                 return result;
             }
+            if (next === "wait-for-retry") {
+                yield* this.waitForRetry();
+            }
+        }
+    }
+
+    /** Waits until a retry is left in the budget, and takes it. Returns early if the request is interrupted. */
+    private *waitForRetry(): Task<void> {
+        const { clock, retryBudgets } = this.options.context;
+        const promises = [this.interrupt.interrupted];
+        do {
+            yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs: resumePauseMs }));
         }
+        while (!this.interrupt.read() && !retryBudgets.get(this.service).takeRetry());
     }
 
     /**
@@ -399,7 +415,8 @@
 
     private createHistory(runs: number, takeRetry: () => boolean): AttemptHistory {
         const { retryRule, maxRuns } = this.options.admitted.route;
-        return { retryRule, runs, maxRuns, sends: this.recorder.trace.sends, takeRetry };
+        const { sends } = this.recorder.trace;
+        return { retryRule, runs, maxRuns, sends, takeRetry, mayWait: this.hasLeftIdle };
     }
 
     /**
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -152,7 +152,13 @@
             case "interrupted":
                 return end;
             case "broken":
-                return { kind: "failed", isSent: true, isNotRun: false, message: end.message };
+                return {
+                    kind: "failed",
+                    isSent: true,
+                    isNotRun: false,
+                    message: end.message,
+                    isIdle: end.isIdle,
+                };
         }
     }
 }
--- a/src/forwarding/decideRetry.test.ts
+++ b/src/forwarding/decideRetry.test.ts
@@ -6,6 +6,7 @@
     maxRuns: 2,
     sends: 1,
     takeRetry: () => true,
+    mayWait: false,
     ...fields,
 });
 
@@ -35,6 +36,13 @@
         expect(decideRetry(failed, createHistory({ retryRule: "resumable", runs: 2 }))).toBe("stop");
     });
 
+    it("waits for a retry that is allowed but not left, where the request may wait", () => {
+        const history = createHistory({ retryRule: "resumable", takeRetry: () => false, mayWait: true });
+        expect(decideRetry({ isSent: true, isNotRun: true }, history)).toBe("wait-for-retry");
+        expect(decideRetry({ isSent: true, isNotRun: false }, history)).toBe("wait-for-retry");
+        expect(decideRetry({ isSent: true, isNotRun: false }, { ...history, runs: 2 })).toBe("stop");
+    });
+
     it("stops after five attempts", () => {
         expect(decideRetry({ isSent: false, isNotRun: true }, createHistory({ runs: 0, sends: 5 }))).toBe(
             "stop",
--- a/src/forwarding/decideRetry.ts
+++ b/src/forwarding/decideRetry.ts
@@ -18,10 +18,12 @@
     readonly sends: number;
     /** Takes one retry from this node's part of the service's retry budget; false if none is left. */
     readonly takeRetry: () => boolean;
+    /** Whether the request waits for a retry if none is left. */
+    readonly mayWait: boolean;
 }
 
 /** What follows a failed attempt. */
-export type RetryDecision = "another-upstream" | "stop";
+export type RetryDecision = "another-upstream" | "wait-for-retry" | "stop";
 
 const maxAttempts = 5; // if this many upstreams did not take a request, the service is full or broken
 
@@ -31,7 +33,7 @@
  *
  * @param failed - the failed attempt
  * @param history - all attempts so far
- * @returns whether to retry or to stop
+ * @returns whether to retry now, to retry once the budget allows it, or to stop
  */
 export const decideRetry = (failed: FailedAttempt, history: AttemptHistory): RetryDecision => {
     if (history.sends >= maxAttempts) {
@@ -43,5 +45,8 @@
     if (!failed.isNotRun && (history.retryRule === retryRules.once || history.runs >= history.maxRuns)) {
         return "stop";
     }
-    return history.takeRetry() ? "another-upstream" : "stop";
+    if (history.takeRetry()) {
+        return "another-upstream";
+    }
+    return history.mayWait ? "wait-for-retry" : "stop";
 };
--- a/src/forwarding/relayEvents.ts
+++ b/src/forwarding/relayEvents.ts
@@ -32,7 +32,7 @@
 /** How relaying a stream ended. */
 export type RelayOutcome =
     | { readonly kind: "whole"; }
-    | { readonly kind: "broken"; readonly message: string; }
+    | { readonly kind: "broken"; readonly message: string; readonly isIdle?: boolean; }
     | { readonly kind: "interrupted"; readonly by: InterruptKind; };
 
 /**
@@ -76,7 +76,8 @@
         for (;;) {
             const idleMs = isPaused ? 0 : clock.readMonotonicMs() - lastEventMs;
             if (idleMs >= options.idleTimeoutMs && options.isResumableElsewhere(idleMs)) {
-                return { kind: "broken", message: `no event from the upstream for ${Math.round(idleMs)} ms` };
+                const message = `no event from the upstream for ${Math.round(idleMs)} ms`;
+                return { kind: "broken", message, isIdle: true };
             }
             const outcome = yield* waitFor(
                 waitForInput<ExchangeEnd | InterruptKind>({
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -89,6 +89,8 @@
     readonly message: string;
     /** Whether no answer began in time, though the connection held. */
     readonly isSilent?: boolean;
+    /** Whether a stream was left since no event came, though the connection held. */
+    readonly isIdle?: boolean;
     /** Error answer of the upstream, relayed if the request is not retried. */
     readonly answer?: { readonly head: AnswerHead; readonly body: Buffer; };
 }
