Raise a holder's number when the store was restored, since the store may have lost another holding

What could be seen: a lower number than one seen, for as long as the holder goes on, after a restore of the store to a copy that names a former holder which has not noticed that its lease had lapsed.

Cause: a holder whose row a restored store still names went on with its number. That the store has lost a holding with a higher one was ruled out by the holder's clocks alone. Class: absence of a record is taken for proof that nothing happened.

The holder now stops calling when it learns of the restore, writes its row with a number of the new era, and calls again after a new holder's wait. It keeps its duties' state meanwhile (isHolder), so that no window of usage is left out.

The stand-ins of the lease in two tests gained isHolder.

--- a/src/fleet/InstanceScaler.test.ts
+++ b/src/fleet/InstanceScaler.test.ts
@@ -39,6 +39,7 @@
         this.scaler = new InstanceScaler({
             lease: {
                 readHeldFor: () => this.isHolder ? held : undefined,
+                isHolder: () => this.isHolder,
                 readHeld: () => this.isHolder ? held : undefined,
             } as unknown as Lease,
             cloud: {
--- a/src/fleet/InstanceScaler.ts
+++ b/src/fleet/InstanceScaler.ts
@@ -87,7 +87,7 @@
                     yield* this.orderInstances(service);
                 }
             }
-            if (!this.options.lease.readHeld()) {
+            if (!this.options.lease.isHolder()) {
                 this.acceptedOrders.clear();
             }
         }
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -71,7 +71,8 @@
  * Orders that a former holder sent earlier are recognised by their fencing number.
  *
  * A store that was restored from an older copy may have lost renewals, and assigns the same revisions again. Candidates
- * then observe the row anew for the whole duration, and the holder continues only if the row still names its holding.
+ * then observe the row anew for the whole duration. The holder continues only if the row still names its holding, and
+ * with a new number.
  */
 export class Lease {
     private holding: Holding | undefined;
@@ -113,11 +114,17 @@
             this.dropHolding("the lease expired before it was renewed");
             return undefined;
         }
-        return nowMs < holding.activeFromMs
+        return nowMs < holding.activeFromMs || holding.era !== this.readEra()
             ? undefined
             : { fencing: holding.fencing, remainingMs, monotonicAgeMs, wallAgeMs };
     }
 
+    /** Whether this node holds the lease, even if it may not act yet, as after a restore of the store. */
+    isHolder(): boolean {
+        this.readHeld();
+        return this.holding !== undefined;
+    }
+
     /** Returns the lease if it remains valid for the duration of a call that starts now, in milliseconds. */
     readHeldFor(callMs: number): HeldLease | undefined {
         const held = this.readHeld();
@@ -134,7 +141,7 @@
         const { holding } = this;
         const row = await this.readRow();
         const found = row?.value as LeaseRow | undefined;
-        if (!holding || this.holding?.holdingId !== holding.holdingId) {
+        if (!holding || this.holding?.holdingId !== holding.holdingId || holding.era !== this.readEra()) {
             return false;
         }
         if (found?.holdingId !== holding.holdingId) {
@@ -170,14 +177,19 @@
         return this.options.storeEra?.current.value ?? 0;
     }
 
-    /** Adopts the row's revision after a restore of the store; returns undefined if the row names another holding. */
+    /**
+     * Adopts the row's revision after a restore of the store, with a higher number, as the store may have lost another
+     * holding; returns undefined if the row names one.
+     */
     private *recoverHolding(holding: Holding): Task<Holding | undefined> {
         const row = yield* waitFor(this.readRow());
         const era = this.readEra();
         const found = row?.value as LeaseRow | undefined;
-        return row && found?.holdingId === holding.holdingId
-            ? { ...holding, revision: row.revision, era }
-            : undefined;
+        if (!row || found?.holdingId !== holding.holdingId) {
+            return undefined;
+        }
+        const fencing = computeNextFencing(row, era);
+        return { ...holding, revision: row.revision, era, fencing, activeFromMs: Infinity };
     }
 
     private *renew(previous: Holding): Task<void> {
@@ -202,7 +214,16 @@
             this.dropHolding("the renewal failed: the lease row no longer belongs to this holding");
             return;
         }
-        this.holding = { ...(written.isThisWrite ? next : holding), revision: written.revision };
+        this.holding = written.isThisWrite
+            ? this.delayCalls({ ...next, revision: written.revision })
+            : { ...holding, revision: written.revision };
+    }
+
+    /** Lets a holding that has a new number act once the calls of the holder before have arrived. */
+    private delayCalls(holding: Holding): Holding {
+        return Number.isFinite(holding.activeFromMs)
+            ? holding
+            : { ...holding, activeFromMs: this.options.clock.readMonotonicMs() + this.takeoverDelayMs };
     }
 
     private *tryAcquire(): Task<void> {
@@ -229,8 +250,7 @@
         const condition: RowCondition = { kind: "revision", revision: row.revision };
         const written = yield* this.writeRow(next, condition);
         if (written && this.readEra() === era) {
-            const activeFromMs = this.options.clock.readMonotonicMs() + this.takeoverDelayMs;
-            this.holding = { ...next, revision: written.revision, activeFromMs };
+            this.holding = this.delayCalls({ ...next, revision: written.revision });
             this.options.events.emit(eventKinds.leaseAcquired, {
                 duty: this.options.duty,
                 fencing: next.fencing,
--- a/src/usage/UsageReporter.test.ts
+++ b/src/usage/UsageReporter.test.ts
@@ -33,6 +33,7 @@
         ledger,
         clusterClock,
         lease: {
+            isHolder: () => setup.isHolder,
             readHeld: () => setup.isHolder ? held : undefined,
             readHeldFor: () => setup.isHolder ? held : undefined,
         } as unknown as Lease,
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -79,10 +79,13 @@
     private *run(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(cycleMs, signal));
-            if (!this.options.lease.readHeld()) {
+            if (!this.options.lease.isHolder()) {
                 this.nextWindow = undefined;
                 continue;
             }
+            if (!this.options.lease.readHeld()) {
+                continue;
+            }
             if (this.nextWindow === undefined) {
                 yield* this.takeOver();
             }
