--- a/src/leases/DutyCaller.ts
+++ b/src/leases/DutyCaller.ts
@@ -2,9 +2,10 @@
 import { StoreError } from "../platform/StoreError";
 import type { CallStages } from "../platform/types";
 import type { EventLog } from "../telemetry/EventLog";
-import { eventKinds } from "../telemetry/eventKinds";
+import { DutyCallRecord, type DutyOutcome, dutyOutcomes } from "./DutyCallRecord";
 import type { Lease } from "./Lease";
-import type { HeldLease } from "./types";
+import { LeaseConfirmation } from "./LeaseConfirmation";
+import type { DutyTarget } from "./types";
 
 /** Options of {@link DutyCaller}. */
 export interface DutyCallerOptions {
@@ -15,13 +16,6 @@
     readonly callTimeoutMs: number;
 }
 
-/** What a call is about. */
-export interface DutyTarget {
-    readonly duty: string;
-    /** Calls about one subject replace each other. */
-    readonly subject: string;
-}
-
 /** An answered call. */
 export interface DutyAnswer<T> {
     readonly answer: T;
@@ -31,25 +25,6 @@
 /** Sends one call with a fencing number. */
 export type DutyCall<T> = (fencing: number, stages: CallStages) => Promise<T>;
 
-/** How a call ended: `unsent` without a byte written, `abandoned` after it was written, `answered` with any answer. */
-const outcomes = { answered: "answered", unsent: "unsent", abandoned: "abandoned" } as const;
-
-type Outcome = typeof outcomes[keyof typeof outcomes];
-
-interface ClockReading {
-    readonly monotonicMs: number;
-    readonly wallMs: number;
-}
-
-const noReading: ClockReading = { monotonicMs: -Infinity, wallMs: -Infinity };
-
-const readClock = (clock: Clock): ClockReading => ({
-    monotonicMs: clock.readMonotonicMs(),
-    wallMs: clock.readWallMs(),
-});
-
-const confirmationShare = 0.5; // of a call's time-out; the rest is left for the call itself
-
 /** Makes the calls that only the holder of a lease may make, and logs each of them. */
 export class DutyCaller {
     constructor(private readonly options: DutyCallerOptions) {}
@@ -78,7 +53,7 @@
                     record.markWritten();
                 },
             });
-            record.finish(outcomes.answered);
+            record.finish(dutyOutcomes.answered);
             return { answer, fencing: held.fencing };
         }
         catch (error) {
@@ -88,73 +63,9 @@
     }
 }
 
-/**
- * Confirmation by the store that a lease is held, for one call. A next holder waits for the time-out of a call before it
- * acts, so that a call that is written soon after it was confirmed arrives first.
- */
-class LeaseConfirmation {
-    private requested: ClockReading | undefined;
-
-    constructor(
-        private readonly options: Pick<DutyCallerOptions, "clock" | "lease" | "callTimeoutMs">,
-        private readonly held: HeldLease,
-    ) {}
-
-    async request(): Promise<void> {
-        this.requested = readClock(this.options.clock);
-        if (!await this.options.lease.confirmHeld()) {
-            throw new Error("the lease is no longer held");
-        }
-    }
-
-    require(): void {
-        const now = readClock(this.options.clock);
-        const { monotonicMs, wallMs } = this.requested ?? noReading;
-        const ageMs = Math.max(now.monotonicMs - monotonicMs, now.wallMs - wallMs);
-        if (ageMs > this.options.callTimeoutMs * confirmationShare) {
-            throw new Error(`the lease was confirmed ${ageMs} ms ago`);
-        }
-        if (this.options.lease.readHeld()?.fencing !== this.held.fencing) {
-            throw new Error("the lease is no longer held");
-        }
-    }
-}
-
-/** Times of one call, for its log line. */
-class DutyCallRecord {
-    private readonly checkedMs: number;
-    private writtenMs: number | undefined;
-
-    constructor(
-        private readonly options: Pick<DutyCallerOptions, "clock" | "events">,
-        private readonly target: DutyTarget,
-        private readonly held: HeldLease,
-    ) {
-        this.checkedMs = options.clock.readMonotonicMs();
-    }
-
-    markWritten(): void {
-        this.writtenMs = this.options.clock.readMonotonicMs();
-    }
-
-    finish(outcome: Outcome): void {
-        const { held, target, checkedMs, writtenMs } = this;
-        const endedMs = this.options.clock.readMonotonicMs();
-        this.options.events.emit(eventKinds.dutyCalled, {
-            ...target,
-            fencing: held.fencing,
-            outcome,
-            monotonicAgeMs: Math.round(held.monotonicAgeMs),
-            wallAgeMs: Math.round(held.wallAgeMs),
-            writtenAfterMs: writtenMs === undefined ? undefined : Math.round(writtenMs - checkedMs),
-            endedAfterMs: Math.round(endedMs - checkedMs),
-        });
-    }
-}
-
-const toOutcome = (error: unknown): Outcome => {
+const toOutcome = (error: unknown): DutyOutcome => {
     if (!(error instanceof StoreError)) {
-        return outcomes.answered;
+        return dutyOutcomes.answered;
     }
-    return error.effect === "none" ? outcomes.unsent : outcomes.abandoned;
+    return error.effect === "none" ? dutyOutcomes.unsent : dutyOutcomes.abandoned;
 };
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -25,3 +25,10 @@
     /** The same by the wall clock. */
     readonly wallAgeMs: number;
 }
+
+/** What a call is about. */
+export interface DutyTarget {
+    readonly duty: string;
+    /** Calls about one subject replace each other. */
+    readonly subject: string;
+}
