--- a/src/fleet/InstanceScaler.ts
+++ b/src/fleet/InstanceScaler.ts
@@ -2,8 +2,9 @@
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
-import { DutyCaller, type DutyTarget } from "../leases/DutyCaller";
+import { DutyCaller } from "../leases/DutyCaller";
 import type { Lease } from "../leases/Lease";
+import type { DutyTarget } from "../leases/types";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { FencedCloud, UpstreamOrder } from "../platform/types";
 import type { ServingState } from "../routes/ServingState";
@@ -87,7 +88,7 @@
                     yield* this.orderInstances(service);
                 }
             }
-            if (!this.options.lease.readHeld()) {
+            if (!this.options.lease.isHolder()) {
                 this.acceptedOrders.clear();
             }
         }
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -5,8 +5,9 @@
 import { waitFor } from "../kernel/waitFor";
 import type { ClusterClock } from "../feeds/ClusterClock";
 import type { StoreEra } from "../feeds/StoreEra";
-import { DutyCaller, type DutyTarget } from "../leases/DutyCaller";
+import { DutyCaller } from "../leases/DutyCaller";
 import type { Lease } from "../leases/Lease";
+import type { DutyTarget } from "../leases/types";
 import type { FencedCloud, Row, RowCondition, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
@@ -83,10 +84,13 @@
     private *run(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(cycleMs, signal));
-            if (!this.options.lease.readHeld()) {
+            if (!this.options.lease.isHolder()) {
                 this.nextWindow = undefined;
                 continue;
             }
+            if (!this.options.lease.readHeld()) {
+                continue;
+            }
             if (this.nextWindow === undefined) {
                 yield* this.takeOver();
             }
