--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -88,7 +88,7 @@
         const isRecorded = recorded.some(record => this.isOwnRecord(record));
         if (this.isWritten && !isRecorded && !this.isLeaving) {
             this.isWritten = false;
-            this.scope.run("node-record", signal => this.rewriteRecord(signal));
+            this.scope.run("node-record", signal => this.renewRecord(signal));
         }
     }
 
@@ -134,7 +134,7 @@
         }
     }
 
-    private *rewriteRecord(signal: AbortSignal): Task<void> {
+    private *renewRecord(signal: AbortSignal): Task<void> {
         const { clock } = this.options;
         yield* waitFor(clock.sleep(Math.max(0, this.nextRewriteMs - clock.readMonotonicMs()), signal));
         this.nextRewriteMs = clock.readMonotonicMs() + rewriteMs;
--- a/src/quarantine/QuarantineRecords.ts
+++ b/src/quarantine/QuarantineRecords.ts
@@ -24,7 +24,8 @@
 
 const maxKeyBytes = 200; // limit of the platform's store
 const maxOperations = 100; // limit of one transaction
-const recordSchema = z.object({ sinceStoreMs: z.number() });
+const clockToleranceMs = 1_000; // the estimates of the store's clock differ between nodes
+const recordSchema = z.object({ sinceStoreMs: z.number().finite() });
 
 /**
  * Quarantined parts in the platform's store, for nodes that cannot reach those that know them, or that start after these
@@ -42,14 +43,14 @@
         }
     }
 
-    /** Lists the stored parts with the time since their quarantine began, in milliseconds. */
+    /** Lists the stored parts with the time since their quarantine began, in milliseconds; infinite if it lies ahead. */
     listAges(): ReadonlyMap<string, number> {
         const nowMs = this.options.storeClock.readStoreMs();
         const records = this.options.feed.records.value ?? new Map<string, QuarantineRecord>();
         return new Map(
             [...records].map((
                 [id, { sinceStoreMs }],
-            ) => [id, Math.max(0, (nowMs ?? sinceStoreMs) - sinceStoreMs)]),
+            ) => [id, computeAgeMs(sinceStoreMs, nowMs ?? sinceStoreMs)]),
         );
     }
 
@@ -92,6 +93,10 @@
 export const decodeQuarantineRecord = (_key: string, value: unknown): QuarantineRecord | undefined =>
     recordSchema.safeParse(value).data;
 
+/** Computes the age of a record. One from the future is of another writer, and counts as ended. */
+const computeAgeMs = (sinceStoreMs: number, nowMs: number): number =>
+    sinceStoreMs > nowMs + clockToleranceMs ? Infinity : Math.max(0, nowMs - sinceStoreMs);
+
 const createOperation = (key: string, value: QuarantineRecord | undefined): RowOperation => ({
     table: quarantineTable,
     key,
