Keep a link when a frame is too large for the member, and drop the frame

The link between two nodes ended (close code 1009) when one passed on a reading of more than 1 MB, such as one change with thousands of well-formed entries of another writer, and again with each further one; the members lost then count as gone and are dialled again.

The sender knows the limit, which is the same at all nodes: it drops such a frame and logs it. A follower of a feed that misses a reading finds the gap with the next one and lists the records itself.

--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -18,6 +18,14 @@
     bytesReceived: number;
 }
 
+/** Limit of the frames that a link sends. */
+export interface FrameLimit {
+    /** Size above which the member would close the link, in bytes. */
+    readonly maxFrameBytes: number;
+    /** Called with the size of each frame that is dropped since it is larger. */
+    readonly onOversized: (bytes: number) => void;
+}
+
 /** An authenticated link to one member. */
 export class PeerLink {
     private readonly pending = new Map<number, PendingCall>();
@@ -40,18 +48,23 @@
         private readonly counters: LinkCounters,
         /** Whether the link was opened for a call and is closed when idle. */
         readonly isOnDemand: boolean,
+        private readonly frameLimit: FrameLimit,
     ) {
         this.lastReceivedMs = clock.readMonotonicMs();
         this.lastCallMs = this.lastReceivedMs;
     }
 
-    /** Sends a message; drops it if the socket is not open. */
+    /** Sends a message; drops it if the socket is not open, or if the member would close the link for its size. */
     send(message: PeerMessage): void {
         if (this.socket.readyState !== this.socket.OPEN) {
             return;
         }
-        this.lastSentMs = this.clock.readMonotonicMs();
         const frame = encodeFrame(message);
+        if (frame.length > this.frameLimit.maxFrameBytes) {
+            this.frameLimit.onOversized(frame.length);
+            return;
+        }
+        this.lastSentMs = this.clock.readMonotonicMs();
         this.counters.messagesSent += 1;
         this.counters.bytesSent += frame.length;
         this.socket.send(frame);
--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -100,6 +100,22 @@
         expect(a.gossip.digest).toBe(b.gossip.digest);
     });
 
+    // Guards against links that end each time that a member passes on a reading with many entries of another writer.
+    it("keeps a link when a report is larger than a frame may be", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b")];
+        const lost: string[] = [];
+        const received: unknown[] = [];
+        [a, b].forEach(peer => peer.network.onLinkLost(nodeId => lost.push(nodeId)));
+        b.network.onReport("reading", (_nodeId, payload) => received.push(payload));
+        connectPeers(a, b);
+        await waitUntil(() => a.network.linkedNodeIds.length === 1 && b.network.linkedNodeIds.length === 1);
+        a.network.sendReportTo("b", "reading", "x".repeat(10_000));
+        a.network.sendReportTo("b", "reading", "x".repeat(9_000));
+        await waitUntil(() => received.length === 1);
+        expect(lost).toEqual([]);
+        expect(a.events.count(eventKinds.peerRejected)).toBe(1);
+    });
+
     it("opens a link for a call and closes it when idle, without reporting a loss", async () => {
         const [a, b] = [await startPeer("a"), await startPeer("b")];
         const lost: string[] = [];
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -332,7 +332,15 @@
                 this.options.events.emit(eventKinds.peerRejected, { reason: "handshake failed", side });
                 return;
             }
-            link = new PeerLink(peerId, socket, this.options.clock, this.counters, isOnDemand);
+            link = new PeerLink(peerId, socket, this.options.clock, this.counters, isOnDemand, {
+                maxFrameBytes: this.options.maxFrameBytes,
+                onOversized: bytes =>
+                    this.options.events.emit(eventKinds.peerRejected, {
+                        reason: "frame is too large to be sent",
+                        peer: peerId,
+                        bytes,
+                    }),
+            });
             this.links.get(peerId)?.close();
             this.links.set(peerId, link);
             this.options.events.emit(eventKinds.peerConnected, { peer: peerId, side });
