Wait on for the node's own reading while members are asked for the only version

What callers would see: streams that may go on refused as not run while the store is slow.

Cause: an attempt that arrives while a reading is under way needs the next one. With calls of 220 ms it ends after 250 ms, when SoleVersions gave its own reading up and asked members, which are as slow. Now either answer counts, for 300 ms more; the longest wait stays 550 ms.

--- a/src/origins/SoleVersions.test.ts
+++ b/src/origins/SoleVersions.test.ts
@@ -12,7 +12,7 @@
 import type { Row, TransactionOutcome } from "../platform/types";
 import { EventLog } from "../telemetry/EventLog";
 import { SoftwareVersions } from "./SoftwareVersions";
-import { SoleVersions, type SoleVersionsOptions } from "./SoleVersions";
+import { type SoleVersion, SoleVersions, type SoleVersionsOptions } from "./SoleVersions";
 import { VersionRecords } from "./VersionRecords";
 
 const service = "llm";
@@ -20,6 +20,7 @@
 const waitMs = 1_000;
 const tickMs = 20;
 const storeCallMs = 4;
+const slowCallMs = 220;
 const callTimeoutMs = 700;
 const goneMs = 1_200; // a node that is out of reach writes no longer for all
 const minLifeMs = 3_000; // an upstream that crashes is listed for three heartbeats
@@ -33,6 +34,8 @@
 class FakeStore {
     readonly history: ReadonlyMap<string, UpstreamInstance>[] = [new Map()];
     readonly tables = new MemoryTableService();
+    /** Time of each call, in milliseconds. */
+    callMs = storeCallMs;
 
     constructor(readonly clock: FakeClock) {}
 
@@ -206,7 +209,7 @@
         if (!this.hasStore) {
             throw new StoreError("no answer", "unknown");
         }
-        await clock.sleep(storeCallMs);
+        await clock.sleep(this.cluster.store.callMs);
         const answer = await run();
         await this.cluster.waitUntil(() => this.hasStore || hasFailed());
         if (!this.hasStore) {
@@ -304,6 +307,18 @@
         expect(node.storeCalls - before).toBeLessThanOrEqual(2); // one of them waits for changes anyway
     });
 
+    // Guards against streams refused for nothing: a question that waits for the next call of a slow store.
+    it("finds the only version while the store is slow and all nodes ask again and again", async () => {
+        cluster.store.callMs = slowCallMs;
+        const found: Promise<SoleVersion>[] = [];
+        for (let round = 0; round < 4; round += 1) {
+            found.push(...cluster.nodes.map(node => node.sole.find(service)));
+            await cluster.runFor(60);
+        }
+        await cluster.runFor(1_000);
+        expect(new Set((await Promise.all(found)).map(({ version }) => version))).toEqual(new Set(["v1"]));
+    });
+
     it("costs no call of the store while there are several", async () => {
         cluster.store.set("v2", "v2");
         await cluster.runFor(100);
--- a/src/origins/SoleVersions.ts
+++ b/src/origins/SoleVersions.ts
@@ -30,9 +30,10 @@
     readonly isConfirmed: boolean;
 }
 
+const unconfirmed: SoleVersion = { version: undefined, isConfirmed: false };
 const method = "confirm-software-versions";
 const ownTimeoutMs = 250; // the store answers within 250 ms when it is slow
-const memberTimeoutMs = 300;
+const memberTimeoutMs = 300; // this node waits on meanwhile, for a second call where the first one began too early
 const maxAsked = 2;
 const questionSchema = z.object({ service: z.string() });
 const answerSchema = z.array(z.string()).optional();
@@ -53,13 +54,24 @@
     async find(service: string): Promise<SoleVersion> {
         const { versions, clock } = this.options;
         if (versions.isMixed(service)) {
-            return { version: undefined, isConfirmed: false };
+            return unconfirmed;
         }
-        const own = [this.confirmOwn()];
-        if (await waitWithTimeout({ clock, promises: own, timeoutMs: ownTimeoutMs })) {
-            return { version: versions.findSole(service), isConfirmed: true };
+        const own = this.findByOwnReading(service);
+        const settled = own.catch(() => undefined); // the members are asked then
+        const first = await waitWithTimeout({ clock, promises: [settled], timeoutMs: ownTimeoutMs });
+        if (first) {
+            return first;
         }
-        return this.findByMembers(service);
+        const any = Promise.any([own, this.findByMembers(service)]).catch(() => unconfirmed);
+        return await waitWithTimeout({ clock, promises: [any], timeoutMs: memberTimeoutMs }) ?? unconfirmed;
+    }
+
+    /** Rejects if this node cannot confirm what it knows. */
+    private async findByOwnReading(service: string): Promise<SoleVersion> {
+        if (!await this.confirmOwn()) {
+            throw new Error("this node cannot read the store");
+        }
+        return { version: this.options.versions.findSole(service), isConfirmed: true };
     }
 
     /** Confirms by the store what this node knows. */
@@ -69,16 +81,13 @@
         return isRead && (versions.hasWholeHistory() || await records.reload());
     }
 
-    /** Asks members, each of which reads the store for its answer. */
+    /** Asks members, each of which reads the store for its answer. Rejects if none can. */
     private async findByMembers(service: string): Promise<SoleVersion> {
         const { versions, listReaders } = this.options;
         const asked = listReaders().slice(0, maxAsked);
-        const answered = await Promise.any(asked.map(nodeId => this.requestVersions(nodeId, service)))
-            .catch(() => undefined); // no member could read the store either
-        const known = new Set([...versions.listRecent(service), ...(answered ?? [])]);
-        const [version, ...others] = known;
-        const isSole = answered !== undefined && others.length === 0 && version !== "";
-        return { version: isSole ? version : undefined, isConfirmed: answered !== undefined };
+        const answered = await Promise.any(asked.map(nodeId => this.requestVersions(nodeId, service)));
+        const [version, ...others] = new Set([...versions.listRecent(service), ...answered]);
+        return { version: others.length === 0 && version !== "" ? version : undefined, isConfirmed: true };
     }
 
     private async requestVersions(nodeId: string, service: string): Promise<string[]> {
