--- a/src/usage/oddUsageRows.test.ts
+++ b/src/usage/oddUsageRows.test.ts
@@ -58,7 +58,11 @@
         const reporter = new UsageReporter({
             ledger,
             clusterClock,
-            lease: { readHeld: () => held, readHeldFor: () => held } as unknown as Lease,
+            lease: {
+                isHolder: () => true,
+                readHeld: () => held,
+                readHeldFor: () => held,
+            } as unknown as Lease,
             cloud: {
                 reportUsage: async (report: UsageReport) => {
                     sent.push(report);
