--- a/src/leases/Lease.test.ts
+++ b/src/leases/Lease.test.ts
@@ -193,6 +193,8 @@
         ["with a lower number", { fencing: 1 }],
         ["with a number beyond the safe ones", { fencing: 1e300 }],
         ["deeply nested", { fencing: [[[{}]]] }],
+        ["with a number far beyond those used, or without one, by turns", [{ fencing: 2 ** 50 }, {}]],
+        ["with the highest number that can be one, or without one", [{ fencing: 2 ** 52 - 1 }, {}]],
     ])("raises the fencing number beyond those used before when its row is %s", async (_name, value) => {
         const { clock, leases, tables } = createLeases(6);
         leases.forEach(lease => void lease.start());
@@ -203,7 +205,8 @@
             expect(Number.isSafeInteger(held.fencing)).toBe(true);
             expect(held.fencing).toBeGreaterThan(Math.max(0, ...used));
             used.push(held.fencing);
-            tables.memory.commit([{ ...leaseAddress, condition: { kind: "any" }, value }]);
+            const written = Array.isArray(value) ? value[change % value.length] as unknown : value;
+            tables.memory.commit([{ ...leaseAddress, condition: { kind: "any" }, value: written }]);
         }
         const stopped = Promise.all(leases.map(lease => lease.stop()));
         await clock.advance(100);
--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -17,9 +17,15 @@
     delayMs: fc.constantFrom(10, 125, 300),
 });
 
-const oddRows: readonly unknown[] = [undefined, null, "x", { fencing: -1 }, { fencing: "7" }, {
-    fencing: 1e300,
-}];
+const oddRows: readonly unknown[] = [
+    undefined,
+    null,
+    "x",
+    { fencing: -1 },
+    { fencing: "7" },
+    { fencing: 2 ** 50 },
+    { fencing: 1e300 },
+];
 
 const event = fc.oneof(
     onNode("suspend"),
