--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -17,9 +17,15 @@
     delayMs: fc.constantFrom(10, 125, 300),
 });
 
-const oddRows: readonly unknown[] = [undefined, null, "x", { fencing: -1 }, { fencing: "7" }, {
-    fencing: 1e300,
-}];
+const oddRows: readonly unknown[] = [
+    undefined,
+    null,
+    "x",
+    { fencing: -1 },
+    { fencing: "7" },
+    { fencing: 2 ** 50 },
+    { fencing: 1e300 },
+];
 
 const event = fc.oneof(
     onNode("suspend"),
@@ -125,4 +131,25 @@
         },
         120_000,
     );
+
+    it(
+        "do not arrive after those of the next holder when their sender was suspended on a lossy path",
+        async () => {
+            for (let seed = 1; seed <= 300; seed += 1) {
+                const model = new LeaseholderModel(seed);
+                await model.start();
+                await model.world.advance(7_000);
+                const former = model.findLastHolder();
+                former.cloudDelayMs = longDelayMs;
+                await model.world.advance(300 + seed % 10 * 100);
+                former.clock.pauseWithClock();
+                await model.world.advance(5_500);
+                former.recover();
+                await model.world.advance(2_000);
+                await model.stop();
+                expect(listFencingBreaches(model.arrivals, { leaseMs })).toEqual([]);
+            }
+        },
+        120_000,
+    );
 });
