Decide on retries of a request in a class of its own

What decides whether a request may be sent again, after a failed attempt or while its upstream is silent, is RetryPlanner now. No change of behaviour.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -4,17 +4,14 @@
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { TrackedInstance } from "../placement/InstanceRegistry";
-import { retryRules } from "../routes/types";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
 import { quarantinedMessage } from "./constants";
-import { computeIdleTimeoutMs, minIdleTimeoutMs } from "./computeIdleTimeoutMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { createFinalFailure } from "./createFinalFailure";
-import { type AttemptHistory, decideRetry } from "./decideRetry";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { findStrayReason } from "./findStrayReason";
@@ -22,6 +19,7 @@
 import { isEventStream } from "./isEventStream";
 import { CrashWatch } from "./CrashWatch";
 import { RequestInterrupt } from "./RequestInterrupt";
+import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { waitForPendingInput } from "./waitForPendingInput";
@@ -40,7 +38,6 @@
 
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
-const minRemainingMs = 10; // no upstream answers faster than this
 const unknownVersionMessage = "the upstream may run another software version since the store cannot be read";
 
 /**
@@ -58,8 +55,7 @@
     private readonly selection: UpstreamSelection;
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
-    /** Whether the stream was left since its upstream sent no events, though it might have gone on. */
-    private hasLeftIdle = false;
+    private readonly retryPlanner: RetryPlanner;
     /** Whether the upstream chosen last was not used since its software version was not known. */
     private isVersionRefused = false;
 
@@ -85,7 +81,16 @@
         });
         this.recorder = new ForwardRecorder(options);
         this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
-        const { recorder, interrupt } = this;
+        const { recorder, interrupt, selection, binding, crashWatch } = this;
+        this.retryPlanner = new RetryPlanner({
+            context,
+            admitted,
+            recorder,
+            selection,
+            binding,
+            crashWatch,
+            readRemainingMs: () => this.computeRemainingMs(),
+        });
         const memory = context.answerMemory.hold();
         this.responseRelay = new ResponseRelay({
             clock: context.clock,
@@ -94,9 +99,10 @@
             admitted,
             recorder,
             interrupt,
-            crashWatch: this.crashWatch,
-            binding: this.binding,
-            isResumableElsewhere: (upstream, idleMs) => this.isResumableElsewhere(upstream, idleMs),
+            crashWatch,
+            binding,
+            isResumableElsewhere: (upstream, idleMs) =>
+                this.retryPlanner.isResumableElsewhere(upstream, idleMs),
             memory,
         });
         options.response.on("close", memory.release);
@@ -135,8 +141,7 @@
     }
 
     private *sendWithRetries(): Task<AttemptResult> {
-        const budget = this.options.context.retryBudgets.get(this.service);
-        budget.countRequest();
+        this.options.context.retryBudgets.get(this.service).countRequest();
         yield* waitFor(waitForPendingInput());
         for (;;) {
             const interrupt = this.interrupt.read();
@@ -154,9 +159,7 @@
             if (result.kind !== "failed") {
                 return result;
             }
-            this.hasLeftIdle ||= result.isIdle === true;
-            const { runs } = this.recorder.trace;
-            const next = decideRetry(result, this.createHistory(runs, () => budget.takeRetry()));
+            const next = this.retryPlanner.decideNext(result);
             this.recorder.reportFailedAttempt({
                 upstream: upstream.instance,
                 result,
@@ -357,69 +360,17 @@
     private *waitForHead(upstream: TrackedInstance, exchange: UpstreamExchange): Task<ResponseStartOutcome> {
         const { context, admitted } = this.options;
         const { retryRule, targetLatencyMs, maxRuns } = admitted.route;
-        const runs = this.recorder.trace.runs + 1; // this one has not been recorded yet
-        const mayRunAgain = runs < maxRuns;
+        const mayRunAgain = this.recorder.trace.runs + 1 < maxRuns; // the present run has not been recorded yet
         const sentMs = context.clock.readMonotonicMs();
         return yield* waitForResponseStart({
             exchange,
             interrupt: this.interrupt,
             clock: context.clock,
             failoverDelayMs: computeFailoverDelayMs({ retryRule, targetLatencyMs, mayRunAgain }),
-            mayFailOver: () =>
-                this.isSilent(upstream, sentMs) && this.hasRetry(runs) && this.selection.hasOther(upstream),
+            mayFailOver: () => this.retryPlanner.isFailoverAllowed(upstream, sentMs),
         });
     }
 
-    /**
-     * Whether an upstream counts as silent. An engine that streams to other requests is busy rather than silent, so
-     * requests that are not repeatable fail over only if no byte has arrived from it since the call was sent.
-     */
-    private isSilent(upstream: TrackedInstance, sentMs: number): boolean {
-        return this.options.admitted.route.retryRule === retryRules.repeatable
-            || upstream.lastReceivedMs < sentMs;
-    }
-
-    /**
-     * Whether a stream whose upstream has sent no event for a time may go on at another upstream now.
-     *
-     * @param upstream - upstream that is silent
-     * @param idleMs - time since the last event, in milliseconds
-     */
-    private isResumableElsewhere(upstream: TrackedInstance, idleMs: number): boolean {
-        const { targetLatencyMs, eventGapTargetMs = 0 } = this.options.admitted.route;
-        const remainingMs = this.computeRemainingMs() + idleMs;
-        return idleMs >= computeIdleTimeoutMs({ targetLatencyMs, eventGapTargetMs, remainingMs })
-            && this.hasRetry(this.recorder.trace.runs)
-            && (this.selection.hasRoomElsewhere(upstream) || this.hasOtherPath(upstream, idleMs));
-    }
-
-    /** Whether a silent upstream has answered other requests through another member meanwhile. */
-    private hasOtherPath({ client, lastReceivedMs }: TrackedInstance, idleMs: number): boolean {
-        const sinceReceivedMs = this.options.context.clock.readMonotonicMs() - lastReceivedMs;
-        return client.isRelayed && sinceReceivedMs < idleMs - minIdleTimeoutMs / 2;
-    }
-
-    /**
-     * Whether a request whose upstream is silent may be sent to another one now, so that it is not given up for nothing.
-     *
-     * @param runs - number of attempts after which the request may have run, the current one included
-     */
-    private hasRetry(runs: number): boolean {
-        const { context } = this.options;
-        const budget = context.retryBudgets.get(this.service);
-        const history = this.createHistory(runs, () => budget.hasRetry());
-        return decideRetry({ isSent: true, isNotRun: false }, history) === "another-upstream"
-            && this.computeRemainingMs() >= minRemainingMs
-            && this.crashWatch.readQuarantinedMs() === undefined
-            && (!this.binding.isBound || context.instances.isListingCurrent());
-    }
-
-    private createHistory(runs: number, takeRetry: () => boolean): AttemptHistory {
-        const { retryRule, maxRuns } = this.options.admitted.route;
-        const { sends } = this.recorder.trace;
-        return { retryRule, runs, maxRuns, sends, takeRetry, mayWait: this.hasLeftIdle };
-    }
-
     /**
      * Ends a request for which no complete answer was delivered: passes on the upstream's own error answer, if there is
      * one. A response that has begun is aborted by {@link abortBegunResponse}.
