List calls of a frozen holder on a lossy path as known red

What could be seen: a call with a lower number than one seen, or holders in the order A, B, A, while the sender of the late call is frozen: it had written the call on a lossy path, and its system goes on sending the bytes while another node takes over.

Cause: only a running process resets its connections, and Node.js offers no time-out of unacknowledged bytes to the system. Class: work that was given up still takes effect. The postmortem names it under "What remains"; no test showed it, since the model let a frozen process reset its connections in time.

The test of suspensions is as strict as before, and holds.

Whether the rule counts a call that arrives while its sender is still frozen is open: it names those after the thaw only.

--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -132,23 +132,40 @@
         120_000,
     );
 
+    const listBreachesAfterPause = async (pause: (former: ModelNode) => void): Promise<string[]> => {
+        const breaches: string[] = [];
+        for (let seed = 1; seed <= 300; seed += 1) {
+            const model = new LeaseholderModel(seed);
+            model.isResetWhileFrozen = false;
+            await model.start();
+            await model.world.advance(7_000);
+            const former = model.findLastHolder();
+            former.cloudDelayMs = longDelayMs;
+            await model.world.advance(300 + seed % 10 * 100);
+            pause(former);
+            await model.world.advance(5_500);
+            former.recover();
+            await model.world.advance(2_000);
+            await model.stop();
+            breaches.push(
+                ...listFencingBreaches(model.arrivals, { leaseMs }).map(text => `seed ${seed}: ${text}`),
+            );
+        }
+        return breaches;
+    };
+
     it(
         "do not arrive after those of the next holder when their sender was suspended on a lossy path",
         async () => {
-            for (let seed = 1; seed <= 300; seed += 1) {
-                const model = new LeaseholderModel(seed);
-                await model.start();
-                await model.world.advance(7_000);
-                const former = model.findLastHolder();
-                former.cloudDelayMs = longDelayMs;
-                await model.world.advance(300 + seed % 10 * 100);
-                former.clock.pauseWithClock();
-                await model.world.advance(5_500);
-                former.recover();
-                await model.world.advance(2_000);
-                await model.stop();
-                expect(listFencingBreaches(model.arrivals, { leaseMs })).toEqual([]);
-            }
+            expect(await listBreachesAfterPause(({ clock }) => clock.pauseWithClock())).toEqual([]);
+        },
+        120_000,
+    );
+
+    it(
+        "do not arrive after those of the next holder while their sender is frozen, on a lossy path",
+        async () => {
+            expect(await listBreachesAfterPause(({ clock }) => clock.pause())).toEqual([]);
         },
         120_000,
     );
--- a/standins/LeaseholderModel.ts
+++ b/standins/LeaseholderModel.ts
@@ -226,7 +226,8 @@
             throw new StoreError((error as Error).message, "none");
         }
         let hasArrived = false;
-        void this.deliver(isOver).then(arrived => {
+        const isReset = (): boolean => isOver() && (this.model.isResetWhileFrozen || !this.clock.isPaused);
+        void this.deliver(isReset).then(arrived => {
             hasArrived = arrived;
             if (arrived) {
                 this.model.receive(this, subject.path, subject.body, fencing);
@@ -264,6 +265,8 @@
     readonly nodes: readonly ModelNode[];
     /** Calls that are judged, in the order of their arrival. */
     readonly arrivals: FencedCall[] = [];
+    /** Whether a frozen process counts as having reset its connections in time, which it cannot do. */
+    isResetWhileFrozen = true;
     private lastHolderId: string | undefined;
 
     constructor(seed: number) {
--- a/standins/SuspendableClock.ts
+++ b/standins/SuspendableClock.ts
@@ -15,6 +15,11 @@
 
     constructor(private readonly world: FakeClock) {}
 
+    /** Whether nothing runs now, be it frozen or suspended. */
+    get isPaused(): boolean {
+        return this.isHeld;
+    }
+
     get isSuspended(): boolean {
         return this.suspendedFromMs !== undefined;
     }
