--- a/standins/LeaseholderModel.ts
+++ b/standins/LeaseholderModel.ts
@@ -15,7 +15,7 @@
 } from "../src/platform/types";
 import { EventLog } from "../src/telemetry/EventLog";
 import type { FencedCall } from "./platform/FencedCloudStandIn";
-import { SuspendableClock } from "./SuspendableClock";
+import { SimulatedVmClock } from "./SimulatedVmClock";
 
 /** Times of the model, as in the platform's adapters, in milliseconds. */
 const times = {
@@ -68,7 +68,7 @@
 
 /** Simulated node: its clocks, its paths to the store and to the cloud, and its process. */
 export class ModelNode implements TableService {
-    readonly clock: SuspendableClock;
+    readonly clock: SimulatedVmClock;
     troubles: StoreTroubles = noTroubles;
     isStoreCut = false;
     private isCloudHeld = false;
@@ -82,7 +82,7 @@
     private caller: DutyCaller | undefined;
 
     constructor(private readonly model: LeaseholderModel, readonly nodeId: string) {
-        this.clock = new SuspendableClock(model.world);
+        this.clock = new SimulatedVmClock(model.world);
     }
 
     /** Starts a process; one that runs already loses power, with the bytes that it has sent. */
--- a/standins/SuspendableClock.ts
+++ b/standins/SimulatedVmClock.ts
@@ -5,7 +5,7 @@
  * Clocks of a simulated VM. Its process can be frozen: time goes on and nothing runs. The VM can be suspended: its
  * monotonic clock stands still as well, and its wall clock does not. Its wall clock can be stepped.
  */
-export class SuspendableClock implements Clock {
+export class SimulatedVmClock implements Clock {
     private resumed: Promise<void> = Promise.resolve();
     private onResume: () => void = () => {};
     private isHeld = false;
