Read the cluster's secret later when it may not be read now, rather than never

A node that learns that members have another secret reads the row again at most every 2 s. A request within that time was dropped: when the row was replaced twice in 2 s, two nodes had different secrets and no link until the next handshake failed after that time, with growing intervals.

The new unit test failed before in 1 of 1 runs and passes now.

--- a/src/peers/ClusterKey.test.ts
+++ b/src/peers/ClusterKey.test.ts
@@ -85,4 +85,15 @@
         await first.reload();
         expect(tables.reads).toBe(reads + 1);
     });
+
+    // Guards against nodes without links since one of them read the secret just before it was replaced.
+    it("takes a secret over that was replaced soon after the last time it was read", async () => {
+        const first = await startKey();
+        await first.reload();
+        putRow("odd");
+        const second = await startKey();
+        await first.reload();
+        await clock.advance(reloadMs);
+        expect(first.value).toBe(second.value);
+    });
 });
--- a/src/peers/ClusterKey.ts
+++ b/src/peers/ClusterKey.ts
@@ -30,6 +30,7 @@
     private key: string | undefined;
     /** Monotonic time of the last {@link reload} that read the row, in milliseconds. */
     private reloadedMs = -Infinity;
+    private isReloadScheduled = false;
 
     constructor(private readonly options: ClusterKeyOptions) {}
 
@@ -45,15 +46,31 @@
     }
 
     /**
-     * Reads the secret again, at most every 2 s. To be called when a member has another one: the row was lost or replaced,
-     * and a process that started then has stored a new one.
+     * Reads the secret again, at most every 2 s: now, or when that time has passed. To be called when a member has another
+     * one: the row was lost or replaced, and a process that started then has stored a new one.
+     *
+     * @returns resolves when the secret has been read, or when reading it is left for later
      */
     async reload(): Promise<void> {
-        const nowMs = this.options.clock.readMonotonicMs();
-        if (nowMs - this.reloadedMs < reloadMs) {
+        const waitMs = this.reloadedMs + reloadMs - this.options.clock.readMonotonicMs();
+        if (waitMs <= 0) {
+            await this.readAgain();
             return;
         }
-        this.reloadedMs = nowMs;
+        if (!this.isReloadScheduled) {
+            this.isReloadScheduled = true;
+            void this.reloadAfter(waitMs);
+        }
+    }
+
+    private async reloadAfter(waitMs: number): Promise<void> {
+        await this.options.clock.sleep(waitMs);
+        this.isReloadScheduled = false;
+        await this.readAgain();
+    }
+
+    private async readAgain(): Promise<void> {
+        this.reloadedMs = this.options.clock.readMonotonicMs();
         try {
             this.key = await this.loadOrCreate() ?? this.key;
         }
