--- a/src/peers/ClusterKey.test.ts
+++ b/src/peers/ClusterKey.test.ts
@@ -1,4 +1,5 @@
 import { listOddValues } from "../../standins/platform/listOddValues";
+import { parseStoredValue } from "../../standins/platform/parseStoredValue";
 import { StoreEra } from "../feeds/StoreEra";
 import { FakeClock } from "../kernel/FakeClock";
 import { SeededRandom } from "../kernel/SeededRandom";
@@ -10,18 +11,8 @@
 const anyCondition = { kind: "any" } as const;
 const reloadMs = 2_000;
 
-/** Parses a stored value as a table service does; undefined if it is not JSON. */
-const parseValue = (bytes: Buffer): unknown => {
-    try {
-        return JSON.parse(bytes.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
-
 const oddRows = listOddValues({ key: "a" }).map(({ name, bytes }) =>
-    [name, parseValue(bytes) ?? null] as const
+    [name, parseStoredValue(bytes) ?? null] as const
 );
 
 describe("ClusterKey", () => {
--- a/src/quarantine/QuarantineRecords.test.ts
+++ b/src/quarantine/QuarantineRecords.test.ts
@@ -1,4 +1,5 @@
 import { listOddValues } from "../../standins/platform/listOddValues";
+import { parseStoredValue } from "../../standins/platform/parseStoredValue";
 import { ObservableValue } from "../_lib/ObservableValue";
 import { FakeClock } from "../kernel/FakeClock";
 import { EventLog } from "../telemetry/EventLog";
@@ -8,16 +9,6 @@
 const nowMs = 5_000_000;
 const holdMs = 1_800_000;
 
-/** Parses a stored value as a table service does; undefined if it is not JSON. */
-const parseValue = (bytes: Buffer): unknown => {
-    try {
-        return JSON.parse(bytes.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
-
 const decodeAll = (values: readonly unknown[]): Map<string, QuarantineRecord> => {
     const records = new Map<string, QuarantineRecord>();
     values.forEach((value, index) => {
@@ -70,6 +61,6 @@
         const isNumber = (name: string): boolean =>
             /sinceStoreMs: (huge|2\^|negative number|fraction)/.test(name);
         const unusable = odd.filter(({ name }) => !isNumber(name));
-        expect(decodeAll(unusable.map(({ bytes }) => parseValue(bytes))).size).toBe(0);
+        expect(decodeAll(unusable.map(({ bytes }) => parseStoredValue(bytes))).size).toBe(0);
     });
 });
--- a/src/usage/oddUsageRows.test.ts
+++ b/src/usage/oddUsageRows.test.ts
@@ -1,4 +1,5 @@
 import { listOddValues } from "../../standins/platform/listOddValues";
+import { parseStoredValue } from "../../standins/platform/parseStoredValue";
 import type { ClusterClock } from "../feeds/ClusterClock";
 import { StoreEra } from "../feeds/StoreEra";
 import { FakeClock } from "../kernel/FakeClock";
@@ -14,18 +15,8 @@
 const key = String(window).padStart(12, "0");
 const held = { fencing: 1, remainingMs: 2_000 };
 
-/** Parses a stored value as a table service does; undefined if it is not JSON. */
-const parseValue = (bytes: Buffer): unknown => {
-    try {
-        return JSON.parse(bytes.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
-
 const toRowCases = (sound: Record<string, unknown>): [name: string, value: unknown][] =>
-    listOddValues(sound).map(({ name, bytes }) => [name, parseValue(bytes) ?? null]);
+    listOddValues(sound).map(({ name, bytes }) => [name, parseStoredValue(bytes) ?? null]);
 
 const savedCounts = toRowCases({ all: { alpha: 1 } }).concat(
     toRowCases({ alpha: 1 }).map(([name, value]): [string, unknown] => [`all.${name}`, { all: value }]),
