Split the answers of the upstream's stand-in by kind, out of RunnerStandIn

Endless answers, stray answers, answers that tell of an error and the ways in which streams break off are modules of their own; what is sent is the same.

The 61 tests of platform/strayAnswers, endlessAnswers, erringResumptions, truncatedAnswers and tools pass.

--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -1,5 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { StandInServer } from "../StandInServer";
+import { createEndlessAnswer } from "./createEndlessAnswer";
+import { createRepeatedRefusal, createUnrequestedResponse } from "./strayAnswers";
+import { errorAnswers, sendError } from "./errorAnswers";
+import { attemptIdHeader, expectInstanceHeader, notExecutedHeader } from "./runnerHeaders";
+import { streamCuts } from "./streamCuts";
 import { writeEndlessly } from "./writeEndlessly";
 
 /** How the stand-in treats one request; without a behaviour it answers the request normally. */
@@ -107,9 +112,6 @@
     readonly softwareVersion?: string;
 }
 
-const notExecutedHeader = "x-sequoiagrade-not-executed";
-const attemptIdHeader = "x-sequoiagrade-attempt-id";
-const expectInstanceHeader = "x-sequoiagrade-expect-instance";
 const defaultEventMs = 2;
 const headLeadMs = 20;
 const turnedAwayWindowMs = 1_000;
@@ -226,10 +228,12 @@
             ...this.createBrittleHeader(),
         };
         if (behaviour?.startsWith("repeat-refusal")) {
-            request.socket.write(createRepeatedRefusal(behaviour));
+            request.socket.write(
+                createRepeatedRefusal(behaviour === "repeat-refusal" ? "another" : undefined),
+            );
         }
         if (behaviour === "stray-success") {
-            request.socket.write(createUnrequestedResponse([]));
+            request.socket.write(createUnrequestedResponse());
         }
         await this.waitForWork();
         if (behaviour?.startsWith("unframed")) {
@@ -257,7 +261,7 @@
             if (behaviour === "extra") {
                 response.on(
                     "finish",
-                    () => socket.write(createUnrequestedResponse([`${attemptIdHeader}: another`])),
+                    () => socket.write(createUnrequestedResponse("another")),
                 );
             }
             sendText(response, behaviour === "fail" ? 500 : 200, responseHeaders, `${this.id} ${requestId}`);
@@ -312,14 +316,12 @@
 
     /** Writes an answer without end to the connection of a request. */
     private sendEndlessly({ socket, headers }: IncomingMessage, behaviour: RunnerBehaviour): void {
-        const [status, ...fields] = endlessHeads[behaviour] ?? [];
         const idField = `${attemptIdHeader}: ${headers[attemptIdHeader]}`;
-        const head = status === undefined ? "" : [status, idField, ...fields, "", ""].join("\r\n");
+        const { head, chunk } = createEndlessAnswer(behaviour, idField);
         this.openEndless += 1;
         socket.on("close", () => {
             this.openEndless -= 1;
         });
-        const chunk = endlessChunks[behaviour] ?? "x".repeat(endlessChunkBytes);
         writeEndlessly(socket, head, chunk, bytes => {
             this.endlessBytes += bytes;
         });
@@ -367,75 +369,6 @@
 export const listNamedParts = ({ headers }: Pick<IncomingMessage, "headers">): string[] =>
     String(headers["x-sequoiagrade-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
 
-const endlessChunkBytes = 16_384;
-const eventStreamField = "content-type: text/event-stream";
-const chunkedField = "transfer-encoding: chunked";
-const smallChunks = "4\r\njunk\r\n".repeat(1_820); // as many bytes as the other answers write at a time
-
-/** Status line and further headers of endless answers; those without an entry have no head. */
-const endlessHeads: Partial<Record<RunnerBehaviour, readonly string[]>> = {
-    "endless-body": ["HTTP/1.1 200 OK"],
-    "endless-chunks": ["HTTP/1.1 200 OK", chunkedField],
-    "endless-event": ["HTTP/1.1 200 OK", eventStreamField],
-    "endless-event-chunks": ["HTTP/1.1 200 OK", eventStreamField, chunkedField],
-    "endless-lines": ["HTTP/1.1 200 OK", eventStreamField],
-    "endless-refusal": ["HTTP/1.1 503 Service Unavailable", `${notExecutedHeader}: 1`],
-};
-
-/** What endless answers repeat, where it is not a run of one letter. */
-const endlessChunks: Partial<Record<RunnerBehaviour, string>> = {
-    "endless-chunks": smallChunks,
-    "endless-event-chunks": smallChunks,
-    "endless-head": `HTTP/1.1 200 OK\r\nx-field: ${"x".repeat(endlessChunkBytes)}`,
-    "endless-interim": "HTTP/1.1 102 Processing\r\n\r\n",
-    "endless-lines": `${"x".repeat(1_000)}\n\n`,
-};
-
-const resetConnection = (response: ServerResponse): void => {
-    response.socket?.resetAndDestroy();
-};
-
-const closeConnection = (response: ServerResponse): void => {
-    response.socket?.end();
-};
-
-/** How a stream breaks off in the middle of its third event. */
-/** Answers that tell of an error. */
-interface ErrorAnswer {
-    readonly status: number;
-    readonly type?: string;
-    readonly text: string;
-    readonly isUnframed?: boolean;
-}
-
-const errorAnswers: Partial<Record<RunnerBehaviour, ErrorAnswer>> = {
-    "error-event": { status: 500, type: "text/event-stream", text: "id: 99\ndata: error: out of memory\n\n" },
-    "error-unframed": { status: 500, text: "error: out of memory\n\n", isUnframed: true },
-    "error-untyped": { status: 200, text: "error: out of memory" },
-    "error-untyped-block": { status: 200, text: "error: out of memory\n\n" },
-};
-
-const sendError = (response: ServerResponse, headers: Record<string, string>, error: ErrorAnswer): void => {
-    response.useChunkedEncodingByDefault = error.isUnframed !== true;
-    response.shouldKeepAlive = error.isUnframed !== true;
-    response.writeHead(error.status, { ...headers, ...(error.type ? { "content-type": error.type } : {}) });
-    response.end(error.text);
-};
-
-const writeErrorAndClose = (response: ServerResponse): void => {
-    const head = ["HTTP/1.1 500 Internal Server Error", "content-type: text/plain", "content-length: 20"];
-    response.end(`${head.join("\r\n")}\r\n\r\nerror: out of memory`);
-};
-
-const streamCuts: Partial<Record<RunnerBehaviour, (response: ServerResponse) => void>> = {
-    "break": resetConnection,
-    "unframed-close": closeConnection,
-    "unframed-error": writeErrorAndClose,
-    "unframed-reset": resetConnection,
-    "chunked-end": response => response.end(),
-    "chunked-close": closeConnection,
-};
-
 /** Sends a body whose end is marked only by the close of its connection. */
 const sendUnframed = (
     response: ServerResponse,
@@ -445,24 +378,12 @@
 ): void => {
     response.writeHead(200, headers);
     if (behaviour === "unframed-reset") {
-        response.write(text.slice(0, 3), () => resetConnection(response));
+        response.write(text.slice(0, 3), () => response.socket?.resetAndDestroy());
         return;
     }
     response.end(text);
 };
 
-const createUnrequestedResponse = (idFields: readonly string[]): string => {
-    const body = "not asked for";
-    const head = ["HTTP/1.1 200 OK", ...idFields, `content-length: ${body.length}`];
-    return `${head.join("\r\n")}\r\n\r\n${body}`;
-};
-
-const createRepeatedRefusal = (behaviour: RunnerBehaviour): string => {
-    const idFields = behaviour === "repeat-refusal" ? [`${attemptIdHeader}: another`] : [];
-    const head = ["HTTP/1.1 503 Service Unavailable", `${notExecutedHeader}: 1`, ...idFields];
-    return [...head, "content-length: 4", "", "full"].join("\r\n");
-};
-
 const sendText = (
     response: ServerResponse,
     status: number,
