Estimate the store's clock through beginCall only, as the product does

StoreClock.update was called from outside by tests alone; they now take the product's way, with the same expectations.

--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -27,19 +27,19 @@
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
         expect(storeClock.readStoreMs()).toBeUndefined();
-        storeClock.update(7_000);
+        storeClock.beginCall(0)(7_000);
         clock.advance(100);
-        storeClock.update(7_060); // 40 ms of network delay
+        storeClock.beginCall(0)(7_060); // 40 ms of network delay
         expect(storeClock.readStoreMs()).toBe(7_100);
     });
 
     it("is unknown after a suspension, in which the monotonic clock stops, until the store answers", () => {
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
-        storeClock.update(7_000);
+        storeClock.beginCall(0)(7_000);
         clock.wallMs += 3_000;
         expect(storeClock.readStoreMs()).toBeUndefined();
-        storeClock.update(10_000);
+        storeClock.beginCall(0)(10_000);
         expect(storeClock.readStoreMs()).toBe(10_000);
     });
 
@@ -59,7 +59,7 @@
     it("treats a jump of the wall clock in either direction as a suspension", () => {
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
-        storeClock.update(7_000);
+        storeClock.beginCall(0)(7_000);
         clock.wallMs -= 2_000;
         expect(storeClock.readStoreMs()).toBeUndefined();
     });
@@ -68,7 +68,7 @@
 describe("ClusterClock", () => {
     const createClusterClock = (clock: SplitClock, offsets: readonly number[]): ClusterClock => {
         const storeClock = new StoreClock({ clock });
-        storeClock.update(500);
+        storeClock.beginCall(0)(500);
         const sums = {
             registerContributor: () => {},
             readOthers: () => new Map(offsets.map(offset => [String(offset), 1])),
@@ -89,7 +89,7 @@
         const storeClock = new StoreClock({ clock });
         const clusterClock = new ClusterClock({ clock, storeClock, sums });
         expect(clusterClock.readMs()).toBe(1_000_000);
-        storeClock.update(500);
+        storeClock.beginCall(0)(500);
         expect(clusterClock.readMs()).toBe(1_000_000);
         clock.advance(100);
         clock.wallMs += 7_000;
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -46,24 +46,14 @@
         const sentMs = this.options.clock.readMonotonicMs();
         return storeMs => {
             this.resetOnJump();
-            const isLate = this.options.clock.readMonotonicMs() - sentMs > waitMs + maxCallMs;
+            const answeredMs = this.options.clock.readMonotonicMs();
+            const isLate = answeredMs - sentMs > waitMs + maxCallMs;
             if (jumps === this.jumps && !(isLate && this.offsetMs === undefined)) {
-                this.update(storeMs);
+                this.offsetMs = Math.max(this.offsetMs ?? -Infinity, storeMs - answeredMs);
             }
         };
     }
 
-    /**
-     * Updates the estimate from an answer of the store.
-     *
-     * @param storeMs - the store's clock when it answered, in milliseconds
-     */
-    update(storeMs: number): void {
-        this.resetOnJump();
-        const offsetMs = storeMs - this.options.clock.readMonotonicMs();
-        this.offsetMs = Math.max(this.offsetMs ?? -Infinity, offsetMs);
-    }
-
     /**
      * Estimates the store's clock now.
      *
--- a/src/kernel/SystemClock.test.ts
+++ b/src/kernel/SystemClock.test.ts
@@ -41,7 +41,7 @@
 
     it("lets the age of what was read become unknown in a suspension", () => {
         const storeClock = new StoreClock({ clock });
-        storeClock.update(7_000);
+        storeClock.beginCall(0)(7_000);
         expect(storeClock.readStoreMs()).toBeDefined();
         passSuspension();
         expect(storeClock.readStoreMs()).toBeUndefined();
