Model holders that are killed or frozen with a call on a lossy path

The model counted a frozen process as having reset its connections, except in one test, and had no process that is killed while the system goes on sending what it wrote. Random runs now have both; each arrival says when it was written and whether its sender runs, is paused or was killed.

The test of frozen holders keeps its bound and counts that such calls do arrive; the model starts 5 s later, so that the nodes have called before the path is harmed. A test of killed holders is new.

--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -34,6 +34,7 @@
     onNode("cut-store"),
     onNode("cut-off"),
     onNode("restart"),
+    onNode("kill"),
     onNode("heal"),
     onNode("delay-cloud"),
     onNode("delay-cloud-and-cut-store"),
@@ -71,6 +72,7 @@
         node.cloudDelayMs = longDelayMs;
     },
     "restart": node => void node.startProcess(),
+    "kill": node => void node.killProcess(),
     "heal": node => node.recover(),
 };
 
@@ -132,32 +134,35 @@
         120_000,
     );
 
-    const listBreachesAfterPause = async (pause: (former: ModelNode) => void): Promise<string[]> => {
+    /** Counts the calls that arrive although their sender can no longer reset them; expects none to break the order. */
+    const countUnstoppable = async (stop: (former: ModelNode) => void): Promise<number> => {
         const breaches: string[] = [];
+        let unstoppable = 0;
         for (let seed = 1; seed <= 300; seed += 1) {
             const model = new LeaseholderModel(seed);
-            model.isResetWhileFrozen = false;
             await model.start();
-            await model.world.advance(7_000);
+            await model.world.advance(12_000);
             const former = model.findLastHolder();
             former.cloudDelayMs = longDelayMs;
             await model.world.advance(300 + seed % 10 * 100);
-            pause(former);
+            stop(former);
             await model.world.advance(5_500);
             former.recover();
-            await model.world.advance(2_000);
+            await model.world.advance(6_000);
             await model.stop();
+            unstoppable += model.listUnstoppable().length;
             breaches.push(
                 ...listFencingBreaches(model.arrivals, { leaseMs }).map(text => `seed ${seed}: ${text}`),
             );
         }
-        return breaches;
+        expect(breaches).toEqual([]);
+        return unstoppable;
     };
 
     it(
         "do not arrive after those of the next holder when their sender was suspended on a lossy path",
         async () => {
-            expect(await listBreachesAfterPause(({ clock }) => clock.pauseWithClock())).toEqual([]);
+            expect(await countUnstoppable(({ clock }) => clock.pauseWithClock())).toBe(0);
         },
         120_000,
     );
@@ -165,7 +170,15 @@
     it(
         "do not arrive after those of the next holder while their sender is frozen, on a lossy path",
         async () => {
-            expect(await listBreachesAfterPause(({ clock }) => clock.pause())).toEqual([]);
+            expect(await countUnstoppable(({ clock }) => clock.pause())).toBeGreaterThan(30);
+        },
+        120_000,
+    );
+
+    it(
+        "do not arrive after those of the next holder when their sender was killed on a lossy path",
+        async () => {
+            expect(await countUnstoppable(node => void node.killProcess())).toBeGreaterThan(30);
         },
         120_000,
     );
--- a/standins/LeaseholderModel.ts
+++ b/standins/LeaseholderModel.ts
@@ -49,6 +49,18 @@
 
 type Subject = typeof subjects[number];
 
+/** What the sender of a call does when the call arrives. */
+export const senderStates = { running: "running", paused: "paused", killed: "killed" } as const;
+
+export type SenderState = typeof senderStates[keyof typeof senderStates];
+
+/** A call as it arrived, with what a cloud cannot know. */
+export interface ModelArrival extends FencedCall {
+    /** World time at which it was written, in milliseconds. */
+    readonly writtenAtMs: number;
+    readonly sender: SenderState;
+}
+
 /** The store that all nodes share. */
 class SharedStore {
     readonly memory = new MemoryTableService();
@@ -77,6 +89,8 @@
     /** World time of the last recovery of the node or of its path to the cloud. */
     private recoveredAtMs = -Infinity;
     private generation = 0;
+    /** Processes that were killed while the system kept their connections. */
+    private readonly killedGenerations = new Set<number>();
     private storeEra = new StoreEra();
     private lease: Lease | undefined;
     private caller: DutyCaller | undefined;
@@ -109,6 +123,12 @@
         subjects.forEach(subject => void this.callRepeatedly(subject, this.generation));
     }
 
+    /** Kills the process and starts another; the system goes on sending what the first has written. */
+    async killProcess(): Promise<void> {
+        this.killedGenerations.add(this.generation);
+        await this.startProcess();
+    }
+
     stop(): void {
         this.generation += 1;
         void this.lease?.stop();
@@ -226,21 +246,34 @@
             throw new StoreError((error as Error).message, "none");
         }
         let hasArrived = false;
-        const isReset = (): boolean => isOver() && (this.model.isResetWhileFrozen || !this.clock.isPaused);
+        let wasReset = false;
+        const writtenAtMs = this.model.world.readMonotonicMs();
+        const isKilled = (): boolean => this.killedGenerations.has(generation);
+        const isReset = (): boolean => wasReset || (isOver() && !isKilled() && !this.clock.isPaused);
         void this.deliver(isReset).then(arrived => {
             hasArrived = arrived;
             if (arrived) {
-                this.model.receive(this, subject.path, subject.body, fencing);
+                const { path, body } = subject;
+                const sender = this.describeSender(isKilled());
+                this.model.receive(this, { path, body, fencing, writtenAtMs, sender });
             }
         });
         while (!hasArrived) {
             if (isOver()) {
+                wasReset = !isKilled();
                 throw new StoreError("no answer", "unknown");
             }
             await this.clock.sleep(times.poll);
         }
     }
 
+    private describeSender(isKilled: boolean): SenderState {
+        if (isKilled) {
+            return senderStates.killed;
+        }
+        return this.clock.isPaused ? senderStates.paused : senderStates.running;
+    }
+
     /** Carries bytes to the cloud; returns false if their connection was reset before they arrived. */
     private async deliver(isReset: () => boolean): Promise<boolean> {
         const { world, random } = this.model;
@@ -264,9 +297,7 @@
     readonly store = new SharedStore();
     readonly nodes: readonly ModelNode[];
     /** Calls that are judged, in the order of their arrival. */
-    readonly arrivals: FencedCall[] = [];
-    /** Whether a frozen process counts as having reset its connections in time, which it cannot do. */
-    isResetWhileFrozen = true;
+    readonly arrivals: ModelArrival[] = [];
     private lastHolderId: string | undefined;
 
     constructor(seed: number) {
@@ -295,16 +326,17 @@
     }
 
     /** Records the arrival of a call at the cloud. */
-    receive(node: ModelNode, path: string, body: FencedCall["body"], fencing: number): void {
+    receive(node: ModelNode, call: Omit<ModelArrival, "atMs" | "holder">): void {
         this.lastHolderId = node.nodeId;
         if (!node.hasRecoveredLately()) {
-            this.arrivals.push({
-                atMs: this.world.readMonotonicMs(),
-                holder: node.nodeId,
-                path,
-                body,
-                fencing,
-            });
+            this.arrivals.push({ ...call, atMs: this.world.readMonotonicMs(), holder: node.nodeId });
         }
     }
+
+    /** Lists the arrivals of calls whose sender could no longer reset them. */
+    listUnstoppable(): readonly ModelArrival[] {
+        return this.arrivals.filter(({ sender, atMs, writtenAtMs }) =>
+            sender !== senderStates.running && atMs - writtenAtMs > times.call
+        );
+    }
 }
