Let a next holder wait for the calls that a dead holder had under way

Callers of the cloud saw: a call of a killed or frozen holder arrives seconds after calls of the next holder, with a lower number. Cause: the system goes on sending what the process wrote, nothing can reset it, and the next holder waited for a call's time-out only, as it could not know which calls were under way.

The read that confirms the lease for a call is now a conditional write of the lease's row, which also records duty and subject of the call. The record is cleared 20 ms after the call was answered, was never written, or was reset. A new holder makes no call on a recorded subject until 8.4 s after it first saw the row: 0.4 s to the write of the call, and 8 s on the way. It writes the remaining times into its own row, for its own successor. Calls on other subjects wait for a call's time-out, as before. Where the row does not tell (earlier version, other writer, restored store), all subjects wait. Renewals and records are written one at a time; those that wait share the next write. duty-delayed (2709) logs subject and wait.

Tests: the tests of a slow store in DutyCaller.test slow the write down in place of the read that it replaces. The random test starts 6 s later, as the model's store states an era and so cannot tell an absent row from a lost one, and runs 10 s longer at its end.

--- a/src/leases/DutyCaller.test.ts
+++ b/src/leases/DutyCaller.test.ts
@@ -110,10 +110,10 @@
     });
 
     it("calls while the store is slow to confirm the lease", async () => {
-        const read = tables.read.bind(tables);
-        tables.read = async addresses => {
+        const transact = tables.transact.bind(tables);
+        tables.transact = async operations => {
             await clock.sleep(350);
-            return read(addresses);
+            return transact(operations);
         };
         const called = call();
         await clock.advance(500);
@@ -121,10 +121,10 @@
     });
 
     it("does not call while the store cannot confirm the lease in time", async () => {
-        const read = tables.read.bind(tables);
-        tables.read = async addresses => {
+        const transact = tables.transact.bind(tables);
+        tables.transact = async operations => {
             await clock.sleep(500);
-            return read(addresses);
+            return transact(operations);
         };
         const rejected = expect(call()).rejects.toMatchObject({ effect: "none" });
         await clock.advance(600);
--- a/src/leases/DutyCaller.ts
+++ b/src/leases/DutyCaller.ts
@@ -31,21 +31,22 @@
     constructor(private readonly options: DutyCallerOptions) {}
 
     /**
-     * Makes a call if the lease lasts for it. The store confirms the lease once the connection of the call is open.
+     * Makes a call if the lease lasts for it and no former holder's call on the subject may still arrive. The store confirms
+     * the lease, and records the call, once the connection of the call is open.
      *
      * @param target - duty and subject of the call
      * @param send - sends the call
-     * @returns the answer; undefined if the lease is not held for long enough
+     * @returns the answer; undefined if the call may not be made now
      * @throws what `send` throws
      */
     async call<T>(target: DutyTarget, send: DutyCall<T>): Promise<DutyAnswer<T> | undefined> {
         const { lease, callTimeoutMs } = this.options;
-        const held = lease.readHeldFor(callTimeoutMs);
+        const held = lease.readHeldFor(callTimeoutMs, target);
         if (!held) {
             return undefined;
         }
         const record = new DutyCallRecord(this.options, target, held);
-        const confirmation = new LeaseConfirmation(this.options, held);
+        const confirmation = new LeaseConfirmation(this.options, held, target);
         const deadline = new CallDeadline(this.options);
         void deadline.start();
         try {
@@ -66,6 +67,7 @@
         }
         finally {
             deadline.stop();
+            confirmation.end();
         }
     }
 }
--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -2,12 +2,17 @@
 import type { StoreEra } from "../feeds/StoreEra";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
-import type { Row, RowCondition, TableService } from "../platform/types";
+import type { Row, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { CoalescedRuns } from "./CoalescedRuns";
 import { computeNextFencing } from "./computeNextFencing";
-import type { HeldLease, LeaseRow } from "./types";
+import { decodePendingWaits } from "./decodePendingWaits";
+import { ElapsedTime } from "./ElapsedTime";
+import { LeaseRowStore, type WrittenRow } from "./LeaseRowStore";
+import { anySubject, PendingCalls } from "./PendingCalls";
+import type { DutyTarget, HeldLease, LeaseRow } from "./types";
 
 /** Options of {@link Lease}. */
 export interface LeaseOptions {
@@ -26,6 +31,11 @@
     readonly durationMs?: number;
     /** Time after the write of a takeover in which orders of the previous holder may still arrive; default 2,000 ms. */
     readonly takeoverDelayMs?: number;
+    /**
+     * Time after its confirmation in which a call may still arrive if its sender can no longer stop it, as when it was
+     * killed or is frozen; default 8,400 ms.
+     */
+    readonly lateArrivalMs?: number;
 }
 
 interface Holding {
@@ -43,13 +53,6 @@
     readonly activeFromMs: number;
 }
 
-/** The row after a write that this node tried. */
-interface WrittenRow {
-    readonly revision: number;
-    /** Whether the row has this write, or an earlier one of the same holding. */
-    readonly isThisWrite: boolean;
-}
-
 interface Observation {
     readonly revision: number;
     readonly era: number;
@@ -57,10 +60,10 @@
     readonly firstSeenMs: number;
 }
 
-const table = "leases";
 const absentRevision = 0;
 const renewalsPerDuration = 3;
-const writeIdBytes = 4;
+const defaultLateArrivalMs = 8_400; // 8 s of retransmissions on a lossy path; a call is written within 0.4 s
+const clearDelayMs = 20; // the record of a call that follows at once clears this one as well
 const safetyMarginShare = 0.2; // of the duration; allows for clocks that run at slightly different rates
 
 /**
@@ -80,10 +83,17 @@
     private readonly scope: TaskScope;
     private readonly durationMs: number;
     private readonly takeoverDelayMs: number;
+    private readonly lateArrivalMs: number;
+    private readonly store: LeaseRowStore;
+    private readonly pending: PendingCalls;
+    private readonly renewals = new CoalescedRuns(() => this.renew());
 
     constructor(private readonly options: LeaseOptions) {
         this.durationMs = options.durationMs ?? 6_000;
         this.takeoverDelayMs = options.takeoverDelayMs ?? 2_000;
+        this.lateArrivalMs = options.lateArrivalMs ?? defaultLateArrivalMs;
+        this.store = new LeaseRowStore(options);
+        this.pending = new PendingCalls({ clock: options.clock, lateArrivalMs: this.lateArrivalMs });
         this.scope = createLoggedTaskScope(options.events);
     }
 
@@ -125,30 +135,45 @@
         return this.holding !== undefined;
     }
 
-    /** Returns the lease if it remains valid for the duration of a call that starts now, in milliseconds. */
-    readHeldFor(callMs: number): HeldLease | undefined {
+    /**
+     * Returns the lease if it remains valid for the duration of a call that starts now.
+     *
+     * @param callMs - duration of the call, in milliseconds
+     * @param target - what the call is about; a call on it waits while calls of former holders may arrive
+     */
+    readHeldFor(callMs: number, target?: DutyTarget): HeldLease | undefined {
         const held = this.readHeld();
-        return held && held.remainingMs > callMs ? held : undefined;
+        if (!held || held.remainingMs <= callMs) {
+            return undefined;
+        }
+        return target && this.pending.computeWaitMs(target) > 0 ? undefined : held;
     }
 
     /**
-     * Reads the row and tells whether it still names the holding that this node acts under. Unlike the clocks, the store
-     * knows of a next holder also after a suspension that no clock shows.
+     * Records in the row that a call is under way, which also confirms that the row still names the holding that this node
+     * acts under. Unlike the clocks, the store knows of a next holder also after a suspension that no clock shows. The
+     * record stays until {@link endCall}.
      *
-     * @throws StoreError if the store cannot be read
+     * @returns time since the confirming write began; undefined if the lease is no longer held
+     * @throws StoreError if the store does not tell
      */
-    async confirmHeld(): Promise<boolean> {
-        const { holding } = this;
-        const row = await this.readRow();
-        const found = row?.value as LeaseRow | undefined;
-        if (!holding || this.holding?.holdingId !== holding.holdingId || holding.era !== this.readEra()) {
-            return false;
+    async beginCall(target: DutyTarget): Promise<ElapsedTime | undefined> {
+        this.pending.begin(target);
+        return await this.renewals.run() ?? this.renewals.run();
+    }
+
+    /** Ends a call that was answered, was never written, or was reset, and clears its record. */
+    async endCall(target: DutyTarget): Promise<void> {
+        this.pending.end(target);
+        await this.options.clock.sleep(clearDelayMs);
+        try {
+            if (this.pending.isRecordOutdated()) {
+                await this.renewals.run();
+            }
         }
-        if (found?.holdingId !== holding.holdingId) {
-            this.dropHolding("the lease row names another holding");
-            return false;
+        catch {
+            // The next renewal clears it.
         }
-        return true;
     }
 
     private *run(signal: AbortSignal): Task<void> {
@@ -164,9 +189,8 @@
     }
 
     private *renewOrAcquire(): Task<void> {
-        this.readHeld();
-        if (this.holding) {
-            yield* this.renew(this.holding);
+        if (this.isHolder()) {
+            yield* waitFor(this.renewals.run());
         }
         else if (this.options.isCandidate()) {
             yield* this.tryAcquire();
@@ -174,15 +198,19 @@
     }
 
     private readEra(): number {
-        return this.options.storeEra?.current.value ?? 0;
+        return this.readStatedEra() ?? 0;
+    }
+
+    private readStatedEra(): number | undefined {
+        return this.options.storeEra?.current.value;
     }
 
     /**
      * Adopts the row's revision after a restore of the store, with a higher number, as the store may have lost another
      * holding; returns undefined if the row names one.
      */
-    private *recoverHolding(holding: Holding): Task<Holding | undefined> {
-        const row = yield* waitFor(this.readRow());
+    private async recoverHolding(holding: Holding): Promise<Holding | undefined> {
+        const row = await this.store.read();
         const era = this.readEra();
         const found = row?.value as LeaseRow | undefined;
         if (!row || found?.holdingId !== holding.holdingId) {
@@ -192,31 +220,50 @@
         return { ...holding, revision: row.revision, era, fencing, activeFromMs: Infinity };
     }
 
-    private *renew(previous: Holding): Task<void> {
-        const holding = previous.era === this.readEra() ? previous : yield* this.recoverHolding(previous);
+    /**
+     * Writes the row anew, with the calls that are under way.
+     *
+     * @returns time since the write began; undefined if the row does not have it
+     */
+    private async renew(): Promise<ElapsedTime | undefined> {
+        const previous = this.isHolder() ? this.holding : undefined;
+        if (!previous || previous.era === this.readEra()) {
+            return previous && this.writeRenewal(previous);
+        }
+        const holding = await this.recoverHolding(previous);
         if (this.holding !== previous) {
-            return;
+            return undefined;
         }
         if (!holding) {
             this.dropHolding("the store was restored from an older copy, and its row names another holding");
-            return;
+            return undefined;
         }
         this.holding = holding;
-        const renewedAtMs = this.options.clock.readMonotonicMs();
-        const renewedAtWallMs = this.options.clock.readWallMs();
-        const next = { ...holding, renewals: holding.renewals + 1, renewedAtMs, renewedAtWallMs };
-        const condition: RowCondition = { kind: "revision", revision: holding.revision };
-        const written = yield* this.writeRow(next, condition);
+        this.pending.adopt({ [anySubject]: this.lateArrivalMs }, this.options.clock.readMonotonicMs());
+        this.reportWaits();
+        return this.writeRenewal(holding);
+    }
+
+    private async writeRenewal(holding: Holding): Promise<ElapsedTime | undefined> {
+        const { clock } = this.options;
+        const sinceStart = new ElapsedTime(clock);
+        const next = {
+            ...holding,
+            renewals: holding.renewals + 1,
+            renewedAtMs: clock.readMonotonicMs(),
+            renewedAtWallMs: clock.readWallMs(),
+        };
+        const written = await this.writeRow(next, holding.revision);
         if (this.holding !== holding || this.readEra() !== holding.era) {
-            return; // after a restore of the store, the next renewal reads the row first
+            return undefined; // after a restore of the store, the next renewal reads the row first
         }
         if (!written) {
             this.dropHolding("the renewal failed: the lease row no longer belongs to this holding");
-            return;
+            return undefined;
         }
-        this.holding = written.isThisWrite
-            ? this.delayCalls({ ...next, revision: written.revision })
-            : { ...holding, revision: written.revision };
+        const { revision, isThisWrite } = written;
+        this.holding = isThisWrite ? this.delayCalls({ ...next, revision }) : { ...holding, revision };
+        return isThisWrite ? sinceStart : undefined;
     }
 
     /** Lets a holding that has a new number act once the calls of the holder before have arrived. */
@@ -227,13 +274,13 @@
     }
 
     private *tryAcquire(): Task<void> {
-        const found = yield* waitFor(this.readRow());
+        const found = yield* waitFor(this.store.read());
         const nowMs = this.options.clock.readMonotonicMs();
         const era = this.readEra();
         if (!this.hasBeenUnchanged(found, era, nowMs)) {
             return;
         }
-        const row = found ?? (yield* this.createRow());
+        const row = found ?? (yield* waitFor(this.createRow()));
         if (!row || this.readEra() !== era) {
             return;
         }
@@ -247,31 +294,34 @@
             renewedAtWallMs: this.options.clock.readWallMs(),
             activeFromMs: Infinity,
         };
-        const condition: RowCondition = { kind: "revision", revision: row.revision };
-        const written = yield* this.writeRow(next, condition);
+        const waits = decodePendingWaits(row, {
+            era: this.readStatedEra(),
+            lateArrivalMs: this.lateArrivalMs,
+        });
+        this.pending.adopt(waits, this.observation?.firstSeenMs ?? nowMs);
+        const written = yield* waitFor(this.writeRow(next, row.revision));
         if (written && this.readEra() === era) {
             this.holding = this.delayCalls({ ...next, revision: written.revision });
             this.options.events.emit(eventKinds.leaseAcquired, {
                 duty: this.options.duty,
                 fencing: next.fencing,
             });
+            this.reportWaits();
         }
     }
 
-    /** Creates the row without a holder, for its revision; returns undefined if another node was faster. */
-    private *createRow(): Task<Row | undefined> {
-        const { duty: key, tables } = this.options;
-        const value: LeaseRow = {
+    /** Creates the row without a holder; returns undefined if another node was faster. */
+    private createRow(): Promise<Row | undefined> {
+        const era = this.readStatedEra();
+        return this.store.create({
             holder: "",
             holdingId: "",
             fencing: 0,
             durationMs: this.durationMs,
             renewals: 0,
-        };
-        const outcome = yield* waitFor(
-            tables.transact([{ table, key, condition: { kind: "absent" }, value }]),
-        );
-        return outcome.kind === "committed" ? { key, revision: outcome.revisions[0], value } : undefined;
+            pendingCalls: era === undefined ? {} : { [anySubject]: this.lateArrivalMs },
+            era,
+        });
     }
 
     /**
@@ -290,38 +340,24 @@
         return nowMs - this.observation.firstSeenMs >= this.durationMs;
     }
 
-    /** Writes the row. After a lost answer, reads it; returns undefined if the row names another holding. */
-    private *writeRow(next: Holding, condition: RowCondition): Task<WrittenRow | undefined> {
-        const writeId = this.options.random.drawId(writeIdBytes);
+    private writeRow(next: Holding, revision: number): Promise<WrittenRow | undefined> {
         const value: LeaseRow = {
             holder: this.options.nodeId,
             holdingId: next.holdingId,
             fencing: next.fencing,
             durationMs: this.durationMs,
             renewals: next.renewals,
-            writeId,
+            pendingCalls: this.pending.listForRecord(),
+            era: this.readStatedEra(),
         };
-        try {
-            const outcome = yield* waitFor(
-                this.options.tables.transact([{ table, key: this.options.duty, condition, value }]),
-            );
-            if (outcome.kind === "committed") {
-                return { revision: outcome.revisions[0], isThisWrite: true };
-            }
-        }
-        catch {
-            // The write may have taken effect.
-        }
-        const row = yield* waitFor(this.readRow());
-        const found = row?.value as LeaseRow | undefined;
-        return found?.holdingId === next.holdingId
-            ? { revision: row!.revision, isThisWrite: found.writeId === writeId }
-            : undefined;
+        return this.store.write(value, revision);
     }
 
-    private async readRow(): Promise<Row | undefined> {
-        const [row] = await this.options.tables.read([{ table, key: this.options.duty }]);
-        return row;
+    /** Logs which calls wait for those of former holders. */
+    private reportWaits(): void {
+        for (const [subject, waitMs] of Object.entries(this.pending.listInherited())) {
+            this.options.events.emit(eventKinds.dutyDelayed, { lease: this.options.duty, subject, waitMs });
+        }
     }
 
     private dropHolding(reason: string): void {
--- a/src/leases/LeaseConfirmation.ts
+++ b/src/leases/LeaseConfirmation.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../kernel/types";
-import { ElapsedTime } from "./ElapsedTime";
+import type { ElapsedTime } from "./ElapsedTime";
 import type { Lease } from "./Lease";
-import type { HeldLease } from "./types";
+import type { DutyTarget, HeldLease } from "./types";
 
 /** Options of {@link LeaseConfirmation}. */
 export interface LeaseConfirmationOptions {
@@ -14,15 +14,18 @@
 const confirmationShare = 0.5; // of a call's time-out; the rest is left for the call itself
 
 /**
- * Confirmation by the store that a lease is held, for one call. A next holder waits for the time-out of a call before it
- * acts, so that a call that is written soon after it was confirmed arrives first.
+ * Confirmation by the store that a lease is held, for one call. The same write records the call, so that a next holder
+ * knows of it. A next holder waits for the time-out of a call before it acts, and longer for calls that were under way, so
+ * that a call that is written soon after it was confirmed arrives first.
  */
 export class LeaseConfirmation {
     private sinceRequest: ElapsedTime | undefined;
+    private isRequested = false;
 
     constructor(
         private readonly options: LeaseConfirmationOptions,
         private readonly held: HeldLease,
+        private readonly target: DutyTarget,
     ) {}
 
     /**
@@ -31,8 +34,9 @@
      * @throws Error if the lease is no longer held; StoreError if the store does not answer
      */
     async request(): Promise<void> {
-        this.sinceRequest = new ElapsedTime(this.options.clock);
-        if (!await this.options.lease.confirmHeld()) {
+        this.isRequested = true;
+        this.sinceRequest = await this.options.lease.beginCall(this.target);
+        if (!this.sinceRequest) {
             throw new Error("the lease is no longer held");
         }
     }
@@ -51,4 +55,11 @@
             throw new Error("the lease is no longer held");
         }
     }
+
+    /** Ends the call: it was answered, was never written, or was reset. */
+    end(): void {
+        if (this.isRequested) {
+            void this.options.lease.endCall(this.target);
+        }
+    }
 }
--- /dev/null
+++ b/src/leases/PendingCalls.ts
@@ -0,0 +1,101 @@
+import type { Clock } from "../kernel/types";
+import type { DutyTarget } from "./types";
+
+/** Options of {@link PendingCalls}. */
+export interface PendingCallsOptions {
+    readonly clock: Clock;
+    /** Time after its confirmation in which a call may still arrive, in milliseconds. */
+    readonly lateArrivalMs: number;
+}
+
+/** Remaining times in which calls may still arrive, in milliseconds, by the key of their duty and subject. */
+export type PendingWaits = Readonly<Record<string, number>>;
+
+/** Key of a call whose duty and subject are not known. */
+export const anySubject = "*";
+
+/** Bounds the size of a lease's row; with more, all subjects wait. */
+export const maxPendingSubjects = 32;
+
+/**
+ * Calls that may still arrive at the platform: those that this process has under way, and those that former holders may
+ * have had under way, until they have arrived or are lost. The row of the lease lists both for the next holder.
+ */
+export class PendingCalls {
+    /** Number of own calls under way, by subject. */
+    private readonly underWay = new Map<string, number>();
+    /** Monotonic time until which a former holder's call may arrive, by subject. */
+    private readonly inheritedUntilMs = new Map<string, number>();
+    /** Subjects of own calls when the calls were last listed for the row. */
+    private recorded: readonly string[] = [];
+
+    constructor(private readonly options: PendingCallsOptions) {}
+
+    /** Adds a call of this process. */
+    begin(target: DutyTarget): void {
+        const key = formatSubjectKey(target);
+        this.underWay.set(key, (this.underWay.get(key) ?? 0) + 1);
+    }
+
+    /** Removes a call that was answered, was never written, or was reset. */
+    end(target: DutyTarget): void {
+        const key = formatSubjectKey(target);
+        const count = (this.underWay.get(key) ?? 0) - 1;
+        if (count > 0) {
+            this.underWay.set(key, count);
+        }
+        else {
+            this.underWay.delete(key);
+        }
+    }
+
+    /**
+     * Adds the calls that former holders may have had under way.
+     *
+     * @param waits - remaining times, as of the moment
+     * @param atMs - the moment, by the monotonic clock
+     */
+    adopt(waits: PendingWaits, atMs: number): void {
+        for (const [key, waitMs] of Object.entries(waits)) {
+            const untilMs = Math.max(atMs + waitMs, this.inheritedUntilMs.get(key) ?? 0);
+            this.inheritedUntilMs.set(key, untilMs);
+        }
+    }
+
+    /** Returns the time until calls on a subject may be made, in milliseconds; 0 if they may be made now. */
+    computeWaitMs(target: DutyTarget): number {
+        const waits = this.listInherited();
+        return Math.max(0, waits[formatSubjectKey(target)] ?? 0, waits[anySubject] ?? 0);
+    }
+
+    /** Lists the inherited calls that may still arrive. */
+    listInherited(): PendingWaits {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const waits: Record<string, number> = {};
+        for (const [key, untilMs] of this.inheritedUntilMs) {
+            if (untilMs > nowMs) {
+                waits[key] = Math.ceil(untilMs - nowMs);
+            }
+            else {
+                this.inheritedUntilMs.delete(key);
+            }
+        }
+        return waits;
+    }
+
+    /** Lists, for the row, all calls that may still arrive if this process ended now. */
+    listForRecord(): PendingWaits {
+        const { lateArrivalMs } = this.options;
+        this.recorded = [...this.underWay.keys()];
+        const own = Object.fromEntries(this.recorded.map(key => [key, lateArrivalMs]));
+        const waits = { ...this.listInherited(), ...own };
+        return Object.keys(waits).length > maxPendingSubjects ? { [anySubject]: lateArrivalMs } : waits;
+    }
+
+    /** Whether calls have ended since they were listed for the row. */
+    isRecordOutdated(): boolean {
+        return this.recorded.some(key => !this.underWay.has(key));
+    }
+}
+
+const formatSubjectKey = ({ duty, subject }: DutyTarget): string => `${duty} ${subject}`;
--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -112,14 +112,14 @@
                     async (seed, steps) => {
                         const model = new LeaseholderModel(seed);
                         await model.start();
-                        await model.world.advance(6_000);
+                        await model.world.advance(12_000);
                         for (const step of steps) {
                             apply(model, step.event);
                             await model.world.advance(step.waitMs);
                             model.store.keepCopy();
                         }
                         model.nodes.forEach(node => node.recover());
-                        await model.world.advance(10_000);
+                        await model.world.advance(20_000);
                         await model.stop();
                         arrived += model.arrivals.length;
                         holders += new Set(model.arrivals.map(({ fencing }) => fencing)).size;
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -1,5 +1,7 @@
 /** Types of leases. */
 
+import type { PendingWaits } from "./PendingCalls";
+
 /** Value of a lease's row in the table service. */
 export interface LeaseRow {
     readonly holder: string;
@@ -13,6 +15,13 @@
     readonly renewals: number;
     /** Identifies one write, as a renewal may be tried more than once; absent in rows of earlier versions. */
     readonly writeId?: string;
+    /**
+     * Calls under the lease that may still arrive when the holder can no longer stop them: remaining times in milliseconds,
+     * by duty and subject. Absent in rows of earlier versions.
+     */
+    readonly pendingCalls?: PendingWaits;
+    /** Era of the store in which the row was written, if the store states eras. */
+    readonly era?: number;
 }
 
 /** A lease that this node holds. */
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -237,6 +237,12 @@
         "info",
         "A call of a lease holder ended: answered, unsent, or abandoned after it was written.",
     ),
+    dutyDelayed: define(
+        2709,
+        "duty-delayed",
+        "info",
+        "Calls of a new lease holder on a subject wait, as a call of a former holder may still arrive.",
+    ),
     storeFailed: define(2801, "store-failed", "warn", "A call to the platform's stores failed."),
     rowUnreadable: define(
         2803,
