Decide at the moment of dispatch whether a stopping node may pass a request on

Callers saw: in a planned stop of one node, in calm, requests that came late in the grace period were taken, passed on and cut without an answer when the process ended, among them ones that may not be repeated.

Cause: a check at one moment, the effect at a later one. The node asked whether it refuses when it had read a request's head; the request was passed on when its body had ended, which may be seconds later. The refusal itself began at the first poll after 3/8 of the grace period, counted from when the signal was handled; and what was unanswered at the end was cut.

Why it works: src/stopping holds one plan of the stop. isDispatchAllowed is asked with the request's deadline right before its first byte is written to an upstream (DispatchCheck, in `isWanted`), before each choice of an upstream, before a retry or failover is decided, and when its head has been read. It allows all requests until 3 s less 0.5 s for a late signal, and after that only those whose deadline lies before the last answers. At 7/8 of the grace period, at most 1 s before its end, what has no answer yet gets one: 503 if it has not run, 504 with the new result code 1306 if it may have. The grace period counts from the last turn of the event loop before the signal was handled, so that a busy process is not late. `node-stopping` tells how late, `node-stopped` how many requests were cut, and each of these has its `request-forwarded` event with the outcome `cut`.

Answers to requests that were under way when the stop began close their connections too; until now only those that came after it did.

Ruled out: whole requests on kept connections after the limit, which were refused before as well and had not run.

--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -5,6 +5,7 @@
 import { type Readiness, readinessName } from "../membership/Readiness";
 import { servingStateName } from "../routes/ServingState";
 import type { ServingSettings } from "../settings/servingSettingsSchema";
+import { plannedStopName } from "../stopping/PlannedStop";
 import { eventLogName } from "../telemetry/EventLog";
 import { tunnelServerName } from "../tunnels/TunnelServer";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -22,8 +23,6 @@
 ];
 const tunnelIdleMs = 1_000; // an answer that a member waits for takes longer only where nothing else is under way
 const drainPollMs = 50;
-const stopMarginMs = 400; // part of the grace period that is left for closing and the last log lines
-const refuseAfterShare = 3 / 8; // of the grace period; a request accepted later might not complete within it
 const idleBeforeStopMs = 1_000; // callers that were given this node's address keep connecting for a while
 
 /**
@@ -91,36 +90,34 @@
 
     /**
      * Shuts down gracefully within `stopGraceMs`: directs callers to other nodes, waits for the requests in progress,
-     * refuses new ones after a part of the grace period, and stops.
+     * refuses those that might not end in time, answers what is left, and stops.
      */
     async stop(): Promise<void> {
         const { clock, settings } = this.options;
         const events = this.kernel.find(eventLogName);
         const server = this.kernel.find(forwardServerName);
         const startMs = clock.readMonotonicMs();
-        events.emit(eventKinds.nodeStopping, { open: server.openExchanges });
+        const { closeMs, lateMs } = this.kernel.find(plannedStopName).begin(settings.stopGraceMs);
+        events.emit(eventKinds.nodeStopping, { open: server.openExchanges, lateMs: Math.round(lateMs) });
         this.kernel.find(membershipName).announceLeaving();
         server.stopKeepAlive();
         const tunnels = this.kernel.find(tunnelServerName);
         tunnels.refuseNewTunnels();
         void this.kernel.find(nodeRecordsName).removeOwnRecord();
-        const drainEndMs = startMs + settings.stopGraceMs - stopMarginMs;
-        const refuseMs = startMs + settings.stopGraceMs * refuseAfterShare;
         const entriesInvalidMs = startMs + settings.entriesValidMs;
-        while (clock.readMonotonicMs() < drainEndMs) {
+        while (clock.readMonotonicMs() < closeMs) {
             await clock.sleep(drainPollMs);
-            if (clock.readMonotonicMs() >= refuseMs) {
-                server.refuseNewRequests();
-            }
             const isIdle = server.isIdleFor(idleBeforeStopMs) && tunnels.isIdleFor(tunnelIdleMs);
             if (clock.readMonotonicMs() >= entriesInvalidMs && isIdle) {
                 break;
             }
         }
         this.kernel.find(membershipName).announceGone();
+        const cut = server.openExchanges;
         await server.stop(); // first; otherwise the requests that it cuts would be retried at other upstreams
         await this.kernel.stop();
         await this.options.platform.close();
-        events.emit(eventKinds.nodeStopped, { lastedMs: Math.round(clock.readMonotonicMs() - startMs) });
+        const lastedMs = Math.round(clock.readMonotonicMs() - startMs);
+        events.emit(eventKinds.nodeStopped, { lastedMs, cut });
     }
 }
--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -8,6 +8,7 @@
 import { quotaLimiterName } from "../quotas/QuotaLimiter";
 import { retryBudgetsName } from "../retries/RetryBudgets";
 import { servingStateName } from "../routes/ServingState";
+import { plannedStopName } from "../stopping/PlannedStop";
 import { eventLogName } from "../telemetry/EventLog";
 import { forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { AnswerMemory } from "../upstreams/AnswerMemory";
@@ -35,6 +36,7 @@
     origins: find(streamOriginsName),
     soleVersions: find(soleVersionsName),
     retryBudgets: find(retryBudgetsName),
+    plannedStop: find(plannedStopName),
     usage: find(usageLedgerName),
     answerMemory: new AnswerMemory(),
 });
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -26,6 +26,7 @@
 import { rankReaders } from "../membership/rankReaders";
 import { ConfigurationKeeper, configurationKeeperName } from "../routes/ConfigurationKeeper";
 import { ServingState, servingStateName } from "../routes/ServingState";
+import { PlannedStop, plannedStopName } from "../stopping/PlannedStop";
 import { EventLog, eventLogName } from "../telemetry/EventLog";
 import { ForwardMetrics, forwardMetricsName } from "../telemetry/ForwardMetrics";
 import { MetricsServer, metricsServerName } from "../telemetry/MetricsServer";
@@ -78,14 +79,16 @@
                 registry: find(forwardMetricsName).registry,
             }),
     });
+    kernel.register({ name: plannedStopName, requires: [], create: () => new PlannedStop({ clock }) });
     kernel.register({
         name: forwardServerName,
-        requires: [eventLogName],
+        requires: [eventLogName, plannedStopName],
         create: find =>
             new ForwardServer({
                 ...splitAddress(settings.callers),
                 clock,
                 events: find(eventLogName),
+                plannedStop: find(plannedStopName),
                 formatRetryAfter: platform.formatRetryAfter,
             }),
     });
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -4,6 +4,7 @@
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { PlacementPolicy } from "../placement/types";
 import type { QuotaLimiter } from "../quotas/QuotaLimiter";
+import type { PlannedStop } from "../stopping/PlannedStop";
 import type { RetryBudgets } from "../retries/RetryBudgets";
 import type { ServingState } from "../routes/ServingState";
 import type { EventLog } from "../telemetry/EventLog";
@@ -28,6 +29,7 @@
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly soleVersions: Pick<SoleVersions, "find">;
     readonly retryBudgets: RetryBudgets;
+    readonly plannedStop: PlannedStop;
     readonly usage: UsageLedger;
     /** Memory for answers that are collected before they are sent. */
     readonly answerMemory: AnswerMemory;
--- a/src/forwarding/ForwardServer.test.ts
+++ b/src/forwarding/ForwardServer.test.ts
@@ -1,5 +1,6 @@
 import { EventLog } from "../telemetry/EventLog";
 import { SystemClock } from "../kernel/SystemClock";
+import { PlannedStop } from "../stopping/PlannedStop";
 import { ForwardServer } from "./ForwardServer";
 
 describe("ForwardServer", () => {
@@ -11,6 +12,7 @@
             port: 0,
             clock,
             events: new EventLog({ node: "n", clock }),
+            plannedStop: new PlannedStop({ clock }),
         });
         await server.start();
         server.applyLimits({ headerTimeoutMs: limitMs, idleTimeoutMs: limitMs });
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -11,9 +11,12 @@
 import { toFailure } from "../results/toFailure";
 import type { Failure } from "../results/types";
 import type { CallerLimits } from "../routes/types";
+import type { PlannedStop } from "../stopping/PlannedStop";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { type AdmissionTrace, admitRequest, type AdmittedRequest } from "./admitRequest";
+import { computeDeadlineMs } from "./computeDeadlineMs";
+import { createLeavingFailure } from "./createLeavingFailure";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
@@ -25,6 +28,7 @@
     readonly port: number;
     readonly clock: Clock;
     readonly events: EventLog;
+    readonly plannedStop: PlannedStop;
     /** Formats a wait for the `Retry-After` header; whole seconds by default. */
     readonly formatRetryAfter?: (retryAfterMs: number) => string;
     /** Maximum size of a request's headers, in bytes; default 16,384. */
@@ -38,15 +42,13 @@
 const startingRetryAfterMs = 300;
 const msPerSecond = 1_000;
 const maxTimerMs = 2_147_483_647;
-const leavingRetryAfterMs = 50; // callers can use another node immediately
 
 /** HTTP server for requests to be forwarded. Each exchange runs as one task. */
 export class ForwardServer {
     private readonly listener: HttpListener;
     private readonly scope: TaskScope;
     private context: ForwardContext | undefined;
-    private isLeaving = false;
-    private isRefusing = false;
+    private readonly openResponses = new Set<ServerResponse>();
     /** Monotonic time of the last request's arrival, in milliseconds. */
     private lastArrivalMs = -Infinity;
 
@@ -95,14 +97,11 @@
         this.listener.server.headersTimeout = toTimerMs(limits.headerTimeoutMs + firstRequestGraceMs);
     }
 
-    /** Closes each keep-alive connection after its next response. Requests are still served. */
+    /** Closes each keep-alive connection after its next response, those of requests in progress included. */
     stopKeepAlive(): void {
-        this.isLeaving = true;
-    }
-
-    /** Refuses new requests as not run, because they might not end before the node stops. */
-    refuseNewRequests(): void {
-        this.isRefusing = true;
+        this.openResponses.forEach(response => {
+            response.shouldKeepAlive = false;
+        });
     }
 
     /** Whether no exchange is in progress and no request has arrived for at least the given time, in milliseconds. */
@@ -118,7 +117,9 @@
     private serve(request: IncomingMessage, response: ServerResponse): void {
         const arrivedMs = this.options.clock.readMonotonicMs();
         this.lastArrivalMs = arrivedMs;
-        if (this.isLeaving) {
+        this.openResponses.add(response);
+        response.on("close", () => this.openResponses.delete(response));
+        if (this.options.plannedStop.isPlanned) {
             response.shouldKeepAlive = false;
         }
         this.scope.run("forward", () => this.handle(request, response, arrivedMs));
@@ -126,18 +127,19 @@
 
     private *handle(request: IncomingMessage, response: ServerResponse, arrivedMs: number): Task<void> {
         const { context } = this;
-        if (!context || this.isRefusing) {
-            this.refuse(request, response, this.createRefusal());
+        if (!context) {
+            this.refuse(request, response, createStartingFailure());
             return;
         }
         const admission: AdmissionTrace = {};
         let forwarder: RequestForwarder | undefined;
+        let outcome = "cut"; // where the task is cancelled
+        let reason: string | undefined;
         try {
             const received = admitRequest(context, request, admission);
-            const { admitted, body } = yield* this.prepare(context, request, received);
+            const { admitted, body } = yield* this.prepare(context, request, received, arrivedMs);
             forwarder = new RequestForwarder({ context, request, response, admitted, body, arrivedMs });
-            const outcome = yield* forwarder.run();
-            this.report(context, { response, arrivedMs, admission, forwarder, outcome });
+            outcome = yield* forwarder.run();
         }
         catch (error) {
             const failure = toFailure(error);
@@ -145,26 +147,30 @@
                 context.events.emit(eventKinds.taskFailed, { task: "forward", error: describeError(error) });
             }
             this.refuse(request, response, failure);
-            const { name: outcome } = failure.resultCode;
-            this.report(context, {
-                response,
-                arrivedMs,
-                admission,
-                forwarder,
-                outcome,
-                reason: failure.message,
-            });
+            outcome = failure.resultCode.name;
+            reason = failure.message;
+        }
+        finally {
+            this.report(context, { response, arrivedMs, admission, forwarder, outcome, reason });
         }
     }
 
-    /** Reads the body of a request and binds it. Releases the quota charged for it if either fails. */
+    /**
+     * Reads the body of a request and binds it. Releases the quota charged for it if either fails, or if the node stops too
+     * soon for the request.
+     */
     private *prepare(
         context: ForwardContext,
         request: IncomingMessage,
         admitted: AdmittedRequest,
+        arrivedMs: number,
     ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
         try {
-            const body = yield* waitFor(readBody(request, admitted.maxBodyBytes));
+            const deadlineMs = computeDeadlineMs(admitted, arrivedMs);
+            if (!this.options.plannedStop.isDispatchAllowed({ deadlineMs, hasBegun: false })) {
+                throw createLeavingFailure();
+            }
+            const body = yield* this.readBody(request, admitted.maxBodyBytes);
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
@@ -175,14 +181,20 @@
         }
     }
 
-    private createRefusal(): Failure {
-        return this.isRefusing
-            ? createFailure(resultCodes.nodeLeaving, "the node is stopping", {
-                retryAfterMs: leavingRetryAfterMs,
-            })
-            : createFailure(resultCodes.noConfiguration, "the node is starting", {
-                retryAfterMs: startingRetryAfterMs,
-            });
+    /** Reads the body of a request, unless the node stops before its end. */
+    private *readBody(request: IncomingMessage, maxBytes: number): Task<Buffer> {
+        const { plannedStop } = this.options;
+        let refuse: () => void = () => {};
+        const refused = new Promise<never>((_resolve, reject) => {
+            refuse = () => reject(createLeavingFailure());
+        });
+        plannedStop.onAnswerDue(refuse);
+        try {
+            return yield* waitFor(Promise.race([readBody(request, maxBytes), refused]));
+        }
+        finally {
+            plannedStop.removeListener(refuse);
+        }
     }
 
     private refuse(request: IncomingMessage, response: ServerResponse, failure: Failure): void {
@@ -231,6 +243,11 @@
     }
 }
 
+const createStartingFailure = (): Failure =>
+    createFailure(resultCodes.noConfiguration, "the node is starting", {
+        retryAfterMs: startingRetryAfterMs,
+    });
+
 /** Limits a duration to what timers accept: a server with another one throws at its next response. */
 const toTimerMs = (durationMs: number): number => Math.min(maxTimerMs, Math.max(0, durationMs));
 
@@ -240,7 +257,7 @@
     readonly admission: AdmissionTrace;
     readonly forwarder: RequestForwarder | undefined;
     readonly outcome: string;
-    readonly reason?: string;
+    readonly reason: string | undefined;
 }
 
 const roundNumber = (value: number | undefined): number | undefined =>
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -9,9 +9,11 @@
 import { ResponseRelay } from "./ResponseRelay";
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
-import { quarantinedMessage } from "./constants";
+import { computeDeadlineMs } from "./computeDeadlineMs";
 import { createAffinityKey } from "./createAffinityKey";
 import { createFinalFailure } from "./createFinalFailure";
+import { createUnsentResult } from "./createUnsentResult";
+import { DispatchCheck } from "./DispatchCheck";
 import type { ForwardContext } from "./ForwardContext";
 import { ForwardRecorder } from "./ForwardRecorder";
 import { findStrayReason } from "./findStrayReason";
@@ -20,7 +22,7 @@
 import { CrashWatch } from "./CrashWatch";
 import { RequestInterrupt } from "./RequestInterrupt";
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
-import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
+import type { AttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
@@ -38,7 +40,6 @@
 
 const maxResumeTries = 8; // together 1.2 s; callers abandon a stream that is silent for 2 s or more
 const resumePauseMs = 150;
-const unknownVersionMessage = "the upstream may run another software version since the store cannot be read";
 
 /**
  * Forwards one admitted request to an upstream and relays the answer. Retries on other upstreams where the retry rule
@@ -56,14 +57,12 @@
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
     private readonly retryPlanner: RetryPlanner;
-    /** Whether the upstream chosen last was not used since its software version was not known. */
-    private isVersionRefused = false;
+    private readonly dispatchCheck: DispatchCheck;
 
     constructor(private readonly options: RequestForwarderOptions) {
         const { context, admitted, arrivedMs } = options;
-        const allowedMs = Math.min(admitted.metadata.deadlineMs ?? Infinity, admitted.route.timeoutMs);
-        this.deadlineMs = arrivedMs + allowedMs;
-        const { clock, quarantine } = context;
+        this.deadlineMs = computeDeadlineMs(admitted, arrivedMs);
+        const { clock, quarantine, plannedStop } = context;
         const { request, response, body } = options;
         const { sharedParts: partIds, metadata } = admitted;
         this.traits = new ForwardTraits({ request, body, accountName: admitted.account?.name, partIds });
@@ -80,8 +79,12 @@
             findSuspect: () => this.crashWatch.findSuspect(),
         });
         this.recorder = new ForwardRecorder(options);
-        this.interrupt = new RequestInterrupt(options.response, context.clock, this.deadlineMs);
-        const { recorder, interrupt, selection, binding, crashWatch } = this;
+        const { deadlineMs, binding, crashWatch, selection, recorder } = this;
+        const interrupt = new RequestInterrupt({ response, clock, deadlineMs, plannedStop });
+        this.interrupt = interrupt;
+        const hasBegun = (): boolean => response.headersSent;
+        const checked = { instances, interrupt, crashWatch, binding, plannedStop, deadlineMs, hasBegun };
+        this.dispatchCheck = new DispatchCheck(checked);
         this.retryPlanner = new RetryPlanner({
             context,
             admitted,
@@ -89,6 +92,7 @@
             selection,
             binding,
             crashWatch,
+            dispatchCheck: this.dispatchCheck,
             readRemainingMs: () => this.computeRemainingMs(),
         });
         const memory = context.answerMemory.hold();
@@ -144,12 +148,9 @@
         this.options.context.retryBudgets.get(this.service).countRequest();
         yield* waitFor(waitForPendingInput());
         for (;;) {
-            const interrupt = this.interrupt.read();
-            if (interrupt) {
-                return { kind: "interrupted", by: interrupt };
-            }
-            if (this.crashWatch.readQuarantinedMs() !== undefined) {
-                return createUnsentResult(quarantinedMessage);
+            const refusal = this.dispatchCheck.findRefusal();
+            if (refusal) {
+                return refusal;
             }
             const upstream = this.chooseUpstream() ?? (yield* this.waitForUpstream());
             if (!upstream) {
@@ -226,7 +227,6 @@
         this.recorder.trace.upstream = upstream.instance.id;
         this.recorder.trace.softwareVersion = upstream.instance.softwareVersion;
         this.crashWatch.beginAttempt();
-        this.isVersionRefused = false;
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
         const exchange = upstream.client.send({
@@ -234,9 +234,7 @@
             path: request.url!,
             headers: this.createHeaders(upstream),
             body: body.length > 0 ? body : undefined,
-            isWanted: isConfirmed =>
-                this.interrupt.read() === undefined && this.crashWatch.readQuarantinedMs() === undefined
-                && context.instances.isAcceptingRequests(upstream) && this.checkVersion(isConfirmed),
+            isWanted: isConfirmed => this.dispatchCheck.isWanted(upstream, isConfirmed),
         });
         context.instances.beginRequest(upstream);
         try {
@@ -280,15 +278,9 @@
             this.recorder.recordRun(exchange.isSent);
             return { kind: "interrupted", by: start };
         }
-        const interrupt = this.interrupt.read();
-        if (start.kind === "failed" && !start.isSent && interrupt) {
-            return { kind: "interrupted", by: interrupt };
-        }
-        if (start.kind === "failed" && !start.isSent && this.crashWatch.readQuarantinedMs() !== undefined) {
-            return createUnsentResult(quarantinedMessage);
-        }
-        if (start.kind === "failed" && !start.isSent && this.isVersionRefused) {
-            return createUnsentResult(unknownVersionMessage);
+        const unsent = start.kind === "failed" && !start.isSent && this.dispatchCheck.findUnsentResult();
+        if (unsent) {
+            return unsent;
         }
         if (start.kind === "failed") {
             this.recorder.recordRun(start.isSent);
@@ -319,27 +311,12 @@
         this.crashWatch.observeAnswer();
         if (admitted.route.isStream && isEventStream(head)) {
             const { softwareVersion } = upstream.instance;
-            const isKnown = this.isVersionKnown(exchange.isConfirmed);
+            const isKnown = this.dispatchCheck.isVersionKnown(exchange.isConfirmed);
             this.binding.adopt({ softwareVersion: isKnown ? softwareVersion : undefined });
         }
         return yield* this.responseRelay.relay(upstream, exchange, head);
     }
 
-    /** Checks that a bound request goes to its version, and records if that is not known. */
-    private checkVersion(isConfirmed: boolean): boolean {
-        this.isVersionRefused = this.binding.isBound && !this.isVersionKnown(isConfirmed);
-        return !this.isVersionRefused;
-    }
-
-    /**
-     * Whether the upstream at the other end of a connection runs the software version that is listed.
-     *
-     * @param isConfirmed - whether the connection was opened to the process that is listed
-     */
-    private isVersionKnown(isConfirmed: boolean): boolean {
-        return isConfirmed || this.options.context.instances.isListingCurrent();
-    }
-
     /** Applies what an upstream states about itself in an answer, before the answer is passed on. */
     private applyStatements(upstream: TrackedInstance, metadata: ResponseMetadata): void {
         const { instances } = this.options.context;
@@ -394,6 +371,7 @@
             result,
             runs: this.recorder.trace.runs,
             binding: this.binding,
+            isAllowedByStop: this.dispatchCheck.isAllowedByStop(),
             readQuarantinedMs: () => this.crashWatch.readQuarantinedMs(),
             readRefusalMs: () => this.options.context.instances.readRefusalMs(this.service),
         });
@@ -418,12 +396,5 @@
     }
 }
 
-const createUnsentResult = (message: string): FailedAttemptResult => ({
-    kind: "failed",
-    isSent: false,
-    isNotRun: true,
-    message,
-});
-
 const toAttemptOutcome = (result: AttemptResult): string =>
     result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
--- a/src/forwarding/RequestInterrupt.ts
+++ b/src/forwarding/RequestInterrupt.ts
@@ -1,11 +1,26 @@
 import type { ServerResponse } from "node:http";
 import { abortReason } from "../_lib/abortReason";
+import type { PlannedStop } from "../stopping/PlannedStop";
 import type { Clock } from "../kernel/types";
 
-/** Why a request is interrupted: its caller disconnected (`left`) or its deadline passed (`timeout`). */
-export type InterruptKind = "left" | "timeout";
+/**
+ * Why a request is interrupted: its caller disconnected (`left`), its deadline passed (`timeout`), or the node stops before
+ * its response has begun (`stopping`).
+ */
+export type InterruptKind = "left" | "timeout" | "stopping";
 
-/** Detects that the caller of a request disconnects or that the request's deadline passes. */
+/** Options of {@link RequestInterrupt}. */
+export interface RequestInterruptOptions {
+    /** Response to the caller. */
+    readonly response: ServerResponse;
+    /** Clock of the deadline. */
+    readonly clock: Clock;
+    /** Monotonic time, in milliseconds. */
+    readonly deadlineMs: number;
+    readonly plannedStop: Pick<PlannedStop, "isAnswerDue" | "onAnswerDue" | "removeListener">;
+}
+
+/** Detects that a request can go on no longer, because of its caller, its deadline or the node's stop. */
 export class RequestInterrupt {
     /** Resolves with the first interrupt; never settles if there is none. */
     readonly interrupted: Promise<InterruptKind>;
@@ -13,21 +28,18 @@
     private readonly timerAbort = new AbortController();
     private resolveInterrupted: (kind: InterruptKind) => void = () => {};
     private readonly onClose = (): void => {
-        if (!this.response.writableFinished) {
+        if (!this.options.response.writableFinished) {
             this.interrupt("left");
         }
     };
+    private readonly onAnswerDue = (): void => {
+        if (!this.options.response.headersSent) {
+            this.interrupt("stopping");
+        }
+    };
 
-    /**
-     * @param response - response to the caller
-     * @param clock - clock of the deadline
-     * @param deadlineMs - monotonic time, in milliseconds
-     */
-    constructor(
-        private readonly response: ServerResponse,
-        private readonly clock: Clock,
-        private readonly deadlineMs: number,
-    ) {
+    constructor(private readonly options: RequestInterruptOptions) {
+        const { response, clock, deadlineMs, plannedStop } = options;
         this.interrupted = new Promise(resolve => {
             this.resolveInterrupted = resolve;
         });
@@ -35,6 +47,7 @@
         if (response.closed) {
             this.onClose();
         }
+        plannedStop.onAnswerDue(this.onAnswerDue);
         void clock.sleep(deadlineMs - clock.readMonotonicMs(), this.timerAbort.signal).then(() => {
             if (!this.timerAbort.signal.aborted) {
                 this.interrupt("timeout");
@@ -44,17 +57,22 @@
 
     /** Reads why the request is interrupted now, from connection and clock, as events and timers may be late. */
     read(): InterruptKind | undefined {
-        const { socket } = this.response.req;
+        const { response, clock, deadlineMs, plannedStop } = this.options;
+        const { socket } = response.req;
         if (socket.destroyed || socket.readableEnded) {
             return "left";
         }
-        return this.kind ?? (this.clock.readMonotonicMs() >= this.deadlineMs ? "timeout" : undefined);
+        if (this.kind !== undefined || clock.readMonotonicMs() >= deadlineMs) {
+            return this.kind ?? "timeout";
+        }
+        return plannedStop.isAnswerDue() && !response.headersSent ? "stopping" : undefined;
     }
 
-    /** Cancels the timer and removes the listener. To be called when the request has ended. */
+    /** Cancels the timer and removes the listeners. To be called when the request has ended. */
     close(): void {
         this.timerAbort.abort(abortReason);
-        this.response.off("close", this.onClose);
+        this.options.response.off("close", this.onClose);
+        this.options.plannedStop.removeListener(this.onAnswerDue);
     }
 
     private interrupt(kind: InterruptKind): void {
--- a/src/forwarding/RetryPlanner.ts
+++ b/src/forwarding/RetryPlanner.ts
@@ -4,6 +4,7 @@
 import { computeIdleTimeoutMs, minIdleTimeoutMs } from "./computeIdleTimeoutMs";
 import type { CrashWatch } from "./CrashWatch";
 import { type AttemptHistory, decideRetry, type RetryDecision } from "./decideRetry";
+import type { DispatchCheck } from "./DispatchCheck";
 import type { ForwardContext } from "./ForwardContext";
 import type { ForwardRecorder } from "./ForwardRecorder";
 import type { StreamBinding } from "./StreamBinding";
@@ -18,6 +19,7 @@
     readonly selection: Pick<UpstreamSelection, "hasOther" | "hasRoomElsewhere">;
     readonly binding: Pick<StreamBinding, "isBound">;
     readonly crashWatch: Pick<CrashWatch, "readQuarantinedMs">;
+    readonly dispatchCheck: Pick<DispatchCheck, "isAllowedByStop">;
     /** Time until the request's deadline, in milliseconds. */
     readonly readRemainingMs: () => number;
 }
@@ -35,6 +37,9 @@
     /** Decides what follows a failed attempt, and takes the retry that this needs. */
     decideNext(result: FailedAttemptResult): RetryDecision {
         this.hasLeftIdle ||= result.isIdle === true;
+        if (!this.options.dispatchCheck.isAllowedByStop()) {
+            return "stop";
+        }
         const { runs } = this.options.recorder.trace;
         return decideRetry(result, this.createHistory(runs, () => this.getBudget().takeRetry()));
     }
@@ -82,10 +87,11 @@
      * @param runs - number of attempts after which the request may have run, the current one included
      */
     private hasRetry(runs: number): boolean {
-        const { context, binding, crashWatch } = this.options;
+        const { context, binding, crashWatch, dispatchCheck } = this.options;
         const history = this.createHistory(runs, () => this.getBudget().hasRetry());
         return decideRetry({ isSent: true, isNotRun: false }, history) === "another-upstream"
             && this.options.readRemainingMs() >= minRemainingMs
+            && dispatchCheck.isAllowedByStop()
             && crashWatch.readQuarantinedMs() === undefined
             && (!binding.isBound || context.instances.isListingCurrent());
     }
--- a/src/forwarding/createFinalFailure.ts
+++ b/src/forwarding/createFinalFailure.ts
@@ -2,6 +2,7 @@
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { quarantinedMessage } from "./constants";
+import { createLeavingFailure } from "./createLeavingFailure";
 import type { StreamBinding } from "./StreamBinding";
 import type { AttemptResult } from "./types";
 
@@ -12,6 +13,8 @@
     /** Number of attempts after which the request may have run. */
     readonly runs: number;
     readonly binding: Pick<StreamBinding, "isGone" | "softwareVersion">;
+    /** Whether the stop of the node would allow to send the request now. */
+    readonly isAllowedByStop: boolean;
     /** Reads how long the request is refused because of a part of its prompt, in milliseconds. */
     readonly readQuarantinedMs: () => number | undefined;
     /** Reads the time until the first upstream of the service accepts requests again, in milliseconds. */
@@ -29,12 +32,19 @@
  */
 export const createFinalFailure = (input: FinalFailureInput): FailureError => {
     const { result, runs, binding } = input;
-    const isTimeout = result.kind === "interrupted";
-    const message = isTimeout ? "the deadline of the request has passed" : result.message;
-    if (runs > 0) {
-        const code = isTimeout ? resultCodes.deadlinePassed : resultCodes.upstreamFailed;
+    const isStopped = result.kind === "interrupted" && result.by === "stopping";
+    const isTimeout = result.kind === "interrupted" && !isStopped;
+    const message = describeResult(result);
+    if (runs > 0 && result.kind === "interrupted") {
+        const code = isStopped ? resultCodes.stoppedUnanswered : resultCodes.deadlinePassed;
         return new FailureError(createFailure(code, message));
     }
+    if (runs > 0) {
+        return new FailureError(createFailure(resultCodes.upstreamFailed, message));
+    }
+    if (isStopped || !input.isAllowedByStop) {
+        return createLeavingFailure();
+    }
     if (binding.isGone()) {
         const reason =
             `no upstream runs software version "${binding.softwareVersion}", which began the stream`;
@@ -49,3 +59,12 @@
     const retryAfterMs = input.readRefusalMs() ?? unavailableRetryAfterMs;
     return new FailureError(createFailure(code, message, { retryAfterMs }));
 };
+
+const describeResult = (result: FinalFailureInput["result"]): string => {
+    if (result.kind === "failed") {
+        return result.message;
+    }
+    return result.by === "stopping"
+        ? "the node is stopping, and the request has no answer yet"
+        : "the deadline of the request has passed";
+};
--- a/src/forwarding/waitForInput.test.ts
+++ b/src/forwarding/waitForInput.test.ts
@@ -1,15 +1,12 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { pauseProcess } from "../../standins/pauseProcess";
 import { SystemClock } from "../kernel/SystemClock";
 import { waitForInput } from "./waitForInput";
 
 const timeoutMs = 50;
 const heldUpMs = 100;
 
-const pauseProcess = (): void => {
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, heldUpMs);
-};
-
 describe("waitForInput", () => {
     let server: Server;
     let near: Socket;
@@ -35,7 +32,7 @@
     it("returns what arrived before a time-out that the process was too late for", async () => {
         const waiting = waitForData();
         far.write("x");
-        pauseProcess();
+        pauseProcess(heldUpMs);
         expect(await waiting).toEqual([Buffer.from("x")]);
     });
 
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -183,6 +183,13 @@
         "unknown",
         "The request did not complete before its deadline.",
     ),
+    stoppedUnanswered: define(
+        1306,
+        "stopped-unanswered",
+        504,
+        "unknown",
+        "The node stopped before the runner had answered.",
+    ),
     configurationConflict: define(
         1401,
         "configuration-conflict",
--- /dev/null
+++ b/src/stopping/PlannedStop.test.ts
@@ -0,0 +1,67 @@
+import { pauseProcess } from "../../standins/pauseProcess";
+import { pause } from "../../standins/pause";
+import { SystemClock } from "../kernel/SystemClock";
+import { PlannedStop } from "./PlannedStop";
+
+const graceMs = 4_000;
+const shortGraceMs = 400;
+const heldUpMs = 700;
+const turnMs = 250; // of the recorded times, with room for a busy machine
+
+describe("PlannedStop", () => {
+    const clock = new SystemClock();
+    let stop: PlannedStop;
+
+    beforeEach(async () => {
+        stop = new PlannedStop({ clock });
+        await stop.start();
+        await pause(turnMs);
+    });
+
+    afterEach(() => stop.stop());
+
+    // Guards against a grace period that seems to begin when a busy process handles its signal.
+    it("counts the grace period from before a time for which the process was held up", async () => {
+        const requestedMs = clock.readMonotonicMs();
+        const isHandled = new Promise<number>(resolve =>
+            setTimeout(() => resolve(stop.begin(graceMs).closeMs), 0)
+        );
+        pauseProcess(heldUpMs);
+        const closeMs = await isHandled;
+        expect(closeMs).toBeLessThan(requestedMs + graceMs);
+        expect(closeMs).toBeGreaterThan(requestedMs + graceMs / 2);
+    });
+
+    it("takes a process that was held up for most of the grace period for one that was suspended", () => {
+        pauseProcess(shortGraceMs);
+        expect(stop.begin(shortGraceMs).lateMs).toBeCloseTo(shortGraceMs / 4);
+    });
+
+    it("tells once when requests are to be answered, unless it ends before", async () => {
+        let calls = 0;
+        let removedCalls = 0;
+        const removed = (): void => {
+            removedCalls += 1;
+        };
+        stop.onAnswerDue(() => {
+            calls += 1;
+        });
+        stop.onAnswerDue(removed);
+        stop.removeListener(removed);
+        stop.begin(shortGraceMs);
+        expect(stop.isAnswerDue()).toBe(false);
+        await pause(shortGraceMs);
+        expect(stop.isAnswerDue()).toBe(true);
+        expect([calls, removedCalls]).toEqual([1, 0]);
+    });
+
+    it("asks the decision with the present time", () => {
+        const dispatch = { deadlineMs: Infinity, hasBegun: false };
+        expect(stop.isDispatchAllowed(dispatch)).toBe(true);
+        stop.begin(graceMs);
+        expect(stop.isDispatchAllowed(dispatch)).toBe(true);
+        stop.begin(1);
+        pauseProcess(1);
+        expect(stop.isDispatchAllowed(dispatch)).toBe(false);
+    });
+});
--- /dev/null
+++ b/src/stopping/computeStopTimes.ts
@@ -0,0 +1,35 @@
+import type { StopTimes } from "./types";
+
+/** Input of {@link computeStopTimes}. */
+export interface ComputeStopTimesOptions {
+    /** Monotonic time before which the stop was not requested, in milliseconds. */
+    readonly requestedMs: number;
+    /** Time from the request to stop to the end of the process, in milliseconds. */
+    readonly graceMs: number;
+}
+
+const maxAcceptMs = 3_000; // a request that callers sent later must not be cut at the end of the grace period
+const acceptShare = 3 / 8; // of a grace period in which that would leave too little time for long requests
+const maxSignalDelayMs = 500; // the request to stop may be noticed, and the time be read, this much late
+const signalDelayShare = 1 / 16;
+const maxAnswerLeadMs = 1_000; // within the last sixth of the grace period, in which upstreams may be left
+const answerLeadShare = 1 / 8;
+const maxCloseLeadMs = 400; // for closing and the last log lines
+const closeLeadShare = 1 / 20;
+
+/**
+ * Computes the times of a planned stop from its grace period. Short grace periods are divided in the same way as long ones.
+ *
+ * @param options - when the stop was requested, and the grace period
+ * @returns the times
+ */
+export const computeStopTimes = ({ requestedMs, graceMs }: ComputeStopTimesOptions): StopTimes => {
+    const acceptMs = Math.min(maxAcceptMs, graceMs * acceptShare);
+    const signalDelayMs = Math.min(maxSignalDelayMs, graceMs * signalDelayShare);
+    const endMs = requestedMs + graceMs;
+    return {
+        acceptEndMs: requestedMs + acceptMs - signalDelayMs,
+        answerEndMs: endMs - Math.min(maxAnswerLeadMs, graceMs * answerLeadShare),
+        closeMs: endMs - Math.min(maxCloseLeadMs, graceMs * closeLeadShare),
+    };
+};
