Let the store confirm the fleet's lease for orders of the product's own interface

What callers saw: a fleet manager that had lost its lease went on ordering. VM requests whose answers had been lost were repeated without a check of the lease, in a loop that lasts the time-out of each, and also under a later holding, with the number of the earlier one; a holder whose suspension no clock showed requested VMs, released VMs and ordered models beside the next holder, up to its next renewal; an order that was held up arrived up to a call's time-out after a suspension had ended. A cloud has no number to refuse a VM request or a release by.

Cause: the lease was checked before an order by the holder's clocks, or not at all (a check at one moment, the effect at a later one). Calls to the platform's cloud have DutyCaller for this; FleetManager did not use it.

Why this works: orders go through DutyCaller, so that the store confirms the lease on the order's open connection, and an order that is given up, by either clock, has its connection reset. A new holder waits for an order's time-out (2 s) as before. Requests of an earlier holding are dropped: what they effected is listed by the time the lease is held again.

Ruled out: late bytes of abandoned orders without a suspension (createServiceAgent resets these already).

--- a/bench/policy/FakeCloud.ts
+++ b/bench/policy/FakeCloud.ts
@@ -1,5 +1,13 @@
 import type { Clock } from "../../src/kernel/types";
-import type { Cloud, ReclaimNotice, Vm, VmMarket, VmOffer, VmRequest } from "../../src/platform/types";
+import type {
+    Cloud,
+    DutyStages,
+    ReclaimNotice,
+    Vm,
+    VmMarket,
+    VmOffer,
+    VmRequest,
+} from "../../src/platform/types";
 import type { GossipMap } from "../../src/peers/GossipMap";
 import type { FakeEngine } from "./FakeEngine";
 
@@ -123,7 +131,9 @@
         return this.options.offers;
     }
 
-    async requestVm(request: VmRequest): Promise<Vm | undefined> {
+    async requestVm(request: VmRequest, stages: DutyStages): Promise<Vm | undefined> {
+        await stages.onConnected();
+        stages.onWrite();
         if (this.refusesVms) {
             return undefined;
         }
@@ -139,7 +149,9 @@
         return vm;
     }
 
-    async releaseVm(vmId: string): Promise<void> {
+    async releaseVm(vmId: string, stages: DutyStages): Promise<void> {
+        await stages.onConnected();
+        stages.onWrite();
         this.endVm(vmId);
     }
 
--- a/bench/policy/FakeEngine.ts
+++ b/bench/policy/FakeEngine.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../src/kernel/types";
+import type { DutyStages } from "../../src/platform/types";
 import { hashPromptBlocks, tokensPerBlock } from "../../src/routing/PrefixIndex";
 import type { ChatBody } from "../../src/streams/chatBodySchema";
 import { extractPromptText } from "../../src/streams/extractPromptText";
@@ -6,6 +7,7 @@
     CacheEvent,
     CacheExport,
     EngineClient,
+    EngineOrder,
     EngineRequest,
     EngineSink,
     EngineState,
@@ -132,7 +134,9 @@
         return this.cacheEventSnapshots[0].events.filter(event => event.sequence > after);
     }
 
-    async sendOrder(): Promise<OrderOutcome> {
+    async sendOrder(_order: EngineOrder, stages: DutyStages): Promise<OrderOutcome> {
+        await stages.onConnected();
+        stages.onWrite();
         return "done";
     }
 
--- a/bench/policy/PolicySimulation.ts
+++ b/bench/policy/PolicySimulation.ts
@@ -41,6 +41,7 @@
     readonly reclaim: UpstreamReclaim | undefined;
 }
 
+const orderTimeoutMs = 2_000;
 const onDemandPriceFactor = 3; // price of an on-demand VM over that of a reclaimable one
 const vmStartMs = 12_000;
 const reportLagMs = 700;
@@ -277,6 +278,7 @@
             }),
             readQueueSizes: () => node.dispatchers.readQueueSizes(),
             minVms: this.deployment.minRunners,
+            callTimeoutMs: orderTimeoutMs,
         });
     }
 }
--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -32,6 +32,8 @@
 import { clockName } from "./clockName";
 import type { EntryNodeOptions } from "./types";
 
+const dutyCallTimeoutMs = 2_000; // a new holder of a lease waits as long
+
 /** Name of the invariants service. */
 export const invariantsName = createServiceName<Invariants>("invariants");
 /** Name of the configuration store. */
@@ -284,6 +286,7 @@
         events: kernel.find(eventLogName),
         isCandidate: () =>
             isPoller({ membership: kernel.find(membershipName), nodeId: settings.nodeId, job: duty }),
+        takeoverDelayMs: dutyCallTimeoutMs,
     });
 };
 
@@ -390,6 +393,7 @@
                 readDeclaration: () => find(replicatedConfigurationName).current.value?.declaration,
                 readQueueSizes: () => find(serviceDispatchersName).readQueueSizes(),
                 minVms: settings.fleet.minRunners,
+                callTimeoutMs: dutyCallTimeoutMs,
             });
         },
     });
--- a/src/fleet/FleetManager.ts
+++ b/src/fleet/FleetManager.ts
@@ -3,8 +3,9 @@
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { DutyCaller } from "../leases/DutyCaller";
 import type { Lease } from "../leases/Lease";
-import type { HeldLease } from "../leases/types";
+import type { DutyTarget, HeldLease } from "../leases/types";
 import type { ScheduledReclaim } from "../membership/CloudPoller";
 import type { GossipMap } from "../peers/GossipMap";
 import type { Cloud, Vm, VmOffer, VmRequest, WeightStore } from "../platform/types";
@@ -12,6 +13,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Runner } from "../upstreams/Runner";
+import type { EngineOrder } from "../upstreams/types";
 import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
 import { formatOfferKey } from "./formatOfferKey";
 import { ReclaimRates } from "./ReclaimRates";
@@ -33,6 +35,8 @@
     /** Returns the number of requests queued at this node, by service. */
     readonly readQueueSizes: () => ReadonlyMap<string, number>;
     readonly minVms: number;
+    /** Time-out of an order, in milliseconds. */
+    readonly callTimeoutMs: number;
     /** Time between planning cycles; default 2,000 ms. */
     readonly cycleMs?: number;
 }
@@ -46,10 +50,11 @@
 /** A VM request that the cloud has not answered yet. */
 interface UnconfirmedRequest {
     readonly request: VmRequest;
+    /** Number of the holding under which it was made. */
+    readonly fencing: number;
     readonly offer: VmOffer;
 }
 
-const minLeaseMs = 2_000; // remaining lease time required to send an order
 const startTimeoutMs = 600_000; // a requested VM that is not listed by then is no longer counted as capacity
 const refusalMs = 60_000; // a refused offer is not requested again for this long
 const headroomFactor = 1.15;
@@ -57,9 +62,13 @@
 const riseSmoothing = 0.2;
 const fallSmoothing = 0.1; // lower than riseSmoothing: capacity is reduced more slowly than it is added
 
-/** Sizes the fleet of each model service and loads models onto runners. Only the lease holder sends orders. */
+/**
+ * Sizes the fleet of each model service and loads models onto runners. Only the lease holder sends orders, each after the
+ * store has confirmed the lease on the open connection of the order.
+ */
 export class FleetManager {
     private readonly scope: TaskScope;
+    private readonly caller: DutyCaller;
     private readonly smoothedLoad = new Map<string, number>();
     private readonly refusedAtMs = new Map<string, number>();
     private readonly unconfirmedRequests = new Map<string, UnconfirmedRequest>();
@@ -69,6 +78,7 @@
     constructor(private readonly options: FleetManagerOptions) {
         this.reclaimRates = new ReclaimRates(options.clock);
         this.scope = createLoggedTaskScope(options.events);
+        this.caller = new DutyCaller(options);
     }
 
     async start(): Promise<void> {
@@ -96,8 +106,7 @@
 
     /** Returns the lease if enough of it remains for an order sent now to arrive before it expires. */
     private readUsableLease(): HeldLease | undefined {
-        const held = this.options.lease.readHeld();
-        return held && held.remainingMs > minLeaseMs ? held : undefined;
+        return this.options.lease.readHeldFor(this.options.callTimeoutMs);
     }
 
     private *manageService(service: ModelService): Task<void> {
@@ -119,7 +128,9 @@
         for (const offer of plan.requests) {
             yield* this.requestVm(service.name, offer);
         }
-        plan.releases.forEach(vmId => this.drainVm(vmId));
+        if (this.readUsableLease()) {
+            plan.releases.forEach(vmId => this.drainVm(vmId));
+        }
         for (const runner of runners.filter(candidate => !candidate.isLeaving)) {
             yield* this.loadMissingModels(service, runner);
         }
@@ -161,10 +172,19 @@
         return next;
     }
 
-    /** Repeats requests whose answer was lost, with the same idempotency token. */
+    /**
+     * Repeats requests whose answer was lost, with the same idempotency token. Those of an earlier holding are dropped: what
+     * they have effected is listed by now, and another holder may have ordered instead.
+     */
     private *retryUnconfirmedRequests(): Task<void> {
+        const fencing = this.readUsableLease()?.fencing;
         for (const unconfirmed of [...this.unconfirmedRequests.values()]) {
-            yield* this.sendRequest(unconfirmed);
+            if (unconfirmed.fencing === fencing) {
+                yield* this.sendRequest(unconfirmed);
+            }
+            else {
+                this.unconfirmedRequests.delete(unconfirmed.request.token);
+            }
         }
     }
 
@@ -176,14 +196,22 @@
         this.requestCount += 1;
         const token = `${this.options.nodeId}-${held.fencing}-${this.requestCount}`;
         const { dataCentre, machineClass, market } = offer;
-        yield* this.sendRequest({ request: { token, service, dataCentre, machineClass, market }, offer });
+        const request = { token, service, dataCentre, machineClass, market };
+        yield* this.sendRequest({ request, fencing: held.fencing, offer });
     }
 
     private *sendRequest(unconfirmed: UnconfirmedRequest): Task<void> {
         const { request } = unconfirmed;
         this.unconfirmedRequests.set(request.token, unconfirmed);
         try {
-            const vm = yield* waitFor(this.options.cloud.requestVm(request));
+            const answered = yield* waitFor(this.caller.call(
+                toTarget(request.service),
+                (_fencing, stages) => this.options.cloud.requestVm(request, stages),
+            ));
+            if (!answered) {
+                return;
+            }
+            const vm = answered.answer;
             this.unconfirmedRequests.delete(request.token);
             const fields = { token: request.token, service: request.service, dataCentre: request.dataCentre };
             if (vm) {
@@ -218,7 +246,13 @@
                 continue;
             }
             try {
-                yield* waitFor(this.options.cloud.releaseVm(runner.id));
+                const answered = yield* waitFor(this.caller.call(
+                    toTarget(runner.vm.service),
+                    (_fencing, stages) => this.options.cloud.releaseVm(runner.id, stages),
+                ));
+                if (!answered) {
+                    return;
+                }
                 this.options.gossip.set(`drain/${runner.id}`, undefined);
                 this.options.events.emit(eventKinds.fleetOrder, { order: "release-vm", vm: runner.id });
             }
@@ -237,14 +271,17 @@
                 const waitMs = this.options.weights
                     ? yield* waitFor(this.options.weights.reserveTransfer(model))
                     : 0;
-                const held = this.readUsableLease();
-                if (!held || waitMs > 0) {
+                if (waitMs > 0) {
+                    return;
+                }
+                const answered = yield* waitFor(this.caller.call(
+                    toTarget(runner.id),
+                    (fencing, stages) => engine.sendOrder(createLoadOrder(fencing, runner.id, model), stages),
+                ));
+                if (!answered) {
                     return;
                 }
-                const orderId = `${held.fencing}-${runner.id}-${model}`;
-                const outcome = yield* waitFor(
-                    engine.sendOrder({ orderId, fencing: held.fencing, kind: "load-model", value: model }),
-                );
+                const outcome = answered.answer;
                 const kind = outcome === "done" ? eventKinds.fleetOrder : eventKinds.fleetRefused;
                 this.options.events.emit(kind, { order: "load-model", runner: runner.id, model, outcome });
             }
@@ -295,5 +332,14 @@
     }
 }
 
+const toTarget = (subject: string): DutyTarget => ({ duty: "fleet", subject });
+
+const createLoadOrder = (fencing: number, runnerId: string, model: string): EngineOrder => ({
+    orderId: `${fencing}-${runnerId}-${model}`,
+    fencing,
+    kind: "load-model",
+    value: model,
+});
+
 /** Name of the fleet manager service. */
 export const fleetManagerName = createServiceName<FleetManager>("fleet-manager");
--- a/src/platform/HttpCloud.ts
+++ b/src/platform/HttpCloud.ts
@@ -1,7 +1,8 @@
 import type { Agent } from "undici";
 import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
-import type { Cloud, ReclaimNotice, Vm, VmOffer, VmRequest } from "./types";
+import { StagedSender } from "./StagedSender";
+import type { Cloud, DutyStages, ReclaimNotice, Vm, VmOffer, VmRequest } from "./types";
 
 /** Options of {@link HttpCloud}. */
 export interface HttpCloudOptions {
@@ -10,46 +11,54 @@
 }
 
 const maxConnections = 4;
+const maxOrderConnections = 2;
 
 /** Client of the cloud API over HTTP and JSON, in the format of the stand-in. */
 export class HttpCloud implements Cloud {
     private readonly agent: Agent;
+    private readonly orders: StagedSender;
 
     constructor(private readonly options: HttpCloudOptions) {
         this.agent = createServiceAgent({ maxConnections, connectTimeoutMs: options.timeoutMs });
+        this.orders = new StagedSender({
+            maxConnections: maxOrderConnections,
+            timeoutMs: options.timeoutMs,
+        });
     }
 
     async listVms(): Promise<readonly Vm[]> {
-        return (await this.send("GET", "/vms") as { vms: Vm[]; }).vms;
+        return (await this.read("/vms") as { vms: Vm[]; }).vms;
     }
 
     async listNotices(): Promise<readonly ReclaimNotice[]> {
-        return (await this.send("GET", "/notices") as { notices: ReclaimNotice[]; }).notices;
+        return (await this.read("/notices") as { notices: ReclaimNotice[]; }).notices;
     }
 
     async listOffers(): Promise<readonly VmOffer[]> {
-        return (await this.send("GET", "/offers") as { offers: VmOffer[]; }).offers;
+        return (await this.read("/offers") as { offers: VmOffer[]; }).offers;
     }
 
-    async requestVm(request: VmRequest): Promise<Vm | undefined> {
-        return (await this.send("POST", "/vms", request) as { vm?: Vm; }).vm;
+    async requestVm(request: VmRequest, stages: DutyStages): Promise<Vm | undefined> {
+        const url = `${this.options.url}/vms`;
+        return ((await this.orders.send({ url, body: request, stages })).body as { vm?: Vm; }).vm;
     }
 
-    async releaseVm(vmId: string): Promise<void> {
-        await this.send("DELETE", `/vms/${encodeURIComponent(vmId)}`);
+    async releaseVm(vmId: string, stages: DutyStages): Promise<void> {
+        const url = `${this.options.url}/vms/${encodeURIComponent(vmId)}`;
+        await this.orders.send({ url, method: "DELETE", stages });
     }
 
-    /** Closes the connections. */
+    /** Abandons the orders under way and closes the connections. */
     async close(): Promise<void> {
+        await this.orders.close();
         await this.agent.destroy();
     }
 
-    private async send(method: "GET" | "POST" | "DELETE", path: string, body?: unknown): Promise<unknown> {
+    private async read(path: string): Promise<unknown> {
         const answer = await sendJson({
             dispatcher: this.agent,
             url: `${this.options.url}${path}`,
-            method,
-            body,
+            method: "GET",
             timeoutMs: this.options.timeoutMs,
         });
         return answer.body;
--- a/src/platform/sendStagedJson.ts
+++ b/src/platform/sendStagedJson.ts
@@ -9,9 +9,12 @@
     /** Pool of connections. */
     readonly agent: Agent;
     readonly url: string;
-    readonly body: unknown;
+    /** Default: `POST`. */
+    readonly method?: "POST" | "DELETE";
+    /** Default: no body. */
+    readonly body?: unknown;
     /** Headers in addition to those that describe the body. */
-    readonly headers: Readonly<Record<string, string>>;
+    readonly headers?: Readonly<Record<string, string>>;
     /** Abandons the call. */
     readonly signal: AbortSignal;
     readonly stages: CallStages;
@@ -21,7 +24,7 @@
 const maxAnswerBytes = 1_048_576; // 1 MiB, far above every answer to such a call
 
 /**
- * Sends a JSON body with POST in steps: it opens a connection, asks the caller, and then writes the request. When the call
+ * Sends a JSON request in steps: it opens a connection, asks the caller, and then writes the request. When the call
  * is abandoned or fails, the connection is reset: the operating system would deliver bytes of a connection that was closed
  * in order, however late.
  *
@@ -31,18 +34,18 @@
  * nothing was written, or if the status was 503.
  */
 export const sendStagedJson = async (options: SendStagedJsonOptions): Promise<JsonAnswer> => {
-    const { agent, url, signal, stages } = options;
-    const body = JSON.stringify(options.body);
+    const { agent, url, method = "POST", signal, stages } = options;
+    const body = options.body === undefined ? "" : JSON.stringify(options.body);
     const headers = {
         ...options.headers,
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
     };
-    const request = openRequest(url, { agent, method: "POST", headers });
+    const request = openRequest(url, { agent, method, headers });
     const failed = rejectOnFailure(request, signal);
     const answer = await exchange(request, failed, body, stages);
     if (answer.status === unavailable) {
-        throw new StoreError(`POST ${url}: service answered with status ${unavailable}`, "none");
+        throw new StoreError(`${method} ${url}: service answered with status ${unavailable}`, "none");
     }
     return answer;
 };
@@ -65,7 +68,7 @@
     }
     catch (error) {
         resetConnection(request);
-        const name = `POST ${request.host}${request.path}`;
+        const name = `${request.method} ${request.host}${request.path}`;
         throw new StoreError(`${name}: ${(error as Error).message}`, isWritten ? "unknown" : "none");
     }
 };
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -104,14 +104,14 @@
     readonly market: VmMarket;
 }
 
-/** The cloud API: VM list, reclaim notices, offers, and requests for VMs. */
+/** The cloud API: VM list, reclaim notices, offers, and orders of VMs, which only the holder of a lease makes. */
 export interface Cloud {
     listVms(): Promise<readonly Vm[]>;
     listNotices(): Promise<readonly ReclaimNotice[]>;
     listOffers(): Promise<readonly VmOffer[]>;
     /** Resolves to undefined if the cloud refuses the request. */
-    requestVm(request: VmRequest): Promise<Vm | undefined>;
-    releaseVm(vmId: string): Promise<void>;
+    requestVm(request: VmRequest, stages: DutyStages): Promise<Vm | undefined>;
+    releaseVm(vmId: string, stages: DutyStages): Promise<void>;
 }
 
 /** Desired number of upstreams of one service in one data centre and market. */
--- a/src/upstreams/HttpEngineClient.ts
+++ b/src/upstreams/HttpEngineClient.ts
@@ -1,5 +1,7 @@
 import { request } from "undici";
 import { sendJson } from "../platform/sendJson";
+import { StagedSender } from "../platform/StagedSender";
+import type { DutyStages } from "../platform/types";
 import { collectBody } from "./collectBody";
 import { NumberedEventBatcher } from "./NumberedEventBatcher";
 import { UpstreamClient } from "./UpstreamClient";
@@ -28,11 +30,13 @@
 
 const defaultMaxConnections = 2_048;
 const keepAliveMs = 30_000;
+const maxOrderConnections = 1;
 const maxRefusalBytes = 65_536;
 
 /** Engine client over HTTP: chat completions as numbered server-sent events, and the stand-in's control API. */
 export class HttpEngineClient implements EngineClient {
     private readonly client: UpstreamClient;
+    private readonly orders: StagedSender;
 
     constructor(private readonly options: HttpEngineClientOptions) {
         this.client = new UpstreamClient({
@@ -41,6 +45,10 @@
             connectTimeoutMs: options.timeoutMs,
             keepAliveMs,
         });
+        this.orders = new StagedSender({
+            maxConnections: maxOrderConnections,
+            timeoutMs: options.timeoutMs,
+        });
     }
 
     start(engineRequest: EngineRequest, sink: EngineSink): EngineStream {
@@ -88,8 +96,8 @@
         return (answer.body as { events: CacheEvent[]; }).events;
     }
 
-    async sendOrder(order: EngineOrder): Promise<OrderOutcome> {
-        const answer = await this.post("/orders", order);
+    async sendOrder(order: EngineOrder, stages: DutyStages): Promise<OrderOutcome> {
+        const answer = await this.orders.send({ url: `${this.options.url}/orders`, body: order, stages });
         return (answer.body as { outcome: OrderOutcome; }).outcome;
     }
 
@@ -98,6 +106,7 @@
     }
 
     async close(): Promise<void> {
+        await this.orders.close();
         await this.client.close();
     }
 
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -1,5 +1,7 @@
 /** Interfaces of the clients of upstreams: model engines and plain services. */
 
+import type { DutyStages } from "../platform/types";
+
 /** Consecutive server-sent events of one answer, as raw bytes. */
 export interface NumberedEventBatch {
     /** Id of the first event, which is its offset in the answer. */
@@ -109,7 +111,7 @@
     readLoad(): Promise<LoadReport>;
     /** Reads the prefix-cache events with a sequence number above `after`. */
     readCacheEvents(after: number): Promise<readonly CacheEvent[]>;
-    sendOrder(order: EngineOrder): Promise<OrderOutcome>;
+    sendOrder(order: EngineOrder, stages: DutyStages): Promise<OrderOutcome>;
     readState(): Promise<EngineState>;
     close(): Promise<void>;
 }
