Do not occupy the process while a call's link is refused

What callers saw: nothing from the node for as long as the time-out of a call to a member (up to 800 ms in serving nodes, 750 ms for the ping of a member that may be gone), when that member ends the handshake early: it has another secret, or it stops.

Cause: opening a link for a call polled in a loop for the link or the end of the handshake's task. Once the task had ended, its settled promise ended each wait at once, so that the loop ran in microtasks until the deadline and no timer or socket was served.

Evidence: the new test of PeerNetwork failed before: no timer ran for 1,002 ms of a time-out of 1,000 ms. It passes now.

Why the fix works: the wait is for one promise, settled by the link or by the end of the task, with one timer for the time limit. Nothing polls.

--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -138,6 +138,22 @@
         expect(b.network.linkedNodeIds).toEqual([]);
     });
 
+    // Guards against a node that does nothing else until the time-out of a call to a member that ends the handshake.
+    it("does not occupy the process while it calls a peer that ends the handshake", async () => {
+        const [a, b] = [await startPeer("a"), await startPeer("b", "another-key-0123456789")];
+        b.network.setMembers([{ nodeId: "a", url: a.url }]);
+        let longestMs = 0;
+        let lastMs = performance.now();
+        const timer = setInterval(() => {
+            longestMs = Math.max(longestMs, performance.now() - lastMs);
+            lastMs = performance.now();
+        }, 5);
+        await expect(b.network.call("a", "ping", {}, 1_000)).rejects.toThrow("handshake");
+        longestMs = Math.max(longestMs, performance.now() - lastMs);
+        clearInterval(timer);
+        expect(longestMs).toBeLessThan(500);
+    });
+
     it("rejects a peer that reflects the node's own messages", async () => {
         const a = await startPeer("a");
         const socket = new WebSocket(a.url);
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -5,6 +5,7 @@
 import type { TaskScope } from "../kernel/TaskScope";
 import type { Clock, RandomSource, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -258,18 +259,18 @@
         }
         const { clock, maxFrameBytes } = this.options;
         const connection = await dialPeer({ url, timeoutMs, maxFrameBytes, clock });
-        const handle = this.scope.run(
-            `peer-${nodeId}`,
-            signal => this.serveConnection(connection, "dialer", signal, true),
-        );
-        const deadlineMs = this.options.clock.readMonotonicMs() + timeoutMs;
-        while (!this.links.has(nodeId) && this.options.clock.readMonotonicMs() < deadlineMs) {
-            await Promise.race([this.options.clock.sleep(5), handle.done]);
-        }
+        const linked = new Promise<void>(resolve => {
+            const { done } = this.scope.run(
+                `peer-${nodeId}`,
+                signal => this.serveConnection(connection, "dialer", signal, resolve),
+            );
+            done.then(() => resolve(), () => resolve());
+        });
+        await waitWithTimeout({ clock, promises: [linked], timeoutMs });
         const link = this.links.get(nodeId);
         if (!link) {
             throw new PeerError(
-                `member "${nodeId}" did not complete the handshake within ${timeoutMs} ms`,
+                `member "${nodeId}" did not complete the handshake, or not within ${timeoutMs} ms`,
                 "unreachable",
             );
         }
@@ -306,12 +307,12 @@
         }
     }
 
-    /** Serves one connection from its handshake to its end. */
+    /** Serves one connection from its handshake to its end. A link is closed when idle if a callback for it is given. */
     private *serveConnection(
         connection: PeerConnection,
         side: "dialer" | "acceptor",
         signal: AbortSignal,
-        isOnDemand = false,
+        onDemandLinked?: () => void,
     ): Task<void> {
         const { socket, queue } = connection;
         let link: PeerLink | undefined;
@@ -332,20 +333,28 @@
                 this.options.events.emit(eventKinds.peerRejected, { reason: "handshake failed", side });
                 return;
             }
-            link = new PeerLink(peerId, socket, this.options.clock, this.counters, isOnDemand, {
-                maxFrameBytes: this.options.maxFrameBytes,
-                onOversized: bytes =>
-                    this.options.events.emit(eventKinds.peerRejected, {
-                        reason: "frame is too large to be sent",
-                        peer: peerId,
-                        bytes,
-                    }),
-            });
+            link = new PeerLink(
+                peerId,
+                socket,
+                this.options.clock,
+                this.counters,
+                onDemandLinked !== undefined,
+                {
+                    maxFrameBytes: this.options.maxFrameBytes,
+                    onOversized: bytes =>
+                        this.options.events.emit(eventKinds.peerRejected, {
+                            reason: "frame is too large to be sent",
+                            peer: peerId,
+                            bytes,
+                        }),
+                },
+            );
             this.links.get(peerId)?.close();
             this.links.set(peerId, link);
             this.options.events.emit(eventKinds.peerConnected, { peer: peerId, side });
             this.linkUpListeners.forEach(listener => listener(peerId));
             this.sendHeartbeat(link);
+            onDemandLinked?.();
             yield* this.receiveFrames(link, queue, signal);
         }
         finally {
