--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -135,17 +135,20 @@
     );
 
     /** Counts the calls that arrive although their sender can no longer reset them; expects none to break the order. */
-    const countUnstoppable = async (stop: (former: ModelNode) => void): Promise<number> => {
+    const countUnstoppable = async (
+        stop: (former: ModelNode, model: LeaseholderModel) => void,
+    ): Promise<number> => {
         const breaches: string[] = [];
         let unstoppable = 0;
         for (let seed = 1; seed <= 300; seed += 1) {
             const model = new LeaseholderModel(seed);
             await model.start();
             await model.world.advance(12_000);
+            model.store.keepCopy();
             const former = model.findLastHolder();
             former.cloudDelayMs = longDelayMs;
             await model.world.advance(300 + seed % 10 * 100);
-            stop(former);
+            stop(former, model);
             await model.world.advance(5_500);
             former.recover();
             await model.world.advance(6_000);
@@ -182,4 +185,21 @@
         },
         120_000,
     );
+
+    it.each<[string, (model: LeaseholderModel) => void]>([
+        ["a restored store has lost its record", ({ store }) => store.restore(1)],
+        ["another writer has replaced its record", ({ store }) => {
+            store.memory.commit([{ table: "leases", key: "cloud", condition: { kind: "any" }, value: {} }]);
+        }],
+    ])(
+        "do not arrive after those of the next holder when their sender was killed on a lossy path, and %s",
+        async (_name, loseRecord) => {
+            const kill = (node: ModelNode, model: LeaseholderModel): void => {
+                void node.killProcess();
+                loseRecord(model);
+            };
+            expect(await countUnstoppable(kill)).toBeGreaterThan(30);
+        },
+        120_000,
+    );
 });
