Answer every request that a stopping node has read, before its connections close

Callers saw: at the end of the grace period of a planned stop, connections closed without an answer under requests whose body or lookup was still under way, or whose upstream had failed and that were being repeated.

Cause: these waits did not know of the stop. A lookup of what began a stream came after every check; a repeat began whenever there was a retry; and the end of the grace period cancelled the tasks of all requests without an answer.

Why it works: a request whose body is still under way when it may be passed on no longer is refused at that moment (StopRefusal), not at the end of its body; the body's end is checked again before the lookup, and the dispatch after it. What is cancelled when the connections close and has no response yet is answered first: 503 if it was never sent to an upstream, 504 (1306) if it was.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -17,6 +17,8 @@
 import { type AdmissionTrace, admitRequest, type AdmittedRequest } from "./admitRequest";
 import { computeDeadlineMs } from "./computeDeadlineMs";
 import { createLeavingFailure } from "./createLeavingFailure";
+import { createStoppedFailure } from "./createStoppedFailure";
+import { StopRefusal } from "./StopRefusal";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
@@ -151,6 +153,9 @@
             reason = failure.message;
         }
         finally {
+            if (outcome === "cut") {
+                this.answerCut(request, response, forwarder?.recorder.trace.sends ?? 0);
+            }
             this.report(context, { response, arrivedMs, admission, forwarder, outcome, reason });
         }
     }
@@ -167,10 +172,7 @@
     ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
         try {
             const deadlineMs = computeDeadlineMs(admitted, arrivedMs);
-            if (!this.options.plannedStop.isDispatchAllowed({ deadlineMs, hasBegun: false })) {
-                throw createLeavingFailure();
-            }
-            const body = yield* this.readBody(request, admitted.maxBodyBytes);
+            const body = yield* this.readBody(request, admitted.maxBodyBytes, deadlineMs);
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
@@ -181,20 +183,27 @@
         }
     }
 
-    /** Reads the body of a request, unless the node stops before its end. */
-    private *readBody(request: IncomingMessage, maxBytes: number): Task<Buffer> {
-        const { plannedStop } = this.options;
-        let refuse: () => void = () => {};
-        const refused = new Promise<never>((_resolve, reject) => {
-            refuse = () => reject(createLeavingFailure());
-        });
-        plannedStop.onAnswerDue(refuse);
+    /** Reads the body of a request for as long as the node does not stop too soon for the request. */
+    private *readBody(request: IncomingMessage, maxBytes: number, deadlineMs: number): Task<Buffer> {
+        const refusal = new StopRefusal(this.options.plannedStop, deadlineMs);
         try {
-            return yield* waitFor(Promise.race([readBody(request, maxBytes), refused]));
+            refusal.check();
+            const body = yield* waitFor(Promise.race([readBody(request, maxBytes), refusal.refused]));
+            refusal.check();
+            return body;
         }
         finally {
-            plannedStop.removeListener(refuse);
+            refusal.close();
+        }
+    }
+
+    /** Answers a request whose task was cancelled before its response began. */
+    private answerCut(request: IncomingMessage, response: ServerResponse, sends: number): void {
+        if (!this.options.plannedStop.isPlanned || response.headersSent) {
+            return;
         }
+        const { failure } = sends > 0 ? createStoppedFailure() : createLeavingFailure();
+        this.refuse(request, response, failure);
     }
 
     private refuse(request: IncomingMessage, response: ServerResponse, failure: Failure): void {
--- a/src/forwarding/RequestInterrupt.ts
+++ b/src/forwarding/RequestInterrupt.ts
@@ -17,7 +17,7 @@
     readonly clock: Clock;
     /** Monotonic time, in milliseconds. */
     readonly deadlineMs: number;
-    readonly plannedStop: Pick<PlannedStop, "isAnswerDue" | "onAnswerDue" | "removeListener">;
+    readonly plannedStop: Pick<PlannedStop, "isAnswerDue" | "onStep" | "removeListener">;
 }
 
 /** Detects that a request can go on no longer, because of its caller, its deadline or the node's stop. */
@@ -32,8 +32,8 @@
             this.interrupt("left");
         }
     };
-    private readonly onAnswerDue = (): void => {
-        if (!this.options.response.headersSent) {
+    private readonly onStopStep = (): void => {
+        if (this.isAnswerDue()) {
             this.interrupt("stopping");
         }
     };
@@ -47,7 +47,7 @@
         if (response.closed) {
             this.onClose();
         }
-        plannedStop.onAnswerDue(this.onAnswerDue);
+        plannedStop.onStep(this.onStopStep);
         void clock.sleep(deadlineMs - clock.readMonotonicMs(), this.timerAbort.signal).then(() => {
             if (!this.timerAbort.signal.aborted) {
                 this.interrupt("timeout");
@@ -57,7 +57,7 @@
 
     /** Reads why the request is interrupted now, from connection and clock, as events and timers may be late. */
     read(): InterruptKind | undefined {
-        const { response, clock, deadlineMs, plannedStop } = this.options;
+        const { response, clock, deadlineMs } = this.options;
         const { socket } = response.req;
         if (socket.destroyed || socket.readableEnded) {
             return "left";
@@ -65,14 +65,20 @@
         if (this.kind !== undefined || clock.readMonotonicMs() >= deadlineMs) {
             return this.kind ?? "timeout";
         }
-        return plannedStop.isAnswerDue() && !response.headersSent ? "stopping" : undefined;
+        return this.isAnswerDue() ? "stopping" : undefined;
     }
 
     /** Cancels the timer and removes the listeners. To be called when the request has ended. */
     close(): void {
         this.timerAbort.abort(abortReason);
         this.options.response.off("close", this.onClose);
-        this.options.plannedStop.removeListener(this.onAnswerDue);
+        this.options.plannedStop.removeListener(this.onStopStep);
+    }
+
+    /** Whether the stop of the node requires an answer now. A response that has begun goes on. */
+    private isAnswerDue(): boolean {
+        const { plannedStop, response } = this.options;
+        return plannedStop.isAnswerDue() && !response.headersSent;
     }
 
     private interrupt(kind: InterruptKind): void {
--- a/src/forwarding/createFinalFailure.ts
+++ b/src/forwarding/createFinalFailure.ts
@@ -3,6 +3,7 @@
 import { resultCodes } from "../results/resultCodes";
 import { quarantinedMessage } from "./constants";
 import { createLeavingFailure } from "./createLeavingFailure";
+import { createStoppedFailure } from "./createStoppedFailure";
 import type { StreamBinding } from "./StreamBinding";
 import type { AttemptResult } from "./types";
 
@@ -32,17 +33,16 @@
  */
 export const createFinalFailure = (input: FinalFailureInput): FailureError => {
     const { result, runs, binding } = input;
-    const isStopped = result.kind === "interrupted" && result.by === "stopping";
-    const isTimeout = result.kind === "interrupted" && !isStopped;
-    const message = describeResult(result);
-    if (runs > 0 && result.kind === "interrupted") {
-        const code = isStopped ? resultCodes.stoppedUnanswered : resultCodes.deadlinePassed;
-        return new FailureError(createFailure(code, message));
+    if (result.kind === "interrupted" && result.by === "stopping") {
+        return runs > 0 ? createStoppedFailure() : createLeavingFailure();
     }
+    const isTimeout = result.kind === "interrupted";
+    const message = isTimeout ? "the deadline of the request has passed" : result.message;
     if (runs > 0) {
-        return new FailureError(createFailure(resultCodes.upstreamFailed, message));
+        const code = isTimeout ? resultCodes.deadlinePassed : resultCodes.upstreamFailed;
+        return new FailureError(createFailure(code, message));
     }
-    if (isStopped || !input.isAllowedByStop) {
+    if (!input.isAllowedByStop) {
         return createLeavingFailure();
     }
     if (binding.isGone()) {
@@ -59,12 +59,3 @@
     const retryAfterMs = input.readRefusalMs() ?? unavailableRetryAfterMs;
     return new FailureError(createFailure(code, message, { retryAfterMs }));
 };
-
-const describeResult = (result: FinalFailureInput["result"]): string => {
-    if (result.kind === "failed") {
-        return result.message;
-    }
-    return result.by === "stopping"
-        ? "the node is stopping, and the request has no answer yet"
-        : "the deadline of the request has passed";
-};
--- a/src/stopping/PlannedStop.ts
+++ b/src/stopping/PlannedStop.ts
@@ -18,7 +18,7 @@
 export class PlannedStop {
     private times: StopTimes | undefined;
     private turnMs: number;
-    private readonly answerListeners = new Set<() => void>();
+    private readonly listeners = new Set<() => void>();
     private readonly stopController = new AbortController();
 
     constructor(private readonly options: PlannedStopOptions) {
@@ -49,7 +49,7 @@
         const requestedMs = Math.max(this.turnMs, nowMs - graceMs * maxLateShare);
         const times = computeStopTimes({ requestedMs, graceMs });
         this.times = times;
-        void this.announceAnswerEnd(times.answerEndMs);
+        void this.announceSteps([times.acceptEndMs, times.answerEndMs]);
         return { ...times, lateMs: nowMs - requestedMs };
     }
 
@@ -64,22 +64,26 @@
         return this.times !== undefined && this.options.clock.readMonotonicMs() >= this.times.answerEndMs;
     }
 
-    /** Adds a listener that is called when all requests whose response has not begun are to be answered. */
-    onAnswerDue(listener: () => void): void {
-        this.answerListeners.add(listener);
+    /** Adds a listener that is called when {@link isDispatchAllowed} or {@link isAnswerDue} may have changed. */
+    onStep(listener: () => void): void {
+        this.listeners.add(listener);
     }
 
-    /** Removes a listener of {@link onAnswerDue}. */
+    /** Removes a listener of {@link onStep}. */
     removeListener(listener: () => void): void {
-        this.answerListeners.delete(listener);
+        this.listeners.delete(listener);
     }
 
-    private async announceAnswerEnd(answerEndMs: number): Promise<void> {
+    private async announceSteps(stepsMs: readonly number[]): Promise<void> {
         const { clock } = this.options;
         const { signal } = this.stopController;
-        await clock.sleep(answerEndMs - clock.readMonotonicMs(), signal);
-        if (!signal.aborted) {
-            [...this.answerListeners].forEach(listener => listener());
+        for (const stepMs of stepsMs) {
+            while (!signal.aborted && clock.readMonotonicMs() < stepMs) {
+                await clock.sleep(stepMs - clock.readMonotonicMs(), signal);
+            }
+            if (!signal.aborted) {
+                [...this.listeners].forEach(listener => listener());
+            }
         }
     }
 
