Answer the calls of a stopping entry node that do not end while it drains

Callers saw: a call to a plain service that was still running when `drainMs` was over ended without an answer, and so did calls that had waited for their record in the table service and were sent late.

Cause: as for forwarded requests. checkAdmission is asked when the body has been read; the record of a call that is not idempotent is written after that, and the call is sent whenever the store has answered. At the end of the time to drain, the tasks of the exchanges were cancelled.

Why it works: PlainCalls asks the same decision, with the call's time-out, before each send; a call that is refused frees its record and says that it has not run. A node that is killed, rather than stopped, answers nothing, as before.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -8,6 +8,8 @@
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { toFailure } from "../results/toFailure";
+import { createLeavingFailure } from "../stopping/createLeavingFailure";
+import { createStoppedFailure } from "../stopping/createStoppedFailure";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { CallerContext } from "./CallerContext";
 import { handleChat } from "./handleChat";
@@ -95,19 +97,38 @@
         const queryStart = target.indexOf("?");
         const path = queryStart < 0 ? target : target.slice(0, queryStart);
         const exchange = new Exchange(request, response, path, target);
-        if (this.context && this.context.membership.ownState !== "live") {
+        if (this.isLeaving) {
             response.shouldKeepAlive = false;
         }
         this.scope.run("exchange", () => this.handle(exchange));
     }
 
     private *handle(exchange: Exchange): Task<void> {
+        let isCut = true; // where the task is cancelled
         try {
             yield* this.route(exchange);
+            isCut = false;
         }
         catch (error) {
+            isCut = false;
             this.sendError(exchange, error);
         }
+        finally {
+            if (isCut && this.isLeaving) {
+                this.answerCut(exchange);
+            }
+        }
+    }
+
+    /** Whether the node stops as planned. */
+    private get isLeaving(): boolean {
+        return this.context !== undefined && this.context.membership.ownState !== "live";
+    }
+
+    /** Answers an exchange that the stop of the node cancels. One whose request was read may have run. */
+    private answerCut(exchange: Exchange): void {
+        const error = exchange.request.complete ? createStoppedFailure() : createLeavingFailure();
+        this.sendError(exchange, error);
     }
 
     private *route(exchange: Exchange): Task<void> {
--- a/src/daemon/EntryNode.ts
+++ b/src/daemon/EntryNode.ts
@@ -9,6 +9,7 @@
 import { OperatorApi } from "../operators/OperatorApi";
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { entryReclaimName } from "../reclaim/EntryReclaim";
+import { plannedStopName } from "../stopping/PlannedStop";
 import { chatRequestsName } from "../streams/ChatRequests";
 import { keptRequestsName } from "../streams/KeptRequests";
 import { requestLocatorName } from "../streams/RequestLocator";
@@ -77,12 +78,13 @@
 
     /**
      * Shuts down gracefully: accepts no new work, waits up to `drainMs` for the requests in progress, hands the
-     * remaining chat requests over to other nodes, and stops.
+     * remaining chat requests over to other nodes, answers the remaining calls with a failure, and stops.
      */
     async stop(): Promise<void> {
         const events = this.kernel.find(eventLogName);
         const { clock, settings } = this.options;
         events.emit(eventKinds.nodeStopping);
+        this.kernel.find(plannedStopName).begin(settings.timing.drainMs);
         this.kernel.find(membershipName).announceLeaving();
         const deadlineMs = clock.readMonotonicMs() + settings.timing.drainMs;
         while (!this.isDrained() && clock.readMonotonicMs() < deadlineMs) {
--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -20,6 +20,7 @@
 import { PeerNetwork, peerNetworkName } from "../peers/PeerNetwork";
 import { EntryReclaim, entryReclaimName } from "../reclaim/EntryReclaim";
 import { UpstreamReclaim, upstreamReclaimName } from "../reclaim/UpstreamReclaim";
+import { PlannedStop, plannedStopName } from "../stopping/PlannedStop";
 import { ChatRequests, chatRequestsName } from "../streams/ChatRequests";
 import { KeptRequests, keptRequestsName } from "../streams/KeptRequests";
 import { RequestLocator, requestLocatorName } from "../streams/RequestLocator";
@@ -235,12 +236,14 @@
                 maxQueuedBytes: limits.maxQueuedBytes,
             }),
     });
+    kernel.register({ name: plannedStopName, requires: [], create: () => new PlannedStop({ clock }) });
     kernel.register({
         name: plainCallsName,
-        requires: [upstreamRegistryName, sendRecordsName, peerNetworkName],
+        requires: [upstreamRegistryName, sendRecordsName, peerNetworkName, plannedStopName],
         create: find =>
             new PlainCalls({
                 nodeId: settings.nodeId,
+                plannedStop: find(plannedStopName),
                 clock,
                 random,
                 events: find(eventLogName),
--- a/src/forwarding/StopRefusal.ts
+++ b/src/forwarding/StopRefusal.ts
@@ -1,5 +1,5 @@
 import type { PlannedStop } from "../stopping/PlannedStop";
-import { createLeavingFailure } from "./createLeavingFailure";
+import { createLeavingFailure } from "../stopping/createLeavingFailure";
 
 /** Refuses a request that has not been passed on as soon as the stop of the node leaves it too little time. */
 export class StopRefusal {
--- a/src/forwarding/createFinalFailure.ts
+++ b/src/forwarding/createFinalFailure.ts
@@ -2,8 +2,8 @@
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { quarantinedMessage } from "./constants";
-import { createLeavingFailure } from "./createLeavingFailure";
-import { createStoppedFailure } from "./createStoppedFailure";
+import { createLeavingFailure } from "../stopping/createLeavingFailure";
+import { createStoppedFailure } from "../stopping/createStoppedFailure";
 import type { StreamBinding } from "./StreamBinding";
 import type { AttemptResult } from "./types";
 
--- a/src/idempotency/PlainCalls.test.ts
+++ b/src/idempotency/PlainCalls.test.ts
@@ -109,6 +109,7 @@
         this.handlers.set(nodeId, own);
         const plainCalls = new PlainCalls({
             nodeId,
+            plannedStop: { isDispatchAllowed: () => true },
             clock,
             random: this.random,
             events,
--- a/src/idempotency/PlainCalls.ts
+++ b/src/idempotency/PlainCalls.ts
@@ -9,6 +9,8 @@
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
+import { createLeavingFailure } from "../stopping/createLeavingFailure";
+import type { PlannedStop } from "../stopping/PlannedStop";
 import { RetryBudget } from "../retries/RetryBudget";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -28,6 +30,7 @@
     readonly network: Pick<PeerNetwork, "call" | "registerHandler">;
     readonly registry: Pick<UpstreamRegistry, "listUsable" | "listRunners" | "ejections">;
     readonly records: SendRecords;
+    readonly plannedStop: Pick<PlannedStop, "isDispatchAllowed">;
     /** Maximum calls in flight from this node, over all services; default 2,000. */
     readonly maxInFlight?: number;
 }
@@ -129,6 +132,10 @@
     private *sendClaimed(call: AccountCall, permit: SendPermit, digest: string): Task<CallResult> {
         const tried = new Set<string>();
         while (tried.size < maxRunnersTried) {
+            if (!this.isAllowedByStop(call)) {
+                yield* this.options.records.release(permit);
+                throw createLeavingFailure();
+            }
             const runner = this.pickRunner(call.service, tried);
             if (!runner) {
                 break;
@@ -251,7 +258,10 @@
         let message = "no runner is available";
         let sent = false;
         while (tried.size < maxRunnersTried) {
-            const runner = this.pickRunner(call.service, tried);
+            if (!sent && !this.isAllowedByStop(call)) {
+                throw createLeavingFailure();
+            }
+            const runner = this.isAllowedByStop(call) ? this.pickRunner(call.service, tried) : undefined;
             if (!runner) {
                 break;
             }
@@ -275,6 +285,13 @@
         );
     }
 
+    /** Whether the stop of the node allows to send the call now, given the time that it may take. */
+    private isAllowedByStop({ call }: AccountCall): boolean {
+        const { clock, plannedStop } = this.options;
+        const deadlineMs = clock.readMonotonicMs() + call.timeoutMs;
+        return plannedStop.isDispatchAllowed({ deadlineMs, hasBegun: false });
+    }
+
     private *sendTo(runner: Runner, call: PlainCall): ReturnType<PlainCalls["callRunner"]> {
         runner.recordSent();
         try {
--- a/standins/PlainStandIn.ts
+++ b/standins/PlainStandIn.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { pause } from "./pause";
 import { StandInResponse, StandInServer } from "./StandInServer";
 
 /** One execution of a booking request. */
@@ -18,6 +19,8 @@
  */
 export class PlainStandIn {
     readonly runs: BookingRun[] = [];
+    /** Time of each execution, in milliseconds. */
+    workMs = 0;
     readonly server = new StandInServer((request, _response, body) => this.handle(request, body));
     private readonly bookings = new Map<string, Booking>();
 
@@ -41,7 +44,7 @@
         return new StandInResponse(404, { error: `path "${path}" does not exist` });
     }
 
-    private book(request: IncomingMessage, body: Buffer): StandInResponse {
+    private async book(request: IncomingMessage, body: Buffer): Promise<StandInResponse> {
         const idempotencyKey = request.headers["idempotency-key"] as string | undefined;
         this.runs.push({ idempotencyKey, atMs: Date.now() });
         const booking = {
@@ -49,6 +52,9 @@
             details: JSON.parse(body.toString("utf8") || "{}"),
         };
         this.bookings.set(booking.id, booking);
+        if (this.workMs > 0) {
+            await pause(this.workMs);
+        }
         return new StandInResponse(201, booking);
     }
 }
