Report no window again that a holder may have reported before a restore of the store

What callers saw (in tests only): after a restore of the store from an older copy, the cloud accepted two usage reports with different counts for one window, in four ways: - The copy was older than the row with the era of the reports. A new holder took the absence of the row for a fresh start and reported the windows again. - The first new holder of an era left the lost windows out, but noted only the era. The next one, within the time in which reports are due, reported them. - A new holder that could not read the saved counts at first wrote the era all the same, and found it at its next attempt. - A holder whose lease ended while it took the duty over (a freeze between two of its reads) went on, and wrote the row of the era, without a condition, for an era in which it held nothing. The holder after it then reported lost windows.

Cause: the absence of a record was taken for proof, and the lease was checked at the begin of a cycle while the writes came later.

Why this works: a window is reported at the earliest 1.5 s after its end, under a lease that the store confirms. So what a holder of an earlier era has reported ended before this process first saw the present era. A new holder that finds no reports of the present era starts with the window of that moment, and stores this window with the era, in a row of its own, as earlier versions read the era as a number. Late writes of both rows name their own era and cannot pass for another one. Reports of an earlier holding of the same process are read again rather than remembered. At a fresh start and after a restore no more windows are left out than before; after a restore one less at times, as the window that was under way when the era was first seen is reported.

Ruled out: reports that a holder writes again without a condition and that arrive late. They are of its own windows, and later holders start after them or have read them. Not covered: a holder whose suspension neither clock shows, when the restore brings its row back.

--- a/src/usage/UsageReporter.test.ts
+++ b/src/usage/UsageReporter.test.ts
@@ -161,5 +161,62 @@
             expect(listSent(first, second)).toEqual(["{\"alpha\":3}"]);
             expect(second.sent.map(report => report.window)).toContain(window + 1);
         });
+
+        it("leaves them out also when the store has lost the era of the reports", async () => {
+            first.isHolder = false;
+            await first.reporter.stop();
+            tables.restore(new Map());
+            const second = createSetup("b", clock, tables, storeEra);
+            await second.reporter.start();
+            await clock.advance(windowMs + 2_000);
+            await second.reporter.stop();
+            expect(listSent(first, second)).toEqual(["{\"alpha\":3}"]);
+            expect(second.sent.map(report => report.window)).toContain(window + 1);
+        });
+
+        it("leaves them out also as the second new holder", async () => {
+            first.isHolder = false;
+            await first.reporter.stop();
+            const second = createSetup("b", clock, tables, storeEra);
+            await second.reporter.start();
+            await clock.advance(1_000);
+            await second.reporter.stop();
+            const third = createSetup("c", clock, tables, storeEra);
+            await third.reporter.start();
+            await clock.advance(windowMs + 2_000);
+            await third.reporter.stop();
+            expect(listSent(first, second, third)).toEqual(["{\"alpha\":3}"]);
+            expect(third.sent.map(report => report.window)).toContain(window + 1);
+        });
+
+        it("leaves them out also when it could not read the saved counts at first", async () => {
+            first.isHolder = false;
+            await first.reporter.stop();
+            const read = tables.read.bind(tables);
+            jest.spyOn(tables, "read").mockImplementationOnce(read).mockRejectedValueOnce(
+                new Error("no answer"),
+            );
+            const second = createSetup("b", clock, tables, storeEra);
+            await second.reporter.start();
+            await clock.advance(windowMs + 2_000);
+            await second.reporter.stop();
+            expect(listSent(first, second)).toEqual(["{\"alpha\":3}"]);
+        });
+
+        it("writes nothing when the lease was lost while it took the duty over", async () => {
+            first.isHolder = false;
+            await first.reporter.stop();
+            const second = createSetup("b", clock, tables, storeEra);
+            const read = tables.read.bind(tables);
+            jest.spyOn(tables, "read").mockImplementationOnce(async addresses => {
+                second.isHolder = false;
+                return read(addresses);
+            });
+            const rowsWritten = tables.rowsWritten;
+            await second.reporter.start();
+            await clock.advance(windowMs);
+            await second.reporter.stop();
+            expect(tables.rowsWritten).toBe(rowsWritten);
+        });
     });
 });
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -35,9 +35,12 @@
 const countsSchema = z.record(z.number().int().nonnegative().safe());
 /** Counts by the process that counted them. */
 const savedCountsSchema = z.record(countsSchema);
+const firstWindowSchema = z.object({ era: z.number(), window: z.number() });
 const reportsTable = "usage-reports";
 /** Row of {@link reportsTable} with the era of the store in which the last holder wrote its reports. */
 const eraKey = "era";
+/** Row of {@link reportsTable} with the same era and the first window that holders of it report. Earlier versions write none. */
+const firstWindowKey = "first-window";
 /** Name under which the sum over all processes is saved. */
 const allProcesses = "all";
 /** Holds the counts of unreported windows for the next lease holder. */
@@ -54,23 +57,31 @@
  * Reports the usage of each window to the cloud while this node holds the lease. Each report is stored before it is
  * sent; a retry after a lost answer, also by a later holder, sends identical counts.
  *
- * When the store was restored from an older copy, the holder writes its reports again. A new holder that finds reports of
- * an earlier era cannot tell which windows were reported since, and starts with the first window that has not ended.
+ * When the store was restored from an older copy, the holder writes its reports again. A new holder that finds no reports of
+ * the present era cannot tell which windows were reported before, and starts with the window in which this process first saw
+ * the era: windows are reported after their end, and so nobody has reported that one in an earlier era. It stores this
+ * window, as later holders cannot tell either.
  */
 export class UsageReporter {
     private readonly scope: TaskScope;
     private readonly caller: DutyCaller;
     private nextWindow: number | undefined;
-    /** Reports that this process has stored, by window. */
+    /** First window that this holder reports. */
+    private firstWindow = 0;
+    /** Reports that this holder has stored or found, by window. */
     private readonly storedReports = new Map<number, UsageReport>();
     /** Era of the store in which {@link storedReports} were written. */
     private storedEra: number | undefined;
+    /** Monotonic time at which this process first saw the present era of the store. */
+    private eraSeenAtMs: number;
     private savedAtMs = -Infinity;
     private savedText = "";
 
     constructor(private readonly options: UsageReporterOptions) {
         this.scope = createLoggedTaskScope(options.events);
         this.caller = new DutyCaller(options);
+        this.eraSeenAtMs = options.clock.readMonotonicMs();
+        options.storeEra?.current.onChange(() => this.eraSeenAtMs = options.clock.readMonotonicMs());
     }
 
     async start(): Promise<void> {
@@ -84,45 +95,50 @@
     private *run(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(cycleMs, signal));
-            if (!this.options.lease.isHolder()) {
-                this.nextWindow = undefined;
-                continue;
-            }
-            if (!this.options.lease.readHeld()) {
-                continue;
-            }
-            if (this.nextWindow === undefined) {
-                yield* this.takeOver();
-            }
-            if (yield* this.restoreReports()) {
-                yield* this.reportEndedWindows();
-                yield* this.saveCounts();
-            }
+            yield* this.runCycle();
+        }
+    }
+
+    /** Takes the duty over, if need be, and performs it. The lease may be lost during each step, and is checked before it. */
+    private *runCycle(): Task<void> {
+        const { lease } = this.options;
+        if (!lease.isHolder()) {
+            this.nextWindow = undefined;
+            return;
+        }
+        if (lease.readHeld() && this.nextWindow === undefined) {
+            yield* this.takeOver();
+        }
+        const isReady = this.nextWindow !== undefined && lease.readHeld() && (yield* this.restoreReports());
+        if (isReady) {
+            yield* this.reportEndedWindows();
+        }
+        if (isReady && lease.readHeld()) {
+            yield* this.saveCounts();
         }
     }
 
-    /** Starts with the oldest window whose report is not overdue, and loads the counts saved by the previous holder. */
+    /**
+     * Starts with the oldest window that is not overdue and that no holder of an earlier era may have reported, and loads the
+     * counts saved by the previous holder.
+     */
     private *takeOver(): Task<void> {
         const { ledger, clusterClock, dueMs, tables, events } = this.options;
         const nowMs = clusterClock.readMs();
-        let first = ledger.toWindow(nowMs - dueMs);
+        const oldest = ledger.toWindow(nowMs - dueMs);
+        this.storedReports.clear();
+        this.storedEra = undefined;
         try {
-            if (yield* this.isRestoredSinceLastHolder()) {
-                first = ledger.toWindow(nowMs);
-                events.emit(eventKinds.dutyFailed, {
-                    duty: "usage",
-                    window: first,
-                    error: "reports were lost",
-                });
-            }
+            const first = Math.max(oldest, yield* this.findFirstWindow());
             for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
                 const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
                 ledger.recoverTotals(window, this.readSavedTotals(row));
             }
             this.nextWindow = first;
+            this.firstWindow = first;
         }
         catch (error) {
-            events.emit(eventKinds.dutyFailed, { duty: "usage", window: first, error: String(error) });
+            events.emit(eventKinds.dutyFailed, { duty: "usage", window: oldest, error: String(error) });
         }
     }
 
@@ -143,10 +159,24 @@
         return this.options.storeEra?.current.value;
     }
 
-    /** Whether the store was restored from an older copy after the last holder had written its reports. */
-    private *isRestoredSinceLastHolder(): Task<boolean> {
-        const [row] = yield* waitFor(this.options.tables.read([{ table: reportsTable, key: eraKey }]));
-        return typeof row?.value === "number" && row.value !== this.readEra();
+    /** Finds the first window that no holder of an earlier era of the store can have reported. */
+    private *findFirstWindow(): Task<number> {
+        const { tables, ledger, clusterClock, clock, events } = this.options;
+        const [eraRow, firstRow] = yield* waitFor(tables.read([
+            { table: reportsTable, key: eraKey },
+            { table: reportsTable, key: firstWindowKey },
+        ]));
+        const era = this.readEra();
+        const stored = firstWindowSchema.safeParse(firstRow?.value).data;
+        const storedEra = stored?.era ?? eraRow?.value;
+        if (era === undefined || storedEra === era) {
+            return stored?.window ?? -Infinity;
+        }
+        const window = ledger.toWindow(clusterClock.readMs() - (clock.readMonotonicMs() - this.eraSeenAtMs));
+        if (storedEra !== undefined) {
+            events.emit(eventKinds.dutyFailed, { duty: "usage", window, error: "reports were lost" });
+        }
+        return window;
     }
 
     /** Writes the stored reports again if the store lost them; returns false if that must be retried. */
@@ -163,8 +193,11 @@
             value: counts,
         }));
         try {
-            const eraWrite = { table: reportsTable, key: eraKey, condition, value: era };
-            yield* waitFor(this.options.tables.transact([...writes, eraWrite]));
+            const eraWrites = [
+                { key: eraKey, value: era },
+                { key: firstWindowKey, value: { era, window: this.firstWindow } },
+            ].map(row => ({ table: reportsTable, condition, ...row }));
+            yield* waitFor(this.options.tables.transact([...writes, ...eraWrites]));
             this.storedEra = era;
             this.savedText = "";
             return true;
@@ -227,7 +260,10 @@
 
     /** Reports one window; returns false if it must be retried. */
     private *tryReport(window: number): Task<boolean> {
-        const { ledger, clusterClock, events, cloud } = this.options;
+        const { ledger, lease, clusterClock, events, cloud, callTimeoutMs } = this.options;
+        if (!lease.readHeldFor(callTimeoutMs)) {
+            return false;
+        }
         try {
             const report = yield* this.recordReport({ window, counts: ledger.computeTotals(window) });
             const answered = yield* waitFor(this.caller.call(
