Plan links among members that were heard, and dial recorded nodes in turn

What callers saw: with 40 well-formed rows of nodes that do not exist, each of three nodes had 0 links from then on, and 2, 2 and 1 live members in place of 3: each node acted on its own part of quotas, configuration hints and notices.

Cause: a recorded node that was never heard counted as presumed reachable for as long as its row stood, and the plan of links chose the aggregators among all of them. Only members are marked gone, so absent nodes kept their places. A row with the address of a linked node replaced the link to that one each time.

Ruled out: the cost of dialling, the decoding of rows, the failure detection.

Why the fix works: links are planned among announced members that are not gone. Gone nodes and recorded ones that were never heard are dialled besides, in turns between the two kinds and with back-off: one attempt every 500 ms, every 50 ms while a node has no link, at most 16 at a time, whatever their number. A handshake with a node that is not the one dialled ends before its proof if that one is linked.

The test of Membership said that recorded nodes without an announcement are among the present ones, which was the fault; it now requires that they are handed on as recorded, and that they are no members.

--- a/src/daemon/feedNames.ts
+++ b/src/daemon/feedNames.ts
@@ -1,6 +1,6 @@
 import { createServiceName } from "../kernel/createServiceName";
 import type { FeedFollower } from "../feeds/FeedFollower";
-import type { PeerAddress } from "../peers/PeerNetwork";
+import type { PeerAddress } from "../peers/types";
 import type { UpstreamInstance } from "../placement/types";
 import type { QuarantineRecord } from "../quarantine/QuarantineRecords";
 import type { ServingConfiguration } from "../routes/types";
--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -1,9 +1,9 @@
 import { FakeClock } from "../kernel/FakeClock";
 import { GossipMap } from "../peers/GossipMap";
-import type { PeerAddress, PeerNetwork } from "../peers/PeerNetwork";
+import type { PeerNetwork } from "../peers/PeerNetwork";
+import type { PeerAddress } from "../peers/types";
 import { EventLog } from "../telemetry/EventLog";
 import { Membership } from "./Membership";
-import { selectProbedNodes } from "./selectProbedNodes";
 import type { Member } from "./types";
 
 const createMember = (nodeId: string, state: Member["state"] = "live"): Member => ({
@@ -22,7 +22,8 @@
     readonly gossip = new GossipMap({ nodeId: "self", hybridClock: this.events.hybridClock });
     linked: string[] = [];
     present: readonly PeerAddress[] = [];
-    probed: readonly PeerAddress[] = [];
+    gone: readonly PeerAddress[] = [];
+    recorded: readonly PeerAddress[] = [];
     loseLink: (nodeId: string) => void = () => {};
     setUpLink: (nodeId: string) => void = () => {};
     readonly membership: Membership;
@@ -41,9 +42,12 @@
             get linkedNodeIds() {
                 return readLinked();
             },
-            setMembers: (present: readonly PeerAddress[], probed: readonly PeerAddress[]) => {
+            setMembers: (present: readonly PeerAddress[], gone: readonly PeerAddress[]) => {
                 this.present = present;
-                this.probed = probed;
+                this.gone = gone;
+            },
+            setRecorded: (recorded: readonly PeerAddress[]) => {
+                this.recorded = recorded;
             },
             call: async (_nodeId: string, _method: string, _payload: unknown, timeoutMs: number) => {
                 await this.clock.sleep(timeoutMs);
@@ -135,26 +139,14 @@
         expect(setup.listLive()).toEqual(["one", "self"]);
     });
 
-    it("goes on dialling a few recorded nodes that are gone, and those that it knows nothing of", async () => {
+    it("goes on dialling recorded nodes that are gone, and those that it knows nothing of, which are no members", async () => {
         await setup.start(createMember("one", "gone"), createMember("two"));
         setup.membership.setRecordedNodes([{ nodeId: "one", url: "ws://one" }, {
             nodeId: "new",
             url: "ws://new",
         }]);
-        expect(setup.present.map(node => node.nodeId).sort()).toEqual(["new", "self", "two"]);
-        expect(setup.probed.map(node => node.nodeId)).toEqual(["one"]);
-    });
-});
-
-describe("selectProbedNodes", () => {
-    it("selects three nodes of each data centre", () => {
-        const gone = Array.from({ length: 40 }, (_, index) => ({
-            nodeId: `n${index}`,
-            url: `ws://n${index}`,
-            dataCentre: `dc-${index % 4}`,
-        }));
-        const probed = selectProbedNodes(gone);
-        expect(probed).toHaveLength(12);
-        expect(new Set(probed.map(node => node.dataCentre)).size).toBe(4);
+        expect(setup.present.map(node => node.nodeId).sort()).toEqual(["self", "two"]);
+        expect(setup.gone.map(node => node.nodeId)).toEqual(["one"]);
+        expect(setup.recorded.map(node => node.nodeId)).toEqual(["one", "new"]);
     });
 });
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -4,12 +4,12 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { GossipMap } from "../peers/GossipMap";
-import type { PeerAddress, PeerNetwork } from "../peers/PeerNetwork";
+import type { PeerNetwork } from "../peers/PeerNetwork";
+import type { PeerAddress } from "../peers/types";
 import type { Vm } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import { selectProbedNodes } from "./selectProbedNodes";
 import type { Member, MemberState } from "./types";
 
 /** Options of {@link Membership}. */
@@ -44,7 +44,7 @@
     private state: MemberState = "live";
     private isRefreshScheduled = false;
     private isStopped = false;
-    private recordedNodes: readonly PeerAddress[] = [];
+    private recordedNodes: ReadonlyMap<string, PeerAddress> = new Map();
     /**
      * Members that do not answer while this node has no link at all, so that it may be the one that is cut off, with
      * their incarnations.
@@ -108,12 +108,14 @@
     }
 
     /**
-     * Sets the nodes that are recorded in the store. They are dialled even if gossip does not list them as present.
+     * Sets the nodes that are recorded in the store. Those that are no members are dialled in turn, as a recorded node may
+     * not exist.
      *
      * @param addresses - names and web-socket URLs of the nodes
      */
     setRecordedNodes(addresses: readonly PeerAddress[]): void {
-        this.recordedNodes = addresses;
+        this.recordedNodes = new Map(addresses.map(node => [node.nodeId, node]));
+        this.options.network.setRecorded(addresses);
         this.refresh();
     }
 
@@ -160,28 +162,27 @@
         }
         this.reportChanges(announced);
         this.members.set(announced);
-        const { present, gone } = this.listReachable(announced);
-        this.options.network.setMembers(present, selectProbedNodes(gone));
+        const present = announced.filter(member => member.state !== "gone")
+            .map(({ nodeId, peersUrl: url, dataCentre }) => ({ nodeId, url, dataCentre }));
+        this.options.network.setMembers(present, this.listSought(announced));
     }
 
     /**
-     * Lists the nodes that are presumed to be reachable: members that are not gone, and nodes without an entry that the
-     * cloud's VM list or the store names. The others among these are gone: one may have restarted at another address, or
-     * be reachable again after a network partition, and possibly no other node dials it.
+     * Lists the nodes that are dialled though they are no members: gone ones of which there is a record, and the nodes in
+     * the cloud's VM list. One may have restarted at another address, or be reachable again after a network partition,
+     * and possibly no other node dials it.
      */
-    private listReachable(announced: readonly Member[]): { present: PeerAddress[]; gone: PeerAddress[]; } {
+    private listSought(announced: readonly Member[]): PeerAddress[] {
         const states = new Map(announced.map(member => [member.nodeId, member.state]));
-        const present = announced.filter(member => member.state !== "gone")
-            .map(({ nodeId, peersUrl: url, dataCentre }) => ({ nodeId, url, dataCentre }));
         const entryVms = this.options.gossip.listValues<Vm>(vmPrefix)
             .filter(vm => vm.role === "entry")
             .map(vm => ({ nodeId: vm.service, url: vm.url, dataCentre: vm.dataCentre }));
-        const listed = new Map([...entryVms, ...this.recordedNodes].map(node => [node.nodeId, node]));
-        const others = [...listed.values()];
-        return {
-            present: [...present, ...others.filter(({ nodeId }) => !states.has(nodeId))],
-            gone: others.filter(({ nodeId }) => states.get(nodeId) === "gone"),
-        };
+        const gone = announced.flatMap(({ nodeId, state }) =>
+            state === "gone" ? this.recordedNodes.get(nodeId) ?? [] : []
+        );
+        const isGoneOrUnheard = ({ nodeId }: PeerAddress): boolean =>
+            (states.get(nodeId) ?? "gone") === "gone";
+        return [...entryVms.filter(isGoneOrUnheard), ...gone];
     }
 
     /**
--- a/src/membership/NodeRecords.test.ts
+++ b/src/membership/NodeRecords.test.ts
@@ -1,7 +1,7 @@
 import { ObservableValue } from "../_lib/ObservableValue";
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { FakeClock } from "../kernel/FakeClock";
-import type { PeerAddress } from "../peers/PeerNetwork";
+import type { PeerAddress } from "../peers/types";
 import { MemoryTableService } from "../platform/MemoryTableService";
 import { EventLog } from "../telemetry/EventLog";
 import { NodeRecords, nodeRecordsTable } from "./NodeRecords";
--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -7,7 +7,7 @@
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { isPeerUrl } from "../peers/isPeerUrl";
 import { maxNodeIdLength } from "../peers/peerMessageSchema";
-import type { PeerAddress } from "../peers/PeerNetwork";
+import type { PeerAddress } from "../peers/types";
 import type { TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
--- /dev/null
+++ b/src/peers/LinkProber.ts
@@ -0,0 +1,133 @@
+import type { TaskScope } from "../kernel/TaskScope";
+import type { Clock, RandomSource, Task } from "../kernel/types";
+import { waitFor } from "../kernel/waitFor";
+import type { LinkCandidate } from "./planLinks";
+import { ProbeQueue } from "./ProbeQueue";
+
+/** Options of {@link LinkProber}. */
+export interface LinkProberOptions {
+    readonly scope: TaskScope;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Whether this node has no link at all. */
+    readonly isIsolated: () => boolean;
+    /** Whether a node is a member that is presumed to be reachable; it is then not probed. */
+    readonly isMember: (nodeId: string) => boolean;
+    /** Lists the nodes that this node would keep links to if the given ones were members. */
+    readonly planTargets: (added: readonly LinkCandidate[]) => readonly string[];
+    /** Makes a link to a node if there is none; resolves with whether it is up. */
+    readonly reach: (nodeId: string) => Promise<boolean>;
+}
+
+const isolatedPauseMs = 50; // between two attempts while there is no link
+const linkedPauseMs = 500; // between two attempts while there is one
+const maxIsolatedIntervalMs = 500; // between two attempts to reach one node while there is no link
+const maxGoneIntervalMs = 2_000;
+const maxUnheardIntervalMs = 8_000;
+const maxPending = 16;
+
+interface TakenNode {
+    readonly nodeId: string;
+    readonly queue: ProbeQueue;
+}
+
+/**
+ * Dials nodes that are no members, in turn and at a limited rate: those that are gone, as they may be reachable again
+ * after a network partition, and those that were never heard, of which only a record is known. Many of these may not
+ * exist, so the two kinds take turns. Nodes that are reached become members by announcing themselves.
+ */
+export class LinkProber {
+    private readonly gone = new ProbeQueue({ maxIntervalMs: maxGoneIntervalMs });
+    private readonly unheard = new ProbeQueue({ maxIntervalMs: maxUnheardIntervalMs });
+    private turns: readonly [ProbeQueue, ProbeQueue] = [this.gone, this.unheard];
+    private pending = 0;
+
+    constructor(private readonly options: LinkProberOptions) {}
+
+    /** Sets the nodes that are gone. */
+    setGone(nodeIds: readonly string[]): void {
+        const kept = new Set(nodeIds);
+        this.gone.filter(nodeId => kept.has(nodeId));
+        const nowMs = this.options.clock.readMonotonicMs();
+        kept.forEach(nodeId => {
+            this.unheard.remove(nodeId);
+            this.gone.add(nodeId, nowMs);
+        });
+    }
+
+    /** Sets the nodes of which there is a record. Those that are neither members nor gone are probed. */
+    setRecorded(recorded: ReadonlyMap<string, LinkCandidate>): void {
+        this.unheard.filter(nodeId => recorded.has(nodeId));
+        const added = [...recorded.values()].filter(({ nodeId }) => this.isNew(nodeId));
+        if (added.length > 0) {
+            // What would be dialled if all existed comes first: nodes that start together then agree on the same ones.
+            const planned = this.options.planTargets(added).filter(nodeId => this.isNew(nodeId));
+            const nowMs = this.options.clock.readMonotonicMs();
+            planned.forEach(nodeId => this.unheard.add(nodeId, nowMs));
+            this.shuffle(added).forEach(({ nodeId }) => this.unheard.add(nodeId, nowMs));
+        }
+    }
+
+    /** Runs until the signal aborts. */
+    *run(signal: AbortSignal): Task<void> {
+        const { clock } = this.options;
+        while (!signal.aborted) {
+            this.probeNext();
+            const pauseMs = this.options.isIsolated() ? isolatedPauseMs : linkedPauseMs;
+            yield* waitFor(clock.sleep(pauseMs, signal));
+        }
+    }
+
+    private probeNext(): void {
+        const taken = this.pending < maxPending ? this.takeNext() : undefined;
+        if (taken) {
+            this.pending += 1;
+            this.options.scope.run(`probe-${taken.nodeId}`, () => this.probe(taken));
+        }
+    }
+
+    /** Takes the next node that is no member, from the queues in turn. */
+    private takeNext(): TakenNode | undefined {
+        const [first, second] = this.turns;
+        const firstId = this.takeFrom(first);
+        if (firstId !== undefined) {
+            this.turns = [second, first];
+            return { nodeId: firstId, queue: first };
+        }
+        const secondId = this.takeFrom(second);
+        return secondId === undefined ? undefined : { nodeId: secondId, queue: second };
+    }
+
+    private takeFrom(queue: ProbeQueue): string | undefined {
+        const { clock, isIsolated, isMember } = this.options;
+        const nowMs = clock.readMonotonicMs();
+        const maxIntervalMs = isIsolated() ? maxIsolatedIntervalMs : undefined;
+        let nodeId = queue.takeDue({ nowMs, maxIntervalMs });
+        while (nodeId !== undefined && isMember(nodeId)) {
+            queue.remove(nodeId);
+            nodeId = queue.takeDue({ nowMs, maxIntervalMs });
+        }
+        return nodeId;
+    }
+
+    private *probe({ nodeId, queue }: TakenNode): Task<void> {
+        let wasReached = false;
+        try {
+            wasReached = yield* waitFor(this.options.reach(nodeId));
+        }
+        finally {
+            this.pending -= 1;
+            queue.putBack(nodeId, { wasReached, nowMs: this.options.clock.readMonotonicMs() });
+        }
+    }
+
+    private isNew(nodeId: string): boolean {
+        return !this.options.isMember(nodeId) && !this.gone.has(nodeId) && !this.unheard.has(nodeId);
+    }
+
+    private shuffle(nodes: readonly LinkCandidate[]): LinkCandidate[] {
+        return nodes.map(node => ({ node, weight: this.options.random.drawFloat() }))
+            .sort((a, b) => a.weight - b.weight)
+            .map(({ node }) => node);
+    }
+}
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -40,6 +40,8 @@
     isCompared = false;
     /** Whether either side is closing the link on purpose; its end then does not count as the loss of a member. */
     isClosing = false;
+    /** Resolves when the connection has ended. */
+    readonly ended: Promise<void>;
 
     constructor(
         readonly nodeId: string,
@@ -47,11 +49,12 @@
         private readonly clock: Clock,
         private readonly counters: LinkCounters,
         /** Whether the link was opened for a call and is closed when idle. */
-        readonly isOnDemand: boolean,
+        public isOnDemand: boolean,
         private readonly frameLimit: FrameLimit,
     ) {
         this.lastReceivedMs = clock.readMonotonicMs();
         this.lastCallMs = this.lastReceivedMs;
+        this.ended = new Promise(resolve => socket.once("close", () => resolve()));
     }
 
     /** Sends a message; drops it if the socket is not open, or if the member would close the link for its size. */
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -3,15 +3,13 @@
 import { WebSocketServer } from "ws";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
-import type { Clock, RandomSource, Task } from "../kernel/types";
+import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
-import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { dialPeer, type PeerConnection } from "./dialPeer";
 import { FrameQueue } from "./FrameQueue";
-import type { GossipMap } from "./GossipMap";
 import { gossipExchangeMethod, GossipReplicator } from "./GossipReplicator";
 import { peerMessageSchema } from "./peerMessageSchema";
 import { PeerError } from "./PeerError";
@@ -24,49 +22,22 @@
 } from "./PeerMessageRouter";
 import { authenticatePeer } from "./authenticatePeer";
 import { LinkKeepalive } from "./LinkKeepalive";
+import { LinkKeeper } from "./LinkKeeper";
+import { LinkProber } from "./LinkProber";
 import { type LinkPlan, planLinks } from "./planLinks";
-
-/** Web-socket address of a node. */
-export interface PeerAddress {
-    readonly nodeId: string;
-    readonly url: string;
-    /** Data centre of the node; undefined in records of older versions. */
-    readonly dataCentre?: string;
-}
-
-/** Options of {@link PeerNetwork}. */
-export interface PeerNetworkOptions {
-    readonly nodeId: string;
-    readonly dataCentre?: string;
-    /** Reads the secret that members prove to each other; it may change. */
-    readonly readClusterKey: () => string;
-    /** Called when a peer proves that it knows another secret. */
-    readonly onWrongProof?: () => void;
-    readonly host: string;
-    readonly port: number;
-    readonly heartbeatMs: number;
-    /**
-     * A link on which nothing has arrived for this long is closed. Also the time limit of dialling a member and of each
-     * step of the handshake.
-     */
-    readonly linkTimeoutMs: number;
-    readonly maxFrameBytes: number;
-    /** A link that was opened for a call is closed when no call has used it for this long; default 30,000 ms. */
-    readonly idleLinkTimeoutMs?: number;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly events: EventLog;
-    readonly gossip: GossipMap;
-    /** Reads the configuration revision that the heartbeats report. */
-    readonly readRevision: () => number;
-}
+import type { PeerAddress, PeerNetworkOptions } from "./types";
 
 const upgradeRequiredStatus = 426;
-const firstRedialMs = 100;
-const maxRedialMs = 2_000;
 const defaultIdleLinkTimeoutMs = 30_000;
 const maxInvalidFrames = 3; // a link with more invalid frames is closed
 
+interface ServeOptions {
+    /** Node that was dialled. */
+    readonly expectedId?: string;
+    /** Called when the link is up, if it is closed when idle. */
+    readonly onDemandLinked?: () => void;
+}
+
 /** Authenticated links to other members, with heartbeats, calls, reports and the replication of the gossip map. */
 export class PeerNetwork {
     readonly counters: LinkCounters = {
@@ -76,9 +47,12 @@
         bytesReceived: 0,
     };
     private readonly links = new Map<string, PeerLink>();
-    /** Cancels the dial task of each member that this node keeps a link to. */
-    private readonly dialTasks = new Map<string, () => void>();
-    private readonly addresses = new Map<string, string>();
+    private readonly keeper: LinkKeeper;
+    private readonly prober: LinkProber;
+    /** Members that are presumed to be reachable, without this node. */
+    private members: ReadonlyMap<string, PeerAddress> = new Map();
+    private addresses: ReadonlyMap<string, PeerAddress> = new Map();
+    private recorded: ReadonlyMap<string, PeerAddress> = new Map();
     private readonly scope: TaskScope;
     private server: WebSocketServer | undefined;
     private readonly httpServer: Server = createServer((_request, response) => {
@@ -117,6 +91,23 @@
                 this.removeLink(link);
             },
         });
+        this.keeper = new LinkKeeper({
+            ...options,
+            scope: this.scope,
+            waitForLinkEnd: nodeId => this.links.get(nodeId)?.ended,
+            connect: (nodeId, signal) => this.connect(nodeId, signal),
+            onUnreachable: nodeId => this.linkLostListeners.forEach(listener => listener(nodeId)),
+            onDropped: nodeId => this.announceClose(this.links.get(nodeId)),
+        });
+        this.prober = new LinkProber({
+            ...options,
+            scope: this.scope,
+            isIsolated: () => this.links.size === 0,
+            isMember: nodeId => this.members.has(nodeId),
+            planTargets: added =>
+                planLinks({ self: options, others: [...this.members.values(), ...added] }).dialTargets,
+            reach: nodeId => this.reach(nodeId),
+        });
         this.router = new PeerMessageRouter({ events: options.events, replicator: this.replicator });
         this.registerHandler(
             gossipExchangeMethod,
@@ -154,6 +145,7 @@
             httpServer.listen(this.options.port, this.options.host);
         });
         this.scope.run("heartbeats", signal => this.keepalive.run(signal));
+        this.scope.run("probes", signal => this.prober.run(signal));
         this.replicator.start();
     }
 
@@ -208,33 +200,29 @@
     }
 
     /**
-     * Sets the nodes that may be dialled, and keeps the links that {@link planLinks} assigns to this node.
+     * Sets the members, and keeps the links that {@link planLinks} assigns to this node.
      *
      * @param members - the nodes that are presumed to be reachable; may include this node
-     * @param probed - nodes that are dialled besides, since they may be reachable again
+     * @param gone - other nodes, dialled in turn since they may be reachable again
      */
-    setMembers(members: readonly PeerAddress[], probed: readonly PeerAddress[] = []): void {
-        this.addresses.clear();
-        [...members, ...probed].forEach(member => this.addresses.set(member.nodeId, member.url));
+    setMembers(members: readonly PeerAddress[], gone: readonly PeerAddress[] = []): void {
         const others = members.filter(member => member.nodeId !== this.options.nodeId);
+        this.members = indexByNodeId(others);
+        this.addresses = indexByNodeId([...gone, ...others]);
         this.linkPlan = planLinks({ self: this.options, others });
-        const targets = new Set([...this.linkPlan.dialTargets, ...probed.map(member => member.nodeId)]);
-        for (const [nodeId, cancel] of this.dialTasks) {
-            if (!targets.has(nodeId)) {
-                const link = this.links.get(nodeId);
-                if (link) {
-                    this.announceClose(link);
-                }
-                cancel();
-                this.dialTasks.delete(nodeId);
-            }
-        }
-        for (const nodeId of targets) {
-            if (!this.dialTasks.has(nodeId)) {
-                const handle = this.scope.run(`peer-${nodeId}`, signal => this.keepLink(nodeId, signal));
-                this.dialTasks.set(nodeId, () => handle.cancel());
-            }
-        }
+        const targets = new Set(this.linkPlan.dialTargets);
+        [...targets].flatMap(nodeId => this.links.get(nodeId) ?? []).forEach(link => {
+            link.isOnDemand = false;
+        });
+        this.keeper.setTargets(targets);
+        this.prober.setGone(gone.map(({ nodeId }) => nodeId));
+    }
+
+    /** Sets the nodes of which there is a record; those that are no members are dialled in turn, as they may not exist. */
+    setRecorded(recorded: readonly PeerAddress[]): void {
+        const others = recorded.filter(({ nodeId }) => nodeId !== this.options.nodeId);
+        this.recorded = indexByNodeId(others);
+        this.prober.setRecorded(this.recorded);
     }
 
     /**
@@ -253,20 +241,16 @@
     }
 
     private async openLink(nodeId: string, timeoutMs: number): Promise<PeerLink> {
-        const url = this.addresses.get(nodeId);
-        if (!url) {
-            throw new PeerError(`the address of member "${nodeId}" is not known`, "unreachable");
-        }
-        const { clock, maxFrameBytes } = this.options;
-        const connection = await dialPeer({ url, timeoutMs, maxFrameBytes, clock });
+        const connection = await this.dial(nodeId, timeoutMs);
         const linked = new Promise<void>(resolve => {
+            const options = { expectedId: nodeId, onDemandLinked: resolve };
             const { done } = this.scope.run(
                 `peer-${nodeId}`,
-                signal => this.serveConnection(connection, "dialer", signal, resolve),
+                signal => this.serveConnection(connection, "dialer", signal, options),
             );
             done.then(() => resolve(), () => resolve());
         });
-        await waitWithTimeout({ clock, promises: [linked], timeoutMs });
+        await waitWithTimeout({ clock: this.options.clock, promises: [linked], timeoutMs });
         const link = this.links.get(nodeId);
         if (!link) {
             throw new PeerError(
@@ -277,42 +261,39 @@
         return link;
     }
 
-    /** Keeps a link to a member: dials it with exponential back-off and jitter whenever there is no link. */
-    private *keepLink(nodeId: string, signal: AbortSignal): Task<void> {
-        let delayMs = firstRedialMs;
-        while (!signal.aborted) {
-            const startedMs = this.options.clock.readMonotonicMs();
-            const url = this.addresses.get(nodeId);
-            if (url && !this.links.has(nodeId)) {
-                try {
-                    const connection = yield* waitFor(dialPeer({
-                        url,
-                        timeoutMs: this.options.linkTimeoutMs,
-                        maxFrameBytes: this.options.maxFrameBytes,
-                        clock: this.options.clock,
-                    }));
-                    yield* this.serveConnection(connection, "dialer", signal);
-                }
-                catch (error) {
-                    if (!(error instanceof PeerError)) {
-                        throw error;
-                    }
-                    this.linkLostListeners.forEach(listener => listener(nodeId));
-                }
+    /** Makes a link to a node if there is none; returns whether it is up. */
+    private async reach(nodeId: string): Promise<boolean> {
+        try {
+            return this.links.has(nodeId) || Boolean(await this.openLink(nodeId, this.options.linkTimeoutMs));
+        }
+        catch (error) {
+            if (!(error instanceof PeerError)) {
+                throw error;
             }
-            const lastedMs = this.options.clock.readMonotonicMs() - startedMs;
-            delayMs = lastedMs > maxRedialMs ? firstRedialMs : Math.min(maxRedialMs, delayMs * 2);
-            const jitter = 0.5 + this.options.random.drawFloat() / 2;
-            yield* waitFor(this.options.clock.sleep(delayMs * jitter, signal));
+            return false;
         }
     }
 
-    /** Serves one connection from its handshake to its end. A link is closed when idle if a callback for it is given. */
+    /** Dials a node and serves the link until it ends. */
+    private *connect(nodeId: string, signal: AbortSignal): Task<void> {
+        const connection = yield* waitFor(this.dial(nodeId, this.options.linkTimeoutMs));
+        yield* this.serveConnection(connection, "dialer", signal, { expectedId: nodeId });
+    }
+
+    private async dial(nodeId: string, timeoutMs: number): Promise<PeerConnection> {
+        const url = (this.addresses.get(nodeId) ?? this.recorded.get(nodeId))?.url;
+        if (!url) {
+            throw new PeerError(`the address of member "${nodeId}" is not known`, "unreachable");
+        }
+        return dialPeer({ ...this.options, url, timeoutMs });
+    }
+
+    /** Serves one connection from its handshake to its end. */
     private *serveConnection(
         connection: PeerConnection,
         side: "dialer" | "acceptor",
         signal: AbortSignal,
-        onDemandLinked?: () => void,
+        { expectedId, onDemandLinked }: ServeOptions = {},
     ): Task<void> {
         const { socket, queue } = connection;
         let link: PeerLink | undefined;
@@ -327,6 +308,9 @@
                 timeoutMs: this.options.linkTimeoutMs,
                 clock: this.options.clock,
                 signal,
+                // An address may be that of another node; a link to that one stays as it is.
+                isAccepted: peerId =>
+                    expectedId === undefined || peerId === expectedId || !this.links.has(peerId),
                 onWrongProof: this.options.onWrongProof,
             });
             if (!peerId) {
@@ -393,9 +377,11 @@
     }
 
     /** Announces that a link will be closed on purpose, so that neither side treats its end as the loss of a member. */
-    private announceClose(link: PeerLink): void {
-        link.isClosing = true;
-        link.send({ kind: "goodbye" });
+    private announceClose(link: PeerLink | undefined): void {
+        if (link) {
+            link.isClosing = true;
+            link.send({ kind: "goodbye" });
+        }
     }
 
     private sendHeartbeat(link: PeerLink): void {
@@ -422,5 +408,8 @@
     }
 }
 
+const indexByNodeId = (nodes: readonly PeerAddress[]): Map<string, PeerAddress> =>
+    new Map(nodes.map(node => [node.nodeId, node]));
+
 /** Name of the peer network service. */
 export const peerNetworkName = createServiceName<PeerNetwork>("peer-network");
--- a/src/peers/authenticatePeer.ts
+++ b/src/peers/authenticatePeer.ts
@@ -20,6 +20,8 @@
     readonly timeoutMs: number;
     readonly clock: Clock;
     readonly signal: AbortSignal;
+    /** Whether a link to the node that the peer says it is may be made; default: always true. */
+    readonly isAccepted?: (nodeId: string) => boolean;
     /** Called when the peer proves that it knows another key. */
     readonly onWrongProof?: () => void;
 }
@@ -29,13 +31,13 @@
  * other side's nonce.
  *
  * @param options - the connection and this node's identity
- * @returns the peer's node name, or undefined when it sent no valid proof in time
+ * @returns the peer's node name, or undefined when it sent no valid proof in time or is not accepted
  */
 export function* authenticatePeer(options: AuthenticatePeerOptions): Task<string | undefined> {
-    const { socket, nodeId, nonce } = options;
+    const { socket, nodeId, nonce, isAccepted = () => true } = options;
     socket.send(encodeFrame({ kind: "hello", nodeId, nonce }));
     const hello = helloSchema.safeParse(yield* takeWithTimeout(options));
-    if (!hello.success || hello.data.nodeId === nodeId) {
+    if (!hello.success || hello.data.nodeId === nodeId || !isAccepted(hello.data.nodeId)) {
         return undefined;
     }
     const ownProof = { clusterKey: options.clusterKey, side: options.side, nodeId, nonce: hello.data.nonce };
