Take a quota charge back in the window in which it counts

What was charged for a request that then did not run (no upstream took it, its body never ended) was taken back at the time of the release. The charge left the sliding window earlier than that, so that the sum was too low by the charge until the release left it too.

Evidence: the new test of QuotaLimiter failed before: the whole limit charged, released 6 s later and charged again; 4 s after that a further request was granted.

Why the fix works: a charge returns its own release, which subtracts from the slot of the charge, if that still counts, and only once. The share is that of the charge, also when the configuration has another limit by then.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -144,7 +144,6 @@
                 clock,
                 sums: find(clusterSumsName),
                 countNodes: () => find(readinessName).countPresumedLive(),
-                findQuota: name => find(servingStateName).table.value?.findAccountByName(name)?.quota,
                 windowMs: settings.quotaWindowMs,
             }),
     });
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -168,9 +168,7 @@
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
-            if (admitted.account) {
-                context.quotas.release(admitted.account.name, admitted.quotaCost);
-            }
+            admitted.releaseQuota();
             throw error;
         }
     }
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -411,9 +411,8 @@
     }
 
     private releaseQuota(): void {
-        const { context, admitted } = this.options;
-        if (this.recorder.trace.runs === 0 && admitted.account) {
-            context.quotas.release(admitted.account.name, admitted.quotaCost);
+        if (this.recorder.trace.runs === 0) {
+            this.options.admitted.releaseQuota();
         }
     }
 }
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -22,8 +22,8 @@
     readonly service: string;
     /** What began the stream that the request takes up; undefined for other requests. */
     readonly origin?: StreamOrigin;
-    /** Units charged to the account's quota. */
-    readonly quotaCost: number;
+    /** Takes back what was charged to the account's quota, for a request that does not run. */
+    readonly releaseQuota: () => void;
     /** Version of the configuration under which the request was admitted. */
     readonly version: number;
     readonly maxBodyBytes: number;
@@ -105,7 +105,7 @@
         route,
         account,
         service,
-        quotaCost: acquireQuota(context, account, metadata, trace),
+        releaseQuota: acquireQuota(context, account, metadata, trace),
         version: table.configuration.version,
         maxBodyBytes: table.configuration.limits.maxBodyBytes,
     };
@@ -150,9 +150,9 @@
     account: ServedAccount | undefined,
     metadata: RequestMetadata,
     trace: AdmissionTrace,
-): number => {
+): () => void => {
     if (!account) {
-        return 0;
+        return () => {};
     }
     const tokens = metadata.promptTokens === undefined
         ? undefined
@@ -164,7 +164,7 @@
         const message = `account "${account.name}" has used its quota`;
         throw createRefusal("quotaExceeded", message, decision.retryAfterMs);
     }
-    return decision.cost;
+    return decision.release;
 };
 
 const createRefusal = (
--- a/src/quotas/QuotaLimiter.test.ts
+++ b/src/quotas/QuotaLimiter.test.ts
@@ -2,7 +2,7 @@
 import type { ServedAccount } from "../routes/types";
 import type { ClusterSums } from "../sums/ClusterSums";
 import { SumState } from "../sums/SumState";
-import { QuotaLimiter, usedGroup } from "./QuotaLimiter";
+import { type QuotaDecision, QuotaLimiter, usedGroup } from "./QuotaLimiter";
 
 const account: ServedAccount = {
     name: "alpha",
@@ -90,7 +90,6 @@
             clock,
             sums: sums.create(),
             countNodes: () => count,
-            findQuota: () => account.quota,
             windowMs,
         }));
     await Promise.all(limiters.map(limiter => limiter.start()));
@@ -128,6 +127,12 @@
     return granted;
 };
 
+const release = (decision: QuotaDecision): void => {
+    if (decision.kind === "granted") {
+        decision.release();
+    }
+};
+
 const sumWindow = (granted: readonly Granted[], fromMs: number): number =>
     granted.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + windowMs)
         .reduce((sum, { cost }) => sum + cost, 0);
@@ -219,10 +224,30 @@
         const [limiter] = await createSettled(1, clock);
         const grant = limiter.acquire(account, limit);
         expect(limiter.acquire(account, 100).kind).toBe("exceeded");
-        limiter.release(account.name, grant.kind === "granted" ? grant.cost : 0);
+        release(grant);
         expect(limiter.acquire(account, 100).kind).toBe("granted");
     });
 
+    // Guards against units that are granted twice since a release counts for longer than the charge that it takes back.
+    it("grants no units twice after a request was released seconds after its charge", async () => {
+        const [limiter] = await createSettled(1, clock);
+        const grant = limiter.acquire(account, limit);
+        await clock.advance(windowMs * 0.75);
+        release(grant);
+        expect(limiter.acquire(account, limit).kind).toBe("granted");
+        await clock.advance(windowMs * 0.5);
+        expect(limiter.acquire(account, 100).kind).toBe("exceeded");
+    });
+
+    it("releases a charge once", async () => {
+        const [limiter] = await createSettled(1, clock);
+        limiter.acquire(account, limit / 2);
+        const grant = limiter.acquire(account, limit / 4);
+        release(grant);
+        release(grant);
+        expect(limiter.readRemaining(account)).toBeCloseTo(limit / 2);
+    });
+
     it("counts earlier use as the same share of a lowered limit, and returns a retry delay", async () => {
         const [limiter] = await createSettled(1, clock);
         limiter.acquire(account, limit / 2);
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -12,15 +12,14 @@
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered">;
     /** Number of nodes that serve requests, including this one. */
     readonly countNodes: () => number;
-    /** Finds the quota of an account in the active configuration. */
-    readonly findQuota: (accountName: string) => AccountQuota | undefined;
     /** Length of the sliding window over which use is counted, in milliseconds. */
     readonly windowMs: number;
 }
 
 /** Whether a request is within the quota of its account. */
 export type QuotaDecision =
-    | { readonly kind: "granted"; readonly cost: number; }
+    /** `release` takes the charge back, to be called if the request does not run; a second call has no effect. */
+    | { readonly kind: "granted"; readonly cost: number; readonly release: () => void; }
     | { readonly kind: "exceeded"; readonly cost: number; readonly retryAfterMs: number; };
 
 /** Group of counters with the share of its limit that each account used in the last window. */
@@ -75,12 +74,12 @@
      *
      * @param account - the account
      * @param tokens - tokens of prompt and answer; undefined if the request does not state them
-     * @returns the cost, to be released if the request does not run; or that the quota is exceeded and when to retry
+     * @returns the cost and its release; or that the quota is exceeded and when to retry
      */
     acquire(account: ServedAccount, tokens: number | undefined): QuotaDecision {
         const { quota } = account;
         if (!quota) {
-            return { kind: "granted", cost: 0 };
+            return { kind: "granted", cost: 0, release: () => {} };
         }
         const cost = computeCost(quota, tokens);
         const share = cost / this.computeLimit(quota);
@@ -92,17 +91,21 @@
             const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
             return { kind: "exceeded", cost, retryAfterMs };
         }
-        this.getSum(account.name).add(this.options.clock.readMonotonicMs(), share);
-        return { kind: "granted", cost };
+        return { kind: "granted", cost, release: this.charge(account.name, share) };
     }
 
-    /** Releases the cost of a request that did not run. */
-    release(accountName: string, cost: number): void {
-        const quota = this.options.findQuota(accountName);
-        if (quota) {
-            const nowMs = this.options.clock.readMonotonicMs();
-            this.getSum(accountName).add(nowMs, -cost / this.computeLimit(quota));
-        }
+    /** Charges a share of an account's limit, and returns a function that takes it back once. */
+    private charge(name: string, share: number): () => void {
+        const chargedMs = this.options.clock.readMonotonicMs();
+        const sum = this.getSum(name);
+        sum.add(chargedMs, share);
+        let isCharged = true;
+        return () => {
+            if (isCharged) {
+                isCharged = false;
+                sum.remove(chargedMs, share);
+            }
+        };
     }
 
     /** Units that an account may still use now, over all nodes; undefined if it has no quota. */
--- a/src/quotas/SlidingWindowSum.test.ts
+++ b/src/quotas/SlidingWindowSum.test.ts
@@ -33,6 +33,18 @@
         expect([0, 100, 299, 500].map(sinceMs => sum.readSince(sinceMs))).toEqual([3, 2, 2, 0]);
     });
 
+    it("takes an amount back for as long as it counts, and not longer", () => {
+        const sum = new SlidingWindowSum({ windowMs: 1_000, slots: 10 });
+        [0, 50, 400, 800].forEach(atMs => sum.add(atMs, 1));
+        sum.remove(50, 1);
+        expect(sum.read(900)).toBe(3);
+        expect(sum.read(1_101)).toBe(2);
+        sum.remove(50, 1);
+        expect(sum.read(1_101)).toBe(2);
+        sum.remove(800, 1);
+        expect(sum.read(1_101)).toBe(1);
+    });
+
     it("subtracts negative amounts", () => {
         const sum = new SlidingWindowSum({ windowMs: 1_000 });
         sum.add(0, 5);
--- a/src/quotas/SlidingWindowSum.ts
+++ b/src/quotas/SlidingWindowSum.ts
@@ -37,6 +37,19 @@
         this.slots.push({ startsMs: nowMs, amount });
     }
 
+    /**
+     * Takes back an amount; no effect once it has left the window.
+     *
+     * @param addedMs - monotonic time at which it was added, in milliseconds
+     * @param amount - the amount
+     */
+    remove(addedMs: number, amount: number): void {
+        const slot = this.slots.findLast(({ startsMs }) => startsMs <= addedMs);
+        if (slot) {
+            slot.amount -= amount;
+        }
+    }
+
     /**
      * Reads the sum and drops slots that have left the window.
      *
