--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -355,8 +355,8 @@
 
     /** Logs which calls wait for those of former holders. */
     private reportWaits(): void {
-        for (const [subject, waitMs] of Object.entries(this.pending.listInherited())) {
-            this.options.events.emit(eventKinds.dutyDelayed, { lease: this.options.duty, subject, waitMs });
+        for (const { duty, subject, waitMs } of this.pending.describeWaits()) {
+            this.options.events.emit(eventKinds.dutyDelayed, { duty, subject, waitMs });
         }
     }
 
--- a/src/leases/LeaseConfirmation.ts
+++ b/src/leases/LeaseConfirmation.ts
@@ -19,8 +19,8 @@
  * that a call that is written soon after it was confirmed arrives first.
  */
 export class LeaseConfirmation {
-    private sinceRequest: ElapsedTime | undefined;
-    private isRequested = false;
+    private sinceConfirmation: ElapsedTime | undefined;
+    private isBegun = false;
 
     constructor(
         private readonly options: LeaseConfirmationOptions,
@@ -29,15 +29,15 @@
     ) {}
 
     /**
-     * Asks the store.
+     * Asks the store to record the call.
      *
-     * @throws Error if the lease is no longer held; StoreError if the store does not answer
+     * @throws Error if the store does not confirm the lease; StoreError if it does not answer
      */
     async request(): Promise<void> {
-        this.isRequested = true;
-        this.sinceRequest = await this.options.lease.beginCall(this.target);
-        if (!this.sinceRequest) {
-            throw new Error("the lease is no longer held");
+        this.isBegun = true;
+        this.sinceConfirmation = await this.options.lease.beginCall(this.target);
+        if (!this.sinceConfirmation) {
+            throw new Error("the store has not confirmed the lease");
         }
     }
 
@@ -47,7 +47,7 @@
      * @throws Error if the store was not asked, or too long ago, or the lease is no longer held
      */
     require(): void {
-        const ageMs = this.sinceRequest?.readMs() ?? Infinity;
+        const ageMs = this.sinceConfirmation?.readMs() ?? Infinity;
         if (ageMs > this.options.callTimeoutMs * confirmationShare) {
             throw new Error(`the lease was confirmed ${ageMs} ms ago`);
         }
@@ -58,7 +58,7 @@
 
     /** Ends the call: it was answered, was never written, or was reset. */
     end(): void {
-        if (this.isRequested) {
+        if (this.isBegun) {
             void this.options.lease.endCall(this.target);
         }
     }
--- a/src/leases/PendingCalls.test.ts
+++ b/src/leases/PendingCalls.test.ts
@@ -104,10 +104,17 @@
         await stopDuringCall();
         await waitUntilHeld(await startLease("b"));
         const delays = events.list().filter(({ event }) => event === eventKinds.dutyDelayed.number);
-        expect(delays.map(({ fields }) => fields.subject)).toEqual(["usage usage"]);
+        expect(delays.map(({ fields }) => fields)).toMatchObject([usage]);
         expect(delays[0].fields.waitMs).toBeGreaterThan(lateArrivalMs - durationMs - pollMs - callMs);
     });
 
+    it("are logged without a subject when the row does not tell it", async () => {
+        writeRow({});
+        await waitUntilHeld(await startLease("b"));
+        const delays = events.list().filter(({ event }) => event === eventKinds.dutyDelayed.number);
+        expect(delays.map(({ fields }) => fields)).toMatchObject([{ duty: "*", subject: "*" }]);
+    });
+
     it("hold up each holder of a chain for the time that is left", async () => {
         const recordedAtMs = await stopDuringCall();
         const second = await startLease("b");
--- a/src/leases/PendingCalls.ts
+++ b/src/leases/PendingCalls.ts
@@ -11,6 +11,11 @@
 /** Remaining times in which calls may still arrive, in milliseconds, by the key of their duty and subject. */
 export type PendingWaits = Readonly<Record<string, number>>;
 
+/** Wait of the calls on a duty and subject. */
+export interface TargetWait extends DutyTarget {
+    readonly waitMs: number;
+}
+
 /** Key of a call whose duty and subject are not known. */
 export const anySubject = "*";
 
@@ -68,19 +73,9 @@
         return Math.max(0, waits[formatSubjectKey(target)] ?? 0, waits[anySubject] ?? 0);
     }
 
-    /** Lists the inherited calls that may still arrive. */
-    listInherited(): PendingWaits {
-        const nowMs = this.options.clock.readMonotonicMs();
-        const waits: Record<string, number> = {};
-        for (const [key, untilMs] of this.inheritedUntilMs) {
-            if (untilMs > nowMs) {
-                waits[key] = Math.ceil(untilMs - nowMs);
-            }
-            else {
-                this.inheritedUntilMs.delete(key);
-            }
-        }
-        return waits;
+    /** Describes the inherited calls that may still arrive; duty and subject are {@link anySubject} if they are not known. */
+    describeWaits(): readonly TargetWait[] {
+        return Object.entries(this.listInherited()).map(([key, waitMs]) => ({ ...toTarget(key), waitMs }));
     }
 
     /** Lists, for the row, all calls that may still arrive if this process ended now. */
@@ -96,6 +91,25 @@
     isRecordOutdated(): boolean {
         return this.recorded.some(key => !this.underWay.has(key));
     }
+
+    private listInherited(): PendingWaits {
+        const nowMs = this.options.clock.readMonotonicMs();
+        const waits: Record<string, number> = {};
+        for (const [key, untilMs] of this.inheritedUntilMs) {
+            if (untilMs > nowMs) {
+                waits[key] = Math.ceil(untilMs - nowMs);
+            }
+            else {
+                this.inheritedUntilMs.delete(key);
+            }
+        }
+        return waits;
+    }
 }
 
 const formatSubjectKey = ({ duty, subject }: DutyTarget): string => `${duty} ${subject}`;
+
+const toTarget = (key: string): DutyTarget => {
+    const [duty, ...subject] = key.split(" ");
+    return { duty, subject: key === anySubject ? anySubject : subject.join(" ") };
+};
