Leave streams their time where a node was held up before it was told to stop

The grace period counts from the last turn of the event loop before the signal was handled, which is right for what must be answered. But the signal may not have waited: a node that was held up for 2 s and then told to stop would have closed its connections 5.6 s after the signal, before the last sixth, in which streams may be cut. Found by reading; the new case of computeStopTimes.test failed before (closed at 7.6 s after the earliest time, now at 9 s).

Connections now stay open until 7/8 of the grace period from when the signal was handled, whatever the earliest time; the other times stay with that.

--- a/src/stopping/PlannedStop.ts
+++ b/src/stopping/PlannedStop.ts
@@ -47,7 +47,7 @@
     begin(graceMs: number): BegunStop {
         const nowMs = this.options.clock.readMonotonicMs();
         const requestedMs = Math.max(this.turnMs, nowMs - graceMs * maxLateShare);
-        const times = computeStopTimes({ requestedMs, graceMs });
+        const times = computeStopTimes({ requestedMs, handledMs: nowMs, graceMs });
         this.times = times;
         void this.announceSteps([times.acceptEndMs, times.answerEndMs]);
         return { ...times, lateMs: nowMs - requestedMs };
