Admit a request once more when its body has ended

What callers saw: a request whose head came before a change of the configuration, and whose last byte came after it, ran with a key that had been taken away, for the tenant that had the key before, on a route that was dropped, and at the service from which its route had been moved; without bound in time, as a body may take as long as its sender likes.

Cause: configuration, route, key and quota were asked once, at the head.

Evidence: all six tests of platform/slowBodies failed before (200 in place of 401, 404, 503 and 429; tenant alpha in place of beta; run by the old service) and pass now; src/forwarding and servingPath pass.

Why the fix works: when the body has ended, its admission is made again, unless it was made under the version in force and at most 100 ms before. The former charge is taken back first. Refusals are the same as at the head, and the request has not run.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -14,6 +14,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { type AdmissionTrace, admitRequest, type AdmittedRequest } from "./admitRequest";
+import { renewAdmission } from "./renewAdmission";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
@@ -134,7 +135,7 @@
         let forwarder: RequestForwarder | undefined;
         try {
             const received = admitRequest(context, request, admission);
-            const { admitted, body } = yield* this.prepare(context, request, received);
+            const { admitted, body } = yield* this.prepare(context, request, received, admission);
             forwarder = new RequestForwarder({ context, request, response, admitted, body, arrivedMs });
             const outcome = yield* forwarder.run();
             this.report(context, { response, arrivedMs, admission, forwarder, outcome });
@@ -157,14 +158,17 @@
         }
     }
 
-    /** Reads the body of a request and binds it. Releases the quota charged for it if either fails. */
+    /** Reads the body of a request, renews its admission and binds it. Releases the quota charged for it if one fails. */
     private *prepare(
         context: ForwardContext,
         request: IncomingMessage,
-        admitted: AdmittedRequest,
+        received: AdmittedRequest,
+        trace: AdmissionTrace,
     ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
+        let admitted = received;
         try {
-            const body = yield* waitFor(readBody(request, admitted.maxBodyBytes));
+            const body = yield* waitFor(readBody(request, received.maxBodyBytes));
+            admitted = renewAdmission({ context, request, admitted, trace });
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -26,6 +26,8 @@
     readonly releaseQuota: () => void;
     /** Version of the configuration under which the request was admitted. */
     readonly version: number;
+    /** Monotonic time of the admission, in milliseconds. */
+    readonly admittedMs: number;
     readonly maxBodyBytes: number;
 }
 
@@ -107,6 +109,7 @@
         service,
         releaseQuota: acquireQuota(context, account, metadata, trace),
         version: table.configuration.version,
+        admittedMs: context.clock.readMonotonicMs(),
         maxBodyBytes: table.configuration.limits.maxBodyBytes,
     };
 };
