Authenticate callers of the product's own interface again when the body has ended

What callers saw: a booking and a chat completion whose heads came before their key was taken away, and whose bodies ended after it, were run.

Cause: the key and the service were looked up at the head alone, under the configuration of that time.

Evidence: the test of src/callers/slowBodies failed before (201 and 200 in place of 401); src/callers and src/daemon pass.

Why the fix works: account, service and configuration are those in force once the body has ended; the look-up at the head remains, to refuse early.

--- a/src/callers/handleChat.ts
+++ b/src/callers/handleChat.ts
@@ -29,12 +29,11 @@
  * @throws FailureError when the request is refused
  */
 export function* handleChat(context: CallerContext, exchange: Exchange): Task<void> {
-    const { account, configuration } = authenticateCaller(
-        exchange.request,
-        context.configuration,
-    );
+    authenticateCaller(exchange.request, context.configuration);
     const bytes = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
     checkAdmission(context);
+    // Again, as the body may have ended long after its head.
+    const { account, configuration } = authenticateCaller(exchange.request, context.configuration);
     const body = parseChatBody(bytes);
     const service = findModelService(configuration.declaration, body.model);
     if (!account.services.includes(service.name)) {
--- a/src/callers/handleService.ts
+++ b/src/callers/handleService.ts
@@ -25,12 +25,14 @@
  * @throws FailureError when the call is refused or fails; its run state tells whether the call has run
  */
 export function* handleService(context: CallerContext, exchange: Exchange): Task<void> {
-    const caller = authenticateCaller(exchange.request, context.configuration);
     const { name, path } = parseTarget(exchange.target);
-    const service = findPlainService(caller, name);
+    findPlainService(authenticateCaller(exchange.request, context.configuration), name);
     const method = exchange.request.method ?? "GET";
     const body = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
     checkAdmission(context);
+    // Again, as the body may have ended long after its head.
+    const caller = authenticateCaller(exchange.request, context.configuration);
+    const service = findPlainService(caller, name);
     const workClass = caller.configuration.declaration.classes
         .find(candidate => candidate.name === service.defaultClass)!;
     const call = {
