--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -19,6 +19,7 @@
 import { createLeavingFailure } from "../stopping/createLeavingFailure";
 import { createStoppedFailure } from "../stopping/createStoppedFailure";
 import { StopRefusal } from "./StopRefusal";
+import { renewAdmission } from "./renewAdmission";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
@@ -139,7 +140,10 @@
         let reason: string | undefined;
         try {
             const received = admitRequest(context, request, admission);
-            const { admitted, body } = yield* this.prepare(context, request, received, arrivedMs);
+            const { admitted, body } = yield* this.prepare(context, request, received, {
+                arrivedMs,
+                trace: admission,
+            });
             forwarder = new RequestForwarder({ context, request, response, admitted, body, arrivedMs });
             outcome = yield* forwarder.run();
         }
@@ -161,18 +165,20 @@
     }
 
     /**
-     * Reads the body of a request and binds it. Releases the quota charged for it if either fails, or if the node stops too
-     * soon for the request.
+     * Reads the body of a request, renews its admission and binds it. Releases the quota charged for it if one fails, or if
+     * the node stops too soon for the request.
      */
     private *prepare(
         context: ForwardContext,
         request: IncomingMessage,
-        admitted: AdmittedRequest,
-        arrivedMs: number,
+        received: AdmittedRequest,
+        { arrivedMs, trace }: { readonly arrivedMs: number; readonly trace: AdmissionTrace; },
     ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
+        let admitted = received;
         try {
-            const deadlineMs = computeDeadlineMs(admitted, arrivedMs);
-            const body = yield* this.readBody(request, admitted.maxBodyBytes, deadlineMs);
+            const deadlineMs = computeDeadlineMs(received, arrivedMs);
+            const body = yield* this.readBody(request, received.maxBodyBytes, deadlineMs);
+            admitted = renewAdmission({ context, request, admitted, trace });
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
         catch (error) {
