--- a/src/peers/LinkProber.test.ts
+++ b/src/peers/LinkProber.test.ts
@@ -27,7 +27,7 @@
             isMember: nodeId => this.members.has(nodeId),
             planTargets: added =>
                 planLinks({ self: { nodeId: "self", dataCentre: "a" }, others: added }).dialTargets,
-            reach: nodeId => this.reach(nodeId),
+            tryLink: nodeId => this.tryLink(nodeId),
         });
         this.scope.run("probes", signal => this.prober.run(signal));
     }
@@ -41,7 +41,7 @@
         this.prober.setRecorded(new Map(nodeIds.map(nodeId => [nodeId, { nodeId, dataCentre: "a" }])));
     }
 
-    private async reach(nodeId: string): Promise<boolean> {
+    private async tryLink(nodeId: string): Promise<boolean> {
         this.attempts.push(nodeId);
         if (this.existing.has(nodeId)) {
             this.linked.add(nodeId);
--- a/src/peers/LinkProber.ts
+++ b/src/peers/LinkProber.ts
@@ -16,7 +16,7 @@
     /** Lists the nodes that this node would keep links to if the given ones were members. */
     readonly planTargets: (added: readonly LinkCandidate[]) => readonly string[];
     /** Makes a link to a node if there is none; resolves with whether it is up. */
-    readonly reach: (nodeId: string) => Promise<boolean>;
+    readonly tryLink: (nodeId: string) => Promise<boolean>;
 }
 
 const isolatedPauseMs = 50; // between two attempts while there is no link
@@ -72,17 +72,17 @@
     *run(signal: AbortSignal): Task<void> {
         const { clock } = this.options;
         while (!signal.aborted) {
-            this.probeNext();
+            this.startNextProbe();
             const pauseMs = this.options.isIsolated() ? isolatedPauseMs : linkedPauseMs;
             yield* waitFor(clock.sleep(pauseMs, signal));
         }
     }
 
-    private probeNext(): void {
+    private startNextProbe(): void {
         const taken = this.pending < maxPending ? this.takeNext() : undefined;
         if (taken) {
             this.pending += 1;
-            this.options.scope.run(`probe-${taken.nodeId}`, () => this.probe(taken));
+            this.options.scope.run(`probe-${taken.nodeId}`, () => this.tryNode(taken));
         }
     }
 
@@ -110,10 +110,10 @@
         return nodeId;
     }
 
-    private *probe({ nodeId, queue }: TakenNode): Task<void> {
+    private *tryNode({ nodeId, queue }: TakenNode): Task<void> {
         let wasReached = false;
         try {
-            wasReached = yield* waitFor(this.options.reach(nodeId));
+            wasReached = yield* waitFor(this.options.tryLink(nodeId));
         }
         finally {
             this.pending -= 1;
