--- a/src/usage/usageReports.test.ts
+++ b/src/usage/usageReports.test.ts
@@ -1,4 +1,5 @@
 import fc from "fast-check";
+import { listAmbiguousReports } from "../../standins/platform/listAmbiguousReports";
 import { listFencingBreaches } from "../../standins/platform/listFencingBreaches";
 import { UsageReporterModel, type UsageReporterNode } from "../../standins/UsageReporterModel";
 
@@ -74,7 +75,7 @@
                     await model.world.advance(12_000);
                     await model.stop();
                     arrived += model.arrivals.length;
-                    expect(model.listAmbiguousWindows()).toEqual([]);
+                    expect(listAmbiguousReports(model.arrivals)).toEqual([]);
                     expect(listFencingBreaches(model.arrivals, { leaseMs })).toEqual([]);
                 },
             ),
--- a/standins/UsageReporterModel.ts
+++ b/standins/UsageReporterModel.ts
@@ -251,19 +251,6 @@
         this.arrivals.push({ atMs: this.world.readMonotonicMs(), holder, path: "/usage", fencing, body });
     }
 
-    /** Lists the windows of which reports with different counts have arrived. */
-    listAmbiguousWindows(): string[] {
-        const reports = new Map<number, Map<string, string>>();
-        for (const { atMs, holder, body } of this.arrivals) {
-            const window = Number(body.windowId);
-            const counts = reports.get(window) ?? new Map<string, string>();
-            reports.set(window, counts.set(JSON.stringify(body.counts), `${holder} at ${atMs} ms`));
-        }
-        return [...reports].filter(([, counts]) => counts.size > 1).map(([window, counts]) =>
-            `window ${window}: ${[...counts].map(([text, sender]) => `${text} of ${sender}`).join(", ")}`
-        );
-    }
-
     private async keepCopies(): Promise<void> {
         while (!this.end.signal.aborted) {
             this.store.keepCopy();
