Soak planned stops under calls whose bodies end late

One booking in six has a body that ends up to 4 s after its head, and the nodes drain for 8 s rather than 10 minutes, so that planned stops end while bodies, calls and streams are under way. The checks stay: none runs twice, and none that was called not run has run.

--- a/soak/SoakCaller.ts
+++ b/soak/SoakCaller.ts
@@ -25,6 +25,8 @@
 const batchTimeoutMs = 90_000;
 const retryDelayMs = 300;
 const maxBookingAttempts = 6;
+const slowBookingShare = 6; // one in so many bookings has a body that ends late
+const maxBodyMs = 4_000;
 const responseTimeoutMs = 15_000; // without a response for this long, the caller tries again
 
 /** Simulated caller that requests drafts, batch summaries, bookings and status, and checks the responses. */
@@ -129,7 +131,12 @@
     }
 
     private async bookOnce(key: string): Promise<TestResponse | undefined> {
-        return waitWithTimeout(this.caller.book(this.pickNode(), key), responseTimeoutMs);
+        const { random } = this.options;
+        const bodyMs = random.drawInt(slowBookingShare) === 0 ? random.drawInt(maxBodyMs) : 0;
+        const answer = bodyMs > 0
+            ? this.caller.bookSlowly(this.pickNode(), key, bodyMs)
+            : this.caller.book(this.pickNode(), key);
+        return waitWithTimeout(answer, responseTimeoutMs);
     }
 
     private async requestStatus(): Promise<void> {
--- a/soak/SoakCluster.ts
+++ b/soak/SoakCluster.ts
@@ -24,6 +24,7 @@
 const mainScript = join(__dirname, "..", "src", "cli", "main.js");
 const brokenInvariantPattern = `"event":${eventKinds.invariantBroken.number},`;
 const plainRunnerCount = 3;
+const drainMs = 8_000; // planned stops end while calls and their bodies are under way
 
 /** Stand-ins in this process and nodes in child processes, which can be killed and suspended. */
 export class SoakCluster {
@@ -138,7 +139,7 @@
                 objects: this.standIns.objects.server.url,
                 cloud: this.standIns.cloud.server.url,
             },
-            timing: { storeTimeoutMs: 1_000, streamSilenceMs: 2_000, vmListPollMs: 250 },
+            timing: { storeTimeoutMs: 1_000, streamSilenceMs: 2_000, vmListPollMs: 250, drainMs },
         };
     }
 }
--- a/standins/TestCaller.ts
+++ b/standins/TestCaller.ts
@@ -1,4 +1,5 @@
 import type { FailureBody } from "../src/results/formatFailure";
+import { pause } from "./pause";
 import { readEventStream, type ReadEventStreamOptions, type ReceivedStream } from "./readEventStream";
 
 /** A node that callers connect to. */
@@ -66,6 +67,29 @@
         );
     }
 
+    /**
+     * Sends one booking with an idempotency key, whose body ends some time after its head.
+     *
+     * @param bodyMs - time from the head to the end of the body, in milliseconds
+     */
+    bookSlowly(node: CallTarget, idempotencyKey: string, bodyMs: number): Promise<TestResponse> {
+        const body = new ReadableStream({
+            start: async controller => {
+                controller.enqueue(Buffer.from("{"));
+                await pause(bodyMs);
+                controller.enqueue(Buffer.from("}"));
+                controller.close();
+            },
+        });
+        const init: RequestInit & { readonly duplex: "half"; } = {
+            method: "POST",
+            headers: { "idempotency-key": idempotencyKey },
+            body,
+            duplex: "half",
+        };
+        return this.call(node, "/v1/services/roster/bookings", init);
+    }
+
     /** Sends one booking with an idempotency key. */
     book(node: CallTarget, idempotencyKey: string, details: unknown = { crew: 1 }): Promise<TestResponse> {
         return this.call(node, "/v1/services/roster/bookings", {
