Limit the attempts to reach nodes that are no members by those of all members together

Why the fix works: a node without a link waits longer for each attempt that is pending, and with more than eight members each one makes fewer attempts, as the one that reaches a node tells all others.

--- a/src/peers/LinkProber.ts
+++ b/src/peers/LinkProber.ts
@@ -11,6 +11,8 @@
     readonly random: RandomSource;
     /** Whether this node has no link at all. */
     readonly isIsolated: () => boolean;
+    /** Number of members that are presumed to be reachable, without this node. */
+    readonly countMembers: () => number;
     /** Whether a node is a member that is presumed to be reachable; it is then not probed. */
     readonly isMember: (nodeId: string) => boolean;
     /** Lists the nodes that this node would keep links to if the given ones were members. */
@@ -19,12 +21,14 @@
     readonly reach: (nodeId: string) => Promise<boolean>;
 }
 
-const isolatedPauseMs = 50; // between two attempts while there is no link
-const linkedPauseMs = 500; // between two attempts while there is one
+const isolatedPauseMs = 50; // between two attempts while there is no link, and longer for each one that is pending
+const pendingShare = 0.5; // of that pause, added for each attempt that is pending: members that are slow all dial then
+const linkedPauseMs = 500; // between two attempts while there is a link, with up to as many members as share one turn
+const membersPerTurn = 8; // with more members, each makes fewer attempts: one that reaches a node tells all others
 const maxIsolatedIntervalMs = 500; // between two attempts to reach one node while there is no link
 const maxGoneIntervalMs = 2_000;
 const maxUnheardIntervalMs = 8_000;
-const maxPending = 16;
+const maxPending = 8;
 
 interface TakenNode {
     readonly nodeId: string;
@@ -41,6 +45,8 @@
     private readonly unheard = new ProbeQueue({ maxIntervalMs: maxUnheardIntervalMs });
     private turns: readonly [ProbeQueue, ProbeQueue] = [this.gone, this.unheard];
     private pending = 0;
+    /** Monotonic time at which the last attempt began, in milliseconds. */
+    private lastProbeMs = -Infinity;
 
     constructor(private readonly options: LinkProberOptions) {}
 
@@ -70,17 +76,30 @@
 
     /** Runs until the signal aborts. */
     *run(signal: AbortSignal): Task<void> {
-        const { clock } = this.options;
+        const { clock, isIsolated } = this.options;
         while (!signal.aborted) {
-            this.probeNext();
-            const pauseMs = this.options.isIsolated() ? isolatedPauseMs : linkedPauseMs;
-            yield* waitFor(clock.sleep(pauseMs, signal));
+            if (
+                this.pending < maxPending
+                && clock.readMonotonicMs() >= this.lastProbeMs + this.computePauseMs()
+            ) {
+                this.probeNext();
+            }
+            yield* waitFor(clock.sleep(isIsolated() ? isolatedPauseMs : linkedPauseMs, signal));
         }
     }
 
+    /** Computes the time between two attempts, in milliseconds. */
+    private computePauseMs(): number {
+        const { isIsolated, countMembers } = this.options;
+        return isIsolated()
+            ? isolatedPauseMs * (1 + this.pending * pendingShare)
+            : linkedPauseMs * Math.max(1, countMembers() / membersPerTurn);
+    }
+
     private probeNext(): void {
-        const taken = this.pending < maxPending ? this.takeNext() : undefined;
+        const taken = this.takeNext();
         if (taken) {
+            this.lastProbeMs = this.options.clock.readMonotonicMs();
             this.pending += 1;
             this.options.scope.run(`probe-${taken.nodeId}`, () => this.probe(taken));
         }
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -103,6 +103,7 @@
             ...options,
             scope: this.scope,
             isIsolated: () => this.links.size === 0,
+            countMembers: () => this.members.size,
             isMember: nodeId => this.members.has(nodeId),
             planTargets: added =>
                 planLinks({ self: options, others: [...this.members.values(), ...added] }).dialTargets,
--- a/src/peers/ProbeQueue.ts
+++ b/src/peers/ProbeQueue.ts
@@ -25,6 +25,7 @@
     private readonly failures = new Map<string, number>();
     /** Number of failed attempts of each node that was taken and not put back. */
     private readonly taken = new Map<string, number>();
+    private prefersUntried = true;
 
     constructor(private readonly options: ProbeQueueOptions) {}
 
@@ -57,7 +58,8 @@
     }
 
     /**
-     * Takes the node whose turn came first. It has no further turn until {@link putBack}.
+     * Takes the node whose turn came first, in every other call among those that were never tried, if there are any. It has
+     * no further turn until {@link putBack}.
      *
      * @param options - time, and a limit of the back-off
      * @returns the node's name, or undefined while none is due
@@ -68,8 +70,11 @@
             const intervalMs = Math.min(this.computeIntervalMs(failures), maxIntervalMs);
             return head ? [{ nodeId: head[0], failures, dueMs: head[1] + intervalMs }] : [];
         });
-        const due = heads.filter(({ dueMs }) => dueMs <= nowMs).sort((a, b) => a.dueMs - b.dueMs).at(0);
+        const ready = heads.filter(({ dueMs }) => dueMs <= nowMs).sort((a, b) => a.dueMs - b.dueMs);
+        const untried = this.prefersUntried ? ready.find(({ failures }) => failures === 0) : undefined;
+        const due = untried ?? ready.at(0);
         if (due) {
+            this.prefersUntried = !this.prefersUntried;
             this.remove(due.nodeId);
             this.taken.set(due.nodeId, due.failures);
         }
