Read the stored first window of usage as a row that another writer may have changed

The numbers are whole and safe now, a window in the future counts as the present one, and a row that cannot be read is logged (row-unreadable) and counts as absent, like the other rows of usage.

--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -35,7 +35,8 @@
 const countsSchema = z.record(z.number().int().nonnegative().safe());
 /** Counts by the process that counted them. */
 const savedCountsSchema = z.record(countsSchema);
-const firstWindowSchema = z.object({ era: z.number(), window: z.number() });
+const numberSchema = z.number().int().nonnegative().safe();
+const firstWindowSchema = z.object({ era: numberSchema, window: numberSchema });
 const reportsTable = "usage-reports";
 /** Row of {@link reportsTable} with the era of the store in which the last holder wrote its reports. */
 const eraKey = "era";
@@ -167,10 +168,10 @@
             { table: reportsTable, key: firstWindowKey },
         ]));
         const era = this.readEra();
-        const stored = firstWindowSchema.safeParse(firstRow?.value).data;
+        const stored = this.readFirstWindow(firstRow);
         const storedEra = stored?.era ?? eraRow?.value;
         if (era === undefined || storedEra === era) {
-            return stored?.window ?? -Infinity;
+            return Math.min(stored?.window ?? 0, ledger.toWindow(clusterClock.readMs()));
         }
         const window = ledger.toWindow(clusterClock.readMs() - (clock.readMonotonicMs() - this.eraSeenAtMs));
         if (storedEra !== undefined) {
@@ -179,6 +180,15 @@
         return window;
     }
 
+    /** Decodes the stored first window; a row of another writer counts as absent. */
+    private readFirstWindow(row: Row | undefined): z.output<typeof firstWindowSchema> | undefined {
+        const decoded = firstWindowSchema.optional().safeParse(row?.value);
+        if (!decoded.success) {
+            this.reportUnreadable(reportsTable, firstWindowKey);
+        }
+        return decoded.data;
+    }
+
     /** Writes the stored reports again if the store lost them; returns false if that must be retried. */
     private *restoreReports(): Task<boolean> {
         const era = this.readEra();
--- a/src/usage/oddUsageRows.test.ts
+++ b/src/usage/oddUsageRows.test.ts
@@ -23,6 +23,7 @@
 );
 const reports = toRowCases({ alpha: 1 });
 const eras = toRowCases({ era: 1 });
+const firstWindows = toRowCases({ era: 1, window });
 /** Values that hold counts, if of no request or of no account. */
 const sound = ["empty object", "alpha: missing", "object without a text form"];
 
@@ -100,6 +101,15 @@
         },
     );
 
+    // Guards against windows that are left out, for good, by a first window of another writer.
+    it.each(firstWindows)(
+        "leave no window out: first window, %s",
+        async (_name, value) => {
+            const [report] = await collectReports("usage-reports", "first-window", value, windowMs + 100);
+            expect(report?.counts).toEqual({ alpha: 3 });
+        },
+    );
+
     // Guards against windows that are left out because the era of the reports cannot be read.
     it.each(eras.filter(([, value]) => typeof value !== "number"))(
         "leave no window out: era, %s",
