--- a/src/forwarding/createFinalFailure.ts
+++ b/src/forwarding/createFinalFailure.ts
@@ -2,6 +2,8 @@
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { quarantinedMessage } from "./constants";
+import { createLeavingFailure } from "../stopping/createLeavingFailure";
+import { createStoppedFailure } from "../stopping/createStoppedFailure";
 import type { StreamBinding } from "./StreamBinding";
 import type { AttemptResult } from "./types";
 
@@ -12,6 +14,8 @@
     /** Number of attempts after which the request may have run. */
     readonly runs: number;
     readonly binding: Pick<StreamBinding, "isGone" | "softwareVersion">;
+    /** Whether the stop of the node would allow to send the request now. */
+    readonly isAllowedByStop: boolean;
     /** Reads how long the request is refused because of a part of its prompt, in milliseconds. */
     readonly readQuarantinedMs: () => number | undefined;
     /** Reads the time until the first upstream of the service accepts requests again, in milliseconds. */
@@ -29,12 +33,18 @@
  */
 export const createFinalFailure = (input: FinalFailureInput): FailureError => {
     const { result, runs, binding } = input;
+    if (result.kind === "interrupted" && result.by === "stopping") {
+        return runs > 0 ? createStoppedFailure() : createLeavingFailure();
+    }
     const isTimeout = result.kind === "interrupted";
     const message = isTimeout ? "the deadline of the request has passed" : result.message;
     if (runs > 0) {
         const code = isTimeout ? resultCodes.deadlinePassed : resultCodes.upstreamFailed;
         return new FailureError(createFailure(code, message));
     }
+    if (!input.isAllowedByStop) {
+        return createLeavingFailure();
+    }
     if (binding.isGone()) {
         const reason =
             `no upstream runs software version "${binding.softwareVersion}", which began the stream`;
--- a/src/leases/LeaseConfirmation.ts
+++ b/src/leases/LeaseConfirmation.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../kernel/types";
-import { ElapsedTime } from "./ElapsedTime";
+import type { ElapsedTime } from "./ElapsedTime";
 import type { Lease } from "./Lease";
-import type { HeldLease } from "./types";
+import type { DutyTarget, HeldLease } from "./types";
 
 /** Options of {@link LeaseConfirmation}. */
 export interface LeaseConfirmationOptions {
@@ -14,26 +14,30 @@
 const confirmationShare = 0.5; // of a call's time-out; the rest is left for the call itself
 
 /**
- * Confirmation by the store that a lease is held, for one call. A next holder waits for the time-out of a call before it
- * acts, so that a call that is written soon after it was confirmed arrives first.
+ * Confirmation by the store that a lease is held, for one call. The same write records the call, so that a next holder
+ * knows of it. A next holder waits for the time-out of a call before it acts, and longer for calls that were under way, so
+ * that a call that is written soon after it was confirmed arrives first.
  */
 export class LeaseConfirmation {
-    private sinceRequest: ElapsedTime | undefined;
+    private sinceConfirmation: ElapsedTime | undefined;
+    private isBegun = false;
 
     constructor(
         private readonly options: LeaseConfirmationOptions,
         private readonly held: HeldLease,
+        private readonly target: DutyTarget,
     ) {}
 
     /**
-     * Asks the store.
+     * Asks the store to record the call.
      *
-     * @throws Error if the lease is no longer held; StoreError if the store does not answer
+     * @throws Error if the store does not confirm the lease; StoreError if it does not answer
      */
     async request(): Promise<void> {
-        this.sinceRequest = new ElapsedTime(this.options.clock);
-        if (!await this.options.lease.confirmHeld()) {
-            throw new Error("the lease is no longer held");
+        this.isBegun = true;
+        this.sinceConfirmation = await this.options.lease.beginCall(this.target);
+        if (!this.sinceConfirmation) {
+            throw new Error("the store has not confirmed the lease");
         }
     }
 
@@ -43,7 +47,7 @@
      * @throws Error if the store was not asked, or too long ago, or the lease is no longer held
      */
     require(): void {
-        const ageMs = this.sinceRequest?.readMs() ?? Infinity;
+        const ageMs = this.sinceConfirmation?.readMs() ?? Infinity;
         if (ageMs > this.options.callTimeoutMs * confirmationShare) {
             throw new Error(`the lease was confirmed ${ageMs} ms ago`);
         }
@@ -51,4 +55,11 @@
             throw new Error("the lease is no longer held");
         }
     }
+
+    /** Ends the call: it was answered, was never written, or was reset. */
+    end(): void {
+        if (this.isBegun) {
+            void this.options.lease.endCall(this.target);
+        }
+    }
 }
