Start the bundled program for tests in one place

Three tests of processes bundled the program and wrote its settings each in a copy of the same lines.

--- /dev/null
+++ b/standins/platform/BundledProgram.ts
@@ -0,0 +1,66 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { promisify } from "node:util";
+import { ChildProcessHandle } from "../ChildProcessHandle";
+import { findFreeAddresses } from "./findFreeAddresses";
+
+/** A running process of the program. */
+export interface ProgramProcess {
+    readonly child: ChildProcessHandle<unknown>;
+    /** Host and port for callers. */
+    readonly callersAddress: string;
+}
+
+/** Name of the node that a process of the program is. */
+export const programNodeId = "node-of-its-own";
+
+const repository = join(__dirname, "..", "..");
+const portCount = 4;
+
+/** The program, bundled from the present sources into a temporary folder. */
+export class BundledProgram {
+    private constructor(private readonly folder: string, private readonly script: string) {}
+
+    /** Bundles the program. */
+    static async create(): Promise<BundledProgram> {
+        const folder = mkdtempSync(join(tmpdir(), "program-"));
+        const script = join(folder, "sequoiagrade.js");
+        await promisify(execFile)("npm", ["run", "--silent", "bundle", "--", `--outfile=${script}`], {
+            cwd: repository,
+        });
+        return new BundledProgram(folder, script);
+    }
+
+    /**
+     * Starts a process on a loopback address of its own, since its port for metrics is fixed.
+     *
+     * @param storeAddress - host and port of the platform's store
+     * @param settings - further fields of the platform's settings
+     * @returns the process
+     */
+    async start(storeAddress: string, settings: object = {}): Promise<ProgramProcess> {
+        const ports = (await findFreeAddresses(portCount)).map(address => address.split(":")[1]);
+        const ip = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}.2`;
+        const [front, ready, directory] = ports.map(port => `${ip}:${port}`);
+        const file = join(this.folder, "settings.json");
+        const fields = {
+            node: programNodeId,
+            ip,
+            zone: "zone-a",
+            listen: { front, ready, directory },
+            portRange: [Number(ports[3]), Number(ports[3])],
+            platform: { address: storeAddress },
+            ...settings,
+        };
+        writeFileSync(file, JSON.stringify(fields));
+        const child = await ChildProcessHandle.start<unknown>(this.script, ["serve", file]);
+        return { child, callersAddress: front };
+    }
+
+    /** Removes the temporary folder. */
+    remove(): void {
+        rmSync(this.folder, { recursive: true });
+    }
+}
