--- a/src/peers/LinkKeeper.ts
+++ b/src/peers/LinkKeeper.ts
@@ -11,7 +11,7 @@
     /** Waits for the end of the link to a node; undefined if there is none. */
     readonly waitForLinkEnd: (nodeId: string) => Promise<void> | undefined;
     /** Dials a node and serves the link until it ends; throws a {@link PeerError} when it cannot be reached. */
-    readonly connect: (nodeId: string, signal: AbortSignal) => Task<void>;
+    readonly dialAndServe: (nodeId: string, signal: AbortSignal) => Task<void>;
     /** Called when a node cannot be reached. */
     readonly onUnreachable: (nodeId: string) => void;
     /** Called when the link to a node is no longer kept. */
@@ -69,7 +69,7 @@
             return;
         }
         try {
-            yield* this.options.connect(nodeId, signal);
+            yield* this.options.dialAndServe(nodeId, signal);
         }
         catch (error) {
             if (!(error instanceof PeerError)) {
--- a/src/peers/LinkProber.test.ts
+++ b/src/peers/LinkProber.test.ts
@@ -28,7 +28,7 @@
             isMember: nodeId => this.members.has(nodeId),
             planTargets: added =>
                 planLinks({ self: { nodeId: "self", dataCentre: "a" }, others: added }).dialTargets,
-            reach: nodeId => this.reach(nodeId),
+            tryReach: nodeId => this.tryReach(nodeId),
         });
         this.scope.run("probes", signal => this.prober.run(signal));
     }
@@ -42,7 +42,7 @@
         this.prober.setRecorded(new Map(nodeIds.map(nodeId => [nodeId, { nodeId, dataCentre: "a" }])));
     }
 
-    private async reach(nodeId: string): Promise<boolean> {
+    private async tryReach(nodeId: string): Promise<boolean> {
         this.attempts.push(nodeId);
         if (this.existing.has(nodeId)) {
             this.linked.add(nodeId);
--- a/src/peers/LinkProber.ts
+++ b/src/peers/LinkProber.ts
@@ -18,7 +18,7 @@
     /** Lists the nodes that this node would keep links to if the given ones were members. */
     readonly planTargets: (added: readonly LinkCandidate[]) => readonly string[];
     /** Makes a link to a node if there is none; resolves with whether it is up. */
-    readonly reach: (nodeId: string) => Promise<boolean>;
+    readonly tryReach: (nodeId: string) => Promise<boolean>;
 }
 
 const isolatedPauseMs = 50; // between two attempts while there is no link, and longer for each one that is pending
@@ -82,7 +82,7 @@
                 this.pending < maxPending
                 && clock.readMonotonicMs() >= this.lastProbeMs + this.computePauseMs()
             ) {
-                this.probeNext();
+                this.tryNext();
             }
             yield* waitFor(clock.sleep(isIsolated() ? isolatedPauseMs : linkedPauseMs, signal));
         }
@@ -96,12 +96,12 @@
             : linkedPauseMs * Math.max(1, countMembers() / membersPerTurn);
     }
 
-    private probeNext(): void {
+    private tryNext(): void {
         const taken = this.takeNext();
         if (taken) {
             this.lastProbeMs = this.options.clock.readMonotonicMs();
             this.pending += 1;
-            this.options.scope.run(`probe-${taken.nodeId}`, () => this.probe(taken));
+            this.options.scope.run(`probe-${taken.nodeId}`, () => this.tryNode(taken));
         }
     }
 
@@ -129,10 +129,10 @@
         return nodeId;
     }
 
-    private *probe({ nodeId, queue }: TakenNode): Task<void> {
+    private *tryNode({ nodeId, queue }: TakenNode): Task<void> {
         let wasReached = false;
         try {
-            wasReached = yield* waitFor(this.options.reach(nodeId));
+            wasReached = yield* waitFor(this.options.tryReach(nodeId));
         }
         finally {
             this.pending -= 1;
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -95,7 +95,7 @@
             ...options,
             scope: this.scope,
             waitForLinkEnd: nodeId => this.links.get(nodeId)?.ended,
-            connect: (nodeId, signal) => this.connect(nodeId, signal),
+            dialAndServe: (nodeId, signal) => this.dialAndServe(nodeId, signal),
             onUnreachable: nodeId => this.linkLostListeners.forEach(listener => listener(nodeId)),
             onDropped: nodeId => this.announceClose(this.links.get(nodeId)),
         });
@@ -107,7 +107,7 @@
             isMember: nodeId => this.members.has(nodeId),
             planTargets: added =>
                 planLinks({ self: options, others: [...this.members.values(), ...added] }).dialTargets,
-            reach: nodeId => this.reach(nodeId),
+            tryReach: nodeId => this.tryReach(nodeId),
         });
         this.router = new PeerMessageRouter({ events: options.events, replicator: this.replicator });
         this.registerHandler(
@@ -208,8 +208,8 @@
      */
     setMembers(members: readonly PeerAddress[], gone: readonly PeerAddress[] = []): void {
         const others = members.filter(member => member.nodeId !== this.options.nodeId);
-        this.members = indexByNodeId(others);
-        this.addresses = indexByNodeId([...gone, ...others]);
+        this.members = toNodeMap(others);
+        this.addresses = toNodeMap([...gone, ...others]);
         this.linkPlan = planLinks({ self: this.options, others });
         const targets = new Set(this.linkPlan.dialTargets);
         [...targets].flatMap(nodeId => this.links.get(nodeId) ?? []).forEach(link => {
@@ -222,7 +222,7 @@
     /** Sets the nodes of which there is a record; those that are no members are dialled in turn, as they may not exist. */
     setRecorded(recorded: readonly PeerAddress[]): void {
         const others = recorded.filter(({ nodeId }) => nodeId !== this.options.nodeId);
-        this.recorded = indexByNodeId(others);
+        this.recorded = toNodeMap(others);
         this.prober.setRecorded(this.recorded);
     }
 
@@ -263,7 +263,7 @@
     }
 
     /** Makes a link to a node if there is none; returns whether it is up. */
-    private async reach(nodeId: string): Promise<boolean> {
+    private async tryReach(nodeId: string): Promise<boolean> {
         try {
             return this.links.has(nodeId) || Boolean(await this.openLink(nodeId, this.options.linkTimeoutMs));
         }
@@ -276,7 +276,7 @@
     }
 
     /** Dials a node and serves the link until it ends. */
-    private *connect(nodeId: string, signal: AbortSignal): Task<void> {
+    private *dialAndServe(nodeId: string, signal: AbortSignal): Task<void> {
         const connection = yield* waitFor(this.dial(nodeId, this.options.linkTimeoutMs));
         yield* this.serveConnection(connection, "dialer", signal, { expectedId: nodeId });
     }
@@ -409,7 +409,7 @@
     }
 }
 
-const indexByNodeId = (nodes: readonly PeerAddress[]): Map<string, PeerAddress> =>
+const toNodeMap = (nodes: readonly PeerAddress[]): Map<string, PeerAddress> =>
     new Map(nodes.map(node => [node.nodeId, node]));
 
 /** Name of the peer network service. */
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -91,11 +91,11 @@
             const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
             return { kind: "exceeded", cost, retryAfterMs };
         }
-        return { kind: "granted", cost, release: this.charge(account.name, share) };
+        return { kind: "granted", cost, release: this.consumeShare(account.name, share) };
     }
 
     /** Charges a share of an account's limit, and returns a function that takes it back once. */
-    private charge(name: string, share: number): () => void {
+    private consumeShare(name: string, share: number): () => void {
         const chargedMs = this.options.clock.readMonotonicMs();
         const sum = this.getSum(name);
         sum.add(chargedMs, share);
