--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -95,7 +95,7 @@
             ...options,
             scope: this.scope,
             waitForLinkEnd: nodeId => this.links.get(nodeId)?.ended,
-            connect: (nodeId, signal) => this.dialAndServe(nodeId, signal),
+            dialAndServe: (nodeId, signal) => this.dialAndServe(nodeId, signal),
             onUnreachable: nodeId => this.linkLostListeners.forEach(listener => listener(nodeId)),
             onDropped: nodeId => this.announceClose(this.links.get(nodeId)),
         });
