Simulate a node's path to the store in one place for the models of holders

LeaseholderModel, MixedBuildsModel and UsageReporterModel each had a copy of the store's troubles (delays, refusals, lost answers, late effects, eras). TroubledStorePath has them for all three; an answer now counts for the process that asked, also after a restart.

--- a/src/leases/dutyCalls.test.ts
+++ b/src/leases/dutyCalls.test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import { LeaseholderModel, type ModelNode } from "../../standins/LeaseholderModel";
+import type { StoreTroubles } from "../../standins/TroubledStorePath";
 import { listFencingBreaches } from "../../standins/platform/listFencingBreaches";
 
 const leaseMs = 3_000;
@@ -54,21 +55,21 @@
     readonly byMs?: number;
     readonly copiesAgo?: number;
     readonly value?: unknown;
-    readonly troubles?: ModelNode["troubles"];
+    readonly troubles?: StoreTroubles;
 };
 
 const nodeActions: Readonly<Record<string, (node: ModelNode) => void>> = {
     "suspend": node => node.clock.pauseWithClock(),
     "freeze": node => node.clock.pause(),
     "hold-cloud": node => node.holdCloud(),
-    "cut-store": node => node.isStoreCut = true,
+    "cut-store": node => node.storePath.isCut = true,
     "cut-off": node => {
-        node.isStoreCut = true;
+        node.storePath.isCut = true;
         node.holdCloud();
     },
     "delay-cloud": node => node.cloudDelayMs = longDelayMs,
     "delay-cloud-and-cut-store": node => {
-        node.isStoreCut = true;
+        node.storePath.isCut = true;
         node.cloudDelayMs = longDelayMs;
     },
     "restart": node => void node.startProcess(),
@@ -86,7 +87,7 @@
         target.clock.step(byMs!);
     }
     if (kind === "trouble-store") {
-        target.troubles = troubles!;
+        target.storePath.troubles = troubles!;
     }
     if (kind === "restore") {
         model.store.restore(copiesAgo!);
--- a/src/leases/mixedBuilds.test.ts
+++ b/src/leases/mixedBuilds.test.ts
@@ -41,13 +41,13 @@
             }
             return;
         case "cut-store":
-            target.isStoreCut = true;
+            target.storePath.isCut = true;
             return;
         case "heal":
             target.recover();
             return;
         case "trouble-store":
-            target.troubles = change.troubles;
+            target.storePath.troubles = change.troubles;
             return;
         case "restore":
             model.restore(change.copiesAgo);
--- a/src/usage/usageReports.test.ts
+++ b/src/usage/usageReports.test.ts
@@ -27,7 +27,7 @@
 
 const actions: Readonly<Record<string, (node: UsageReporterNode) => void>> = {
     "kill": node => void node.startProcess(),
-    "cut-store": node => node.isStoreCut = true,
+    "cut-store": node => node.storePath.isCut = true,
     "lose-answers": node => node.losesAnswers = true,
     "freeze": node => node.clock.pause(),
     "suspend": node => node.clock.pauseWithClock(),
@@ -39,7 +39,7 @@
             model.nodes.forEach(node => node.recover());
             return;
         case "trouble-store":
-            target.troubles = change.troubles;
+            target.storePath.troubles = change.troubles;
             return;
         case "restore":
             model.store.restore(change.agoMs);
--- a/standins/LeaseholderModel.ts
+++ b/standins/LeaseholderModel.ts
@@ -5,38 +5,21 @@
 import { Lease } from "../src/leases/Lease";
 import { MemoryTableService } from "../src/platform/MemoryTableService";
 import { StoreError } from "../src/platform/StoreError";
-import type {
-    DutyStages,
-    Row,
-    RowAddress,
-    RowOperation,
-    TableService,
-    TransactionOutcome,
-} from "../src/platform/types";
+import type { DutyStages } from "../src/platform/types";
 import { EventLog } from "../src/telemetry/EventLog";
 import type { FencedCall } from "./platform/FencedCloudStandIn";
 import { SimulatedVmClock } from "./SimulatedVmClock";
+import { maxLateEffectMs, TroubledStorePath } from "./TroubledStorePath";
 
 /** Times of the model, as in the platform's adapters, in milliseconds. */
 const times = {
     lease: 3_600,
     call: 800,
-    storeCall: 700,
     cycle: 500,
     poll: 20,
-    lateEffect: 4_000,
     stray: 300,
 } as const;
 
-/** What ails the store: probabilities per call, and the longest delay of an answer in milliseconds. */
-export interface StoreTroubles {
-    readonly refused: number;
-    readonly lostAnswer: number;
-    readonly lateEffect: number;
-    readonly delayMs: number;
-}
-
-const noTroubles: StoreTroubles = { refused: 0, lostAnswer: 0, lateEffect: 0, delayMs: 10 };
 const newConnectionShare = 0.2; // of the calls; the others use a kept connection
 const subjects = [
     { path: "/usage", target: { duty: "usage", subject: "usage" }, body: {} },
@@ -79,10 +62,9 @@
 }
 
 /** Simulated node: its clocks, its paths to the store and to the cloud, and its process. */
-export class ModelNode implements TableService {
+export class ModelNode {
     readonly clock: SimulatedVmClock;
-    troubles: StoreTroubles = noTroubles;
-    isStoreCut = false;
+    readonly storePath: TroubledStorePath;
     private isCloudHeld = false;
     /** Longest time for which the path to the cloud delays bytes, in milliseconds. */
     cloudDelayMs = 20;
@@ -91,26 +73,29 @@
     private generation = 0;
     /** Processes that were killed while the system kept their connections. */
     private readonly killedGenerations = new Set<number>();
-    private storeEra = new StoreEra();
     private lease: Lease | undefined;
     private caller: DutyCaller | undefined;
 
     constructor(private readonly model: LeaseholderModel, readonly nodeId: string) {
         this.clock = new SimulatedVmClock(model.world);
+        const { store, world, random } = model;
+        this.storePath = new TroubledStorePath({ store, world, random, clock: this.clock });
     }
 
     /** Starts a process; one that runs already loses power, with the bytes that it has sent. */
     async startProcess(): Promise<void> {
-        this.generation += 1;
-        void this.lease?.stop();
-        this.storeEra = new StoreEra();
-        const { clock } = this;
+        this.stop();
+        const { clock, generation } = this;
+        const storeEra = new StoreEra();
         const events = new EventLog({ node: this.nodeId, clock, maxRetainedEvents: 0 });
         this.lease = new Lease({
             duty: "cloud",
             nodeId: this.nodeId,
-            tables: this.createView(),
-            storeEra: this.storeEra,
+            tables: this.storePath.createTables({
+                storeEra,
+                isRunning: () => this.generation === generation,
+            }),
+            storeEra,
             clock,
             random: this.model.random,
             events,
@@ -120,7 +105,7 @@
         });
         this.caller = new DutyCaller({ lease: this.lease, clock, events, callTimeoutMs: times.call });
         await this.lease.start();
-        subjects.forEach(subject => void this.callRepeatedly(subject, this.generation));
+        subjects.forEach(subject => void this.callRepeatedly(subject, generation));
     }
 
     /** Kills the process and starts another; the system goes on sending what the first has written. */
@@ -142,70 +127,11 @@
     recover(): void {
         this.clock.resume();
         this.isCloudHeld = false;
-        this.isStoreCut = false;
+        this.storePath.recover();
         this.cloudDelayMs = 20;
-        this.troubles = noTroubles;
         this.recoveredAtMs = this.model.world.readMonotonicMs();
     }
 
-    async transact(operations: readonly RowOperation[]): Promise<TransactionOutcome> {
-        return this.callStore(() => this.model.store.memory.commit(operations), true);
-    }
-
-    async read(addresses: readonly RowAddress[]): Promise<readonly (Row | undefined)[]> {
-        const rows = await this.callStore(() => this.model.store.memory.read(addresses), false);
-        return rows;
-    }
-
-    async list(): Promise<readonly Row[]> {
-        return [];
-    }
-
-    /** Store of one process, which ends with it. */
-    private createView(): TableService {
-        const { generation } = this;
-        const keep = async <T>(result: Promise<T>): Promise<T> => {
-            const value = await result;
-            return this.generation === generation ? value : new Promise<never>(() => {});
-        };
-        return {
-            transact: operations => keep(this.transact(operations)),
-            read: addresses => keep(this.read(addresses)),
-            list: () => this.list(),
-        };
-    }
-
-    private async callStore<T>(perform: () => T, isWrite: boolean): Promise<T> {
-        const { random, world, store } = this.model;
-        const { refused, lostAnswer, lateEffect, delayMs } = this.troubles;
-        const { storeEra } = this;
-        await this.clock.sleep(random.drawInt(delayMs));
-        const draw = random.drawFloat();
-        if (draw < refused) {
-            throw new StoreError("refused", "none");
-        }
-        if (this.isStoreCut) {
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        if (isWrite && draw < refused + lateEffect) {
-            void world.sleep(random.drawInt(times.lateEffect)).then(perform);
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        const { era } = store;
-        const answer = perform();
-        if (draw < refused + lateEffect + lostAnswer) {
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        await this.clock.sleep(random.drawInt(delayMs));
-        if (!storeEra.observe(era)) {
-            throw new StoreError("answer of an earlier era", "unknown");
-        }
-        return answer;
-    }
-
     private async callRepeatedly(subject: Subject, generation: number): Promise<void> {
         while (this.generation === generation) {
             await this.clock.sleep(times.cycle);
@@ -322,7 +248,7 @@
             node.recover();
             node.stop();
         });
-        await this.world.advance(times.lateEffect);
+        await this.world.advance(maxLateEffectMs);
     }
 
     /** Records the arrival of a call at the cloud. */
--- a/standins/MixedBuildsModel.ts
+++ b/standins/MixedBuildsModel.ts
@@ -9,8 +9,8 @@
 import { EventLog } from "../src/telemetry/EventLog";
 import type { FencedCall } from "./platform/FencedCloudStandIn";
 import { EarlierLease } from "./EarlierLease";
-import type { StoreTroubles } from "./LeaseholderModel";
 import { SimulatedVmClock } from "./SimulatedVmClock";
+import { maxLateEffectMs, TroubledStorePath } from "./TroubledStorePath";
 
 /** Builds that a node's process may have. */
 export const builds = { earlier: "earlier", present: "present" } as const;
@@ -21,14 +21,11 @@
 const times = {
     lease: 3_600,
     call: 800,
-    storeCall: 700,
     cycle: 500,
     poll: 20,
-    lateEffect: 4_000,
     stray: 300,
 } as const;
 
-const noTroubles: StoreTroubles = { refused: 0, lostAnswer: 0, lateEffect: 0, delayMs: 10 };
 const target = { duty: "usage", subject: "usage" } as const;
 
 /** Calls the cloud once if the lease is held. */
@@ -37,8 +34,7 @@
 /** Simulated node whose process may be replaced by one of another build. */
 export class MixedBuildsNode {
     readonly clock: SimulatedVmClock;
-    troubles: StoreTroubles = noTroubles;
-    isStoreCut = false;
+    readonly storePath: TroubledStorePath;
     build: Build = builds.present;
     /** World time of the last recovery, in milliseconds. */
     private recoveredAtMs = -Infinity;
@@ -48,6 +44,8 @@
 
     constructor(private readonly model: MixedBuildsModel, readonly nodeId: string) {
         this.clock = new SimulatedVmClock(model.world);
+        const { world, random } = model;
+        this.storePath = new TroubledStorePath({ store: model, world, random, clock: this.clock });
     }
 
     /** Starts a process of a build; one that runs already ends, with the bytes that it has sent. */
@@ -67,8 +65,7 @@
 
     recover(): void {
         this.clock.resume();
-        this.isStoreCut = false;
-        this.troubles = noTroubles;
+        this.storePath.recover();
         this.recoveredAtMs = this.model.world.readMonotonicMs();
     }
 
@@ -151,47 +148,8 @@
 
     /** Store of one process, which ends with it. */
     private createTables(): TableService {
-        const { generation } = this;
-        const keep = async <T>(result: Promise<T>): Promise<T> => {
-            const value = await result;
-            return this.generation === generation ? value : new Promise<never>(() => {});
-        };
-        const { memory } = this.model;
-        return {
-            transact: operations =>
-                keep(this.callStore(async () => memory.commit(operations), this.troubles.lateEffect)),
-            read: addresses => keep(this.callStore(() => memory.read(addresses), 0)),
-            list: async () => [],
-        };
-    }
-
-    private async callStore<T>(apply: () => Promise<T>, lateEffect: number): Promise<T> {
-        const { random, world } = this.model;
-        const { refused, lostAnswer, delayMs } = this.troubles;
-        const { storeEra } = this;
-        await this.clock.sleep(random.drawInt(delayMs));
-        const draw = random.drawFloat();
-        if (draw < refused) {
-            throw new StoreError("refused", "none");
-        }
-        if (this.isStoreCut || draw < refused + lateEffect) {
-            if (!this.isStoreCut) {
-                void world.sleep(random.drawInt(times.lateEffect)).then(apply);
-            }
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        const { era } = this.model;
-        const answer = await apply();
-        if (draw < refused + lateEffect + lostAnswer) {
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        await this.clock.sleep(random.drawInt(delayMs));
-        if (!storeEra.observe(era)) {
-            throw new StoreError("answer of an earlier era", "unknown");
-        }
-        return answer;
+        const { generation, storeEra } = this;
+        return this.storePath.createTables({ storeEra, isRunning: () => this.generation === generation });
     }
 }
 
@@ -227,7 +185,7 @@
             node.recover();
             node.stop();
         });
-        await this.world.advance(times.lateEffect);
+        await this.world.advance(maxLateEffectMs);
     }
 
     /** Finds the node whose call arrived last; the first node before any call. */
--- a/standins/UsageReporterModel.ts
+++ b/standins/UsageReporterModel.ts
@@ -11,8 +11,8 @@
 import { UsageLedger } from "../src/usage/UsageLedger";
 import { UsageReporter } from "../src/usage/UsageReporter";
 import type { FencedCall } from "./platform/FencedCloudStandIn";
-import type { StoreTroubles } from "./LeaseholderModel";
 import { SimulatedVmClock } from "./SimulatedVmClock";
+import { maxLateEffectMs, TroubledStorePath } from "./TroubledStorePath";
 
 /** Times of the model, as in the platform's adapters, in milliseconds. */
 const times = {
@@ -20,15 +20,11 @@
     due: 10_000,
     lease: 3_600,
     call: 800,
-    storeCall: 700,
     poll: 20,
-    lateEffect: 4_000,
     request: 300,
     copy: 250,
 } as const;
 
-const noTroubles: StoreTroubles = { refused: 0, lostAnswer: 0, lateEffect: 0, delayMs: 10 };
-
 /** The store that all nodes share, with copies of its earlier states. */
 class RestorableStore {
     readonly memory = new MemoryTableService();
@@ -51,8 +47,7 @@
 /** Simulated node that counts requests of its own and reports the usage of all windows while it holds the lease. */
 export class UsageReporterNode {
     readonly clock: SimulatedVmClock;
-    troubles: StoreTroubles = noTroubles;
-    isStoreCut = false;
+    readonly storePath: TroubledStorePath;
     /** Whether the cloud's answers are lost. */
     losesAnswers = false;
     private generation = 0;
@@ -62,6 +57,8 @@
 
     constructor(private readonly model: UsageReporterModel, readonly nodeId: string) {
         this.clock = new SimulatedVmClock(model.world);
+        const { world, random } = model;
+        this.storePath = new TroubledStorePath({ store: model.store, world, random, clock: this.clock });
     }
 
     /** Starts a process; one that runs already ends, with all that it knows. */
@@ -113,9 +110,8 @@
     /** Ends all that ails the node and its paths. */
     recover(): void {
         this.clock.resume();
-        this.isStoreCut = false;
+        this.storePath.recover();
         this.losesAnswers = false;
-        this.troubles = noTroubles;
     }
 
     private async countRequests(ledger: UsageLedger, generation: number): Promise<void> {
@@ -127,47 +123,8 @@
 
     /** Store of one process, which ends with it. */
     private createTables(): TableService {
-        const { generation } = this;
-        const keep = async <T>(result: Promise<T>): Promise<T> => {
-            const value = await result;
-            return this.generation === generation ? value : new Promise<never>(() => {});
-        };
-        const { memory } = this.model.store;
-        return {
-            transact: operations =>
-                keep(this.callStore(async () => memory.commit(operations), this.troubles.lateEffect)),
-            read: addresses => keep(this.callStore(() => memory.read(addresses), 0)),
-            list: async () => [],
-        };
-    }
-
-    private async callStore<T>(apply: () => Promise<T>, lateEffect: number): Promise<T> {
-        const { random, world, store } = this.model;
-        const { refused, lostAnswer, delayMs } = this.troubles;
-        const { storeEra } = this;
-        await this.clock.sleep(random.drawInt(delayMs));
-        const draw = random.drawFloat();
-        if (draw < refused) {
-            throw new StoreError("refused", "none");
-        }
-        if (this.isStoreCut || draw < refused + lateEffect) {
-            if (!this.isStoreCut) {
-                void world.sleep(random.drawInt(times.lateEffect)).then(apply);
-            }
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        const { era } = store;
-        const answer = await apply();
-        if (draw < refused + lateEffect + lostAnswer) {
-            await this.clock.sleep(times.storeCall);
-            throw new StoreError("no answer", "unknown");
-        }
-        await this.clock.sleep(random.drawInt(delayMs));
-        if (!storeEra.observe(era)) {
-            throw new StoreError("answer of an earlier era", "unknown");
-        }
-        return answer;
+        const { generation, storeEra } = this;
+        return this.storePath.createTables({ storeEra, isRunning: () => this.generation === generation });
     }
 
     private createCloud(): FencedCloud {
@@ -236,7 +193,7 @@
             node.recover();
             node.stop();
         });
-        await this.world.advance(times.lateEffect);
+        await this.world.advance(maxLateEffectMs);
     }
 
     /** Finds the node whose report arrived last; the first node before any report. */
