--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -12,7 +12,6 @@
 import { SendRecords, sendRecordsName } from "../idempotency/SendRecords";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Kernel } from "../kernel/Kernel";
-import { Lease } from "../leases/Lease";
 import { CloudPoller, cloudPollerName } from "../membership/CloudPoller";
 import { isPoller } from "../membership/isPoller";
 import { Membership, membershipName } from "../membership/Membership";
@@ -31,10 +30,9 @@
 import { EntryMetrics, entryMetricsName } from "../telemetry/EntryMetrics";
 import { UpstreamRegistry, upstreamRegistryName } from "../upstreams/UpstreamRegistry";
 import { clockName } from "./clockName";
+import { createDutyLease, dutyCallTimeoutMs } from "./createDutyLease";
 import type { EntryNodeOptions } from "./types";
 
-const dutyCallTimeoutMs = 2_000; // a new holder of a lease waits as long
-
 /** Name of the invariants service. */
 export const invariantsName = createServiceName<Invariants>("invariants");
 /** Name of the configuration store. */
@@ -271,28 +269,12 @@
                 committer: find(groupCommitterName),
                 clock,
                 events: find(eventLogName),
-                lease: createLease(kernel, "expiry", { settings, platform, clock, random }),
+                lease: createDutyLease(kernel, "expiry", { settings, platform, clock, random }),
                 retentionMs: settings.timing.answerRetentionMs,
             }),
     });
 };
 
-/** Creates the lease of a duty. Its candidates are the two members that {@link isPoller} selects for it. */
-const createLease = (kernel: Kernel, duty: string, options: EntryNodeOptions): Lease => {
-    const { settings, platform, clock, random } = options;
-    return new Lease({
-        duty,
-        nodeId: settings.nodeId,
-        tables: platform.tables,
-        clock,
-        random,
-        events: kernel.find(eventLogName),
-        isCandidate: () =>
-            isPoller({ membership: kernel.find(membershipName), nodeId: settings.nodeId, job: duty }),
-        takeoverDelayMs: dutyCallTimeoutMs,
-    });
-};
-
 const registerRequests = (kernel: Kernel, { settings, platform, clock, random }: EntryNodeOptions): void => {
     const { nodeId } = settings;
     kernel.register({
@@ -391,7 +373,7 @@
                 registry: find(upstreamRegistryName),
                 cloud: platform.cloud,
                 weights: platform.weights,
-                lease: createLease(kernel, "fleet", { settings, platform, clock, random }),
+                lease: createDutyLease(kernel, "fleet", { settings, platform, clock, random }),
                 policy: new CheapestFleetPolicy(),
                 readDeclaration: () => find(replicatedConfigurationName).current.value?.declaration,
                 readQueueSizes: () => find(serviceDispatchersName).readQueueSizes(),
