Take a gateway's 502 or 504 for no answer to a holder's call

Cause: each answer but a 503 ended a call of a lease's holder, and cleared its record. A gateway that answers 502 or 504 does not know what became of the call, so that the service may still carry it out.

Evidence: both tests fail on the code before (the call resolves as answered).

Why this works: the effect of such a call is unknown, and its record stays for as long as that of a call without an answer.

--- a/src/platform/sendStagedJson.test.ts
+++ b/src/platform/sendStagedJson.test.ts
@@ -63,7 +63,7 @@
         expect(seen).toEqual(["POST", "POST"]);
     });
 
-    it("resets the connection of an abandoned call, so that its bytes do not arrive later", async () => {
+    it("resets the connection of an abandoned call, whose effect is unknown", async () => {
         answer = undefined;
         const call = new AbortController();
         const sent = send(call);
@@ -107,6 +107,11 @@
         await expect(send(new AbortController())).rejects.toMatchObject({ effect: "none" });
     });
 
+    it.each([502, 504])("does not take status %d of a gateway for the end of a call", async status => {
+        answer = `HTTP/1.1 ${status} Gateway\r\ncontent-length: 0\r\n\r\n`;
+        await expect(send(new AbortController())).rejects.toMatchObject({ effect: "unknown" });
+    });
+
     it("does not take an answer for whole whose connection was reset", async () => {
         answer = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}";
         const sent = send(new AbortController());
--- a/src/platform/sendStagedJson.ts
+++ b/src/platform/sendStagedJson.ts
@@ -1,7 +1,7 @@
 import { type Agent, type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { JsonAnswer } from "./sendJson";
-import { StoreError } from "./StoreError";
+import { type StoreEffect, StoreError } from "./StoreError";
 import type { CallStages } from "./types";
 
 /** Options of {@link sendStagedJson}. */
@@ -20,17 +20,22 @@
     readonly stages: CallStages;
 }
 
-const unavailable = 503; // HTTP status; nothing was done
+/** HTTP statuses that do not tell that the call was carried out: nothing was done, or a gateway does not know. */
+const effectByStatus: ReadonlyMap<number, StoreEffect> = new Map([
+    [502, "unknown"],
+    [503, "none"],
+    [504, "unknown"],
+]);
 const maxAnswerBytes = 1_048_576; // 1 MiB, far above every answer to such a call
 
 /**
  * Sends a JSON request in steps: it opens a connection, asks the caller, and then writes the request. When the call
  * is abandoned or fails, the connection is reset: the operating system would deliver bytes of a connection that was closed
- * in order, however late.
+ * in order, however late. A reset does not take back what has left this system.
  *
  * @param options - destination, request and what to call at each step
  * @returns status, headers and parsed body
- * @throws StoreError if no complete answer arrived or the service answered with status 503. Its effect is "none" if
+ * @throws StoreError if no complete answer arrived, or one with status 502, 503 or 504. Its effect is "none" if
  * nothing was written, or if the status was 503.
  */
 export const sendStagedJson = async (options: SendStagedJsonOptions): Promise<JsonAnswer> => {
@@ -44,8 +49,9 @@
     const request = openRequest(url, { agent, method, headers });
     const failed = rejectOnFailure(request, signal);
     const answer = await exchange(request, failed, body, stages);
-    if (answer.status === unavailable) {
-        throw new StoreError(`${method} ${url}: service answered with status ${unavailable}`, "none");
+    const effect = effectByStatus.get(answer.status);
+    if (effect) {
+        throw new StoreError(`${method} ${url}: service answered with status ${answer.status}`, effect);
     }
     return answer;
 };
