--- a/src/stopping/PlannedStop.ts
+++ b/src/stopping/PlannedStop.ts
@@ -11,7 +11,7 @@
     readonly clock: Clock;
 }
 
-const turnIntervalMs = 100; // between records of the time, from which a late signal is seen
+const turnIntervalMs = 200; // between records of the time, from which a late signal is seen
 const maxLateShare = 1 / 4; // of the grace period; a process that was held up for longer was suspended
 
 /** The planned stop of this node: when it ends, and which requests may still be passed on. */
@@ -54,9 +54,12 @@
     }
 
     /** Whether a request may be sent to an upstream now. */
-    isDispatchAllowed(dispatch: PendingDispatch): boolean {
-        const nowMs = this.options.clock.readMonotonicMs();
-        return isDispatchAllowed({ ...dispatch, nowMs, stop: this.times });
+    isDispatchAllowed({ deadlineMs, hasBegun }: PendingDispatch): boolean {
+        const stop = this.times;
+        if (!stop) {
+            return true;
+        }
+        return isDispatchAllowed({ deadlineMs, hasBegun, nowMs: this.options.clock.readMonotonicMs(), stop });
     }
 
     /** Whether all requests whose response has not begun are to be answered now. */
