Ask at the member whether an upstream still accepts a request that comes through a tunnel

Seen: a request that one node had written to an upstream through another member, and whose bytes were held up between the two nodes, reached the upstream whenever they arrived, also long after both nodes knew that the upstream was leaving or gone.

Cause: a check at one moment, the effect at a later one. The node asks at its write into the tunnel (`isWanted`); the member passed all bytes on without asking.

The member cannot tell requests apart in a stream of bytes, and must not cut the body of one that has begun (an upstream may answer before it has read the body). So the node that asks writes frames, and an empty one before each request; the member asks the registry at that mark. It refuses half of `upstreamDrainMs` after it learnt of the departure, so that a request that was written by a node that learns of it a little later is not cut; the other half is for its own learning of it. The marks are agreed on for each tunnel: members of older versions ignore the header and pass bytes on as they are.

Ruled out: refusing as soon as the upstream is listed as leaving (cuts requests in transit for nothing), and one connection a request (costs a tunnel each).

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -46,6 +46,7 @@
 const connectionShare = 0.8; // of an upstream's connections; the rest is for nodes that are starting and know no members yet
 const minConnections = 8;
 const minKeptMs = 30_000; // also for streams that began under another configuration
+const relayShare = 1 / 2; // of the time in which an upstream that leaves may get requests; a member learns of it in the rest
 const streamTries = 2; // a stream that a caller takes up at its end lasts as long again
 
 /**
@@ -285,6 +286,8 @@
                 readClusterKey: () => find(clusterKeyName).value,
                 clock,
                 isUpstream: address => find(instanceRegistryName).hasAddress(address),
+                isAccepting: address =>
+                    find(instanceRegistryName).isAcceptingAt(address, settings.upstreamDrainMs * relayShare),
                 connect: options.connectUpstream,
             }),
     });
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -107,6 +107,36 @@
         expect(setup.closed).toEqual(["10.0.0.1:80"]);
     });
 
+    // Guards against members that pass requests on to an upstream long after it has begun to leave.
+    it("accepts requests that were sent before for a while after an upstream has begun to leave or is gone", async () => {
+        const graceMs = 1_000;
+        const isAccepting = (): boolean => setup.registry.isAcceptingAt("10.0.0.1:80", graceMs);
+        setup.list(createInstance("one", { isLeaving: true }));
+        await setup.clock.advance(graceMs - 1);
+        setup.list(createInstance("one", { isLeaving: true }));
+        expect(isAccepting()).toBe(true);
+        await setup.clock.advance(1);
+        expect(isAccepting()).toBe(false);
+        setup.list(createInstance("two", { address: "10.0.0.1:80" }));
+        expect(isAccepting()).toBe(true);
+        setup.list();
+        expect(isAccepting()).toBe(true);
+        await setup.clock.advance(graceMs);
+        expect(isAccepting()).toBe(false);
+        expect(setup.registry.isAcceptingAt("10.0.0.9:80", graceMs)).toBe(false);
+    });
+
+    it("counts that while from the time at which an entry went missing during an outage of the store", async () => {
+        const graceMs = 1_000;
+        setup.sinceRecoveryMs = 0;
+        setup.list(createInstance("two", second));
+        await setup.clock.advance(1_400);
+        expect(setup.registry.isAcceptingAt("10.0.0.1:80", graceMs)).toBe(true);
+        await setup.clock.advance(100);
+        expect(setup.listIds()).toEqual(["two"]);
+        expect(setup.registry.isAcceptingAt("10.0.0.1:80", graceMs)).toBe(false);
+    });
+
     it("lists no upstream to which all of this node's connections are in use", () => {
         const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
         for (let count = 0; count < 4; count += 1) {
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -8,6 +8,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UpstreamRejections } from "../upstreams/UpstreamRejections";
+import { AddressDepartures } from "./AddressDepartures";
 import { InstanceNotices } from "./InstanceNotices";
 import { isListingCurrent } from "./isListingCurrent";
 import type { BrittleServices } from "./BrittleServices";
@@ -64,10 +65,12 @@
     private readonly tracked = new Map<string, TrackedInstance>();
     private readonly closing = new Set<TrackedInstance>();
     private readonly notices = new InstanceNotices();
+    private readonly departures: AddressDepartures;
     private readonly rejections: UpstreamRejections;
 
     constructor(private readonly options: InstanceRegistryOptions) {
         this.rejections = new UpstreamRejections(options.events);
+        this.departures = new AddressDepartures(options.clock);
     }
 
     async start(): Promise<void> {
@@ -239,6 +242,19 @@
         return [...this.tracked.values()].some(({ instance }) => instance.address === address);
     }
 
+    /**
+     * Whether the upstream at an address may still get requests that were sent by nodes that did not know of its departure.
+     *
+     * @param address - host and port
+     * @param graceMs - time for which it may after it is known to be leaving or gone, in milliseconds
+     */
+    isAcceptingAt(address: string, graceMs: number): boolean {
+        const isListed = [...this.tracked.values()].some(({ instance }) =>
+            instance.address === address && !instance.isLeaving
+        );
+        return isListed || this.departures.isRecent(address, graceMs);
+    }
+
     /** Counts the upstreams of a service to which connections are opened through other members. */
     countRelayed(service: string): number {
         return this.listInService(service).filter(({ client }) => client.isRelayed).length;
@@ -306,6 +322,7 @@
         if (tracked.instance.isLeaving || feed.readSinceRecoveryMs() > storeRecoveryMs) {
             return false;
         }
+        this.departures.record(tracked.instance.address);
         const graceEndsMs = nowMs + missingGraceMs;
         tracked.missingGraceEndsMs = graceEndsMs;
         void clock.sleep(missingGraceMs).then(() => this.endGracePeriod(tracked, graceEndsMs));
@@ -359,6 +376,12 @@
             this.notices.markLeaving(listed);
         }
         const instance = this.notices.isLeaving(listed) ? { ...listed, isLeaving: true } : listed;
+        if (instance.isLeaving) {
+            this.departures.record(instance.address);
+        }
+        else {
+            this.departures.clear(instance.address);
+        }
         const before = this.tracked.get(instance.id);
         if (before) {
             before.missingGraceEndsMs = undefined;
@@ -401,6 +424,7 @@
 
     private remove(tracked: TrackedInstance): void {
         this.tracked.delete(tracked.instance.id);
+        this.departures.record(tracked.instance.address);
         this.options.events.emit(eventKinds.runnerRemoved, { runner: tracked.instance.id });
         if (tracked.inFlight === 0) {
             void tracked.client.close();
--- a/src/tunnels/TunnelConnection.ts
+++ b/src/tunnels/TunnelConnection.ts
@@ -1,5 +1,7 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import type { RequestMarker } from "../upstreams/markRequest";
+import { encodeFrameLength } from "./encodeFrameLength";
 import { TunnelFrameDecoder } from "./TunnelFrameDecoder";
 
 /** Options of {@link TunnelConnection}. */
@@ -10,6 +12,8 @@
     readonly member: string;
     /** Whether the member marks the regular end of the upstream's bytes. Members of older versions do not. */
     readonly isFramed: boolean;
+    /** Whether the member reads frames, and marks of requests among them. Members of older versions do not. */
+    readonly areRequestsMarked: boolean;
 }
 
 /**
@@ -17,19 +21,20 @@
  * the member ends or is lost, it fails, also where the system closes the member's connections regularly. Without frames it
  * never ends regularly.
  */
-export class TunnelConnection extends Duplex {
+export class TunnelConnection extends Duplex implements RequestMarker {
     readonly remoteAddress: string | undefined;
     private readonly decoder = new TunnelFrameDecoder();
+    /** Whether the next bytes begin a request. */
+    private isRequestNext = false;
 
     constructor(private readonly options: TunnelConnectionOptions) {
         const { socket, member } = options;
         super({
             allowHalfOpen: false,
             read: () => void socket.resume(),
-            write: (chunk: Buffer, _encoding, callback) => void socket.write(chunk, callback),
+            write: (chunk: Buffer, _encoding, callback) => this.send(chunk, callback),
             writev: (chunks, callback) => {
-                const bytes = Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer));
-                socket.write(bytes, callback);
+                this.send(Buffer.concat(chunks.map(({ chunk }) => chunk as Buffer)), callback);
             },
             final: callback => void socket.end(callback),
             destroy: (error, callback) => {
@@ -49,6 +54,27 @@
         });
     }
 
+    /** Marks the next bytes as the beginning of a request. */
+    markRequest(): void {
+        this.isRequestNext = true;
+    }
+
+    private send(bytes: Buffer, callback: (error?: Error | null) => void): void {
+        const { socket, areRequestsMarked } = this.options;
+        if (!areRequestsMarked || bytes.length === 0) {
+            socket.write(bytes, callback);
+            return;
+        }
+        socket.cork();
+        if (this.isRequestNext) {
+            this.isRequestNext = false;
+            socket.write(encodeFrameLength(0));
+        }
+        socket.write(encodeFrameLength(bytes.length));
+        socket.write(bytes, callback);
+        socket.uncork();
+    }
+
     private receive(chunk: Buffer): void {
         if (!this.options.isFramed) {
             this.deliver(chunk);
--- a/src/tunnels/TunnelFrameDecoder.ts
+++ b/src/tunnels/TunnelFrameDecoder.ts
@@ -1,6 +1,6 @@
 import { frameLengthBytes } from "./constants";
 
-/** Takes an upstream's bytes out of the frames of a tunnel, as they arrive. */
+/** Takes the bytes out of the frames of a tunnel, as they arrive. */
 export class TunnelFrameDecoder {
     /** Whether the frame that marks the regular end has arrived. */
     isEnded = false;
@@ -9,11 +9,14 @@
     /** Bytes of the current frame that have not arrived yet. */
     private missingBytes = 0;
 
+    /** @param onMark - called for each frame without bytes; default: it marks the regular end */
+    constructor(private readonly onMark?: () => void) {}
+
     /**
      * Decodes a chunk, which may begin and end anywhere in a frame.
      *
      * @param chunk - next bytes of the tunnel; those after the regular end are ignored
-     * @returns the upstream's bytes in it, in order
+     * @returns the bytes in it without their frames, in order
      */
     *decode(chunk: Buffer): Generator<Buffer> {
         let rest = chunk;
@@ -40,7 +43,18 @@
         }
         this.lengthBytes = Buffer.alloc(0);
         this.missingBytes = lengthBytes.readUInt32BE();
-        this.isEnded = this.missingBytes === 0;
+        if (this.missingBytes === 0) {
+            this.applyMark();
+        }
         return bytes.subarray(end);
     }
+
+    private applyMark(): void {
+        if (this.onMark) {
+            this.onMark();
+        }
+        else {
+            this.isEnded = true;
+        }
+    }
 }
--- a/src/tunnels/TunnelServer.test.ts
+++ b/src/tunnels/TunnelServer.test.ts
@@ -49,6 +49,7 @@
             readClusterKey: () => clusterKey,
             clock,
             isUpstream: address => address === target,
+            isAccepting: address => address === target,
         });
         await tunnels.start();
     });
--- a/src/tunnels/TunnelServer.ts
+++ b/src/tunnels/TunnelServer.ts
@@ -7,7 +7,13 @@
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { createTimedConnector } from "../upstreams/createTimedConnector";
 import { computeTunnelProof } from "./computeTunnelProof";
-import { lengthFraming, tunnelFramingHeader, tunnelProofHeader } from "./constants";
+import {
+    lengthFraming,
+    markedRequests,
+    tunnelFramingHeader,
+    tunnelProofHeader,
+    tunnelRequestsHeader,
+} from "./constants";
 import { joinSockets } from "./joinSockets";
 
 /** Options of {@link TunnelServer}. */
@@ -18,6 +24,8 @@
     readonly clock: Clock;
     /** Whether an upstream is listed at an address. */
     readonly isUpstream: (address: string) => boolean;
+    /** Whether the upstream at an address may still get requests that other nodes have sent. */
+    readonly isAccepting: (address: string) => boolean;
     /** Opens connections to upstreams; default: undici's connector. */
     readonly connect?: buildConnector.connector;
 }
@@ -84,14 +92,24 @@
                 far.destroy();
                 return;
             }
-            const isFramed = request.headers[tunnelFramingHeader] === lengthFraming;
-            const fields = isFramed ? `${tunnelFramingHeader}: ${lengthFraming}\r\n` : "";
-            near.write(`HTTP/1.1 200 Connection Established\r\n${fields}\r\n`);
-            joinSockets({ near, far, isFramed, onBytes: this.recordBytes });
-            this.recordBytes();
+            this.join(request, near, far);
         });
     }
 
+    /** Passes bytes on in the way that the node that asked for the tunnel understands. */
+    private join({ headers, url = "" }: IncomingMessage, near: Socket, far: Socket): void {
+        const isFramed = headers[tunnelFramingHeader] === lengthFraming;
+        const isMarked = headers[tunnelRequestsHeader] === markedRequests;
+        const fields = [
+            ...isFramed ? [`${tunnelFramingHeader}: ${lengthFraming}\r\n`] : [],
+            ...isMarked ? [`${tunnelRequestsHeader}: ${markedRequests}\r\n`] : [],
+        ];
+        near.write(`HTTP/1.1 200 Connection Established\r\n${fields.join("")}\r\n`);
+        const isAccepting = isMarked ? () => this.options.isAccepting(url) : undefined;
+        joinSockets({ near, far, isFramed, isAccepting, onBytes: this.recordBytes });
+        this.recordBytes();
+    }
+
     /** Returns the status with which a request is refused; undefined if a tunnel may be opened. */
     private checkRequest({ headers, url = "" }: IncomingMessage): string | undefined {
         const { nodeId, readClusterKey, isUpstream } = this.options;
--- a/src/tunnels/constants.ts
+++ b/src/tunnels/constants.ts
@@ -7,6 +7,16 @@
  */
 export const tunnelFramingHeader = "tunnel-framing";
 
+/**
+ * Header with which the node that asks says that it marks the beginning of each request, and the member that it asks then
+ * whether the upstream still accepts requests. Bytes to the member are in frames then; those without bytes are the marks.
+ * Members of older versions ignore the header.
+ */
+export const tunnelRequestsHeader = "tunnel-requests";
+
+/** Value of the header where requests are marked. */
+export const markedRequests = "marked";
+
 /** Framing with frames of a length and as many bytes; a frame without bytes marks the regular end of the upstream's bytes. */
 export const lengthFraming = "length";
 
--- a/src/tunnels/cutAnswers.test.ts
+++ b/src/tunnels/cutAnswers.test.ts
@@ -202,6 +202,7 @@
             readClusterKey: () => clusterKey,
             clock: new SystemClock(),
             isUpstream: () => true,
+            isAccepting: () => true,
         });
         await tunnels.start();
         return tunnels;
--- a/src/tunnels/joinSockets.ts
+++ b/src/tunnels/joinSockets.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { isResetSocket } from "../upstreams/isResetSocket";
 import { TunnelFrameEncoder } from "./TunnelFrameEncoder";
+import { TunnelRequestDecoder } from "./TunnelRequestDecoder";
 
 /** Options of {@link joinSockets}. */
 export interface JoinSocketsOptions {
@@ -10,17 +11,20 @@
     readonly far: Socket;
     /** Whether bytes are passed to the near one in frames, which mark a regular end of the far one. */
     readonly isFramed: boolean;
+    /** Whether the upstream may get a request that begins now; undefined if the near side does not mark requests. */
+    readonly isAccepting?: (() => boolean) | undefined;
     /** Called whenever bytes are passed on. */
     readonly onBytes: () => void;
 }
 
 /**
  * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset resets it;
- * whatever ends the near one closes the far one.
+ * whatever ends the near one closes the far one. Both are reset at a request that the upstream is not to get any more.
  *
  * @param options - both connections, and how bytes are passed on
  */
-export const joinSockets = ({ near, far, isFramed, onBytes }: JoinSocketsOptions): void => {
+export const joinSockets = (options: JoinSocketsOptions): void => {
+    const { near, far, isFramed, isAccepting, onBytes } = options;
     near.setNoDelay(true);
     far.setNoDelay(true);
     near.on("error", () => far.destroy());
@@ -34,7 +38,9 @@
     });
     near.on("data", onBytes);
     far.on("data", onBytes);
-    near.pipe(far, { end: false });
+    const sent = isAccepting ? near.pipe(new TunnelRequestDecoder(isAccepting)) : near;
+    sent.on("error", () => near.resetAndDestroy());
+    sent.pipe(far, { end: false });
     const received = isFramed ? far.pipe(new TunnelFrameEncoder()) : far;
     received.pipe(near);
 };
--- a/src/tunnels/openTunnel.ts
+++ b/src/tunnels/openTunnel.ts
@@ -1,6 +1,12 @@
 import { request } from "node:http";
 import type { Socket } from "node:net";
-import { lengthFraming, tunnelFramingHeader, tunnelProofHeader } from "./constants";
+import {
+    lengthFraming,
+    markedRequests,
+    tunnelFramingHeader,
+    tunnelProofHeader,
+    tunnelRequestsHeader,
+} from "./constants";
 import { TunnelConnection } from "./TunnelConnection";
 
 /** Options of {@link openTunnel}. */
@@ -37,6 +43,7 @@
                 host: target,
                 [tunnelProofHeader]: proof,
                 [tunnelFramingHeader]: lengthFraming,
+                [tunnelRequestsHeader]: markedRequests,
             },
             agent: false,
         });
@@ -50,7 +57,8 @@
                 socket.unshift(head);
                 socket.setNoDelay(true);
                 const isFramed = response.headers[tunnelFramingHeader] === lengthFraming;
-                resolve(new TunnelConnection({ socket, member, isFramed }));
+                const areRequestsMarked = response.headers[tunnelRequestsHeader] === markedRequests;
+                resolve(new TunnelConnection({ socket, member, isFramed, areRequestsMarked }));
                 return;
             }
             socket.destroy();
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,6 +1,7 @@
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 import { isResetSocket } from "./isResetSocket";
+import { markRequest } from "./markRequest";
 
 /** The connection of a call. */
 export interface CallConnection {
@@ -58,6 +59,7 @@
                 tracked.onEnd = listener;
                 tracked.callCount += 1;
                 callNumber = tracked.callCount;
+                markRequest(tracked.socket);
             },
             endCall: listener => {
                 tracked.onEnd = tracked.onEnd === listener ? undefined : tracked.onEnd;
