Count recorded nodes that were never heard when a quota is divided

Seen: a node that started while it was cut off from the members, but not from the store, granted the whole quota of an account beside those that granted it already.

Cause: a check at one moment, the effect at a later one. The number of nodes among which quotas, retry budgets and connections are divided was that of the members heard, and of those that became gone in the last 20 s. A process that has just started has heard nobody, and had forgotten whom its predecessor knew; members that it first hears of as gone did not count either. The store lists all of them.

The test of Membership failed before, as nothing was counted.

Now a recorded node that was never live at this node counts for 20 s after its record was first seen, the time for which a member counts that became gone. Both sides of the partition do so: the one that runs sees the record of the new node.

Price: a row of a machine that is gone for good counts for 20 s at each node that starts; with eight nodes and one such row the assumption takes a ninth of the limit from an account at its limit.

--- a/src/membership/Membership.test.ts
+++ b/src/membership/Membership.test.ts
@@ -139,6 +139,30 @@
         expect(setup.listLive()).toEqual(["one", "self"]);
     });
 
+    // Guards against nodes that each use what is meant for all, since one that has started hears none of the others.
+    it("presumes recorded nodes that were never heard to be live, for a while after their records were first seen", async () => {
+        const presumedMs = 20_000;
+        const count = (): number => setup.membership.countPresumedLive(presumedMs);
+        const records = ["self", "one", "two"].map(nodeId => ({ nodeId, url: `ws://${nodeId}` }));
+        await setup.start(createMember("two", "gone"), createMember("four", "gone"));
+        setup.membership.setRecordedNodes(records);
+        expect(count()).toBe(3);
+        await setup.clock.advance(presumedMs - 1_000);
+        setup.membership.setRecordedNodes([...records, { nodeId: "three", url: "ws://three" }]);
+        expect(count()).toBe(4);
+        await setup.clock.advance(2_000);
+        expect(count()).toBe(2);
+        setup.gossip.set("member/one", createMember("one"));
+        await setup.clock.advance(50);
+        expect(count()).toBe(3);
+        setup.gossip.set("member/one", createMember("one", "gone"));
+        await setup.clock.advance(presumedMs);
+        expect(count()).toBe(2);
+        await setup.clock.advance(50);
+        setup.membership.setRecordedNodes(records);
+        expect(count()).toBe(1);
+    });
+
     it("goes on dialling recorded nodes that are gone, and those that it knows nothing of, which are no members", async () => {
         await setup.start(createMember("one", "gone"), createMember("two"));
         setup.membership.setRecordedNodes([{ nodeId: "one", url: "ws://one" }, {
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -52,6 +52,10 @@
     private readonly suspected = new Map<string, number>();
     /** Monotonic time at which this node first saw each gone member as gone, in milliseconds. */
     private readonly goneSinceMs = new Map<string, number>();
+    /**
+     * Monotonic time at which this node first saw the record of each node that was never live here, in milliseconds.
+     */
+    private readonly unheardSinceMs = new Map<string, number>();
 
     constructor(private readonly options: MembershipOptions) {
         this.scope = createLoggedTaskScope(options.events);
@@ -89,17 +93,18 @@
     }
 
     /**
-     * Counts the live members and those that became gone only recently: these may be alive on the other side of a
-     * network partition and still accept requests.
+     * Counts the live members, those that became gone only recently, and nodes that were recorded recently and have not been
+     * heard: these may be alive on the other side of a network partition and still accept requests.
      *
-     * @param withinMs - a gone member counts for this time, in milliseconds
+     * @param withinMs - a node that is not live counts for this time, in milliseconds
      */
     countPresumedLive(withinMs: number): number {
         const oldestMs = this.options.clock.readMonotonicMs() - withinMs;
         const recentlyGone = this.members.value.filter(member =>
             member.state === "gone" && (this.goneSinceMs.get(member.nodeId) ?? -Infinity) >= oldestMs
         );
-        return this.listLive().length + recentlyGone.length;
+        const unheard = [...this.unheardSinceMs.values()].filter(sinceMs => sinceMs >= oldestMs);
+        return this.listLive().length + recentlyGone.length + unheard.length;
     }
 
     /** Finds a member by name. */
@@ -161,6 +166,7 @@
             return;
         }
         this.reportChanges(announced);
+        this.recordUnheard(announced);
         this.members.set(announced);
         const present = announced.filter(member => member.state !== "gone")
             .map(({ nodeId, peersUrl: url, dataCentre }) => ({ nodeId, url, dataCentre }));
@@ -230,6 +236,25 @@
         }
     }
 
+    /** Records since when there are records of nodes that were never live here. */
+    private recordUnheard(announced: readonly Member[]): void {
+        const heard = new Set(
+            announced.filter(({ nodeId, state }) => state !== "gone" || this.goneSinceMs.has(nodeId))
+                .map(({ nodeId }) => nodeId),
+        );
+        for (const nodeId of this.unheardSinceMs.keys()) {
+            if (heard.has(nodeId) || !this.recordedNodes.has(nodeId)) {
+                this.unheardSinceMs.delete(nodeId);
+            }
+        }
+        const nowMs = this.options.clock.readMonotonicMs();
+        for (const nodeId of this.recordedNodes.keys()) {
+            if (!heard.has(nodeId) && !this.unheardSinceMs.has(nodeId)) {
+                this.unheardSinceMs.set(nodeId, nowMs);
+            }
+        }
+    }
+
     /** Checks regularly for members whose link has been lost for too long, and verifies whether they are gone. */
     private *checkLostMembers(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
