Assume use by the others while a node with more than 16 others has had no sums

Cause: a check at one moment, the effect at a later one. With more than 16 nodes the others' use since the last sums is extrapolated from what they used in the last second before them. After a suspension that second lies before a surge, so nothing is assumed for the time in which the machine stood still, and no matter how much this node grants. The sums count as fresh for 2 s.

Evidence: QuotaLimiter.test, "stays within the quota after some of 40 nodes stood still while the others used it" failed before with 14,375 units where 13,500 are allowed (limit, 10 % and what all ask for between two exchanges). The same with 3 of 12 nodes passed before and after: up to 16 nodes what this node grants itself counts for each of the others, so it was not at fault there.

Now the same sample counts, if it is the larger one, while the sums are older than four exchanges; sums over all nodes take three. So nodes that stood still use at most their part of what they believe is left. Sums that are on time are used as before ("uses most of it" and "does not refuse a small account of many nodes" pass). Ruled out: refusing all until the next sums, which answers 429 after each stall.

The sites of 8 machines are not concerned.

--- a/src/quotas/QuotaLimiter.test.ts
+++ b/src/quotas/QuotaLimiter.test.ts
@@ -10,7 +10,7 @@
     quota: { unit: "tokens", ratePerS: 1_000, burst: 2_000, defaultCost: 200 },
 };
 
-type Sums = Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered">;
+type Sums = Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered" | "intervalMs">;
 
 /** Sums that are exchanged only when {@link exchange} is called, as on a network with delay. */
 class FakeSums {
@@ -40,6 +40,7 @@
                 return new Map(named.map(([name, value]) => [name.slice(group.length + 1), value]));
             },
             listCovered: () => state.listCovered(),
+            intervalMs: tickMs,
         };
     }
 
@@ -47,11 +48,12 @@
      * Delivers a contribution of each node to all other nodes on its side of the partition.
      *
      * @param cutOff - number of nodes, from the first, that are partitioned from the rest; default none
+     * @param areSuspended - whether these do not hear each other either; default false
      */
-    exchange(cutOff = 0): void {
+    exchange(cutOff = 0, areSuspended = false): void {
         const nowMs = this.clock.readMonotonicMs();
         const isReached = (from: number, to: number): boolean =>
-            from !== to && (from < cutOff) === (to < cutOff);
+            from !== to && (from < cutOff) === (to < cutOff) && !(areSuspended && from < cutOff);
         this.nodes.forEach(({ state, contributors }) =>
             state.setOwn(
                 new Map([...contributors].flatMap(([group, read]) =>
@@ -127,6 +129,11 @@
     return granted;
 };
 
+/** Requests the same cost from every limiter once and returns what was granted. */
+const grantAtOnce = (limiters: readonly QuotaLimiter[], clock: FakeClock, cost: number): Granted[] =>
+    limiters.filter(limiter => limiter.acquire(account, cost).kind === "granted")
+        .map(() => ({ atMs: clock.readMonotonicMs(), cost }));
+
 const release = (decision: QuotaDecision): void => {
     if (decision.kind === "granted") {
         decision.release();
@@ -211,6 +218,32 @@
         expect(sumWindow(granted, clock.readMonotonicMs() - windowMs)).toBeGreaterThan(limit * 0.8);
     });
 
+    // Guards against nodes that grant a quota which the others have used up while they stood still.
+    it.each([12, 40])(
+        "stays within the quota after some of %i nodes stood still while the others used it",
+        async count => {
+            const sums = new FakeSums(clock);
+            const limiters = await createSettled(count, clock, sums);
+            const suspendedCount = count / 4;
+            const suspended = limiters.slice(0, suspendedCount);
+            const tickCost = limit / count / 4; // the limit is reached after one second
+            const ticks = 7; // shorter than the time after which sums are stale
+            sums.exchange();
+            const granted = await askAll(limiters.slice(suspendedCount), clock, {
+                cost: tickCost,
+                ticks,
+                afterTick: () => sums.exchange(suspendedCount, true),
+            });
+            for (let waiting = 0; waiting < ticks; waiting += 1) {
+                granted.push(...grantAtOnce(suspended, clock, tickCost));
+            }
+            const afterTick = (): void => sums.exchange();
+            granted.push(...await askAll(limiters, clock, { cost: tickCost, ticks: 40, afterTick }));
+            const slack = count * tickCost; // what all ask for between two exchanges
+            expect(findMostInWindow(granted)).toBeLessThanOrEqual(limit * 1.1 + slack);
+        },
+    );
+
     it("does not refuse a small account of many nodes for one large request", async () => {
         const sums = new FakeSums(clock);
         const limiters = await createSettled(40, clock, sums);
--- a/src/quotas/QuotaLimiter.ts
+++ b/src/quotas/QuotaLimiter.ts
@@ -9,7 +9,7 @@
 /** Options of {@link QuotaLimiter}. */
 export interface QuotaLimiterOptions {
     readonly clock: Clock;
-    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered">;
+    readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers" | "listCovered" | "intervalMs">;
     /** Number of nodes that serve requests, including this one. */
     readonly countNodes: () => number;
     /** Length of the sliding window over which use is counted, in milliseconds. */
@@ -31,6 +31,7 @@
 const allAccounts = "all";
 const recentMs = 1_000;
 const maxSampledNodes = 16; // with more nodes, one node's own use tells too little about the others'
+const overdueIntervals = 4; // sums of all nodes arrive over up to three exchanges
 const growthFactor = 1.5; // of the use since the last sum; demand may be growing
 const assumedBurstShare = 0.5; // of the burst; assumed use by a previous process right before it ended
 const msPerSecond = 1_000;
@@ -45,7 +46,8 @@
  * - Each node contributes its use of the last window to the sums over all nodes, and adds the others' to its own. The
  *   last contribution of an ended process counts for one more window.
  * - For the time since the last sum, the others are assumed to have used as much each as this node, or, if there are
- *   many, what they used recently. Partitioned nodes therefore stay within the quota together.
+ *   many, what they used recently; at least the former where the sum is overdue, as after a suspension of this node.
+ *   Partitioned nodes therefore stay within the quota together.
  * - Use is not persisted. A new process is therefore assumed to have used its part of the limit before its start.
  */
 export class QuotaLimiter {
@@ -141,14 +143,21 @@
 
     /** Estimates the share that the other nodes have used since the sums were made. */
     private estimateUseSince(name: string, covered: readonly CoveredNodes[], nowMs: number): number {
-        const nodes = countCoveredNodes(covered);
-        if (nodes <= maxSampledNodes) {
-            const sum = this.getSum(name);
-            return covered.reduce((total, part) => total + part.nodes * sum.readSince(part.atMs), 0);
+        if (countCoveredNodes(covered) <= maxSampledNodes) {
+            return this.sampleUseSince(name, covered);
         }
+        const { sums } = this.options;
         const meanAgeMs = computeMeanAgeMs(covered, nowMs);
-        const recent = this.options.sums.readOthers(recentGroup).get(name) ?? 0;
-        return recent * meanAgeMs / recentMs * growthFactor;
+        const recent = sums.readOthers(recentGroup).get(name) ?? 0;
+        const extrapolated = recent * meanAgeMs / recentMs * growthFactor;
+        const isOverdue = meanAgeMs > sums.intervalMs * overdueIntervals;
+        return isOverdue ? Math.max(extrapolated, this.sampleUseSince(name, covered)) : extrapolated;
+    }
+
+    /** Computes the share that the other nodes have used since the sums were made if each used as much as this one. */
+    private sampleUseSince(name: string, covered: readonly CoveredNodes[]): number {
+        const sum = this.getSum(name);
+        return covered.reduce((total, part) => total + part.nodes * sum.readSince(part.atMs), 0);
     }
 
     private readAgeMs(): number {
--- a/src/sums/ClusterSums.ts
+++ b/src/sums/ClusterSums.ts
@@ -29,7 +29,7 @@
 }
 
 const topic = "sums";
-const intervalMs = 250;
+const minIntervalMs = 250;
 const linksPerInterval = 16; // bounds the messages that an aggregator sends
 const nodesPerInterval = 100; // bounds the messages that it receives
 const staleIntervals = 8; // a contribution is stale when the next eight messages have been lost
@@ -82,6 +82,13 @@
         this.state = new SumState(options);
     }
 
+    /** Present time between two messages of a node, in milliseconds. */
+    get intervalMs(): number {
+        const links = this.options.network.linkedNodeIds.length;
+        const nodes = this.countCovered() + 1;
+        return minIntervalMs * Math.max(1, links / linksPerInterval, nodes / nodesPerInterval);
+    }
+
     async start(): Promise<void> {
         const { network } = this.options;
         network.onLinkUp(nodeId => this.state.resetPeer(nodeId));
@@ -146,7 +153,7 @@
 
     private *exchange(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
-            const currentIntervalMs = this.computeIntervalMs();
+            const currentIntervalMs = this.intervalMs;
             yield* waitFor(this.options.clock.sleep(currentIntervalMs, signal));
             const nowMs = this.options.clock.readMonotonicMs();
             this.state.expire(nowMs - currentIntervalMs * staleIntervals, nowMs);
@@ -157,12 +164,6 @@
         }
     }
 
-    private computeIntervalMs(): number {
-        const links = this.options.network.linkedNodeIds.length;
-        const nodes = this.countCovered() + 1;
-        return intervalMs * Math.max(1, links / linksPerInterval, nodes / nodesPerInterval);
-    }
-
     /** Drops what is kept for nodes without a link; a new link starts from complete messages. */
     private dropUnlinked(): void {
         const linked = new Set(this.options.network.linkedNodeIds);
