Answer a request whose body does not end when its time is over

Cause: nothing bounds the time of a body. The time-outs of Node.js for whole requests are off (long streams), `headerTimeoutMs` ends with the head, and the deadline was only looked at once the body had ended.

Evidence: slowBodies.test, "is answered as not run when its time is over": three requests of an account with a burst of three, whose bodies do not end, on a route of 300 ms. Before, none had an answer 0.5 s after that (nor 0.25 s after, in a first form of the test). Now each gets 408, the connection is closed, no exchange is open and a further request of the account is served.

The bound is the deadline that the request has anyway: what arrives later could not be served. 408 promises that it has not run, which is true as nothing is sent before the body has ended. The connection is closed because the rest of the body may never come. The product's own interface has the time-out of Node.js (300 s), as before.

Open: the body of a request that was refused at its head is read on without a bound, as nothing tells it from one that is about to end; it holds a connection and no memory.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -6,7 +6,9 @@
 import { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { toFailure } from "../results/toFailure";
 import type { Failure } from "../results/types";
@@ -24,6 +26,7 @@
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
+import { waitForPendingInput } from "./waitForPendingInput";
 
 /** Options of {@link ForwardServer}. */
 export interface ForwardServerOptions {
@@ -187,12 +190,14 @@
         }
     }
 
-    /** Reads the body of a request for as long as the node does not stop too soon for the request. */
+    /** Reads the body of a request until its deadline, and for as long as the node does not stop too soon for the request. */
     private *readBody(request: IncomingMessage, maxBytes: number, deadlineMs: number): Task<Buffer> {
         const refusal = new StopRefusal(this.options.plannedStop, deadlineMs);
         try {
             refusal.check();
-            const body = yield* waitFor(Promise.race([readBody(request, maxBytes), refusal.refused]));
+            const promises = [readBody(request, maxBytes), refusal.refused];
+            const early = yield* waitFor(Promise.race([...promises, waitForPendingInput()])); // mostly with the head
+            const body = early ?? (yield* this.waitForBody(promises, deadlineMs));
             refusal.check();
             return body;
         }
@@ -201,6 +206,16 @@
         }
     }
 
+    private *waitForBody(promises: readonly Promise<Buffer>[], deadlineMs: number): Task<Buffer> {
+        const { clock } = this.options;
+        const timeoutMs = deadlineMs - clock.readMonotonicMs();
+        const body = yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs }));
+        if (!body) {
+            throw createBodyTimeoutFailure();
+        }
+        return body;
+    }
+
     /** Answers a request whose task was cancelled before its response began. */
     private answerCut(request: IncomingMessage, response: ServerResponse, sends: number): void {
         if (!this.options.plannedStop.isPlanned || response.headersSent) {
@@ -216,6 +231,9 @@
         if (failure.retryAfterMs !== undefined && formatRetryAfter) {
             headers["retry-after"] = formatRetryAfter(failure.retryAfterMs);
         }
+        if (failure.resultCode === resultCodes.bodyTimeout) {
+            response.shouldKeepAlive = false;
+        }
         request.resume();
         sendFailure(response, formatRetryAfter ? { ...failure, retryAfterMs: undefined } : failure, headers);
     }
@@ -261,6 +279,9 @@
         retryAfterMs: startingRetryAfterMs,
     });
 
+const createBodyTimeoutFailure = (): FailureError =>
+    new FailureError(createFailure(resultCodes.bodyTimeout, "the body did not arrive in time"));
+
 /** Limits a duration to what timers accept: a server with another one throws at its next response. */
 const toTimerMs = (durationMs: number): number => Math.min(maxTimerMs, Math.max(0, durationMs));
 
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -45,6 +45,13 @@
         "not-run",
         "The path does not support this method.",
     ),
+    bodyTimeout: define(
+        1012,
+        "body-timeout",
+        408,
+        "not-run",
+        "The body of the request had not arrived when its time was over.",
+    ),
     idempotencyKeyRequired: define(
         1101,
         "idempotency-key-required",
