Mark a VM as draining only after the store has confirmed the fleet's lease

The mark cannot be taken back, and the holder in office releases the VM once it is idle: it carries out what a former holder wanted. No rule was seen broken, as the release itself is confirmed; it costs a VM.

Cause: a check at one moment, the effect at a later one. All calls of the holder are confirmed by the store on their open connection; the mark is a local write that spreads by itself, and was set by the clocks alone.

With a policy that also orders VMs in each cycle the fault does not show, as those calls lose the lease first; so the model has a second policy that only gives VMs up, as the product's does in a cycle.

The mark is now set within a duty call, after its confirmation. Not covered: a holder that is suspended after that, before the mark has spread.

--- a/src/fleet/FleetManager.ts
+++ b/src/fleet/FleetManager.ts
@@ -128,8 +128,8 @@
         for (const offer of plan.requests) {
             yield* this.requestVm(service.name, offer);
         }
-        if (this.readUsableLease()) {
-            plan.releases.forEach(vmId => this.drainVm(vmId));
+        for (const vmId of plan.releases) {
+            yield* this.drainVm(service.name, vmId);
         }
         for (const runner of runners.filter(candidate => !candidate.isLeaving)) {
             yield* this.loadMissingModels(service, runner);
@@ -233,10 +233,21 @@
         }
     }
 
-    /** Marks a VM as draining on every node; it is released once it has no load. */
-    private drainVm(vmId: string): void {
-        this.options.gossip.set(`drain/${vmId}`, { vmId });
-        this.options.events.emit(eventKinds.fleetOrder, { order: "drain", vm: vmId });
+    /** Marks a VM as draining on every node; it is released once it has no load. The mark cannot be taken back. */
+    private *drainVm(service: string, vmId: string): Task<void> {
+        try {
+            const answered = yield* waitFor(this.caller.call(toTarget(service), async (_fencing, stages) => {
+                await stages.onConnected();
+                stages.onWrite();
+                this.options.gossip.set(`drain/${vmId}`, { vmId });
+            }));
+            if (answered) {
+                this.options.events.emit(eventKinds.fleetOrder, { order: "drain", vm: vmId });
+            }
+        }
+        catch {
+            // The lease was not confirmed; the next cycle plans again.
+        }
     }
 
     private *releaseDrainedVms(runners: readonly Runner[]): Task<void> {
--- a/src/fleet/fleetOrders.test.ts
+++ b/src/fleet/fleetOrders.test.ts
@@ -50,6 +50,27 @@
         expect(breaches).toEqual([]);
     });
 
+    // Guards against VMs that are drained by a former holder and then released by the next one, which did not want to.
+    it("mark no VM as draining after the next holder has acted when no clock showed a suspension", async () => {
+        const breaches: string[] = [];
+        for (const seed of seeds) {
+            const model = new FleetManagerModel(seed, true);
+            await model.start();
+            await model.world.advance(12_000 + seed * 190);
+            const { clock } = model.findLastHolder();
+            clock.pauseWithClock();
+            await model.world.advance(14_000);
+            clock.step(-14_000);
+            clock.resume();
+            await model.world.advance(6_000);
+            await model.stop();
+            expect(new Set(model.drains.map(({ holder }) => holder)).size).toBe(2);
+            const found = listFencingBreaches(model.drains, { leaseMs });
+            breaches.push(...found.slice(0, 1).map(text => `seed ${seed}: ${text}`));
+        }
+        expect(breaches).toEqual([]);
+    });
+
     it("are not repeated after the lease was lost when their answers were lost", async () => {
         const breaches = await listBreaches(async ({ world }, former, seed) => {
             former.losesAnswers = true;
--- a/standins/FleetManagerModel.ts
+++ b/standins/FleetManagerModel.ts
@@ -21,6 +21,7 @@
 const service = "llm";
 const offer = { dataCentre: "dc-a", machineClass: "gpu-a", market: "on-demand", pricePerHour: 1 } as const;
 const drainedVm = "vm-drained";
+const idleVm = "vm-idle";
 
 /** Asks for one more VM in each cycle, so that each cycle has an order. */
 const growingPolicy: FleetPolicy = {
@@ -28,6 +29,12 @@
     plan: () => ({ requests: [offer], releases: [], survivesDataCentreLoss: true }),
 };
 
+/** Gives one VM up in each cycle. */
+const shrinkingPolicy: FleetPolicy = {
+    name: "shrinking",
+    plan: () => ({ requests: [], releases: [idleVm], survivesDataCentreLoss: true }),
+};
+
 /** Simulated node with a fleet manager, and its paths to the store, the cloud and the engine. */
 export class FleetManagerNode {
     readonly clock: SimulatedVmClock;
@@ -62,8 +69,13 @@
             events,
             gossip: {
                 listValues: () => [],
-                get: (key: string) => key === `drain/${drainedVm}` ? { vmId: drainedVm } : undefined,
-                set: () => {},
+                get: (key: string) =>
+                    key === `drain/${drainedVm}` && !model.isShrinking ? { vmId: drainedVm } : undefined,
+                set: (key: string, value: unknown) => {
+                    if (key === `drain/${idleVm}` && value !== undefined) {
+                        model.recordDrain(nodeId, this.readAcquiredFencing());
+                    }
+                },
             } as unknown as GossipMap,
             registry: { listRunners: () => [runner] } as unknown as UpstreamRegistry,
             cloud: this.createCloud(),
@@ -76,7 +88,7 @@
                 events,
                 isCandidate: () => true,
             }),
-            policy: growingPolicy,
+            policy: model.isShrinking ? shrinkingPolicy : growingPolicy,
             readDeclaration: () => ({
                 services: [{
                     name: service,
@@ -190,8 +202,14 @@
     readonly nodes: readonly FleetManagerNode[];
     /** Orders in the order of their arrival. */
     readonly arrivals: FencedCall[] = [];
-
-    constructor(seed: number) {
+    /** Marks of VMs as draining, in the order in which they were set. */
+    readonly drains: FencedCall[] = [];
+
+    /**
+     * @param seed - seed of the model
+     * @param isShrinking - whether VMs are given up, in place of orders for more and releases; default false
+     */
+    constructor(seed: number, readonly isShrinking = false) {
         this.random = new SeededRandom(seed);
         this.nodes = ["a", "b"].map(nodeId => new FleetManagerNode(this, nodeId));
     }
@@ -213,7 +231,15 @@
 
     /** Records the arrival of an order. */
     receive(holder: string, path: string, fencing: number): void {
-        const atMs = this.world.readMonotonicMs();
-        this.arrivals.push({ atMs, holder, path, fencing, body: { service, zone: path } });
+        this.arrivals.push(this.createRecord(holder, path, fencing));
+    }
+
+    /** Records that a VM was marked as draining. */
+    recordDrain(holder: string, fencing: number): void {
+        this.drains.push(this.createRecord(holder, "/drains", fencing));
+    }
+
+    private createRecord(holder: string, path: string, fencing: number): FencedCall {
+        return { atMs: this.world.readMonotonicMs(), holder, path, fencing, body: { service, zone: path } };
     }
 }
