Move waitForPendingInput to src/_lib

src/stopping imported it from src/forwarding, which imports src/stopping. A move only; typecheck, linter and the tests of src/forwarding and src/stopping pass.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { waitForPendingInput } from "../_lib/waitForPendingInput";
 import { readBody } from "../callers/readBody";
 import { sendFailure } from "../callers/sendFailure";
 import { HttpListener } from "../http/HttpListener";
@@ -26,7 +27,6 @@
 import { describeSharedParts } from "./describeSharedParts";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
-import { waitForPendingInput } from "./waitForPendingInput";
 
 /** Options of {@link ForwardServer}. */
 export interface ForwardServerOptions {
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { waitForPendingInput } from "../_lib/waitForPendingInput";
 import { abortResponse } from "../http/abortResponse";
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
@@ -24,7 +25,6 @@
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
 import type { AttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
-import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
 /** Options of {@link RequestForwarder}. */
--- a/src/forwarding/waitForInput.ts
+++ b/src/forwarding/waitForInput.ts
@@ -1,5 +1,5 @@
 import { waitWithTimeout, type WaitWithTimeoutOptions } from "../kernel/waitWithTimeout";
-import { waitForPendingInput } from "./waitForPendingInput";
+import { waitForPendingInput } from "../_lib/waitForPendingInput";
 
 /**
  * Waits for the first of several promises that input of connections settles, up to a time limit. Input that had arrived at
--- a/src/stopping/PlannedStop.ts
+++ b/src/stopping/PlannedStop.ts
@@ -1,5 +1,5 @@
 import { abortReason } from "../_lib/abortReason";
-import { waitForPendingInput } from "../forwarding/waitForPendingInput";
+import { waitForPendingInput } from "../_lib/waitForPendingInput";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Clock } from "../kernel/types";
 import { computeStopTimes } from "./computeStopTimes";
