--- a/src/routes/RouteTable.ts
+++ b/src/routes/RouteTable.ts
@@ -4,7 +4,6 @@
 export class RouteTable {
     private readonly routesByHost = new Map<string, Route[]>();
     private readonly accountsByKey = new Map<string, ServedAccount>();
-    private readonly accountsByName = new Map<string, ServedAccount>();
     private readonly servicesByName = new Map<string, ServedService>();
 
     /** Longest time-out of a route with streams, in milliseconds; 0 if there is none. */
@@ -21,7 +20,6 @@
             routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
         }
         for (const account of configuration.accounts) {
-            this.accountsByName.set(account.name, account);
             account.keys.forEach(key => this.accountsByKey.set(key, account));
         }
         configuration.services.forEach(service => this.servicesByName.set(service.name, service));
@@ -49,11 +47,6 @@
         return this.accountsByKey.get(key);
     }
 
-    /** Finds a client account by name. */
-    findAccountByName(name: string): ServedAccount | undefined {
-        return this.accountsByName.get(name);
-    }
-
     /** Finds a service by name. */
     findService(name: string): ServedService | undefined {
         return this.servicesByName.get(name);
