Close the connection of a refused request whose body does not end

Seen: a caller whose request is refused at its head (key, route, quota, a node that starts or stops) and whose body then stops keeps its connection, and a descriptor of the node, for as long as it likes.

Cause: the rest of a refused request is read and dropped, which nothing bounded: the idle time-out of Node.js counts between requests only, and the one for whole requests is off.

Evidence: ForwardServer.test, "closes the connection if the body does not end": with an `idleTimeoutMs` of 300, the connection was open 1.3 s after the answer before, and is closed now. A body that ends in time leaves the connection open for further requests, before and now.

The bound is `idleTimeoutMs`, how long the configuration lets a caller stay idle. Closing at once was ruled out: when a request is refused at its head, its body has mostly been sent, and the caller keeps the connection.

--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -25,6 +25,7 @@
 import { renewAdmission } from "./renewAdmission";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
+import { drainRequest } from "./drainRequest";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
 
@@ -234,7 +235,11 @@
         if (failure.resultCode === resultCodes.bodyTimeout) {
             response.shouldKeepAlive = false;
         }
-        request.resume();
+        void drainRequest({
+            request,
+            clock: this.options.clock,
+            timeoutMs: this.listener.server.keepAliveTimeout,
+        });
         sendFailure(response, formatRetryAfter ? { ...failure, retryAfterMs: undefined } : failure, headers);
     }
 
