--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { waitForPendingInput } from "../_lib/waitForPendingInput";
 import { readBody } from "../callers/readBody";
 import { sendFailure } from "../callers/sendFailure";
 import { HttpListener } from "../http/HttpListener";
@@ -6,7 +7,9 @@
 import { TaskScope } from "../kernel/TaskScope";
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
+import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import { createFailure } from "../results/createFailure";
+import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
 import { toFailure } from "../results/toFailure";
 import type { Failure } from "../results/types";
@@ -22,6 +25,7 @@
 import { renewAdmission } from "./renewAdmission";
 import { resolveOrigin } from "./resolveOrigin";
 import { describeSharedParts } from "./describeSharedParts";
+import { drainRequest } from "./drainRequest";
 import type { ForwardContext } from "./ForwardContext";
 import { RequestForwarder } from "./RequestForwarder";
 
@@ -187,12 +191,14 @@
         }
     }
 
-    /** Reads the body of a request for as long as the node does not stop too soon for the request. */
+    /** Reads the body of a request until its deadline, and for as long as the node does not stop too soon for the request. */
     private *readBody(request: IncomingMessage, maxBytes: number, deadlineMs: number): Task<Buffer> {
         const refusal = new StopRefusal(this.options.plannedStop, deadlineMs);
         try {
             refusal.check();
-            const body = yield* waitFor(Promise.race([readBody(request, maxBytes), refusal.refused]));
+            const promises = [readBody(request, maxBytes), refusal.refused];
+            const early = yield* waitFor(Promise.race([...promises, waitForPendingInput()])); // mostly with the head
+            const body = early ?? (yield* this.waitForBody(promises, deadlineMs));
             refusal.check();
             return body;
         }
@@ -201,6 +207,16 @@
         }
     }
 
+    private *waitForBody(promises: readonly Promise<Buffer>[], deadlineMs: number): Task<Buffer> {
+        const { clock } = this.options;
+        const timeoutMs = deadlineMs - clock.readMonotonicMs();
+        const body = yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs }));
+        if (!body) {
+            throw createBodyTimeoutFailure();
+        }
+        return body;
+    }
+
     /** Answers a request whose task was cancelled before its response began. */
     private answerCut(request: IncomingMessage, response: ServerResponse, sends: number): void {
         if (!this.options.plannedStop.isPlanned || response.headersSent) {
@@ -216,7 +232,14 @@
         if (failure.retryAfterMs !== undefined && formatRetryAfter) {
             headers["retry-after"] = formatRetryAfter(failure.retryAfterMs);
         }
-        request.resume();
+        if (failure.resultCode === resultCodes.bodyTimeout) {
+            response.shouldKeepAlive = false;
+        }
+        void drainRequest({
+            request,
+            clock: this.options.clock,
+            timeoutMs: this.listener.server.keepAliveTimeout,
+        });
         sendFailure(response, formatRetryAfter ? { ...failure, retryAfterMs: undefined } : failure, headers);
     }
 
@@ -261,6 +284,9 @@
         retryAfterMs: startingRetryAfterMs,
     });
 
+const createBodyTimeoutFailure = (): FailureError =>
+    new FailureError(createFailure(resultCodes.bodyTimeout, "the body did not arrive in time"));
+
 /** Limits a duration to what timers accept: a server with another one throws at its next response. */
 const toTimerMs = (durationMs: number): number => Math.min(maxTimerMs, Math.max(0, durationMs));
 
