Answer a request that was passed on before the connection ends for the head that follows it

Callers saw: 408 for an unsafe request that was running at its upstream, where the head of the next request on the same connection came late. 408 promises that the request was not run and never will be, so the caller repeats it. In the same way, 400 and 431 were sent in place of its answer where the bytes that followed it were no request, or a head over the limit; and a stream that had begun was cut.

Cause: without a listener of its own for errors of connections, Node's server writes 408, 413, 431 or 400 whenever the headers of the current response have not been sent, also where that response belongs to an earlier request of the connection. A time-out of one request was taken as proof that another one had not been run.

Evidence: platform/crossedHeads.test.ts on the code before: `HTTP/1.1 408 Request Timeout` 2.1 s after a POST on an unsafe route that ran for 3.5 s at its upstream; with no request after it `400 Bad Request`, with a head of 32 KiB `431`.

Ruled out: a time-out of a body (`requestTimeout` is 0); the close of idle connections, which writes nothing.

Why it works: an error answer is written only while no request of the connection is open whose body has been read, as nothing else is passed on. Otherwise the open requests are answered, a late head that ends meanwhile included, and then the connection is closed. Where the caller has closed or reset the connection, or where the body of a later request is broken, it is ended at once, which promises nothing.

--- a/src/http/HttpListener.ts
+++ b/src/http/HttpListener.ts
@@ -5,7 +5,8 @@
     type ServerOptions,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { ConnectionErrors } from "./ConnectionErrors";
 
 /** Options of {@link HttpListener}. */
 export interface HttpListenerOptions {
@@ -22,13 +23,19 @@
 export class HttpListener {
     /** The Node.js server, for settings that may change while it runs. */
     readonly server: Server;
+    private readonly connectionErrors = new ConnectionErrors();
 
     constructor(private readonly options: HttpListenerOptions) {
         this.server = createServer(options.serverOptions ?? {}, (request, response) => {
             request.on("error", () => response.destroy());
             response.on("error", () => response.destroy());
+            this.connectionErrors.trackRequest(request, response);
             options.onRequest(request, response);
         });
+        this.server.on(
+            "clientError",
+            (error, socket) => this.connectionErrors.handle(error, socket as Socket),
+        );
     }
 
     /** Bound port; available only after {@link start}. */
