Test that what an upstream reads after a reset counts as sent

A request that was written to an upstream and given up is still read whole and run by an upstream that was stopped or busy meanwhile, though its connection was reset. The stand-in for servers can now stop reading: what arrives waits in the system, on connections that are open, on new ones, and on those that are reset.

--- a/standins/StandInServer.ts
+++ b/standins/StandInServer.ts
@@ -41,6 +41,7 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private readonly silentSockets = new WeakSet<Socket>();
+    private isReading = true;
     private fault: Fault = { kind: "none" };
     /** Called when a fault of kind `reclaim` is injected. */
     onReclaim: (fault: Fault) => void = () => {};
@@ -50,6 +51,9 @@
         this.server.keepAliveTimeout = 60_000;
         this.server.on("connection", socket => {
             this.sockets.add(socket);
+            if (!this.isReading) {
+                process.nextTick(() => socket.pause()); // after the server has begun to read
+            }
             socket.on("close", () => this.sockets.delete(socket));
             socket.on("error", () => {});
         });
@@ -80,6 +84,15 @@
         this.sockets.forEach(socket => socket.destroy());
     }
 
+    /**
+     * Stops or goes on to read all connections, as a process that is stopped or busy. What arrives meanwhile waits in the
+     * system, also on connections that are reset.
+     */
+    setReading(isReading: boolean): void {
+        this.isReading = isReading;
+        this.sockets.forEach(socket => isReading ? socket.resume() : socket.pause());
+    }
+
     /** Injects a fault; kind `none` ends the current one. */
     setFault(fault: Fault): void {
         if (fault.kind === "reclaim") {
