Count the retry of a given-up attempt until that attempt has arrived

What a service saw: more attempts beyond the first of each request in one window than the budget of retries allows (BUDGET), where an upstream read nothing for a time (stopped, busy, behind a link that held its bytes up) and then read on.

Cause: the budget counted a retry in the window in which it was taken, as if the attempt before it had been undone by the reset of its connection. The attempt waits in the system of the upstream, is read whole when the upstream goes on, and arrives then, beyond the first of its request, which was the retry. By that time the window of the retry has passed or passes, and as many retries are taken again.

Ruled out: QUOTA counts requests that are sent and arrive in the same window, so that a late arrival adds nothing; attempts that failed because their connection was closed from the other side, or that were answered or refused, have arrived by then or never will.

Why it works: the retry after an attempt that was given up for silence stays counted until its upstream is heard again, for one window at most, and from then on for one more window. So whatever arrives late is counted in the window of its arrival, if the upstream was silent for no longer than a window. An upstream that is silent for longer is off the list after three heartbeats, so that attempts were given up only at the start of that time; such a late arrival within two windows is counted still, a later one is not.

Price: after an upstream fell silent for good, its given-up attempts use up their part of the budget for two windows in place of one.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -22,7 +22,7 @@
 import { CrashWatch } from "./CrashWatch";
 import { RequestInterrupt } from "./RequestInterrupt";
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
-import type { AttemptResult, ResponseMetadata } from "./types";
+import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { waitForPendingInput } from "./waitForPendingInput";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
@@ -160,7 +160,7 @@
             if (result.kind !== "failed") {
                 return result;
             }
-            const next = this.retryPlanner.decideNext(result);
+            const next = this.retryPlanner.decideNext(result, upstream);
             this.recorder.reportFailedAttempt({
                 upstream: upstream.instance,
                 result,
@@ -174,19 +174,19 @@
                 return result;
             }
             if (next === "wait-for-retry") {
-                yield* this.waitForRetry();
+                yield* this.waitForRetry(result, upstream);
             }
         }
     }
 
     /** Waits until a retry is left in the budget, and takes it. Returns early if the request is interrupted. */
-    private *waitForRetry(): Task<void> {
-        const { clock, retryBudgets } = this.options.context;
+    private *waitForRetry(result: FailedAttemptResult, upstream: TrackedInstance): Task<void> {
+        const { clock } = this.options.context;
         const promises = [this.interrupt.interrupted];
         do {
             yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs: resumePauseMs }));
         }
-        while (!this.interrupt.read() && !retryBudgets.get(this.service).takeRetry());
+        while (!this.interrupt.read() && !this.retryPlanner.takeRetry(result, upstream));
     }
 
     /**
--- a/src/forwarding/RetryPlanner.ts
+++ b/src/forwarding/RetryPlanner.ts
@@ -34,14 +34,33 @@
 
     constructor(private readonly options: RetryPlannerOptions) {}
 
-    /** Decides what follows a failed attempt, and takes the retry that this needs. */
-    decideNext(result: FailedAttemptResult): RetryDecision {
+    /**
+     * Decides what follows a failed attempt, and takes the retry that this needs.
+     *
+     * @param result - the failed attempt
+     * @param upstream - its upstream
+     */
+    decideNext(result: FailedAttemptResult, upstream: TrackedInstance): RetryDecision {
         this.hasLeftIdle ||= result.isIdle === true;
         if (!this.options.dispatchCheck.isAllowedByStop()) {
             return "stop";
         }
         const { runs } = this.options.recorder.trace;
-        return decideRetry(result, this.createHistory(runs, () => this.getBudget().takeRetry()));
+        return decideRetry(result, this.createHistory(runs, () => this.takeRetry(result, upstream)));
+    }
+
+    /**
+     * Takes one retry from the budget after a failed attempt. A silent upstream may read the attempt only when it has been
+     * heard again.
+     *
+     * @param result - the failed attempt
+     * @param upstream - its upstream
+     * @returns false if none is left
+     */
+    takeRetry(result: FailedAttemptResult, upstream: TrackedInstance): boolean {
+        const givenUpMs = this.options.context.clock.readMonotonicMs();
+        const hasArrived = (): boolean => upstream.lastReceivedMs > givenUpMs;
+        return this.getBudget().takeRetry(result.isSilent ? { hasArrived } : undefined);
     }
 
     /**
--- a/src/retries/SlidingWindowRetryBudget.test.ts
+++ b/src/retries/SlidingWindowRetryBudget.test.ts
@@ -26,6 +26,40 @@
         expect(budget.takeRetry()).toBe(true);
     });
 
+    // Guards against attempts that arrive after they were given up, together with the retries of a later window.
+    it("counts the retry of a given-up attempt until this has arrived, and for a window after that", async () => {
+        const clock = new FakeClock();
+        const budget = createBudget(clock, 8);
+        let isRead = false;
+        let taken = 0;
+        while (budget.takeRetry({ hasArrived: () => isRead })) {
+            taken += 1;
+        }
+        expect(taken).toBe(4);
+        await clock.advance(9_500);
+        expect(budget.hasRetry()).toBe(false);
+        isRead = true;
+        expect(budget.takeRetry()).toBe(false);
+        await clock.advance(9_400);
+        expect(budget.takeRetry()).toBe(false);
+        await clock.advance(600);
+        expect(budget.takeRetry()).toBe(true);
+    });
+
+    it("waits for the arrival of a given-up attempt for one window at most", async () => {
+        const clock = new FakeClock();
+        const budget = createBudget(clock, 8);
+        while (budget.takeRetry({ hasArrived: () => false })) {
+            // takes all retries
+        }
+        await clock.advance(10_000);
+        expect(budget.takeRetry()).toBe(false);
+        await clock.advance(9_900);
+        expect(budget.takeRetry()).toBe(false);
+        await clock.advance(600);
+        expect(budget.takeRetry()).toBe(true);
+    });
+
     it("keeps all nodes together within the limit in every window", async () => {
         await fc.assert(
             fc.asyncProperty(
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -101,6 +101,13 @@
     isAborted: boolean;
 }
 
+/** A request that reached the stand-in, executed or not. */
+export interface RunnerArrival {
+    readonly requestId: string;
+    /** Monotonic time at which it was read, in milliseconds. */
+    readonly atMs: number;
+}
+
 /** Options of {@link RunnerStandIn}. */
 export interface RunnerStandInOptions {
     readonly id: string;
@@ -119,6 +126,7 @@
 
 /** Stand-in for an upstream of the platform: a plain service or an engine with resumable streams. */
 export class RunnerStandIn {
+    readonly arrivals: RunnerArrival[] = [];
     readonly runs: RunnerRun[] = [];
     /** Bytes of endless answers that callers have taken. */
     endlessBytes = 0;
@@ -167,6 +175,7 @@
         body: Buffer,
     ): Promise<undefined> {
         const requestId = String(request.headers[attemptIdHeader]);
+        this.arrivals.push({ requestId, atMs: performance.now() });
         if (request.headers[expectInstanceHeader] !== this.id) {
             const headers = { "x-sequoiagrade-instance-id": this.id, [attemptIdHeader]: requestId };
             sendText(response, 421, headers, "");
