Answer calls of the product's own interface before the connection ends for the bytes that follow them

Callers saw: 400 for a call that was running, where bytes that are no request followed it on its connection, or a head over the limit or late. The code of 400 says that the call was not run; a call under an Idempotency-Key had been sent to its service.

Evidence: the new test of CallerServer.test.ts got `HTTP/1.1 400` alone for a chat request that was followed by such bytes, before this change; now the answer, whole, and then the end of the connection. "survives bytes that are not HTTP" holds as before.

Why it works: the listener is gone, and HttpListener's `ConnectionErrors` decides for both interfaces. A late head without an earlier request gets 408 here too, which 400 stood for.

--- a/src/callers/CallerServer.test.ts
+++ b/src/callers/CallerServer.test.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { connect } from "node:net";
 import OpenAI from "openai";
 import { createTestCluster, testKeys } from "../../standins/createTestCluster";
@@ -214,6 +215,29 @@
         expect((await fetch(`${cluster.nodes[0].callersUrl}/healthz`)).status).toBe(200);
     });
 
+    // Guards against an answer that says "not run" for a call that is running, given for the bytes that follow it.
+    it("answers a call before the connection ends for bytes that are not HTTP", async () => {
+        const { port } = new URL(cluster.nodes[0].callersUrl);
+        const socket = connect(Number(port), "127.0.0.1");
+        const body = JSON.stringify({ model: "llm", messages: [{ role: "user", content: "then bytes" }] });
+        const fields = [
+            "POST /v1/chat/completions HTTP/1.1",
+            "host: localhost",
+            `authorization: Bearer ${testKeys.large}`,
+            "content-type: application/json",
+            `content-length: ${Buffer.byteLength(body)}`,
+        ];
+        socket.write([...fields, "", body].join("\r\n"));
+        socket.write("\u0000\u0001 not HTTP\r\n\r\n");
+        let reply = "";
+        socket.on("data", chunk => {
+            reply += String(chunk);
+        });
+        await once(socket, "close");
+        expect(reply.match(/HTTP\/1\.1 \d+/g)).toEqual(["HTTP/1.1 200"]);
+        expect(reply).toContain(generateAnswer("user\nthen bytes\n").slice(-20));
+    });
+
     it("lists only live entries, and reports readiness and metrics", async () => {
         const entries = await large.call(cluster.nodes[0], "/v1/entries");
         expect((entries.body.entries as string[]).sort()).toEqual(
--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -54,11 +54,6 @@
             },
             onRequest: (request, response) => this.serve(request, response),
         });
-        this.listener.server.on("clientError", (_error, socket) => {
-            if (socket.writable) {
-                socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
-            }
-        });
     }
 
     /** Port on which callers connect; available after {@link listen}. */
