Close a connection after its last request when a node stops

Callers saw: of requests that they had sent together on one connection, the first was answered with `Connection: close` while the node stopped, and the others, which had been passed on and were run, were not answered.

Cause: each response that was open got `Connection: close`, and Node closes a connection after the first response that has it, though later requests of that connection had been passed on. A close was taken for proof that they were not handled.

Evidence: platform/requestsSentTogether.test.ts, three requests on one connection, all sent before the stop, and one before and two after it: all three were run at the upstream, and only the first was answered before this change; now all are, and only the last answer announces the close. The tests of planned stops hold (plannedStops, stoppedProcess, plannedEntryStops).

Why it works: the close is announced by the last open response of a connection only, and moves on when a later request arrives before the head of that response was sent. A request that arrives after it is not handled. The same for the product's own interface.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { ClosingConnections } from "../http/ClosingConnections";
 import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 import { TaskScope } from "../kernel/TaskScope";
@@ -38,6 +39,7 @@
 export class CallerServer {
     private readonly listener: HttpListener;
     private readonly scope = new TaskScope();
+    private readonly closing = new ClosingConnections();
     private context: CallerContext | undefined;
     private handleOperator: OperatorHandler | undefined;
 
@@ -92,8 +94,9 @@
         const queryStart = target.indexOf("?");
         const path = queryStart < 0 ? target : target.slice(0, queryStart);
         const exchange = new Exchange(request, response, path, target);
-        if (this.isLeaving) {
-            response.shouldKeepAlive = false;
+        if (this.isLeaving && !this.closing.closeAfter(request, response)) {
+            request.resume();
+            return; // not handled: the connection closes before a response
         }
         this.scope.run("exchange", () => this.handle(exchange));
     }
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readBody } from "../callers/readBody";
 import { sendFailure } from "../callers/sendFailure";
+import { ClosingConnections } from "../http/ClosingConnections";
 import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 import { TaskScope } from "../kernel/TaskScope";
@@ -52,6 +53,7 @@
     private readonly scope: TaskScope;
     private context: ForwardContext | undefined;
     private readonly openResponses = new Set<ServerResponse>();
+    private readonly closing = new ClosingConnections();
     /** Monotonic time of the last request's arrival, in milliseconds. */
     private lastArrivalMs = -Infinity;
 
@@ -100,11 +102,9 @@
         this.listener.server.headersTimeout = toTimerMs(limits.headerTimeoutMs + firstRequestGraceMs);
     }
 
-    /** Closes each keep-alive connection after its next response, those of requests in progress included. */
+    /** Closes each keep-alive connection after its last response, those of requests in progress included. */
     stopKeepAlive(): void {
-        this.openResponses.forEach(response => {
-            response.shouldKeepAlive = false;
-        });
+        this.openResponses.forEach(response => void this.closing.closeAfter(response.req, response));
     }
 
     /** Whether no exchange is in progress and no request has arrived for at least the given time, in milliseconds. */
@@ -120,11 +120,12 @@
     private serve(request: IncomingMessage, response: ServerResponse): void {
         const arrivedMs = this.options.clock.readMonotonicMs();
         this.lastArrivalMs = arrivedMs;
+        if (this.options.plannedStop.isPlanned && !this.closing.closeAfter(request, response)) {
+            request.resume();
+            return; // not passed on: the connection closes before a response
+        }
         this.openResponses.add(response);
         response.on("close", () => this.openResponses.delete(response));
-        if (this.options.plannedStop.isPlanned) {
-            response.shouldKeepAlive = false;
-        }
         this.scope.run("forward", () => this.handle(request, response, arrivedMs));
     }
 
