Keep the places of given-up requests at a brittle upstream until it is heard again

What callers saw: an upstream that says that it is brittle fell over when it read on after a time in which it had read nothing, with the requests that ran there.

Cause: the place of a request was free as soon as the request was given up, by its deadline or by its caller. Its bytes wait at the upstream, so that place after place was used again; the upstream then read all of them at once and turned away more than it may. Only silence without a deadline ejects an upstream, and unsafe requests are not given up for silence.

Why it works: a request that was given up after it had been written keeps its place until data from the upstream arrive, which come only from a process that reads. Where no place is left by that and nothing is in flight, the upstream gets one request, a second after the last one was given up, then at intervals that grow with its silence, by which it is heard again. Services that are not brittle are treated as before.

Price: a node whose part is one place at an upstream does not use it for up to a second after a caller has left before its answer, if the upstream sent nothing meanwhile.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -237,15 +237,16 @@
             isWanted: isConfirmed => this.dispatchCheck.isWanted(upstream, isConfirmed),
         });
         context.instances.beginRequest(upstream);
+        let result: AttemptResult | undefined;
         try {
-            const result = yield* this.receiveAnswer(upstream, exchange);
+            result = yield* this.receiveAnswer(upstream, exchange);
             this.recorder.recordAttempt(toAttemptOutcome(result));
             this.crashWatch.endAttempt(upstream, result, this.recorder.trace.status);
             return result;
         }
         finally {
             exchange.abort("the attempt has ended");
-            context.instances.endRequest(upstream);
+            context.instances.endRequest(upstream, exchange.isSent && isGivenUp(result));
         }
     }
 
@@ -395,5 +396,10 @@
     }
 }
 
+/** Whether an attempt was ended by this node, and not by its upstream; undefined if it was cut. */
+const isGivenUp = (result: AttemptResult | undefined): boolean =>
+    result === undefined || result.kind === "interrupted"
+    || (result.kind === "failed" && (result.isSilent === true || result.isIdle === true));
+
 const toAttemptOutcome = (result: AttemptResult): string =>
     result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
--- /dev/null
+++ b/src/placement/GivenUpRequests.ts
@@ -0,0 +1,45 @@
+/** Input of {@link GivenUpRequests.hasPlace}. */
+export interface HasPlaceOptions {
+    /** Places at the upstream that this node may use. */
+    readonly places: number;
+    /** Requests of this node in flight there. */
+    readonly inFlight: number;
+    /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
+    readonly lastReceivedMs: number;
+    /** Present monotonic time, in milliseconds. */
+    readonly nowMs: number;
+}
+
+const minProbeIntervalMs = 1_000;
+
+/**
+ * Requests to one upstream that were given up after they had been written. An upstream that has not been heard since may not
+ * have read them nor their end, and would run all of them at once.
+ */
+export class GivenUpRequests {
+    /** Monotonic times at which they were given up, in milliseconds. */
+    private timesMs: number[] = [];
+
+    /** Adds a request that is given up now. */
+    add(nowMs: number): void {
+        this.timesMs.push(nowMs);
+    }
+
+    /**
+     * Whether the upstream has a place left. Those of requests that were given up count as taken until the upstream is heard
+     * again. Where these leave none, it gets one request at a time, at growing intervals, by which it may be heard.
+     *
+     * @param options - places and requests
+     * @returns whether a request may be sent
+     */
+    hasPlace({ places, inFlight, lastReceivedMs, nowMs }: HasPlaceOptions): boolean {
+        this.timesMs = this.timesMs.filter(atMs => atMs >= lastReceivedMs);
+        if (inFlight + this.timesMs.length < places) {
+            return true;
+        }
+        const [firstMs = nowMs] = this.timesMs;
+        const lastMs = this.timesMs.at(-1) ?? nowMs;
+        const intervalMs = Math.max(minProbeIntervalMs, lastMs - firstMs);
+        return inFlight === 0 && places > 0 && nowMs - lastMs >= intervalMs;
+    }
+}
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -8,6 +8,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UpstreamRejections } from "../upstreams/UpstreamRejections";
+import { GivenUpRequests } from "./GivenUpRequests";
 import { InstanceNotices } from "./InstanceNotices";
 import { isListingCurrent } from "./isListingCurrent";
 import type { BrittleServices } from "./BrittleServices";
@@ -35,6 +36,8 @@
     readonly client: UpstreamClient;
     /** Requests of this node in flight at the upstream. */
     inFlight: number;
+    /** Requests of this node that a brittle upstream may still read. */
+    readonly givenUp: GivenUpRequests;
     /** Monotonic time until which the upstream gets no requests, in milliseconds. */
     ejectedUntilMs: number;
     /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
@@ -95,7 +98,7 @@
             : undefined;
         return listed.filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
-            && tracked.inFlight < (limits?.get(tracked.instance.id) ?? Infinity)
+            && this.hasPlace(tracked, limits?.get(tracked.instance.id))
             && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
             && this.options.limits.readWaitMs(tracked.instance) === 0
         );
@@ -253,9 +256,17 @@
         this.options.limits.take(tracked.instance);
     }
 
-    /** Ends the count of a request. The connections of a removed upstream are closed with its last request. */
-    endRequest(tracked: TrackedInstance): void {
+    /**
+     * Ends the count of a request. The connections of a removed upstream are closed with its last request.
+     *
+     * @param tracked - upstream of the request
+     * @param isGivenUp - whether it was given up after it had been written; default false
+     */
+    endRequest(tracked: TrackedInstance, isGivenUp = false): void {
         tracked.inFlight -= 1;
+        if (isGivenUp && this.options.brittle.isBrittle(tracked.instance.service)) {
+            tracked.givenUp.add(this.options.clock.readMonotonicMs());
+        }
         if (tracked.inFlight === 0 && this.closing.delete(tracked)) {
             void tracked.client.close();
         }
@@ -274,6 +285,12 @@
         });
     }
 
+    /** Whether this node may send an upstream a request by its places there; undefined if these are not limited. */
+    private hasPlace({ givenUp, inFlight, lastReceivedMs }: TrackedInstance, places?: number): boolean {
+        const nowMs = this.options.clock.readMonotonicMs();
+        return places === undefined || givenUp.hasPlace({ places, inFlight, lastReceivedMs, nowMs });
+    }
+
     private readOwnLoad(): ReadonlyMap<string, number> {
         return new Map([...this.tracked.values()].map(({ instance, inFlight }) => [instance.id, inFlight]));
     }
@@ -386,6 +403,7 @@
             instance,
             client,
             inFlight: 0,
+            givenUp: new GivenUpRequests(),
             ejectedUntilMs: -Infinity,
             lastReceivedMs: -Infinity,
             unansweredSinceMs: -Infinity,
