--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -23,7 +23,7 @@
 import { CrashWatch } from "./CrashWatch";
 import { RequestInterrupt } from "./RequestInterrupt";
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
-import type { AttemptResult, ResponseMetadata } from "./types";
+import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
@@ -160,7 +160,7 @@
             if (result.kind !== "failed") {
                 return result;
             }
-            const next = this.retryPlanner.decideNext(result);
+            const next = this.retryPlanner.decideNext(result, upstream);
             this.recorder.reportFailedAttempt({
                 upstream: upstream.instance,
                 result,
@@ -174,19 +174,19 @@
                 return result;
             }
             if (next === "wait-for-retry") {
-                yield* this.waitForRetry();
+                yield* this.waitForRetry(result, upstream);
             }
         }
     }
 
     /** Waits until a retry is left in the budget, and takes it. Returns early if the request is interrupted. */
-    private *waitForRetry(): Task<void> {
-        const { clock, retryBudgets } = this.options.context;
+    private *waitForRetry(result: FailedAttemptResult, upstream: TrackedInstance): Task<void> {
+        const { clock } = this.options.context;
         const promises = [this.interrupt.interrupted];
         do {
             yield* waitFor(waitWithTimeout({ clock, promises, timeoutMs: resumePauseMs }));
         }
-        while (!this.interrupt.read() && !retryBudgets.get(this.service).takeRetry());
+        while (!this.interrupt.read() && !this.retryPlanner.takeRetry(result, upstream));
     }
 
     /**
@@ -237,15 +237,16 @@
             isWanted: isConfirmed => this.dispatchCheck.isWanted(upstream, isConfirmed),
         });
         context.instances.beginRequest(upstream);
+        let result: AttemptResult | undefined;
         try {
-            const result = yield* this.receiveAnswer(upstream, exchange);
+            result = yield* this.receiveAnswer(upstream, exchange);
             this.recorder.recordAttempt(toAttemptOutcome(result));
             this.crashWatch.endAttempt(upstream, result, this.recorder.trace.status);
             return result;
         }
         finally {
             exchange.abort("the attempt has ended");
-            context.instances.endRequest(upstream);
+            context.instances.endRequest(upstream, exchange.isSent && isGivenUp(result));
         }
     }
 
@@ -395,5 +396,10 @@
     }
 }
 
+/** Whether an attempt was ended by this node, and not by its upstream; undefined if it was cut. */
+const isGivenUp = (result: AttemptResult | undefined): boolean =>
+    result === undefined || result.kind === "interrupted"
+    || (result.kind === "failed" && (result.isSilent === true || result.isIdle === true));
+
 const toAttemptOutcome = (result: AttemptResult): string =>
     result.kind === "failed" && !result.isSent ? "unreachable" : result.kind;
