Repeat orders that one given up without an answer may replace

What callers saw: nothing that names the cause; a service with fewer upstreams than its load needs, or upstreams that nobody planned, for up to 15 s (the time after which an order is repeated), and where no order had been accepted before, for as long as the plan stays.

Cause: `InstanceScaler` took an order without an answer for one that was not carried out. It kept the last accepted number, and when the plan went back to that number it sent nothing, though the cloud had the other one. And when a later order was accepted, the earlier one could still be carried out after it: a reset does not take back what the receiver's system has.

Evidence: new tests in `InstanceScaler.test`, which failed before: the cloud carries an order of 2 out without an answer, the plan returns to 1, and the cloud stays at 2; the first order of a service is lost and none takes it back; an order of 0 is carried out 3 s and 7.9 s after it was given up, and replaces the 2 that was accepted in between.

Ruled out: waiting with all orders of a subject until the given-up one cannot arrive any more (it costs 8 s of orders after each lost answer); forgetting the accepted order (reclaimable upstreams that are starting would no longer count, and on-demand ones would be ordered in their place); repeating after answers that refuse or errors before the write, which were not carried out.

Why this works: an order of the same holder replaces the number, whatever came before. After an order was given up, the next one is sent at once, also with the number accepted last, and is repeated every 2 s until the one given up has had 8 s; the repeat that is sent after that holds. Repeats do not prolong the time for which ordered upstreams count as starting. What a next holder waits for is unchanged.

--- a/src/fleet/InstanceScaler.test.ts
+++ b/src/fleet/InstanceScaler.test.ts
@@ -1,6 +1,7 @@
 import { FakeClock } from "../kernel/FakeClock";
 import type { Lease } from "../leases/Lease";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
+import { StoreError } from "../platform/StoreError";
 import type { UpstreamOrder } from "../platform/types";
 import type { ServingState } from "../routes/ServingState";
 import { EventLog } from "../telemetry/EventLog";
@@ -19,17 +20,24 @@
     limited = 0;
     isHolder = true;
     readonly refusingDataCentres = new Set<string>();
+    /** Time after which the cloud carries out an order that it does not answer, in milliseconds; undefined if it answers. */
+    lateByMs: number | undefined;
+    /** Effect of an order that is not answered, as the client of the cloud knows it. */
+    lostEffect: "none" | "unknown" = "unknown";
+    /** Numbers of upstreams at the cloud, by data centre and market. */
+    readonly carriedOut = new Map<string, number>();
+    readonly scaling = {
+        min: 1,
+        max: 4,
+        bootMs: 4_000,
+        reclaimablePriceRatio: 0.2,
+        prices: { a: 1, b: 0.5 },
+    };
     readonly scaler: InstanceScaler;
 
     constructor() {
         const held = { fencing: 4, remainingMs: 2_000 };
-        const scaling = {
-            min: 1,
-            max: 4,
-            bootMs: 4_000,
-            reclaimablePriceRatio: 0.2,
-            prices: { a: 1, b: 0.5 },
-        };
+        const { scaling } = this;
         const services = [{
             name: "llm",
             maxConnections: 10,
@@ -44,11 +52,7 @@
             } as unknown as Lease,
             cloud: {
                 reportUsage: async () => {},
-                orderUpstreams: async (order: UpstreamOrder) => {
-                    this.orders.push(order);
-                    return !(order.market === "reclaimable"
-                        && this.refusingDataCentres.has(order.dataCentre));
-                },
+                orderUpstreams: (order: UpstreamOrder) => this.receive(order),
             },
             state: { table: { value: { configuration: { services } } } } as unknown as ServingState,
             instances: {
@@ -62,6 +66,21 @@
         });
     }
 
+    private async receive(order: UpstreamOrder): Promise<boolean> {
+        this.orders.push(order);
+        const { dataCentre, market, count } = order;
+        const carryOut = (): void => void this.carriedOut.set(`${dataCentre} ${market}`, count);
+        if (this.lateByMs !== undefined) {
+            void this.clock.sleep(this.lateByMs).then(this.lostEffect === "none" ? () => {} : carryOut);
+            throw new StoreError("no answer", this.lostEffect);
+        }
+        const isAccepted = !(market === "reclaimable" && this.refusingDataCentres.has(dataCentre));
+        if (isAccepted) {
+            carryOut();
+        }
+        return isAccepted;
+    }
+
     /** Counts the reclaimable upstreams of the last orders. */
     countOrdered(): number {
         return ["a", "b"].reduce((sum, name) => sum + (this.findLastCount(name, "reclaimable") ?? 0), 0);
@@ -176,6 +195,75 @@
         ]);
     });
 
+    it("orders a number again that an order without an answer may have changed", async () => {
+        await setup.clock.advance(1_000);
+        setup.lateByMs = 0;
+        setup.scaling.min = 2;
+        await setup.clock.advance(500);
+        setup.lateByMs = undefined;
+        setup.scaling.min = 1;
+        await setup.clock.advance(1_000);
+        expect(setup.carriedOut.get("b reclaimable")).toBe(1);
+    });
+
+    it("takes back upstreams that only an order without an answer has asked for", async () => {
+        setup.scaling.reclaimablePriceRatio = 1;
+        await setup.clock.advance(1_000);
+        setup.scaling.reclaimablePriceRatio = 0.2;
+        setup.lateByMs = 0;
+        await setup.clock.advance(500);
+        expect(setup.carriedOut.get("b reclaimable")).toBe(1);
+        setup.lateByMs = undefined;
+        setup.scaling.reclaimablePriceRatio = 1;
+        await setup.clock.advance(1_000);
+        expect(setup.carriedOut.get("b reclaimable")).toBe(0);
+    });
+
+    it.each([3_000, 7_900])(
+        "corrects an order that is carried out %d ms after it was given up",
+        async lateByMs => {
+            await setup.clock.advance(1_000);
+            setup.lateByMs = lateByMs;
+            setup.scaling.min = 0;
+            await setup.clock.advance(500);
+            setup.lateByMs = undefined;
+            setup.scaling.min = 2;
+            await setup.clock.advance(lateByMs + 2_500);
+            expect(setup.carriedOut.get("b reclaimable")).toBe(2);
+            await setup.clock.advance(12_000 - lateByMs);
+            const { length } = setup.orders;
+            await setup.clock.advance(5_000);
+            expect(setup.orders.slice(length)).toEqual([]);
+        },
+    );
+
+    it("does not count ordered upstreams as starting for longer because the order is repeated", async () => {
+        setup.listUpstreams({ a: { "reclaimable": 1 }, b: { "reclaimable": 1 } });
+        await setup.clock.advance(1_000);
+        setup.lateByMs = 0;
+        setup.inFlight = 12;
+        await setup.clock.advance(500);
+        setup.lateByMs = undefined;
+        await setup.clock.advance(5_000);
+        expect(setup.findLastCount("a", "on-demand")).toBe(0);
+        await setup.clock.advance(2_000);
+        expect(setup.findLastCount("a", "on-demand")).toBeGreaterThan(0);
+    });
+
+    it("does not repeat an order because another one could not be written", async () => {
+        setup.listUpstreams({ a: { "reclaimable": 1 }, b: { "reclaimable": 1 } });
+        await setup.clock.advance(1_000);
+        setup.lateByMs = 0;
+        setup.lostEffect = "none";
+        setup.scaling.min = 2;
+        await setup.clock.advance(500);
+        setup.lateByMs = undefined;
+        setup.scaling.min = 1;
+        const { length } = setup.orders;
+        await setup.clock.advance(10_000);
+        expect(setup.orders.slice(length)).toEqual([]);
+    });
+
     it("sends no order without the lease", async () => {
         setup.isHolder = false;
         await setup.clock.advance(5_000);
--- a/src/fleet/InstanceScaler.ts
+++ b/src/fleet/InstanceScaler.ts
@@ -6,6 +6,7 @@
 import type { Lease } from "../leases/Lease";
 import type { DutyTarget } from "../leases/types";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
+import { StoreError } from "../platform/StoreError";
 import type { FencedCloud, UpstreamOrder } from "../platform/types";
 import type { ServingState } from "../routes/ServingState";
 import type { ScalingBounds, ServedService } from "../routes/types";
@@ -36,7 +37,10 @@
 
 interface AcceptedOrder {
     readonly count: number;
+    /** Monotonic time at which it was sent last, in milliseconds. */
     readonly atMs: number;
+    /** Monotonic time from which its upstreams count as starting, in milliseconds. */
+    readonly startMs: number;
 }
 
 /** Need implied by the upstreams that existed when this process first listed a service. */
@@ -51,6 +55,8 @@
 const peakWindowMs = 20_000; // replacing an upstream released too early costs a boot
 const refusalBackOffMs = 6_000; // refusals last for seconds; an on-demand upstream is ready sooner
 const orderRepeatMs = 15_000; // repeats an order that may have been lost
+const lateOrderMs = 8_000; // for which an order that was given up may still be carried out
+const lateOrderRepeatMs = 2_000; // repeats an order that such a late one may replace
 const bootMarginMs = 1_500; // an upstream is listed only some time after its start
 
 /** Orders upstreams for each service and data centre to match the load, while this node holds the lease. */
@@ -62,6 +68,8 @@
     private readonly refusedUntilMs = new Map<string, number>();
     /** Last accepted order, by service, data centre and market. */
     private readonly acceptedOrders = new Map<string, AcceptedOrder>();
+    /** Monotonic time at which an order was last given up without an answer, by service, data centre and market. */
+    private readonly givenUpAtMs = new Map<string, number>();
     private readonly initialListings = new Map<string, InitialListing>();
     /** Serving reclaimable upstreams in the previous cycle, by service and data centre. */
     private readonly lastServingCounts = new Map<string, number>();
@@ -90,6 +98,7 @@
             }
             if (!this.options.lease.isHolder()) {
                 this.acceptedOrders.clear();
+                this.givenUpAtMs.clear();
             }
         }
     }
@@ -183,7 +192,7 @@
             const last = this.acceptedOrders.get(
                 formatOrderKey({ service, dataCentre, market: markets.reclaimable }),
             );
-            if (last && nowMs - last.atMs <= bootMs + bootMarginMs) {
+            if (last && nowMs - last.startMs <= bootMs + bootMarginMs) {
                 const { reclaimable } = serving.get(dataCentre) ?? noInstances;
                 booting.set(dataCentre, Math.max(0, last.count - reclaimable));
             }
@@ -222,18 +231,27 @@
 
     private *sendOrderIfDue(order: UpstreamOrder, needed: number): Task<void> {
         const isHolder = this.options.lease.readHeldFor(this.options.callTimeoutMs) !== undefined;
-        const last = this.acceptedOrders.get(formatOrderKey(order));
-        const isUnneededFirstOrder = last === undefined && order.market === "reclaimable"
-            && order.count === 0;
-        if (!isHolder || isUnneededFirstOrder) {
-            return;
-        }
-        const nowMs = this.options.clock.readMonotonicMs();
-        if (last?.count !== order.count || nowMs - last.atMs > orderRepeatMs) {
+        if (isHolder && this.isOrderDue(order)) {
             yield* this.sendOrder(order, needed);
         }
     }
 
+    /**
+     * Whether an order is to be sent. One that was given up without an answer may have been carried out, or may be
+     * carried out after later ones, which are therefore repeated.
+     */
+    private isOrderDue(order: UpstreamOrder): boolean {
+        const last = this.acceptedOrders.get(formatOrderKey(order));
+        const givenUpAtMs = this.givenUpAtMs.get(formatOrderKey(order)) ?? -Infinity;
+        if (!last) {
+            return order.market !== markets.reclaimable || order.count > 0 || givenUpAtMs > -Infinity;
+        }
+        const repeatMs = last.atMs < givenUpAtMs + lateOrderMs ? lateOrderRepeatMs : orderRepeatMs;
+        return last.count !== order.count
+            || last.atMs < givenUpAtMs
+            || this.options.clock.readMonotonicMs() - last.atMs > repeatMs;
+    }
+
     private *sendOrder(order: UpstreamOrder, needed: number): Task<void> {
         const { events, clock, cloud } = this.options;
         const { service, dataCentre, market, count } = order;
@@ -252,16 +270,26 @@
             events.emit(kind, { service, dataCentre, market, count, needed, fencing });
         }
         catch (error) {
+            if (error instanceof StoreError && error.effect === "unknown") {
+                this.givenUpAtMs.set(formatOrderKey(order), clock.readMonotonicMs());
+            }
             events.emit(eventKinds.dutyFailed, { duty: "fleet", service, dataCentre, error: String(error) });
         }
     }
 
     private recordOutcome(order: UpstreamOrder, isAccepted: boolean, atMs: number): void {
+        const key = formatOrderKey(order);
+        const last = this.acceptedOrders.get(key);
         if (isAccepted) {
-            this.acceptedOrders.set(formatOrderKey(order), { count: order.count, atMs });
+            const isRepeat = last?.count === order.count && atMs - last.atMs <= orderRepeatMs;
+            this.acceptedOrders.set(key, {
+                count: order.count,
+                atMs,
+                startMs: isRepeat ? last.startMs : atMs,
+            });
             return;
         }
-        this.acceptedOrders.delete(formatOrderKey(order));
+        this.acceptedOrders.delete(key);
         if (order.market === markets.reclaimable) {
             this.refusedUntilMs.set(formatTargetKey(order), atMs + refusalBackOffMs);
         }
