Save usage counts under the revision that was seen last

What callers saw: nothing; what the operator saw: a usage report that is off by what was counted between two savings, where the processes that counted have ended (2 s of requests and more, as long as the store was late).

Cause: the holder saved the counts of the current and the previous window without a condition. A write that was given up after its time-out may be carried out seconds later, over the counts that were saved in between, also over those of the next holder; counts that do not change any more were not saved again.

Ruled out: reading the row again after a lost answer (that it is unchanged does not prove that the write does not come any more); writing again after a time (it needs a bound of how late the store may be).

Why this works: the store carries a conditional write out only if nobody has written since, so that a late one fails as soon as a later one was taken. A write that failed on its condition reads the revisions and is tried again in the next cycle. In calm it costs no further call: the rows of new windows are expected to be absent. The saved counts have a module of their own.

--- a/src/usage/UsageReporter.test.ts
+++ b/src/usage/UsageReporter.test.ts
@@ -1,8 +1,10 @@
+import { LateTableService } from "../../standins/LateTableService";
 import { FakeClock } from "../kernel/FakeClock";
 import type { ClusterClock } from "../feeds/ClusterClock";
 import { StoreEra } from "../feeds/StoreEra";
 import type { Lease } from "../leases/Lease";
 import { MemoryTableService } from "../platform/MemoryTableService";
+import type { TableService } from "../platform/types";
 import { EventLog } from "../telemetry/EventLog";
 import type { UsageReport } from "./types";
 import { UsageLedger } from "./UsageLedger";
@@ -21,7 +23,7 @@
 const createSetup = (
     processId: string,
     clock: FakeClock,
-    tables: MemoryTableService,
+    tables: TableService,
     storeEra?: StoreEra,
 ): Setup => {
     const clusterClock = { readMs: () => clock.readWallMs() } as ClusterClock;
@@ -111,6 +113,61 @@
         expect(second.sent.find(report => report.window === window)?.counts).toEqual({ alpha: 9 });
     });
 
+    describe("with counts that are saved late", () => {
+        const window = 1_000_000 / windowMs;
+        let clock: FakeClock;
+        let tables: LateTableService;
+        let first: Setup;
+
+        /** Counts three requests and saves them without an answer. */
+        beforeEach(async () => {
+            clock = new FakeClock();
+            tables = new LateTableService();
+            first = createSetup("a", clock, tables);
+            recordRequests(first.ledger, "alpha", 3);
+            await first.reporter.start();
+            tables.lateTable = "usage-counts";
+            await clock.advance(900);
+            tables.lateTable = undefined;
+            expect(tables.lateCount).toBe(1);
+        });
+
+        const findNextReport = async (): Promise<UsageReport | undefined> => {
+            const second = createSetup("b", clock, tables);
+            await second.reporter.start();
+            await clock.advance(windowMs);
+            await second.reporter.stop();
+            return second.sent.find(report => report.window === window);
+        };
+
+        it("does not let them replace those that were saved later", async () => {
+            recordRequests(first.ledger, "alpha", 4);
+            await clock.advance(2_500);
+            tables.commitLate();
+            await first.reporter.stop();
+            expect((await findNextReport())?.counts).toEqual({ alpha: 7 });
+        });
+
+        it("saves later counts over them", async () => {
+            tables.commitLate();
+            recordRequests(first.ledger, "alpha", 4);
+            await clock.advance(2_500);
+            await first.reporter.stop();
+            expect((await findNextReport())?.counts).toEqual({ alpha: 7 });
+        });
+
+        it("does not let those of a former holder replace them", async () => {
+            await first.reporter.stop();
+            const second = createSetup("b", clock, tables);
+            recordRequests(second.ledger, "alpha", 9);
+            await second.reporter.start();
+            await clock.advance(2_000);
+            tables.commitLate();
+            await second.reporter.stop();
+            expect((await findNextReport())?.counts).toEqual({ alpha: 9 });
+        });
+    });
+
     describe("after the store was restored from an older copy", () => {
         const window = 1_000_000 / windowMs;
         let clock: FakeClock;
--- a/src/usage/UsageReporter.ts
+++ b/src/usage/UsageReporter.ts
@@ -12,7 +12,9 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import type { UsageCounts, UsageReport } from "./types";
+import { formatWindowKey } from "./formatWindowKey";
+import { SavedCounts } from "./SavedCounts";
+import { countsSchema, type UsageCounts, type UsageReport } from "./types";
 import type { UsageLedger } from "./UsageLedger";
 
 /** Options of {@link UsageReporter}. */
@@ -32,9 +34,6 @@
     readonly callTimeoutMs: number;
 }
 
-const countsSchema = z.record(z.number().int().nonnegative().safe());
-/** Counts by the process that counted them. */
-const savedCountsSchema = z.record(countsSchema);
 const numberSchema = z.number().int().nonnegative().safe();
 const firstWindowSchema = z.object({ era: numberSchema, window: numberSchema });
 const reportsTable = "usage-reports";
@@ -42,15 +41,10 @@
 const eraKey = "era";
 /** Row of {@link reportsTable} with the same era and the first window that holders of it report. Earlier versions write none. */
 const firstWindowKey = "first-window";
-/** Name under which the sum over all processes is saved. */
-const allProcesses = "all";
-/** Holds the counts of unreported windows for the next lease holder. */
-const countsTable = "usage-counts";
 /** All reports are about one subject. */
 const usageTarget: DutyTarget = { duty: "usage", subject: "usage" };
 const cycleMs = 500;
 const collectionDelayMs = 1_500; // the last counts of all nodes arrive within a few intervals of the sums
-const keyDigits = 12;
 const retainedReports = 12;
 const saveIntervalMs = 2_000; // bounds the counts lost when all nodes are killed at the same time
 
@@ -75,12 +69,14 @@
     private storedEra: number | undefined;
     /** Monotonic time at which this process first saw the present era of the store. */
     private eraSeenAtMs: number;
+    private readonly savedCounts: SavedCounts;
     private savedAtMs = -Infinity;
-    private savedText = "";
 
     constructor(private readonly options: UsageReporterOptions) {
         this.scope = createLoggedTaskScope(options.events);
         this.caller = new DutyCaller(options);
+        const { tables, events } = options;
+        this.savedCounts = new SavedCounts({ tables, events, retainedWindows: retainedReports });
         this.eraSeenAtMs = options.clock.readMonotonicMs();
         options.storeEra?.current.onChange(() => this.eraSeenAtMs = options.clock.readMonotonicMs());
     }
@@ -124,16 +120,16 @@
      * counts saved by the previous holder.
      */
     private *takeOver(): Task<void> {
-        const { ledger, clusterClock, dueMs, tables, events } = this.options;
+        const { ledger, clusterClock, dueMs, events } = this.options;
         const nowMs = clusterClock.readMs();
         const oldest = ledger.toWindow(nowMs - dueMs);
         this.storedReports.clear();
         this.storedEra = undefined;
+        this.savedCounts.reset();
         try {
             const first = Math.max(oldest, yield* this.findFirstWindow());
             for (let window = first; window <= ledger.toWindow(nowMs); window += 1) {
-                const [row] = yield* waitFor(tables.read([{ table: countsTable, key: formatKey(window) }]));
-                ledger.recoverTotals(window, this.readSavedTotals(row));
+                ledger.recoverTotals(window, yield* this.savedCounts.read(window));
             }
             this.nextWindow = first;
             this.firstWindow = first;
@@ -143,15 +139,6 @@
         }
     }
 
-    /** Sums the saved counts of a window; a row of another writer that holds none counts as empty. */
-    private readSavedTotals(row: Row | undefined): UsageCounts {
-        const saved = savedCountsSchema.safeParse(row?.value ?? {});
-        if (!saved.success) {
-            this.reportUnreadable(countsTable, row!.key);
-        }
-        return sumProcesses(saved.data ?? {});
-    }
-
     private reportUnreadable(table: string, key: string): void {
         this.options.events.emit(eventKinds.rowUnreadable, { table, key });
     }
@@ -198,7 +185,7 @@
         const condition = { kind: "any" } as const;
         const writes = [...this.storedReports.values()].map(({ window, counts }) => ({
             table: reportsTable,
-            key: formatKey(window),
+            key: formatWindowKey(window),
             condition,
             value: counts,
         }));
@@ -208,8 +195,10 @@
                 { key: firstWindowKey, value: { era, window: this.firstWindow } },
             ].map(row => ({ table: reportsTable, condition, ...row }));
             yield* waitFor(this.options.tables.transact([...writes, ...eraWrites]));
+            if (this.storedEra !== undefined) {
+                this.savedCounts.reset();
+            }
             this.storedEra = era;
-            this.savedText = "";
             return true;
         }
         catch (error) {
@@ -220,28 +209,23 @@
 
     /** Saves the counts of the current and the previous window if they have changed. */
     private *saveCounts(): Task<void> {
-        const { ledger, clusterClock, tables, clock, events } = this.options;
+        const { ledger, clusterClock, clock, events } = this.options;
         const nowMs = clock.readMonotonicMs();
         if (nowMs - this.savedAtMs < saveIntervalMs) {
             return;
         }
         const current = ledger.toWindow(clusterClock.readMs());
-        const writes = [current - 1, current].map(window => ({
-            table: countsTable,
-            key: formatKey(window),
-            condition: { kind: "any" } as const,
-            value: { [allProcesses]: ledger.computeTotals(window) },
+        const windows = [current - 1, current].map(window => ({
+            window,
+            counts: ledger.computeTotals(window),
         }));
-        const text = JSON.stringify(writes);
-        if (text === this.savedText) {
+        if (this.savedCounts.isSaved(windows)) {
             return;
         }
         this.savedAtMs = nowMs;
         try {
-            const old = { table: countsTable, key: formatKey(current - retainedReports) };
-            const deletion = { ...old, condition: { kind: "any" } as const, value: undefined };
-            yield* waitFor(tables.transact([...writes, deletion]));
-            this.savedText = text;
+            const isSaved = yield* this.savedCounts.save(windows);
+            this.savedAtMs = isSaved ? nowMs : -Infinity;
         }
         catch (error) {
             events.emit(eventKinds.dutyFailed, { duty: "usage", window: current, error: String(error) });
@@ -312,7 +296,7 @@
      */
     private *storeReport(report: UsageReport): Task<UsageReport> {
         const { tables } = this.options;
-        const key = formatKey(report.window);
+        const key = formatWindowKey(report.window);
         if (yield* this.writeReport(report, { kind: "absent" })) {
             return report;
         }
@@ -332,26 +316,15 @@
     }
 
     private *writeReport({ window, counts }: UsageReport, condition: RowCondition): Task<boolean> {
-        const oldKey = formatKey(window - retainedReports);
+        const oldKey = formatWindowKey(window - retainedReports);
         const outcome = yield* waitFor(this.options.tables.transact([
-            { table: reportsTable, key: formatKey(window), condition, value: counts },
+            { table: reportsTable, key: formatWindowKey(window), condition, value: counts },
             { table: reportsTable, key: oldKey, condition: { kind: "any" }, value: undefined },
         ]));
         return outcome.kind === "committed";
     }
 }
 
-/** Sums saved counts by process; earlier versions saved them for each process. */
-const sumProcesses = (processes: Readonly<Record<string, UsageCounts>>): UsageCounts => {
-    const sum = new Map<string, number>();
-    for (const [account, count] of Object.values(processes).flatMap(counts => Object.entries(counts))) {
-        sum.set(account, (sum.get(account) ?? 0) + count);
-    }
-    return Object.fromEntries(sum);
-};
-
-const formatKey = (window: number): string => String(window).padStart(keyDigits, "0");
-
 const sumCounts = (counts: UsageCounts): number =>
     Object.values(counts).reduce((sum, count) => sum + count, 0);
 
