Write version records again where an earlier write got no answer

What callers saw: after a loss of all nodes, a stream that one software version began and that goes on at another (ORDER): the nodes that start take the other version for the only one.

Cause: when a write of `software-versions/SERVICE` got no answer, the writer went on with the record that it had known before. Where the version was listed again by then (the store drops entries in an outage, and has them back 2 s later), that record was up to date, and nothing more was written. The write without an answer had been carried out, or was carried out later: the row said for good when the version had left, though it was listed.

Evidence: `VersionRecords.test`, "with a write that is carried out late", of which four tests failed before: v2 is not listed for a moment, the write of that gets no answer and is carried out before or after v2 is listed again, all nodes are lost 30 s later together with v2, and the next process finds v1 as the sole version.

Ruled out: reading the row after the lost answer (it may be as before, and the write come later).

Why this works: a service with a write of unknown outcome is written again until a write is answered, also where the record that is known is up to date, and also by a node that is no longer the writer. Writes are under the revision of the row: after an answered one, those before it fail; one that fails on its condition reads the row first.

What remains: where the node itself ends before such a write was answered, the next writer compares with what it read at its own start.

--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -1,8 +1,10 @@
+import { LateTableService } from "../../standins/LateTableService";
 import { ObservableValue } from "../_lib/ObservableValue";
 import { FakeClock } from "../kernel/FakeClock";
 import type { UpstreamInstance } from "../placement/types";
 import { MemoryTableService } from "../platform/MemoryTableService";
 import { StoreError } from "../platform/StoreError";
+import type { TableService } from "../platform/types";
 import { EventLog } from "../telemetry/EventLog";
 import { SoftwareVersions } from "./SoftwareVersions";
 import { VersionRecords } from "./VersionRecords";
@@ -19,7 +21,7 @@
     isWriter = true;
     resumedStoreMs: number | undefined;
 
-    constructor(readonly clock: FakeClock, readonly tables: MemoryTableService) {
+    constructor(readonly clock: FakeClock, readonly tables: TableService) {
         this.versions = new SoftwareVersions({
             feed: this,
             clock,
@@ -169,6 +171,66 @@
         expect(await readRecord()).toEqual({ v1: null, v2: null, v3: listedMs });
     });
 
+    describe("with a write that is carried out late", () => {
+        let late: LateTableService;
+
+        /** A version is not listed for a moment, and what is written then gets no answer. */
+        beforeEach(async () => {
+            late = new LateTableService();
+            process = new TestProcess(clock, late);
+            await process.start("v1", "v2");
+            late.lateTable = table;
+            await process.list("v1");
+            late.lateTable = undefined;
+            expect(late.lateCount).toBe(1);
+        });
+
+        const findSoleAfterLoss = async (): Promise<string | undefined> => {
+            await clock.advance(windowMs);
+            const next = new TestProcess(clock, late);
+            await next.start("v1");
+            await next.versionRecords.stop();
+            return next.versions.findSole("llm");
+        };
+
+        // Guards against streams joined from two versions: a version that is listed again, and ends with all nodes.
+        it("keeps a version on record that is listed again before", async () => {
+            await process.list("v1", "v2");
+            await clock.advance(1_000);
+            late.commitLate();
+            expect(await findSoleAfterLoss()).toBeUndefined();
+        });
+
+        it("keeps it on record also when it is listed again afterwards", async () => {
+            late.commitLate();
+            await process.list("v1", "v2");
+            expect(await findSoleAfterLoss()).toBeUndefined();
+        });
+
+        it("keeps it on record also when the row cannot be read at first", async () => {
+            late.commitLate();
+            jest.spyOn(late, "read").mockRejectedValueOnce(new StoreError("no answer", "unknown"));
+            await process.list("v1", "v2");
+            expect(await findSoleAfterLoss()).toBeUndefined();
+        });
+
+        it("keeps it on record also when another node has become the writer", async () => {
+            process.isWriter = false;
+            await process.list("v1", "v2");
+            await clock.advance(1_000);
+            late.commitLate();
+            expect(await findSoleAfterLoss()).toBeUndefined();
+        });
+
+        it("writes no more once a write was answered", async () => {
+            await process.list("v1", "v2");
+            await clock.advance(1_000);
+            const transact = jest.spyOn(late, "transact");
+            await clock.advance(10_000);
+            expect(transact).not.toHaveBeenCalled();
+        });
+    });
+
     it("does not delay a start for long while the store does not answer", async () => {
         jest.spyOn(tables, "list").mockRejectedValue(new StoreError("down", "none"));
         await process.versions.start();
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -57,6 +57,8 @@
     private readonly scope: TaskScope;
     private readonly reloading: SharedReading;
     private stored = new Map<string, StoredRecord>();
+    /** Services with a write whose outcome is not known, and which a later write has to replace or to prevent. */
+    private readonly unsettled = new Set<string>();
     private wake: () => void = () => {};
 
     constructor(private readonly options: VersionRecordsOptions) {
@@ -176,14 +178,18 @@
         }
     }
 
-    /** Writes what has changed, if this node writes for all. Returns false if that has to be tried again. */
+    /**
+     * Writes what has changed, if this node writes for all, and else where an own write is not settled. Returns false if
+     * that has to be tried again.
+     */
     private async writeChanges(): Promise<boolean> {
-        const { isWriter, storeClock, events } = this.options;
+        const { isWriter, storeClock, events, versions } = this.options;
         const nowMs = storeClock.readStoreMs();
-        if (!isWriter() || nowMs === undefined) {
+        const services = isWriter() ? versions.listServices() : [...this.unsettled];
+        if (nowMs === undefined || services.length === 0) {
             return true;
         }
-        const operations = this.options.versions.listServices()
+        const operations = services
             .map(service => this.createOperation(service, nowMs))
             .filter(operation => operation !== undefined);
         try {
@@ -201,18 +207,22 @@
 
     /** Writes some records; reads those again that others have changed, and returns false if there are such. */
     private async write(operations: readonly RecordOperation[]): Promise<boolean> {
+        operations.forEach(({ key }) => this.unsettled.add(key));
         const outcome = await this.options.tables.transact(operations);
         if (outcome.kind === "conflict") {
-            await this.reloadServices(outcome.failed.map(index => operations[index].key));
+            const overtaken = outcome.failed.map(index => operations[index].key);
+            await this.reloadServices(overtaken);
+            overtaken.forEach(service => this.unsettled.delete(service));
             return false;
         }
+        operations.forEach(({ key }) => this.unsettled.delete(key));
         operations.forEach(({ key, value }, index) =>
             this.stored.set(key, { revision: outcome.revisions[index], record: value })
         );
         return true;
     }
 
-    /** Returns undefined if the stored record of a service is up to date, or if the store cannot hold it. */
+    /** Returns undefined if the stored record of a service is surely up to date, or if the store cannot hold it. */
     private createOperation(service: string, nowMs: number): RecordOperation | undefined {
         const stored = this.stored.get(service);
         const known = this.options.versions.listVersions(service);
@@ -222,7 +232,7 @@
                 ? sinceListedMs > keptMs
                 : (value === null) === isListed && (value ?? 0) <= nowMs + clockToleranceMs;
         });
-        if (isUpToDate) {
+        if (isUpToDate && !this.unsettled.has(service)) {
             return undefined;
         }
         const current = Object.fromEntries(known.map(({ version, isListed, sinceListedMs }) => [
