Keep the answer of a kept request when it is stored once more, late

What callers saw: a request of a class `kept-from-acceptance` that was answered, and that reads as open afterwards: its answer is lost. When its node is replaced, the request runs once more.

An attempt that was given up could be carried out after the request had ended, and replaced the row with the answer; its entry in the list of open requests came back as well.

Ruled out: writing the end twice (the late attempt may come after both).

Why this works: the first write expects no row, or the row of an earlier request that it has read, so that it fails once the request is stored. An attempt that meets its own row, written without an answer, counts as stored.

What remains: the end of a request is written without a condition; two nodes that both ran it after one of them was taken for gone may each write theirs.

--- a/src/streams/KeptRequests.ts
+++ b/src/streams/KeptRequests.ts
@@ -3,7 +3,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import type { GroupCommitter, WriteOutcome } from "../idempotency/GroupCommitter";
-import type { Row, TableService } from "../platform/types";
+import type { Row, RowAddress, RowCondition, TableService } from "../platform/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
@@ -47,6 +47,15 @@
 /** Outcome of storing a request. */
 export type StoreResult = "stored" | "not-stored" | "unknown";
 
+/** One row of a request that is stored, with what is known of it so far. */
+interface FirstWrite {
+    readonly address: RowAddress;
+    readonly value: unknown;
+    condition: RowCondition;
+    result: StoreResult;
+    readonly isOwn: (value: unknown) => boolean;
+}
+
 const table = "kept-requests";
 const openIndexTable = "kept-open";
 const scanLimit = 200;
@@ -80,24 +89,66 @@
      * @returns `stored`, `not-stored`, or `unknown` when a write may have taken effect or still may
      */
     async store(snapshot: RequestSnapshot): Promise<StoreResult> {
+        const { id } = snapshot;
+        const { nodeId: owner } = this.options;
         const row = this.toOpenRow(snapshot);
-        let mayExist = false;
+        const writes: FirstWrite[] = [
+            {
+                address: { table: openIndexTable, key: id },
+                value: { owner },
+                condition: { kind: "absent" },
+                result: "not-stored",
+                isOwn: value => (value as { owner: string; }).owner === owner,
+            },
+            {
+                address: { table, key: id },
+                value: row,
+                condition: { kind: "absent" },
+                result: "not-stored",
+                isOwn: value => isSameOpenRow(value as KeptRow, row),
+            },
+        ];
         for (let attempt = 0; attempt < writeAttempts; attempt += 1) {
-            const outcomes = await Promise.all([
-                this.writeRow(openIndexTable, snapshot.id, { owner: this.options.nodeId }),
-                this.writeRow(table, snapshot.id, row),
-            ]);
-            if (outcomes.every(outcome => outcome.kind === "committed")) {
+            const open = writes.filter(({ result }) => result !== "stored");
+            await Promise.all(open.map(write => this.tryFirstWrite(write)));
+            if (writes.every(({ result }) => result === "stored")) {
                 return "stored";
             }
-            mayExist = mayExist
-                || outcomes.some(outcome =>
-                    outcome.kind === "committed"
-                    || (outcome.kind === "failed" && outcome.error.effect === "unknown")
-                );
             await this.options.clock.sleep(firstBackoffMs * 2 ** attempt);
         }
-        return mayExist ? "unknown" : "not-stored";
+        return writes.every(({ result }) => result === "not-stored") ? "not-stored" : "unknown";
+    }
+
+    /**
+     * Tries to write a row that is there for the first time, or replaces the row of an earlier request. The write is
+     * conditional, as one without an answer may be carried out after the request has ended.
+     */
+    private async tryFirstWrite(write: FirstWrite): Promise<void> {
+        const { address, value, condition } = write;
+        const outcome = await this.options.committer.write({ ...address, condition, value });
+        if (outcome.kind === "committed") {
+            write.result = "stored";
+        }
+        else if (outcome.kind === "conflict") {
+            await this.readConflict(write);
+        }
+        else if (outcome.error.effect === "unknown") {
+            write.result = "unknown";
+        }
+    }
+
+    /** Reads the row that a first write met: its own one, if an earlier attempt was carried out without an answer. */
+    private async readConflict(write: FirstWrite): Promise<void> {
+        try {
+            const [row] = await this.options.tables.read([write.address]);
+            if (row && write.result === "unknown" && write.isOwn(row.value)) {
+                write.result = "stored";
+            }
+            write.condition = row ? { kind: "revision", revision: row.revision } : { kind: "absent" };
+        }
+        catch {
+            // The next attempt meets the conflict again.
+        }
     }
 
     /** Stores the final state of a request and its answer. Tries up to {@link writeAttempts} times. */
@@ -220,5 +271,8 @@
     }
 }
 
+const isSameOpenRow = (found: KeptRow, row: KeptRow): boolean =>
+    found.state === row.state && found.owner === row.owner && found.atMs === row.atMs;
+
 /** Name of the kept requests service. */
 export const keptRequestsName = createServiceName<KeptRequests>("kept-requests");
