Count VM requests without an answer as ordered

What the operator saw: a fleet that grows by the same missing VMs in each planning cycle while the cloud carries requests out and does not answer, and is paid for.

Cause: `FleetManager` repeats a request without an answer under its token, but planned as if it had not been made: only answered requests counted as capacity. Each cycle made new requests, under tokens of their own, for the same need.

Ruled out: the token (the cloud creates one VM for each; the tokens differed).

Why this works: a request that is repeated until it is answered is capacity that is on its way, whether the cloud has created the VM or will; a refusal takes it out again. It is never drained, as it has no VM id yet. Requests of an earlier holding are still dropped; what a next holder waits for is unchanged.

--- a/src/fleet/FleetManager.ts
+++ b/src/fleet/FleetManager.ts
@@ -117,6 +117,7 @@
             vms: [
                 ...runners.map(runner => this.toFleetVm(runner)),
                 ...this.listOrderedVms(service.name, runners),
+                ...this.listUnconfirmedVms(service.name, runners),
             ],
             offers: this.readOffers(),
             neededSlots: this.updateSmoothedLoad(service.name, runners) * headroomFactor,
@@ -129,7 +130,8 @@
             yield* this.requestVm(service.name, offer);
         }
         if (this.readUsableLease()) {
-            plan.releases.forEach(vmId => this.drainVm(vmId));
+            const created = plan.releases.filter(vmId => !this.unconfirmedRequests.has(vmId));
+            created.forEach(vmId => this.drainVm(vmId));
         }
         for (const runner of runners.filter(candidate => !candidate.isLeaving)) {
             yield* this.loadMissingModels(service, runner);
@@ -145,23 +147,19 @@
                 this.options.gossip.set(`ordered/${vm.id}`, undefined);
             }
             else if (vm.service === service) {
-                const { id, dataCentre, machineClass, market } = vm;
-                const slots = runners[0]?.slots ?? defaultSlots;
-                ordered.push({
-                    id,
-                    dataCentre,
-                    machineClass,
-                    market,
-                    slots,
-                    load: 0,
-                    pricePerHour: 0,
-                    isLeaving: false,
-                });
+                ordered.push(toStartingVm(vm.id, vm, runners));
             }
         }
         return ordered;
     }
 
+    /** Lists requested VMs of which the cloud may have created none yet. They count as well, as each request is repeated. */
+    private listUnconfirmedVms(service: string, runners: readonly Runner[]): FleetVm[] {
+        return [...this.unconfirmedRequests.values()]
+            .filter(({ request }) => request.service === service)
+            .map(({ request, offer }) => toStartingVm(request.token, offer, runners));
+    }
+
     /** Updates and returns an exponential moving average of the load, which rises faster than it falls. */
     private updateSmoothedLoad(service: string, runners: readonly Runner[]): number {
         const running = runners.reduce((sum, runner) => sum + runner.estimatedLoad, 0);
@@ -332,6 +330,22 @@
     }
 }
 
+/** Describes a VM that has no runner yet, with the slots of those that have one. */
+const toStartingVm = (
+    id: string,
+    { dataCentre, machineClass, market }: Pick<Vm, "dataCentre" | "machineClass" | "market">,
+    runners: readonly Runner[],
+): FleetVm => ({
+    id,
+    dataCentre,
+    machineClass,
+    market,
+    slots: runners[0]?.slots ?? defaultSlots,
+    load: 0,
+    pricePerHour: 0,
+    isLeaving: false,
+});
+
 const toTarget = (subject: string): DutyTarget => ({ duty: "fleet", subject });
 
 const createLoadOrder = (fencing: number, runnerId: string, model: string): EngineOrder => ({
