--- a/src/stopping/PlannedStop.test.ts
+++ b/src/stopping/PlannedStop.test.ts
@@ -56,6 +56,14 @@
         expect(removedCalls).toBe(0);
     });
 
+    // Guards against processor time that each request costs for a stop that is not planned.
+    it("reads no time for a request while no stop is planned", () => {
+        const readMonotonicMs = jest.spyOn(clock, "readMonotonicMs");
+        expect(stop.isDispatchAllowed({ deadlineMs: 0, hasBegun: false })).toBe(true);
+        expect(readMonotonicMs).not.toHaveBeenCalled();
+        readMonotonicMs.mockRestore();
+    });
+
     it("asks the decision with the present time", () => {
         const dispatch = { deadlineMs: Infinity, hasBegun: false };
         expect(stop.isDispatchAllowed(dispatch)).toBe(true);
