Abandon a change of the configuration that its operator is told is not committed

Cause: the answer was read from the row of the change. That the row is absent does not show that the transaction, which had no answer, will not be carried out later.

Ruled out: comparing revisions (the revision on which the change is based is not known from its id, and is still in force in this case); answering "unknown" (the operator has nothing else to ask, and could neither wait nor go on).

Why this works: the question writes the row of the change, as abandoned, where there is none. The transaction expects no such row, so that one of both is carried out, and the answer says which.

--- a/src/configuration/ConfigurationStore.ts
+++ b/src/configuration/ConfigurationStore.ts
@@ -26,6 +26,12 @@
     readonly document: unknown;
 }
 
+/** Row of a change: the revision that it created, or that it was abandoned. */
+interface ChangeRow {
+    readonly revision?: number;
+    readonly isAbandoned?: boolean;
+}
+
 const table = "configuration";
 const currentKey = "current";
 const storeRetryAfterMs = 1_000;
@@ -47,15 +53,30 @@
     }
 
     /**
-     * Reads the revision that a change created.
+     * Finds the revision that a change created. A change that is not committed is abandoned, since a transaction without an
+     * answer might still be carried out.
      *
      * @param changeId - id of the change
-     * @returns the revision, or undefined if the change is not committed
+     * @returns the revision, or undefined if the change is not committed and never will be under this id
      * @throws StoreError when the service does not answer
      */
-    async readChange(changeId: string): Promise<number | undefined> {
-        const [row] = await this.options.tables.read([{ table, key: toChangeKey(changeId) }]);
-        return (row?.value as { revision: number; } | undefined)?.revision;
+    async settleChange(changeId: string): Promise<number | undefined> {
+        const address = { table, key: toChangeKey(changeId) };
+        const [found] = await this.options.tables.read([address]);
+        if (found) {
+            return toCreatedRevision(found);
+        }
+        const value: ChangeRow = { isAbandoned: true };
+        const outcome = await this.options.tables.transact([{
+            ...address,
+            condition: { kind: "absent" },
+            value,
+        }]);
+        if (outcome.kind === "committed") {
+            return undefined;
+        }
+        const [written] = await this.options.tables.read([address]);
+        return toCreatedRevision(written);
     }
 
     /**
@@ -151,10 +172,10 @@
                 { table, key: currentKey },
                 { table, key: toChangeKey(change.changeId) },
             ]);
-            if (!changed) {
-                return Left(toConflict(change, current));
+            const revision = toCreatedRevision(changed);
+            if (revision === undefined) {
+                return Left(changed ? toAbandoned(change) : toConflict(change, current));
             }
-            const { revision } = changed.value as { revision: number; };
             const [row] = await this.options.tables.read([{ table, key: toHistoryKey(revision) }]);
             return Right(toConfiguration(row!));
         }
@@ -173,6 +194,9 @@
 
 const toConfiguration = (row: Row): ActiveConfiguration => row.value as ActiveConfiguration;
 
+const toCreatedRevision = (row: Row | undefined): number | undefined =>
+    (row?.value as ChangeRow | undefined)?.revision;
+
 const toOperations = (next: ActiveConfiguration, current: Row | undefined): RowOperation[] => [
     {
         table,
@@ -196,6 +220,13 @@
     return createFailure(resultCodes.configurationConflict, message);
 };
 
+const toAbandoned = ({ changeId }: ConfigurationChange): Failure => {
+    const message =
+        `change "${changeId}" was not committed when its outcome was asked for, and is abandoned; `
+        + "apply it again under another id";
+    return createFailure(resultCodes.configurationConflict, message);
+};
+
 const toStoreFailure = (error: unknown): Failure => {
     const message = `the change was not committed: ${(error as Error).message}`;
     return createFailure(resultCodes.storeUnavailable, message, { retryAfterMs: storeRetryAfterMs });
--- a/src/configuration/ReplicatedConfiguration.test.ts
+++ b/src/configuration/ReplicatedConfiguration.test.ts
@@ -186,7 +186,9 @@
         };
         expect((await applyNow(lost, 0, 0, "one")).refused).toBe("configuration-unknown");
         expect(
-            await new ConfigurationStore({ tables: lost.tables.memory, clock: lost.clock }).readChange("one"),
+            await new ConfigurationStore({ tables: lost.tables.memory, clock: lost.clock }).settleChange(
+                "one",
+            ),
         ).toBe(1);
         await world.stop();
         await lost.stop();
--- a/src/operators/OperatorApi.ts
+++ b/src/operators/OperatorApi.ts
@@ -128,9 +128,9 @@
         return { history };
     }
 
-    /** Tells whether a change was committed, for operators who did not learn its outcome. */
+    /** Tells, for good, whether a change was committed, for operators who did not learn its outcome. */
     private *readChange(changeId: string): Task<unknown> {
-        const revision = yield* this.readFromStore(this.options.store.readChange(changeId));
+        const revision = yield* this.readFromStore(this.options.store.settleChange(changeId));
         return revision === undefined
             ? { changeId, state: "not-committed" }
             : { changeId, state: "committed", revision };
