Reset the connections of calls to upstreams that are given up

What callers saw: nothing; what the operator saw: upstreams that run requests whose callers have left, or that were sent to another upstream meanwhile.

Cause: a call that was given up had its connection closed. The operating system goes on delivering what it has taken of a connection that was closed in order, so that an upstream that was late to read still got the whole request. Through another member as well: the member closed its connection to the upstream, whatever had ended the one to it. Calls to the platform's services are reset already.

Why this works: an abort prepares the connection, so that undici's own closing resets it, and passes its error on before the close. `TunnelConnection` resets the connection to the member where it is given up with an error, and the member resets its own. What the upstream's system has taken may still be read and run, as before: an abort proves nothing about the work.

--- a/src/tunnels/TunnelConnection.ts
+++ b/src/tunnels/TunnelConnection.ts
@@ -15,7 +15,8 @@
 /**
  * Connection to an upstream through another member. It ends regularly only if the upstream ended its own regularly; when
  * the member ends or is lost, it fails, also where the system closes the member's connections regularly. Without frames it
- * never ends regularly.
+ * never ends regularly. Given up with an error, it resets the connection to the member, which resets its own to the
+ * upstream.
  */
 export class TunnelConnection extends Duplex {
     readonly remoteAddress: string | undefined;
@@ -33,7 +34,12 @@
             },
             final: callback => void socket.end(callback),
             destroy: (error, callback) => {
-                socket.destroy();
+                if (error) {
+                    socket.resetAndDestroy();
+                }
+                else {
+                    socket.destroy();
+                }
                 callback(error);
             },
         });
--- a/src/tunnels/joinSockets.test.ts
+++ b/src/tunnels/joinSockets.test.ts
@@ -44,4 +44,15 @@
         await once(near, "finish");
         expect(near.resetAndDestroy).not.toHaveBeenCalled();
     });
+
+    // Guards against requests that an upstream gets whole, and runs, after their node has given them up.
+    it.each([true, false])(
+        "resets the far connection where the near one was reset; frames: %s",
+        async isFramed => {
+            join(isFramed);
+            near.destroy(new Error("read ECONNRESET"));
+            await once(far, "close");
+            expect(far.resetAndDestroy).toHaveBeenCalledTimes(1);
+        },
+    );
 });
--- a/src/tunnels/joinSockets.ts
+++ b/src/tunnels/joinSockets.ts
@@ -15,15 +15,15 @@
 }
 
 /**
- * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset resets it;
- * whatever ends the near one closes the far one.
+ * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset of either
+ * resets the other; whatever else ends the near one closes the far one.
  *
  * @param options - both connections, and how bytes are passed on
  */
 export const joinSockets = ({ near, far, isFramed, onBytes }: JoinSocketsOptions): void => {
     near.setNoDelay(true);
     far.setNoDelay(true);
-    near.on("error", () => far.destroy());
+    near.on("error", () => far.resetAndDestroy());
     near.on("end", () => near.destroy());
     near.on("close", () => far.destroy());
     far.on("error", () => near.resetAndDestroy());
--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,6 +1,7 @@
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
 import { isResetSocket } from "./isResetSocket";
+import { resetOnError } from "./resetOnError";
 
 /** The connection of a call. */
 export interface CallConnection {
@@ -14,6 +15,8 @@
     readonly endCall: (listener: () => void) => void;
     /** Closes it, unless another call has begun on it. */
     readonly close: () => void;
+    /** Lets undici reset it when the call is aborted, so that the system does not deliver what has not left yet. */
+    readonly prepareAbort: () => void;
 }
 
 /** Dispatch options with a callback that receives the call's connection. */
@@ -67,6 +70,11 @@
                     tracked.socket?.destroy();
                 }
             },
+            prepareAbort: () => {
+                if (tracked.callCount === callNumber) {
+                    resetOnError(tracked.socket);
+                }
+            },
         });
         return super.dispatch(options, handler);
     }
--- a/src/upstreams/UpstreamExchange.test.ts
+++ b/src/upstreams/UpstreamExchange.test.ts
@@ -17,6 +17,7 @@
         beginCall: () => {},
         endCall: () => {},
         close: () => {},
+        prepareAbort: () => {},
     });
     exchange.onRequestStart(controller);
     exchange.onResponseStart(controller, 200, headers);
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -103,7 +103,8 @@
     }
 
     /**
-     * Aborts the call by closing its connection, on which the upstream stops its work.
+     * Aborts the call by resetting its connection, on which the upstream stops its work. What the upstream's system already
+     * has may still be read, and run.
      *
      * @param reason - message of the failure that {@link started} and {@link ended} report
      */
@@ -112,6 +113,9 @@
             return;
         }
         this.isAborted = true;
+        if (this.isSent) {
+            this.connection?.prepareAbort();
+        }
         this.controller?.abort(new Error(reason));
         this.fail(reason);
     }
