Take a call to a service for not sent only where connecting failed

What callers and operators could see: "not run", or "not committed", of a write that the store carries out: a kept request, a call at most once without its repair, a change of the configuration.

Cause: `sendJson` told by the code of an error that nothing had been sent. `EHOSTUNREACH` and `ECONNREFUSED` also end a connection that was open, when its host cannot be reached any more while written bytes are under way.

Evidence: `sendJson.test`, "tells by the failed step whether anything was sent", failed before for errors of reading and of writing: their effect was "none".

Ruled out: calls of duties and calls to upstreams, which tell by whether the write has begun.

Why this works: an error of the step that connects proves that nothing was written; an error of any other step does not.

--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -22,8 +22,7 @@
     readonly body: unknown;
 }
 
-/** Error codes of attempts to connect that failed before anything was sent. */
-const connectErrorCodes: readonly string[] = ["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH"];
+const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 
 /**
  * Sends a JSON request with a time-out that covers the whole exchange.
@@ -58,12 +57,23 @@
         if (error instanceof StoreError) {
             throw error;
         }
-        const code = (error as { code?: string; }).code ?? "";
-        const effect = connectErrorCodes.includes(code) ? "none" : "unknown";
+        const effect = isConnectFailure(error) ? "none" : "unknown";
         throw new StoreError(`${name}: ${(error as Error).message}`, effect);
     }
 };
 
+/**
+ * Whether an attempt to connect failed, so that nothing was sent. The same codes stand for the loss of an open connection,
+ * such as that its host cannot be reached any more.
+ */
+const isConnectFailure = (error: unknown): boolean => {
+    if (error instanceof AggregateError) {
+        return error.errors.every(isConnectFailure);
+    }
+    const { code, syscall } = error as NodeJS.ErrnoException;
+    return code === connectTimeoutCode || syscall === "connect";
+};
+
 /** Rejects when the signal aborts. undici itself does not end a call that has no connection yet. */
 const rejectOnAbort = async (signal: AbortSignal): Promise<never> => {
     await waitForAbort(signal);
