Take an order that the cloud fails at for one of unknown outcome

What the operator saw: a VM that the cloud created though it answered with status 500, and that is ordered again elsewhere; a VM that should be released, whose release the cloud failed at, and that runs on.

Cause: `HttpCloud` did not read the status of an answer to an order: a request without a VM in its answer counted as refused, and its token was given up; any answer to a release counted as done, and the VM was no longer marked as draining.

Ruled out: answers with 429 and others below 500, which `PlatformCloud` tells as before; 503, of which `sendStagedJson` tells that nothing was done.

Why this works: an order of unknown outcome is repeated, a request of a VM under its token; a release of a VM that is not there any more is done.

--- a/src/platform/HttpCloud.test.ts
+++ b/src/platform/HttpCloud.test.ts
@@ -1,3 +1,6 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { CloudStandIn } from "../../standins/CloudStandIn";
 import { HttpCloud } from "./HttpCloud";
 import type { DutyStages, Vm } from "./types";
@@ -63,4 +66,16 @@
         await expect(cloud.releaseVm(vm.id, stages)).rejects.toMatchObject({ effect: "none" });
         expect(standIn.isLive(vm.id)).toBe(true);
     });
+
+    // Guards against VMs that are ordered anew, or no longer released, after an answer that does not say what was done.
+    it("does not take an order that the cloud fails at for refused or carried out", async () => {
+        const failing = createServer((_request, response) => response.writeHead(500).end("{}"));
+        await once(failing.listen(0, "127.0.0.1"), "listening");
+        const { port } = failing.address() as AddressInfo;
+        const client = new HttpCloud({ url: `http://127.0.0.1:${port}`, timeoutMs: 1_000 });
+        await expect(client.requestVm(request, stages)).rejects.toMatchObject({ effect: "unknown" });
+        await expect(client.releaseVm(vm.id, stages)).rejects.toMatchObject({ effect: "unknown" });
+        await client.close();
+        failing.close();
+    });
 });
--- a/src/platform/HttpCloud.ts
+++ b/src/platform/HttpCloud.ts
@@ -1,7 +1,8 @@
 import type { Agent } from "undici";
 import { createServiceAgent } from "./createServiceAgent";
 import { sendJson } from "./sendJson";
-import { StagedSender } from "./StagedSender";
+import { type StagedCall, StagedSender } from "./StagedSender";
+import { StoreError } from "./StoreError";
 import type { Cloud, DutyStages, ReclaimNotice, Vm, VmOffer, VmRequest } from "./types";
 
 /** Options of {@link HttpCloud}. */
@@ -12,6 +13,7 @@
 
 const maxConnections = 4;
 const maxOrderConnections = 2;
+const statuses = { ok: 200, notFound: 404 } as const;
 
 /** Client of the cloud API over HTTP and JSON, in the format of the stand-in. */
 export class HttpCloud implements Cloud {
@@ -40,12 +42,12 @@
 
     async requestVm(request: VmRequest, stages: DutyStages): Promise<Vm | undefined> {
         const url = `${this.options.url}/vms`;
-        return ((await this.orders.send({ url, body: request, stages })).body as { vm?: Vm; }).vm;
+        return (await this.order({ url, body: request, stages }) as { vm?: Vm; }).vm;
     }
 
     async releaseVm(vmId: string, stages: DutyStages): Promise<void> {
         const url = `${this.options.url}/vms/${encodeURIComponent(vmId)}`;
-        await this.orders.send({ url, method: "DELETE", stages });
+        await this.order({ url, method: "DELETE", stages }, [statuses.ok, statuses.notFound]);
     }
 
     /** Abandons the orders under way and closes the connections. */
@@ -54,6 +56,15 @@
         await this.agent.destroy();
     }
 
+    /** Sends an order. A status that is not expected does not say whether it was carried out. */
+    private async order(call: StagedCall, expected: readonly number[] = [statuses.ok]): Promise<unknown> {
+        const { status, body } = await this.orders.send(call);
+        if (!expected.includes(status)) {
+            throw new StoreError(`cloud answered with status ${status} to ${call.url}`, "unknown");
+        }
+        return body;
+    }
+
     private async read(path: string): Promise<unknown> {
         const answer = await sendJson({
             dispatcher: this.agent,
