Read the version records when a node becomes their writer

Cause: a node compared what it sees with the records that it had read at its start, or written. When the writer before had written that a version had left, and ended before that version was listed again, the new writer held the record without that for up to date, and the row said for good that the version was gone. A write of the former writer that got no answer does the same.

Evidence: `VersionRecords.test`, "keeps a version on record that is listed again when another node becomes the writer", failed before: the row kept the time at which v2 had left.

Ruled out: reading before every comparison (two calls a second and node); a feed of the table (a long poll more for each node).

Why this works: the records are listed once when a node becomes the writer, before it compares. One call for each change of the writer.

--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -171,6 +171,23 @@
         expect(await readRecord()).toEqual({ v1: null, v2: null, v3: listedMs });
     });
 
+    // Guards against streams joined from two versions: the writer ends after it wrote that a version had left.
+    it("keeps a version on record that is listed again when another node becomes the writer", async () => {
+        await process.start("v1", "v2");
+        const next = new TestProcess(clock, tables);
+        next.isWriter = false;
+        await next.start("v1", "v2");
+        await next.list("v1");
+        await process.list("v1");
+        expect(await readRecord()).toEqual({ v1: null, v2: expect.any(Number) });
+        process.isWriter = false;
+        await next.list("v1", "v2");
+        next.isWriter = true;
+        await clock.advance(1_000);
+        expect(await readRecord()).toEqual({ v1: null, v2: null });
+        await next.versionRecords.stop();
+    });
+
     describe("with a write that is carried out late", () => {
         let late: LateTableService;
 
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -59,6 +59,8 @@
     private stored = new Map<string, StoredRecord>();
     /** Services with a write whose outcome is not known, and which a later write has to replace or to prevent. */
     private readonly unsettled = new Set<string>();
+    /** Whether this node has read the records since it became the writer. */
+    private isPreparedWriter = false;
     private wake: () => void = () => {};
 
     constructor(private readonly options: VersionRecordsOptions) {
@@ -125,6 +127,7 @@
             return;
         }
         this.reportHistory();
+        this.isPreparedWriter = this.options.isWriter();
         versions.completeHistory(latestPause);
         onLoaded();
         while (!signal.aborted) {
@@ -183,16 +186,19 @@
      * that has to be tried again.
      */
     private async writeChanges(): Promise<boolean> {
-        const { isWriter, storeClock, events, versions } = this.options;
+        const { storeClock, events, versions } = this.options;
+        const isWriter = this.options.isWriter();
         const nowMs = storeClock.readStoreMs();
-        const services = isWriter() ? versions.listServices() : [...this.unsettled];
+        const services = isWriter ? versions.listServices() : [...this.unsettled];
+        this.isPreparedWriter &&= isWriter;
         if (nowMs === undefined || services.length === 0) {
             return true;
         }
-        const operations = services
-            .map(service => this.createOperation(service, nowMs))
-            .filter(operation => operation !== undefined);
         try {
+            await this.prepareWriter(isWriter);
+            const operations = services
+                .map(service => this.createOperation(service, nowMs))
+                .filter(operation => operation !== undefined);
             let isWritten = true;
             for (let first = 0; first < operations.length; first += maxOperations) {
                 isWritten = await this.write(operations.slice(first, first + maxOperations)) && isWritten;
@@ -205,6 +211,14 @@
         }
     }
 
+    /** Reads what the writer before has written, once this node is the writer. */
+    private async prepareWriter(isWriter: boolean): Promise<void> {
+        if (isWriter && !this.isPreparedWriter) {
+            await this.load();
+            this.isPreparedWriter = true;
+        }
+    }
+
     /** Writes some records; reads those again that others have changed, and returns false if there are such. */
     private async write(operations: readonly RecordOperation[]): Promise<boolean> {
         operations.forEach(({ key }) => this.unsettled.add(key));
