Look for a node's own row from time to time

What the operator could see: a running node that is missing from `nodes`, so that processes that start do not find it by the store.

Cause: a node writes its row again when a reading shows that it is missing, but not while its write has no answer.

Evidence: `NodeRecords.test`, "writes its record again when it was removed before its write was answered", failed before: the row was missing after 60 s.

Ruled out: asking as soon as the write is answered (the last reading may be from before the write, so that each start would write twice).

--- a/src/membership/NodeRecords.test.ts
+++ b/src/membership/NodeRecords.test.ts
@@ -97,4 +97,25 @@
         await setup.clock.advance(1_000);
         expect(await setup.refreshFeed()).toEqual(["two"]);
     });
+
+    // Guards against a running node that nobody finds any more: a removal without an answer is carried out after its write.
+    it("writes its record again when it was removed before its write was answered", async () => {
+        const removal = {
+            table: nodeRecordsTable,
+            key: "one",
+            condition: { kind: "any" },
+            value: undefined,
+        } as const;
+        const transact = setup.tables.transact.bind(setup.tables);
+        await transact([removal]);
+        jest.spyOn(setup.tables, "transact").mockImplementationOnce(async operations => {
+            const outcome = await transact(operations);
+            await transact([removal]);
+            await setup.refreshFeed();
+            return outcome;
+        });
+        await setup.refreshFeed();
+        await setup.clock.advance(60_000);
+        expect(await setup.refreshFeed()).toEqual(["one", "two"]);
+    });
 });
--- a/src/membership/NodeRecords.ts
+++ b/src/membership/NodeRecords.ts
@@ -83,10 +83,14 @@
     }
 
     private adoptRecords(): void {
-        const recorded = this.listRecorded();
-        this.options.membership.setRecordedNodes(recorded);
-        const isRecorded = recorded.some(record => this.isOwnRecord(record));
-        if (this.isWritten && !isRecorded && !this.isLeaving) {
+        this.options.membership.setRecordedNodes(this.listRecorded());
+        this.renewIfMissing();
+    }
+
+    private renewIfMissing(): void {
+        const isRead = this.options.feed.records.value !== undefined;
+        const isRecorded = this.listRecorded().some(record => this.isOwnRecord(record));
+        if (isRead && this.isWritten && !isRecorded && !this.isLeaving) {
             this.isWritten = false;
             this.scope.run("node-record", signal => this.renewRecord(signal));
         }
@@ -101,6 +105,7 @@
         const { clock, isSweeper } = this.options;
         while (!signal.aborted) {
             yield* waitFor(clock.sleep(sweepMs, signal));
+            this.renewIfMissing(); // a removal may have come between the last write and its answer
             const stale = this.findStale();
             if (isSweeper()) {
                 yield* waitFor(Promise.all(stale.map(nodeId => this.removeRecord(nodeId))));
