--- a/src/tunnels/joinSockets.ts
+++ b/src/tunnels/joinSockets.ts
@@ -18,8 +18,9 @@
 }
 
 /**
- * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset resets it;
- * whatever ends the near one closes the far one. Both are reset at a request that the upstream is not to get any more.
+ * Passes bytes on between two connections. A regular end of the far one ends the near one regularly, a reset of either
+ * resets the other; whatever else ends the near one closes the far one. The near one is reset at a request that the upstream
+ * is not to get any more.
  *
  * @param options - both connections, and how bytes are passed on
  */
@@ -27,7 +28,7 @@
     const { near, far, isFramed, isAccepting, onBytes } = options;
     near.setNoDelay(true);
     far.setNoDelay(true);
-    near.on("error", () => far.destroy());
+    near.on("error", () => far.resetAndDestroy());
     near.on("end", () => near.destroy());
     near.on("close", () => far.destroy());
     far.on("error", () => near.resetAndDestroy());
