Take only the answer to a later request for a sign that an upstream has read what was given up

The retry budget and the places at brittle upstreams counted a given-up request until any data came from its upstream. Data that were on their way when the request was given up, or that a busy upstream wrote before it read on, do not show that the request was read. The sign is now an answer, with its own id, to a request that was sent after the other one was given up.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -229,6 +229,7 @@
         this.crashWatch.beginAttempt();
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
+        const sentMs = context.clock.readMonotonicMs();
         const exchange = upstream.client.send({
             method: request.method!,
             path: request.url!,
@@ -239,7 +240,7 @@
         context.instances.beginRequest(upstream);
         let result: AttemptResult | undefined;
         try {
-            result = yield* this.receiveAnswer(upstream, exchange);
+            result = yield* this.receiveAnswer(upstream, exchange, sentMs);
             this.recorder.recordAttempt(toAttemptOutcome(result));
             this.crashWatch.endAttempt(upstream, result, this.recorder.trace.status);
             return result;
@@ -261,7 +262,11 @@
         });
     }
 
-    private *receiveAnswer(upstream: TrackedInstance, exchange: UpstreamExchange): Task<AttemptResult> {
+    private *receiveAnswer(
+        upstream: TrackedInstance,
+        exchange: UpstreamExchange,
+        sentMs: number,
+    ): Task<AttemptResult> {
         const { context, admitted } = this.options;
         const start = yield* this.waitForHead(upstream, exchange);
         if (start === "silent") {
@@ -299,6 +304,7 @@
             this.recorder.recordRun(true);
             return { kind: "failed", isSent: true, isNotRun: false, message: strayReason };
         }
+        upstream.answeredSentMs = Math.max(upstream.answeredSentMs, sentMs);
         if (metadata.isNotRun) {
             yield* this.responseRelay.drainRefusal(exchange);
             return {
--- a/src/forwarding/RetryPlanner.ts
+++ b/src/forwarding/RetryPlanner.ts
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Takes one retry from the budget after a failed attempt. A silent upstream may read the attempt only when it has been
-     * heard again.
+     * Takes one retry from the budget after a failed attempt. A silent upstream may not have read the attempt until it
+     * answers a later one.
      *
      * @param result - the failed attempt
      * @param upstream - its upstream
@@ -59,7 +59,7 @@
      */
     takeRetry(result: FailedAttemptResult, upstream: TrackedInstance): boolean {
         const givenUpMs = this.options.context.clock.readMonotonicMs();
-        const hasArrived = (): boolean => upstream.lastReceivedMs > givenUpMs;
+        const hasArrived = (): boolean => upstream.answeredSentMs >= givenUpMs;
         return this.getBudget().takeRetry(result.isSilent ? { hasArrived } : undefined);
     }
 
--- a/src/placement/GivenUpRequests.ts
+++ b/src/placement/GivenUpRequests.ts
@@ -4,8 +4,8 @@
     readonly places: number;
     /** Requests of this node in flight there. */
     readonly inFlight: number;
-    /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
-    readonly lastReceivedMs: number;
+    /** Latest monotonic time at which a request was sent that the upstream has answered, in milliseconds. */
+    readonly answeredSentMs: number;
     /** Present monotonic time, in milliseconds. */
     readonly nowMs: number;
 }
@@ -13,8 +13,8 @@
 const minProbeIntervalMs = 1_000;
 
 /**
- * Requests to one upstream that were given up after they had been written. An upstream that has not been heard since may not
- * have read them nor their end, and would run all of them at once.
+ * Requests to one upstream that were given up after they had been written. An upstream that has answered no request that
+ * was sent after that may not have read them nor their end, and would run all of them at once.
  */
 export class GivenUpRequests {
     /** Monotonic times at which they were given up, in milliseconds. */
@@ -26,14 +26,14 @@
     }
 
     /**
-     * Whether the upstream has a place left. Those of requests that were given up count as taken until the upstream is heard
-     * again. Where these leave none, it gets one request at a time, at growing intervals, by which it may be heard.
+     * Whether the upstream has a place left. Those of requests that were given up count as taken until the upstream answers a
+     * later one. Where these leave none, it gets one request at a time, at growing intervals.
      *
      * @param options - places and requests
      * @returns whether a request may be sent
      */
-    hasPlace({ places, inFlight, lastReceivedMs, nowMs }: HasPlaceOptions): boolean {
-        this.timesMs = this.timesMs.filter(atMs => atMs >= lastReceivedMs);
+    hasPlace({ places, inFlight, answeredSentMs, nowMs }: HasPlaceOptions): boolean {
+        this.timesMs = this.timesMs.filter(atMs => atMs > answeredSentMs);
         if (inFlight + this.timesMs.length < places) {
             return true;
         }
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -42,6 +42,8 @@
     ejectedUntilMs: number;
     /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
     lastReceivedMs: number;
+    /** Latest monotonic time at which a request was sent that the upstream has answered, in milliseconds. */
+    answeredSentMs: number;
     /** Monotonic time of the first request that was sent after data last arrived, in milliseconds. */
     unansweredSinceMs: number;
     /** Monotonic end of a missing entry's grace period, in milliseconds; undefined while the entry is listed. */
@@ -286,9 +288,9 @@
     }
 
     /** Whether this node may send an upstream a request by its places there; undefined if these are not limited. */
-    private hasPlace({ givenUp, inFlight, lastReceivedMs }: TrackedInstance, places?: number): boolean {
+    private hasPlace({ givenUp, inFlight, answeredSentMs }: TrackedInstance, places?: number): boolean {
         const nowMs = this.options.clock.readMonotonicMs();
-        return places === undefined || givenUp.hasPlace({ places, inFlight, lastReceivedMs, nowMs });
+        return places === undefined || givenUp.hasPlace({ places, inFlight, answeredSentMs, nowMs });
     }
 
     private readOwnLoad(): ReadonlyMap<string, number> {
@@ -406,6 +408,7 @@
             givenUp: new GivenUpRequests(),
             ejectedUntilMs: -Infinity,
             lastReceivedMs: -Infinity,
+            answeredSentMs: -Infinity,
             unansweredSinceMs: -Infinity,
             missingGraceEndsMs: undefined,
         });
--- a/src/upstreams/HttpPlainClient.test.ts
+++ b/src/upstreams/HttpPlainClient.test.ts
@@ -3,8 +3,9 @@
 import { HttpPlainClient } from "./HttpPlainClient";
 import type { PlainCall, PlainFailure } from "./types";
 
-const timeoutMs = 200;
-const readMs = 200; // until a late service has read what it was sent
+const timeoutMs = 400;
+const shortTimeoutMs = 100; // of a call that waits for the connection of another one
+const readMs = 200; // for what should not be read
 const largeBodyBytes = 8_388_608; // more than the system holds for one connection
 
 describe("HttpPlainClient", () => {
@@ -22,13 +23,16 @@
         await service.server.stop();
     });
 
-    const book = async (key: string, body = "{}"): Promise<PlainFailure | undefined> => {
+    const book = async (
+        key: string,
+        { body = "{}", limitMs = timeoutMs } = {},
+    ): Promise<PlainFailure | undefined> => {
         const call: PlainCall = {
             method: "POST",
             path: "/bookings",
             headers: { "idempotency-key": key },
             body: Buffer.from(body),
-            timeoutMs,
+            timeoutMs: limitMs,
         };
         const result = await client.call(call);
         return "failure" in result ? result.failure : undefined;
@@ -40,16 +44,22 @@
     it("says that a call was sent which its service reads after it was given up, but not one that waited", async () => {
         expect(await book("warm-up")).toBeUndefined();
         service.server.setReading(false);
-        const [first, second] = await Promise.all([book("first"), book("second")]);
+        const [first, second] = await Promise.all([
+            book("first"),
+            book("second", { limitMs: shortTimeoutMs }),
+        ]);
         expect([first?.isSent, second?.isSent]).toEqual([true, false]);
         service.server.setReading(true);
+        while (listRuns().length < 2) {
+            await pause(1);
+        }
         await pause(readMs);
         expect(listRuns()).toEqual(["warm-up", "first"]);
     });
 
     it("says that a call was sent of which only a part was written", async () => {
         service.server.setReading(false);
-        const failure = await book("large", JSON.stringify("x".repeat(largeBodyBytes)));
+        const failure = await book("large", { body: JSON.stringify("x".repeat(largeBodyBytes)) });
         expect(failure?.isSent).toBe(true);
     });
 });
