Use a brittle upstream again at most four seconds after it reads on

Seen: brittleUpstreams.test.ts failed in 1 of 5 runs at a load average of 15, with no crash: within 2 s after the upstream read on it had got 14 requests, where the test asked for more than 16. What the upstream waited for was the next request by which it is heard, at an interval as long as its silence, which had no bound.

The interval is now 4 s at most.

--- a/src/placement/GivenUpRequests.test.ts
+++ b/src/placement/GivenUpRequests.test.ts
@@ -31,4 +31,10 @@
         expect(givenUp.hasPlace({ ...options, nowMs: 4_500 })).toBe(false);
         expect(givenUp.hasPlace({ ...options, nowMs: 4_600 })).toBe(true);
     });
+
+    it("waits no longer than four seconds for the next one", () => {
+        [1_000, 9_000].forEach(atMs => givenUp.add(atMs));
+        expect(givenUp.hasPlace({ ...options, nowMs: 12_900 })).toBe(false);
+        expect(givenUp.hasPlace({ ...options, nowMs: 13_000 })).toBe(true);
+    });
 });
--- a/src/placement/GivenUpRequests.ts
+++ b/src/placement/GivenUpRequests.ts
@@ -11,6 +11,7 @@
 }
 
 const minProbeIntervalMs = 1_000;
+const maxProbeIntervalMs = 4_000; // an upstream that reads on is used again after this time at most
 
 /**
  * Requests to one upstream that were given up after they had been written. An upstream that has answered no request that
@@ -39,7 +40,7 @@
         }
         const [firstMs = nowMs] = this.timesMs;
         const lastMs = this.timesMs.at(-1) ?? nowMs;
-        const intervalMs = Math.max(minProbeIntervalMs, lastMs - firstMs);
+        const intervalMs = Math.min(maxProbeIntervalMs, Math.max(minProbeIntervalMs, lastMs - firstMs));
         return inFlight === 0 && places > 0 && nowMs - lastMs >= intervalMs;
     }
 }
