Keep the record of a call of unknown outcome also where its sender tells no write, and log errors of calls

What callers saw: nothing; found in review. A sender that reports an unknown effect without having told the write had its call counted as never written. No sender does so today. The log of a call now has the error or status with which it ended: without it, a call that a gateway had answered could not be told from one that the platform had answered.

Evidence: both new tests of DutyCaller failed before.

--- a/src/leases/DutyCallRecord.ts
+++ b/src/leases/DutyCallRecord.ts
@@ -32,14 +32,20 @@
         this.writtenMs = this.options.clock.readMonotonicMs();
     }
 
-    /** Logs the call. */
-    finish(outcome: DutyOutcome): void {
+    /**
+     * Logs the call.
+     *
+     * @param outcome - how it ended
+     * @param error - why it has no answer, or no useful one
+     */
+    finish(outcome: DutyOutcome, error?: unknown): void {
         const { held, target, checkedMs, writtenMs } = this;
         const endedMs = this.options.clock.readMonotonicMs();
         this.options.events.emit(eventKinds.dutyCalled, {
             ...target,
             fencing: held.fencing,
             outcome,
+            error: error === undefined ? undefined : String(error),
             monotonicAgeMs: Math.round(held.monotonicAgeMs),
             wallAgeMs: Math.round(held.wallAgeMs),
             writtenAfterMs: writtenMs === undefined ? undefined : Math.round(writtenMs - checkedMs),
--- a/src/leases/DutyCaller.test.ts
+++ b/src/leases/DutyCaller.test.ts
@@ -118,6 +118,23 @@
         expect(await readRecord()).toEqual(record);
     });
 
+    it("logs with what answer or error a call ended", async () => {
+        failure = new Error("status 504");
+        await expect(call()).rejects.toBe(failure);
+        const [ended] = events.list().filter(({ event }) => event === eventKinds.dutyCalled.number);
+        expect(ended.fields).toMatchObject({ outcome: "answered", error: "Error: status 504" });
+    });
+
+    it("keeps the record of a call of unknown outcome whose sender did not say that it was written", async () => {
+        const called = caller.call({ duty: "usage", subject: "usage" }, async (_fencing, stages) => {
+            await stages.onConnected();
+            throw new StoreError("connection lost", "unknown");
+        });
+        await expect(called).rejects.toMatchObject({ effect: "unknown" });
+        await clock.advance(100);
+        expect(await readRecord()).toEqual({ "usage usage": expect.any(Number) });
+    });
+
     it("does not call after a suspension that neither clock shows, when another node holds the lease", async () => {
         const fencing = await takeOver();
         expect(lease.readHeld()!.fencing).toBeLessThan(fencing);
--- a/src/leases/DutyCaller.ts
+++ b/src/leases/DutyCaller.ts
@@ -64,7 +64,7 @@
         }
         catch (error) {
             const outcome = toOutcome(error);
-            record.finish(outcome);
+            record.finish(outcome, error);
             if (outcome === dutyOutcomes.abandoned) {
                 confirmation.abort();
             }
--- a/src/leases/LeaseConfirmation.ts
+++ b/src/leases/LeaseConfirmation.ts
@@ -67,11 +67,9 @@
 
     /** Gives the call up: it may have been written, and has no answer. */
     abort(): void {
-        if (this.writtenAtMs === undefined) {
-            this.end();
-        }
-        else {
-            this.options.lease.abortCall(this.target, this.writtenAtMs);
+        if (this.isBegun) {
+            const writtenAtMs = this.writtenAtMs ?? this.options.clock.readMonotonicMs();
+            this.options.lease.abortCall(this.target, writtenAtMs);
         }
     }
 }
