--- a/src/leases/Lease.ts
+++ b/src/leases/Lease.ts
@@ -33,7 +33,8 @@
     /** Time after the write of a takeover in which orders of the previous holder may still arrive; default 2,000 ms. */
     readonly takeoverDelayMs?: number;
     /**
-     * Time after its confirmation in which a call without an answer may still be carried out; default 8,000 ms on its way after the latest time at which it is written.
+     * Time after its confirmation in which a call without an answer may still be carried out; default 8,000 ms after the
+     * latest time at which it is written.
      */
     readonly lateArrivalMs?: number;
 }
--- a/src/leases/decodePendingWaits.ts
+++ b/src/leases/decodePendingWaits.ts
@@ -18,8 +18,9 @@
 });
 
 /**
- * Decodes which calls of former holders may still arrive when a lease's row is taken over. A row of an earlier version, which
- * may have had calls that it took for ended, or of another writer does not tell, and the store may have lost the records of an earlier era: any call may arrive then.
+ * Decodes which calls of former holders may still arrive when a lease's row is taken over. Any call may where the row does
+ * not tell: one of another writer, or of an earlier version, which took calls for ended when it gave them up; and where the
+ * store may have lost the records of an earlier era.
  *
  * @param row - the row that is taken over
  * @param options - era of the store, and the longest wait
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -52,9 +52,7 @@
     private readonly suspected = new Map<string, number>();
     /** Monotonic time at which this node first saw each gone member as gone, in milliseconds. */
     private readonly goneSinceMs = new Map<string, number>();
-    /**
-     * Monotonic time at which this node first saw the record of each node that was never live here, in milliseconds.
-     */
+    /** Monotonic time at which this node first saw the record of each node that was never live here, in milliseconds. */
     private readonly unheardSinceMs = new Map<string, number>();
 
     constructor(private readonly options: MembershipOptions) {
