Dial a node first whose record was written again

A node that starts writes its record. Others took no notice: it waited in line with the records of nodes that do not exist, each of which holds an attempt for up to 0.8 s, and so three nodes that started together among 40 such records stayed apart for over 5 s at times.

The new test of LinkProber failed on the code before (not reached within 1 s among 300 records).

A record that was written again is another object in the feed; its node's back-off ends, and it has every other turn before those never tried, so that records renewed in numbers do not keep others from their turns.

--- a/src/peers/LinkProber.test.ts
+++ b/src/peers/LinkProber.test.ts
@@ -38,8 +38,11 @@
         this.setRecorded([...nodeIds, ...this.existing]);
     }
 
-    setRecorded(nodeIds: readonly string[]): void {
-        this.prober.setRecorded(new Map(nodeIds.map(nodeId => [nodeId, { nodeId, dataCentre: "a" }])));
+    setRecorded(nodeIds: readonly string[], renewed: readonly string[] = []): void {
+        this.prober.setRecorded(
+            new Map(nodeIds.map(nodeId => [nodeId, { nodeId, dataCentre: "a" }])),
+            renewed,
+        );
     }
 
     private async tryLink(nodeId: string): Promise<boolean> {
@@ -76,6 +79,21 @@
         }
     });
 
+    // Guards against nodes that start together and stay apart, each behind the records of nodes that do not exist.
+    it("reaches a node within a second of its start, however many others accept connections and say nothing", async () => {
+        for (let seed = 1; seed <= 20; seed += 1) {
+            const { clock, existing, linked, scope } = start(seed);
+            const recorded = [...Array.from({ length: 300 }, (_, index) => `absent-${index}`), "real"];
+            setup.setRecorded(recorded);
+            await clock.advance(5_000);
+            existing.add("real");
+            setup.setRecorded(recorded, ["real"]);
+            await clock.advance(1_000);
+            expect([...linked]).toEqual(["real"]);
+            await scope.cancel();
+        }
+    });
+
     it("dials first what it would keep links to if all recorded nodes existed", async () => {
         const { clock, attempts } = start();
         const others = Array.from({ length: 8 }, (_, index) => ({ nodeId: `n${index}`, dataCentre: "a" }));
--- a/src/peers/LinkProber.ts
+++ b/src/peers/LinkProber.ts
@@ -61,9 +61,15 @@
         });
     }
 
-    /** Sets the nodes of which there is a record. Those that are neither members nor gone are probed. */
-    setRecorded(recorded: ReadonlyMap<string, LinkCandidate>): void {
+    /**
+     * Sets the nodes of which there is a record. Those that are neither members nor gone are probed.
+     *
+     * @param recorded - the nodes
+     * @param renewed - those whose record was written again: they come first, as they have probably just started
+     */
+    setRecorded(recorded: ReadonlyMap<string, LinkCandidate>, renewed: readonly string[] = []): void {
         this.unheard.filter(nodeId => recorded.has(nodeId));
+        renewed.forEach(nodeId => this.renew(nodeId));
         const added = [...recorded.values()].filter(({ nodeId }) => this.isNew(nodeId));
         if (added.length > 0) {
             // What would be dialled if all existed comes first: nodes that start together then agree on the same ones.
@@ -140,6 +146,10 @@
         }
     }
 
+    private renew(nodeId: string): void {
+        [this.gone, this.unheard].filter(queue => queue.has(nodeId)).forEach(queue => queue.renew(nodeId));
+    }
+
     private isNew(nodeId: string): boolean {
         return !this.options.isMember(nodeId) && !this.gone.has(nodeId) && !this.unheard.has(nodeId);
     }
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -222,8 +222,9 @@
     /** Sets the nodes of which there is a record; those that are no members are dialled in turn, as they may not exist. */
     setRecorded(recorded: readonly PeerAddress[]): void {
         const others = recorded.filter(({ nodeId }) => nodeId !== this.options.nodeId);
+        const renewed = others.filter(record => isRenewed(this.recorded.get(record.nodeId), record));
         this.recorded = collectByNodeId(others);
-        this.prober.setRecorded(this.recorded);
+        this.prober.setRecorded(this.recorded, renewed.map(({ nodeId }) => nodeId));
     }
 
     /**
@@ -409,6 +410,10 @@
     }
 }
 
+/** Whether a record was written again; one that is read anew is another object. */
+const isRenewed = (known: PeerAddress | undefined, record: PeerAddress): boolean =>
+    known !== undefined && known !== record;
+
 const collectByNodeId = (nodes: readonly PeerAddress[]): Map<string, PeerAddress> =>
     new Map(nodes.map(node => [node.nodeId, node]));
 
--- a/src/peers/ProbeQueue.test.ts
+++ b/src/peers/ProbeQueue.test.ts
@@ -54,6 +54,18 @@
         );
     });
 
+    it("takes renewed nodes first in every other call, also those that have failed or are taken", () => {
+        const queue = new ProbeQueue({ maxIntervalMs: 2_000 });
+        ["a", "b", "c", "d"].forEach(nodeId => queue.add(nodeId));
+        expect([queue.takeDue({ nowMs: 0 }), queue.takeDue({ nowMs: 0 })]).toEqual(["a", "b"]);
+        queue.putBack("a", { wasReached: false, nowMs: 0 });
+        ["a", "b", "e"].forEach(nodeId => queue.renew(nodeId));
+        queue.putBack("b", { wasReached: false, nowMs: 0 });
+        expect(queue.size).toBe(5);
+        expect(takeAll(queue, 100)).toEqual(["a", "c", "b", "d", "e"]);
+        expect(queue.size).toBe(5);
+    });
+
     it("does not put back a node that was removed meanwhile", () => {
         const queue = new ProbeQueue({ maxIntervalMs: 2_000 });
         ["a", "b", "c"].forEach(nodeId => queue.add(nodeId));
--- a/src/peers/ProbeQueue.ts
+++ b/src/peers/ProbeQueue.ts
@@ -25,17 +25,19 @@
     private readonly failures = new Map<string, number>();
     /** Number of failed attempts of each node that was taken and not put back. */
     private readonly taken = new Map<string, number>();
+    /** Nodes whose attempts so far no longer count; they come before those that were never tried. */
+    private readonly renewed = new Set<string>();
     private prefersUntried = true;
 
     constructor(private readonly options: ProbeQueueOptions) {}
 
     /** Number of nodes, those that are taken included. */
     get size(): number {
-        return this.failures.size + this.taken.size;
+        return this.renewed.size + this.failures.size + this.taken.size;
     }
 
     has(nodeId: string): boolean {
-        return this.failures.has(nodeId) || this.taken.has(nodeId);
+        return this.renewed.has(nodeId) || this.failures.has(nodeId) || this.taken.has(nodeId);
     }
 
     /** Adds a node that is due from a time on, by default at once; no effect if it is there. */
@@ -45,7 +47,14 @@
         }
     }
 
+    /** Ends the back-off of a node, which is due at once; adds it if it is not there. One that is taken is due again. */
+    renew(nodeId: string): void {
+        this.remove(nodeId);
+        this.renewed.add(nodeId);
+    }
+
     remove(nodeId: string): void {
+        this.renewed.delete(nodeId);
         this.taken.delete(nodeId);
         this.lines[this.failures.get(nodeId) ?? -1]?.delete(nodeId);
         this.failures.delete(nodeId);
@@ -53,13 +62,13 @@
 
     /** Removes all nodes but the given ones. */
     filter(isKept: (nodeId: string) => boolean): void {
-        [...this.failures.keys(), ...this.taken.keys()].filter(nodeId => !isKept(nodeId))
+        [...this.renewed, ...this.failures.keys(), ...this.taken.keys()].filter(nodeId => !isKept(nodeId))
             .forEach(nodeId => this.remove(nodeId));
     }
 
     /**
-     * Takes the node whose turn came first, in every other call among those that were never tried, if there are any. It has
-     * no further turn until {@link putBack}.
+     * Takes the node whose turn came first, in every other call among those that were renewed or never tried, if there are
+     * any. It has no further turn until {@link putBack}.
      *
      * @param options - time, and a limit of the back-off
      * @returns the node's name, or undefined while none is due
@@ -71,8 +80,8 @@
             return head ? [{ nodeId: head[0], failures, dueMs: head[1] + intervalMs }] : [];
         });
         const ready = heads.filter(({ dueMs }) => dueMs <= nowMs).sort((a, b) => a.dueMs - b.dueMs);
-        const untried = this.prefersUntried ? ready.find(({ failures }) => failures === 0) : undefined;
-        const due = untried ?? ready.at(0);
+        const untried = this.peekRenewed() ?? ready.find(({ failures }) => failures === 0);
+        const due = (this.prefersUntried ? untried : undefined) ?? ready.at(0) ?? untried;
         if (due) {
             this.prefersUntried = !this.prefersUntried;
             this.remove(due.nodeId);
@@ -95,6 +104,11 @@
         }
     }
 
+    private peekRenewed(): { readonly nodeId: string; readonly failures: number; } | undefined {
+        const [nodeId] = this.renewed;
+        return nodeId === undefined ? undefined : { nodeId, failures: 0 };
+    }
+
     private enqueue(nodeId: string, failures: number, triedMs: number): void {
         this.lines[failures] ??= new Map();
         this.lines[failures].set(nodeId, triedMs);
