--- a/src/leases/PendingCalls.ts
+++ b/src/leases/PendingCalls.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../kernel/types";
-import type { DutyTarget } from "./types";
+import type { DutyTarget, PendingWaits } from "./types";
 
 /** Options of {@link PendingCalls}. */
 export interface PendingCallsOptions {
@@ -8,9 +8,6 @@
     readonly lateArrivalMs: number;
 }
 
-/** Remaining times in which calls may still arrive, in milliseconds, by the key of their duty and subject. */
-export type PendingWaits = Readonly<Record<string, number>>;
-
 /** Wait of the calls on a duty and subject. */
 export interface TargetWait extends DutyTarget {
     readonly waitMs: number;
--- a/src/leases/decodePendingWaits.ts
+++ b/src/leases/decodePendingWaits.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { Row } from "../platform/types";
-import { anySubject, maxPendingSubjects, type PendingWaits } from "./PendingCalls";
+import { anySubject, maxPendingSubjects } from "./PendingCalls";
+import type { PendingWaits } from "./types";
 
 /** Options of {@link decodePendingWaits}. */
 export interface DecodePendingWaitsOptions {
--- a/src/leases/types.ts
+++ b/src/leases/types.ts
@@ -1,6 +1,7 @@
 /** Types of leases. */
 
-import type { PendingWaits } from "./PendingCalls";
+/** Remaining times in which calls may still arrive, in milliseconds, by the key of their duty and subject. */
+export type PendingWaits = Readonly<Record<string, number>>;
 
 /** Value of a lease's row in the table service. */
 export interface LeaseRow {
