--- a/src/streams/Attempt.ts
+++ b/src/streams/Attempt.ts
@@ -2,17 +2,7 @@
 import type { EngineError, EngineSink, EngineStream, NumberedEventBatch } from "../upstreams/types";
 import type { Runner } from "../upstreams/Runner";
 import type { RequestRecord } from "./RequestRecord";
-
-/**
- * How an attempt ended. `silent`: the runner sent nothing for too long. `moved`: the request continues on
- * another runner or node.
- */
-export type AttemptOutcome =
-    | { readonly kind: "ended"; }
-    | { readonly kind: "failed"; readonly error: EngineError; }
-    | { readonly kind: "silent"; }
-    | { readonly kind: "moved"; }
-    | { readonly kind: "cancelled"; };
+import type { AttemptOutcome, RunningAttempt } from "./types";
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -25,11 +15,9 @@
 }
 
 /** One attempt to get an answer, or the rest of it, from one runner. */
-export class Attempt implements EngineSink {
+export class Attempt implements EngineSink, RunningAttempt {
     readonly startedAtMs: number;
-    /** Monotonic time at which the runner last sent something, in milliseconds. */
     lastActivityAtMs: number;
-    /** Monotonic time of the runner's first batch, in milliseconds. */
     firstBatchAtMs: number | undefined;
     /** Offset of the first event that this attempt produces. */
     readonly firstOffset: number;
@@ -85,7 +73,6 @@
         this.settle({ kind: "failed", error });
     }
 
-    /** Ends the attempt and cancels its stream at the runner. */
     stop(outcome: AttemptOutcome): void {
         this.settle(outcome);
         this.stream?.cancel();
--- a/src/streams/ChatRequests.ts
+++ b/src/streams/ChatRequests.ts
@@ -1,8 +1,7 @@
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
-import type { Clock, RandomSource, Task } from "../kernel/types";
+import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
-import type { ReplicatedConfiguration } from "../configuration/ReplicatedConfiguration";
 import type { WorkClass } from "../declaration/declarationSchema";
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
@@ -10,42 +9,14 @@
 import { toFailure } from "../results/toFailure";
 import type { Failure } from "../results/types";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
-import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
-import type { Invariants } from "../telemetry/Invariants";
-import type { EntryMetrics } from "../telemetry/EntryMetrics";
-import type { UpstreamRegistry } from "../upstreams/UpstreamRegistry";
 import type { ChatBody } from "./chatBodySchema";
+import type { ChatRequestsOptions } from "./ChatRequestsOptions";
 import type { RequestSnapshot } from "./RequestSnapshot";
-import type { KeptRequests } from "./KeptRequests";
 import { type BalanceCounts, RequestBalance } from "./RequestBalance";
 import { RequestRecord, type RequestState } from "./RequestRecord";
 import { RequestExecutor } from "./RequestExecutor";
 import { StreamLog } from "./StreamLog";
-import type { StreamMemory } from "./StreamMemory";
-import type { RecoveryPolicy } from "./RecoveryPolicy";
-import type { ServiceDispatchers } from "./ServiceDispatchers";
-
-/** Options of {@link ChatRequests}. */
-export interface ChatRequestsOptions {
-    readonly nodeId: string;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly events: EventLog;
-    readonly invariants: Invariants;
-    readonly metrics: EntryMetrics;
-    readonly memory: StreamMemory;
-    readonly configuration: Pick<ReplicatedConfiguration, "current">;
-    readonly registry: UpstreamRegistry;
-    readonly dispatchers: ServiceDispatchers;
-    readonly keptRequests: Pick<KeptRequests, "store" | "finish">;
-    /** Decides from which point another runner continues an answer; default {@link ResumeRecovery}. */
-    readonly recoveryPolicy?: RecoveryPolicy;
-    /** An attempt whose runner sends nothing for this long is stopped, in milliseconds. */
-    readonly streamSilenceMs: number;
-    /** How long a request is held after its end for callers that resume, in milliseconds. */
-    readonly resumeWindowMs: number;
-}
 
 /** A validated request, to be passed to {@link ChatRequests.accept}. */
 export interface NewChatRequest {
--- a/src/streams/RequestExecutor.ts
+++ b/src/streams/RequestExecutor.ts
@@ -8,13 +8,14 @@
 import type { DispatchRequest } from "../routing/Dispatcher";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Runner } from "../upstreams/Runner";
-import { Attempt, type AttemptOutcome } from "./Attempt";
+import { Attempt } from "./Attempt";
 import type { ChatBody } from "./chatBodySchema";
-import type { ChatRequestsOptions } from "./ChatRequests";
+import type { ChatRequestsOptions } from "./ChatRequestsOptions";
 import { extractPromptText } from "./extractPromptText";
 import type { RecoveryPolicy } from "./RecoveryPolicy";
 import type { RequestRecord } from "./RequestRecord";
 import { ResumeRecovery } from "./ResumeRecovery";
+import type { AttemptOutcome, RunningAttempt } from "./types";
 
 const charactersPerToken = 4;
 const defaultExpectedTokens = 256;
@@ -210,7 +211,7 @@
 
     /** Whether the answer of a failed attempt broke off as soon as it had begun. */
     private hasBrokenAtStart(
-        { firstBatchAtMs }: Attempt,
+        { firstBatchAtMs }: RunningAttempt,
         outcome: Extract<AttemptOutcome, { kind: "failed" | "silent"; }>,
     ): boolean {
         const nowMs = this.options.clock.readMonotonicMs();
--- a/src/streams/RequestRecord.ts
+++ b/src/streams/RequestRecord.ts
@@ -1,8 +1,8 @@
 import type { WorkClass } from "../declaration/declarationSchema";
 import type { Failure } from "../results/types";
-import type { Attempt } from "./Attempt";
 import type { Runner } from "../upstreams/Runner";
 import type { StreamLog } from "./StreamLog";
+import type { RunningAttempt } from "./types";
 
 /** State of an accepted model request. */
 export type RequestState = "queued" | "running" | "answered" | "failed" | "cancelled" | "handed-over";
@@ -25,7 +25,7 @@
 export class RequestRecord {
     state: RequestState = "queued";
     failure: Failure | undefined;
-    currentAttempt: Attempt | undefined;
+    currentAttempt: RunningAttempt | undefined;
     /** Number of attempts so far, on all nodes. */
     attemptCount = 0;
     /** Number of the last attempts, on all nodes, whose answer broke off as soon as it began. */
