Don't run a keyed model request again while the member that may hold it is silent

Cause: RequestLocator.locate took a time-out, a lost link or an error reply of a member for the statement that it doesn't hold the request.

--- a/src/callers/handleChat.ts
+++ b/src/callers/handleChat.ts
@@ -14,6 +14,7 @@
 import { authenticateCaller } from "./authenticateCaller";
 import type { CallerContext } from "./CallerContext";
 import { checkAdmission } from "./checkAdmission";
+import { locateKeyedRequest } from "./locateKeyedRequest";
 import { readBody } from "./readBody";
 import { readIdempotencyKey } from "./readIdempotencyKey";
 import { relayAnswer } from "./relayAnswer";
@@ -50,7 +51,7 @@
         return yield* deliverAnswer(context, exchange, record, isStream, 0);
     }
     const requestId = `key.${hashText(`${account.id}\n${key}`).slice(0, keyHashDigits)}`;
-    const location = yield* waitFor(context.locator.locate(requestId, account.id));
+    const location = yield* locateKeyedRequest(context, exchange, requestId, account.id);
     if (location.kind === "here") {
         verifySameBody(computeBodyDigest(location.record.description.body), body);
         return yield* deliverAnswer(context, exchange, location.record, isStream, 0);
--- a/src/callers/handleRequest.ts
+++ b/src/callers/handleRequest.ts
@@ -8,6 +8,7 @@
 import { deliverAnswer } from "./deliverAnswer";
 import { authenticateCaller } from "./authenticateCaller";
 import type { CallerContext } from "./CallerContext";
+import { createUnconfirmedError } from "./createUnconfirmedError";
 import { createChatCompletion } from "./createChatCompletion";
 import { relayAnswer } from "./relayAnswer";
 import { sendJsonResponse } from "./sendJsonResponse";
@@ -67,7 +68,7 @@
         const relayed = { requestId, accountId, isStream: true, nodeId: location.nodeId, offset };
         return yield* relayAnswer(context, exchange, relayed);
     }
-    throw createUnknownRequestError(requestId);
+    throw createMissingError(location.kind, requestId);
 }
 
 function* readState(
@@ -102,7 +103,7 @@
     }
     const keptRow = yield* waitFor(context.keptRequests.read(requestId, accountId).catch(() => undefined));
     if (!keptRow) {
-        throw createUnknownRequestError(requestId);
+        throw createMissingError(location.kind, requestId);
     }
     const choices = [{
         index: 0,
@@ -125,12 +126,12 @@
     accountId: string,
 ): Task<void> {
     const location = yield* waitFor(context.locator.locate(requestId, accountId));
-    if (location.kind === "unknown") {
-        throw createUnknownRequestError(requestId);
-    }
     if (location.kind === "here") {
         context.chatRequests.cancel(location.record);
     }
+    else if (location.kind !== "member") {
+        throw createMissingError(location.kind, requestId);
+    }
     else {
         yield* waitFor(context.locator.cancelRemote(location.nodeId, requestId, accountId));
     }
@@ -150,6 +151,9 @@
     return Number(header) + 1;
 };
 
+const createMissingError = (kind: "unknown" | "unconfirmed", requestId: string): FailureError =>
+    kind === "unconfirmed" ? createUnconfirmedError(requestId) : createUnknownRequestError(requestId);
+
 const createUnknownRequestError = (requestId: string): FailureError =>
     new FailureError(
         createFailure(
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -94,6 +94,13 @@
         "not-run",
         "The Idempotency-Key is empty, too long or has unprintable characters.",
     ),
+    idempotencyKeyUnconfirmed: define(
+        1107,
+        "idempotency-key-unconfirmed",
+        503,
+        "unknown",
+        "A node that may hold the request of this key or id does not answer; repeat it under the same one.",
+    ),
     overloaded: define(1201, "overloaded", 503, "not-run", "The queue is full."),
     deadlineUnreachable: define(
         1202,
--- a/src/streams/RequestLocator.ts
+++ b/src/streams/RequestLocator.ts
@@ -16,11 +16,14 @@
     readonly chatRequests: ChatRequests;
 }
 
-/** Node that holds a request. `bodyDigest` identifies the request's body. */
+/**
+ * Node that holds a request. `bodyDigest` identifies the request's body. `unconfirmed`: no node that answered holds it,
+ * and a present one did not answer.
+ */
 export type RequestLocation =
     | { readonly kind: "here"; readonly record: RequestRecord; }
     | { readonly kind: "member"; readonly nodeId: string; readonly bodyDigest: string; }
-    | { readonly kind: "unknown"; };
+    | { readonly kind: "unknown" | "unconfirmed"; };
 
 /** Part of an answer, as read from the node that holds the request. */
 export interface RemoteAnswerPart {
@@ -58,10 +61,8 @@
     movedTo: z.string().nullish(),
 });
 
-interface FoundRequest {
-    readonly nodeId: string;
-    readonly bodyDigest: string;
-}
+/** What a member, and the nodes to which it refers, say of a request. */
+type HolderAnswer = Exclude<RequestLocation, { readonly kind: "here"; }>;
 
 /** Finds the node that holds a request, and reads or cancels the request there. */
 export class RequestLocator {
@@ -91,8 +92,9 @@
         const answers = await Promise.all(
             candidates.map(nodeId => this.findHolder(nodeId, requestId, accountId)),
         );
-        const found = answers.find(answer => answer !== undefined);
-        return found === undefined ? { kind: "unknown" } : { kind: "member", ...found };
+        return answers.find(({ kind }) => kind === "member")
+            ?? answers.find(({ kind }) => kind === "unconfirmed")
+            ?? { kind: "unknown" };
     }
 
     /**
@@ -163,7 +165,7 @@
         nodeId: string,
         requestId: string,
         accountId: string,
-    ): Promise<FoundRequest | undefined> {
+    ): Promise<HolderAnswer> {
         let asked = nodeId;
         for (let hop = 0; hop < maxHops; hop += 1) {
             try {
@@ -172,18 +174,23 @@
                     await this.options.network.call(asked, findMethod, payload, findTimeoutMs),
                 );
                 if (reply.found) {
-                    return { nodeId: asked, bodyDigest: reply.bodyDigest ?? "" };
+                    return { kind: "member", nodeId: asked, bodyDigest: reply.bodyDigest ?? "" };
                 }
                 if (!reply.movedTo || reply.movedTo === this.options.nodeId) {
-                    return undefined;
+                    return { kind: "unknown" };
                 }
                 asked = reply.movedTo;
             }
             catch {
-                return undefined;
+                return { kind: this.isPresent(asked) ? "unconfirmed" : "unknown" };
             }
         }
-        return undefined;
+        return { kind: "unknown" };
+    }
+
+    private isPresent(nodeId: string): boolean {
+        const member = this.options.membership.find(nodeId);
+        return member !== undefined && member.state !== "gone";
     }
 
     private async handleFind(payload: unknown): Promise<unknown> {
