Accept a keyed model request once when it comes to several nodes or callers at the same time

Callers saw: a model request that was sent twice at once under one Idempotency-Key ran at both nodes; at one node, the two ended each other's attempts at the engine and none of the callers was answered. Cause: the question whether someone holds the request and its acceptance are apart by a look-up of up to 1 s, and nothing tells the others of it meanwhile.

A node now claims the request before it asks, and until it has accepted it; a member that meets a claim is told to ask again, after a random time. Of two nodes that claim the same request, the one that is asked later sees the other's claim, or its request.

--- a/src/callers/handleChat.ts
+++ b/src/callers/handleChat.ts
@@ -14,7 +14,7 @@
 import { authenticateCaller } from "./authenticateCaller";
 import type { CallerContext } from "./CallerContext";
 import { checkAdmission } from "./checkAdmission";
-import { locateKeyedRequest } from "./locateKeyedRequest";
+import { findOrAcceptRequest } from "./findOrAcceptRequest";
 import { readBody } from "./readBody";
 import { readIdempotencyKey } from "./readIdempotencyKey";
 import { relayAnswer } from "./relayAnswer";
@@ -51,32 +51,25 @@
         return yield* deliverAnswer(context, exchange, record, isStream, 0);
     }
     const requestId = `key.${hashText(`${account.id}\n${key}`).slice(0, keyHashDigits)}`;
-    const location = yield* locateKeyedRequest(context, exchange, requestId, account.id);
+    const location = yield* findOrAcceptRequest(context, exchange, {
+        accountId: account.id,
+        service: service.name,
+        workClass,
+        body,
+        requestId,
+    });
     if (location.kind === "here") {
         verifySameBody(computeBodyDigest(location.record.description.body), body);
         return yield* deliverAnswer(context, exchange, location.record, isStream, 0);
     }
-    if (location.kind === "member") {
-        verifySameBody(location.bodyDigest, body);
-        return yield* relayAnswer(context, exchange, {
-            requestId,
-            accountId: account.id,
-            isStream,
-            nodeId: location.nodeId,
-            offset: 0,
-        });
-    }
-    const record = yield* waitFor(
-        context.chatRequests.accept({
-            accountId: account.id,
-            service: service.name,
-            workClass,
-            body,
-            requestId,
-        }),
-    );
-    context.locator.publishHint(requestId, context.nodeId);
-    yield* deliverAnswer(context, exchange, record, isStream, 0);
+    verifySameBody(location.bodyDigest, body);
+    yield* relayAnswer(context, exchange, {
+        requestId,
+        accountId: account.id,
+        isStream,
+        nodeId: location.nodeId,
+        offset: 0,
+    });
 }
 
 const parseChatBody = (bytes: Buffer): ChatBody =>
--- a/src/callers/keyedRequests.test.ts
+++ b/src/callers/keyedRequests.test.ts
@@ -70,4 +70,25 @@
         });
         expect(answer.status).toBe(200);
     });
+
+    it.each([
+        ["one node", [0, 0, 0]],
+        ["two nodes", [0, 1]],
+        ["several nodes", [0, 1, 1, 0]],
+    ])("run once when they come to %s at the same time", async (_, targets) => {
+        const headers = { "idempotency-key": "together-1" };
+        const signal = AbortSignal.timeout(8_000);
+        const answers = await Promise.all(targets.map(async index => {
+            const answer = await fetch(`${cluster.nodes[index].callersUrl}/v1/chat/completions`, {
+                method: "POST",
+                headers: { ...headers, authorization: `Bearer ${testKeys.large}` },
+                body: JSON.stringify({ model: "llm", messages: [{ role: "user", content: "keyed" }] }),
+                signal,
+            });
+            return { status: answer.status, body: await answer.text() };
+        }));
+        expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200]));
+        expect(new Set(answers.map(({ body }) => body)).size).toBe(1);
+        expect(countRuns()).toBe(1);
+    });
 });
--- a/src/streams/RequestLocator.ts
+++ b/src/streams/RequestLocator.ts
@@ -5,6 +5,7 @@
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { computeBodyDigest } from "./computeBodyDigest";
 import type { ChatRequests } from "./ChatRequests";
+import { RequestClaims } from "./RequestClaims";
 import type { RequestRecord, RequestState } from "./RequestRecord";
 import { formatFailure } from "../results/formatFailure";
 
@@ -18,7 +19,7 @@
 
 /**
  * Node that holds a request. `bodyDigest` identifies the request's body. `unconfirmed`: no node that answered holds it,
- * and a present one did not answer.
+ * and a present one did not answer, or is about to accept it.
  */
 export type RequestLocation =
     | { readonly kind: "here"; readonly record: RequestRecord; }
@@ -57,6 +58,7 @@
 
 const findReplySchema = z.object({
     found: z.boolean(),
+    isClaimed: z.boolean().optional(),
     bodyDigest: z.string().optional(),
     movedTo: z.string().nullish(),
 });
@@ -67,6 +69,7 @@
 /** Finds the node that holds a request, and reads or cancels the request there. */
 export class RequestLocator {
     private readonly hints = new Map<string, string>();
+    private readonly claims = new RequestClaims();
 
     constructor(private readonly options: RequestLocatorOptions) {
         const { network } = options;
@@ -84,11 +87,12 @@
      * @returns the node, with the record when it is this one
      */
     async locate(requestId: string, accountId: string): Promise<RequestLocation> {
-        const record = this.options.chatRequests.find(requestId, accountId);
-        if (record && record.state !== "handed-over") {
-            return { kind: "here", record };
+        const known = this.findHere(requestId, accountId);
+        if (known) {
+            return { kind: "here", record: known };
         }
-        const candidates = this.listCandidates(requestId, record?.movedTo);
+        const movedTo = this.options.chatRequests.find(requestId, accountId)?.movedTo;
+        const candidates = this.listCandidates(requestId, movedTo);
         const answers = await Promise.all(
             candidates.map(nodeId => this.findHolder(nodeId, requestId, accountId)),
         );
@@ -97,6 +101,23 @@
             ?? { kind: "unknown" };
     }
 
+    /** Finds a request that this node holds; undefined for one that it has handed over. */
+    findHere(requestId: string, accountId: string): RequestRecord | undefined {
+        const record = this.options.chatRequests.find(requestId, accountId);
+        return record?.state === "handed-over" ? undefined : record;
+    }
+
+    /**
+     * Claims a request that this node accepts if {@link locate} says that it is unknown. Of two nodes that claim the same
+     * request, one at most is told so while both claims last.
+     *
+     * @param requestId - the request
+     * @returns a function that releases the claim, after the request was accepted or not; to be called once
+     */
+    claim(requestId: string): () => void {
+        return this.claims.add(requestId);
+    }
+
     /**
      * Tells a few members which node holds a request. In a large cluster, it can then be found without asking
      * every member.
@@ -176,6 +197,9 @@
                 if (reply.found) {
                     return { kind: "member", nodeId: asked, bodyDigest: reply.bodyDigest ?? "" };
                 }
+                if (reply.isClaimed) {
+                    return { kind: "unconfirmed" };
+                }
                 if (!reply.movedTo || reply.movedTo === this.options.nodeId) {
                     return { kind: "unknown" };
                 }
@@ -195,11 +219,16 @@
 
     private async handleFind(payload: unknown): Promise<unknown> {
         const { requestId, accountId } = addressedSchema.parse(payload);
-        const record = this.options.chatRequests.find(requestId, accountId);
-        if (record && record.state !== "handed-over") {
-            return { found: true, bodyDigest: computeBodyDigest(record.description.body) };
+        const known = this.findHere(requestId, accountId);
+        if (known) {
+            return { found: true, bodyDigest: computeBodyDigest(known.description.body) };
         }
-        return { found: false, movedTo: record?.movedTo ?? this.hints.get(requestId) };
+        const movedTo = this.options.chatRequests.find(requestId, accountId)?.movedTo;
+        return {
+            found: false,
+            isClaimed: this.claims.has(requestId),
+            movedTo: movedTo ?? this.hints.get(requestId),
+        };
     }
 
     private async handleRead(payload: unknown): Promise<RemoteAnswerPart> {
