Let a member go on with a handed-over request only after the leaving node has confirmed its offer

Callers saw: after an offer to a member timed out (0.8 s), the next member took the request, and the first one, which read the offer late or whose answer was lost, took it too: two nodes generated one answer, at twice the work, and with other words beyond the frozen offset. Cause: a time-out was taken for a refusal.

The member now asks the leaving node, before it goes on, whether the offer of this number still holds. The leaving node decides in one turn: it says yes to one offer of a request at most, and withdraws one that it gave up without having said yes. One to which it said yes counts as taken also if the last answer is lost. The assertion hand-over-acknowledged now checks that the member has asked and was told yes.

--- a/src/reclaim/EntryReclaim.ts
+++ b/src/reclaim/EntryReclaim.ts
@@ -18,6 +18,7 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
+import { HandOverOffers } from "./HandOverOffers";
 
 /** Options of {@link EntryReclaim}. */
 export interface EntryReclaimOptions {
@@ -39,8 +40,6 @@
     readonly scanIntervalMs?: number;
 }
 
-const takeMethod = "hand-over.take";
-const takeTimeoutMs = 800;
 const maxMembersTried = 3;
 const storePrefix = "hand-over/";
 const storeAttempts = 5;
@@ -51,11 +50,17 @@
 export class EntryReclaim {
     private readonly scope: TaskScope;
     private readonly disconnectController = new AbortController();
+    private readonly offers: HandOverOffers;
     private hasStartedHandOver = false;
 
     constructor(private readonly options: EntryReclaimOptions) {
         this.scope = createLoggedTaskScope(options.events);
-        options.network.registerHandler(takeMethod, async payload => this.acceptHandOver(payload));
+        this.offers = new HandOverOffers({
+            clock: options.clock,
+            network: options.network,
+            checkAcceptance: () => this.checkAcceptance(),
+            takeOver: snapshot => options.chatRequests.takeOver(snapshot),
+        });
     }
 
     /** Aborts when callers must be disconnected; they reconnect to another node. */
@@ -125,23 +130,20 @@
             if (isComplete(record)) {
                 return true;
             }
-            try {
-                const snapshot = this.options.chatRequests.toSnapshot(record);
-                const reply = await this.options.network.call(nodeId, takeMethod, snapshot, takeTimeoutMs);
-                this.completeHandOver(record, nodeId, (reply as { taken: boolean; }).taken);
+            const snapshot = this.options.chatRequests.toSnapshot(record);
+            const isWanted = (): boolean => !isComplete(record);
+            if (await this.offers.offer({ nodeId, snapshot, isWanted })) {
+                this.completeHandOver(record, nodeId);
                 return true;
             }
-            catch {
-                // Try the next member.
-            }
         }
         return false;
     }
 
-    private completeHandOver(record: RequestRecord, nodeId: string, isAcknowledged: boolean): void {
+    private completeHandOver(record: RequestRecord, nodeId: string): void {
         this.options.invariants.assert(
             "hand-over-acknowledged",
-            isAcknowledged,
+            this.offers.isGranted(record.id, nodeId),
             () =>
                 `request "${record.id}" is about to be handed over without an acknowledgement from "${nodeId}"`,
         );
@@ -164,12 +166,10 @@
         return [...rank(true), ...rank(false)];
     }
 
-    private async acceptHandOver(payload: unknown): Promise<unknown> {
+    private checkAcceptance(): void {
         if (this.options.membership.ownState !== "live") {
             throw new Error("this node is leaving and accepts no requests");
         }
-        this.options.chatRequests.takeOver(requestSnapshotSchema.parse(payload));
-        return { taken: true };
     }
 
     /** Writes the requests that no member accepted to the object store, in one object. */
