Take stored requests only after the node that wrote them has said that it let go of them

Callers saw: where five writes of a leaving node to the object store had no answer, the node went on with its requests, and a member that found the object took them up too: two nodes generated one answer. Cause: a write without an answer was taken for one that was not done.

The member now asks the node that wrote the object, unless that one is gone: it takes the requests only if the write was answered, removes the object if the requests went on there, and else waits. The object store's part of EntryReclaim moves to StoredHandOvers.

--- a/src/reclaim/EntryReclaim.ts
+++ b/src/reclaim/EntryReclaim.ts
@@ -1,5 +1,4 @@
 import { abortReason } from "../_lib/abortReason";
-import { pack, unpack } from "msgpackr";
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
 import { createServiceName } from "../kernel/createServiceName";
 import type { TaskScope } from "../kernel/TaskScope";
@@ -11,7 +10,6 @@
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import type { ObjectStore, Vm } from "../platform/types";
 import type { ChatRequests } from "../streams/ChatRequests";
-import { type RequestSnapshot, requestSnapshotSchema } from "../streams/RequestSnapshot";
 import type { RequestLocator } from "../streams/RequestLocator";
 import type { RequestRecord } from "../streams/RequestRecord";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
@@ -19,6 +17,7 @@
 import { eventKinds } from "../telemetry/eventKinds";
 import type { Invariants } from "../telemetry/Invariants";
 import { HandOverOffers } from "./HandOverOffers";
+import { StoredHandOvers } from "./StoredHandOvers";
 
 /** Options of {@link EntryReclaim}. */
 export interface EntryReclaimOptions {
@@ -41,9 +40,6 @@
 }
 
 const maxMembersTried = 3;
-const storePrefix = "hand-over/";
-const storeAttempts = 5;
-const storeRetryMs = 150;
 const disconnectLeadMs = 500; // callers are disconnected this long before the VM is reclaimed
 
 /** Hands the requests of this node over to other members when its VM is reclaimed, and accepts theirs. */
@@ -51,6 +47,7 @@
     private readonly scope: TaskScope;
     private readonly disconnectController = new AbortController();
     private readonly offers: HandOverOffers;
+    private readonly stored: StoredHandOvers;
     private hasStartedHandOver = false;
 
     constructor(private readonly options: EntryReclaimOptions) {
@@ -61,6 +58,7 @@
             checkAcceptance: () => this.checkAcceptance(),
             takeOver: snapshot => options.chatRequests.takeOver(snapshot),
         });
+        this.stored = new StoredHandOvers(options);
     }
 
     /** Aborts when callers must be disconnected; they reconnect to another node. */
@@ -92,7 +90,10 @@
         const handedOver = yield* waitFor(Promise.all(records.map(record => this.handOver(record))));
         const remaining = records.filter((record, index) => !handedOver[index] && !isComplete(record));
         if (remaining.length > 0) {
-            yield* this.storeRequests(remaining);
+            const isStored = yield* this.stored.store(remaining);
+            if (!isStored) {
+                remaining.forEach(record => resumeLocally(record));
+            }
         }
     }
 
@@ -172,24 +173,6 @@
         }
     }
 
-    /** Writes the requests that no member accepted to the object store, in one object. */
-    private *storeRequests(records: readonly RequestRecord[]): Task<void> {
-        const key = `${storePrefix}${this.options.nodeId}-${this.options.random.drawId(8)}`;
-        const body = pack(records.map(record => this.options.chatRequests.toSnapshot(record)));
-        for (let attempt = 0; attempt < storeAttempts; attempt += 1) {
-            try {
-                yield* waitFor(this.options.objects.put(key, body));
-                records.forEach(record => this.options.chatRequests.markHandedOver(record, undefined));
-                this.options.events.emit(eventKinds.handOverStored, { key, requests: records.length });
-                return;
-            }
-            catch {
-                yield* waitFor(this.options.clock.sleep(storeRetryMs));
-            }
-        }
-        records.forEach(record => resumeLocally(record));
-    }
-
     private *scanStoredHandOvers(signal: AbortSignal): Task<void> {
         while (!signal.aborted) {
             yield* waitFor(this.options.clock.sleep(this.options.scanIntervalMs ?? 2_000, signal));
@@ -197,30 +180,13 @@
                 continue;
             }
             try {
-                yield* this.recoverStoredRequests();
+                yield* this.stored.takeAll();
             }
             catch {
                 // The object store is unavailable; the next scan retries.
             }
         }
     }
-
-    /** Takes over stored requests. An object is removed only after all of its requests have been taken over here. */
-    private *recoverStoredRequests(): Task<void> {
-        const keys = yield* waitFor(this.options.objects.list(storePrefix));
-        for (const key of keys) {
-            const body = yield* waitFor(this.options.objects.get(key));
-            if (!body) {
-                continue;
-            }
-            for (const snapshot of requestSnapshotSchema.array().parse(unpack(body)) as RequestSnapshot[]) {
-                this.options.chatRequests.takeOver(snapshot);
-                this.options.locator.publishHint(snapshot.id, this.options.nodeId);
-                this.options.events.emit(eventKinds.handOverRecovered, { requestId: snapshot.id });
-            }
-            yield* waitFor(this.options.objects.remove(key));
-        }
-    }
 }
 
 /** Continues a request on this node from its current position, after neither a member nor the object store took it. */
--- a/src/reclaim/lateHandOvers.test.ts
+++ b/src/reclaim/lateHandOvers.test.ts
@@ -107,4 +107,23 @@
         expect(listOwners(requestId).length).toBe(1);
         expect((await done).text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
     });
+
+    it("does not let a member go on with a request whose object was written without an answer", async () => {
+        const { done, requestId } = await openLong();
+        const others = cluster.nodes.slice(0, 2).map(node => node.kernel.find(chatRequestsName));
+        const refused = others.map(chatRequests =>
+            jest.spyOn(chatRequests, "takeOver").mockImplementation(() => {
+                throw new Error("this node accepts no hand-over now");
+            })
+        );
+        const { objects } = cluster.standIns;
+        objects.server.setFault({ kind: "lose-answers" });
+        await handOverAll();
+        expect(objects.objects.size).toBe(1);
+        refused.forEach(spy => spy.mockRestore());
+        objects.server.setFault({ kind: "none" });
+        await cluster.waitUntil(() => objects.objects.size === 0, "the object is removed");
+        expect(listOwners(requestId)).toEqual([leaving.nodeId]);
+        expect((await done).text).toBe(generateAnswer(`user\n${prompt}\n`, longTokens));
+    });
 });
