Count plain requests in the usage of their account that ran and were not answered

Cause: a request counted when its whole answer had arrived; one whose answer was lost, broken off, strayed or came too late was not counted, though its runner had begun it.

A request that is no stream now counts as soon as an attempt ends of which the record of runs says that it may have run. Streams count from their first event on, as before (PROTOCOL.md: "with their first token").

Evidence: usageOfUnanswered.test on the code before: usage 0 in place of 1 in four of four kinds of failure; a request that its runner refuses stays uncounted.

--- a/src/forwarding/ForwardRecorder.ts
+++ b/src/forwarding/ForwardRecorder.ts
@@ -78,9 +78,15 @@
 
     constructor(private readonly options: ForwardRecorderOptions) {}
 
-    /** Counts an attempt as a run if the request may have run. */
+    /**
+     * Counts an attempt as a run if the request may have run. The usage of the account counts a request for a stream from its
+     * first event on, and any other one that may have run.
+     */
     recordRun(mayHaveRun: boolean): void {
         this.trace.runs += mayHaveRun ? 1 : 0;
+        if (mayHaveRun && !this.options.admitted.route.isStream) {
+            this.recordUsage();
+        }
     }
 
     /** Counts the outcome of an attempt in the metrics. */
