--- a/src/streams/RequestLocator.ts
+++ b/src/streams/RequestLocator.ts
@@ -5,6 +5,7 @@
 import type { PeerNetwork } from "../peers/PeerNetwork";
 import { computeBodyDigest } from "./computeBodyDigest";
 import type { ChatRequests } from "./ChatRequests";
+import { RequestClaims } from "./RequestClaims";
 import type { RequestRecord, RequestState } from "./RequestRecord";
 import { formatFailure } from "../results/formatFailure";
 
@@ -16,11 +17,14 @@
     readonly chatRequests: ChatRequests;
 }
 
-/** Node that holds a request. `bodyDigest` identifies the request's body. */
+/**
+ * Node that holds a request. `bodyDigest` identifies the request's body. `unconfirmed`: no node that answered holds it,
+ * and a present one did not answer, or is about to accept it.
+ */
 export type RequestLocation =
     | { readonly kind: "here"; readonly record: RequestRecord; }
     | { readonly kind: "member"; readonly nodeId: string; readonly bodyDigest: string; }
-    | { readonly kind: "unknown"; };
+    | { readonly kind: "unknown" | "unconfirmed"; };
 
 /** Part of an answer, as read from the node that holds the request. */
 export interface RemoteAnswerPart {
@@ -54,18 +58,18 @@
 
 const findReplySchema = z.object({
     found: z.boolean(),
+    isClaimed: z.boolean().optional(),
     bodyDigest: z.string().optional(),
     movedTo: z.string().nullish(),
 });
 
-interface FoundRequest {
-    readonly nodeId: string;
-    readonly bodyDigest: string;
-}
+/** What a member, and the nodes to which it refers, say of a request. */
+type HolderAnswer = Exclude<RequestLocation, { readonly kind: "here"; }>;
 
 /** Finds the node that holds a request, and reads or cancels the request there. */
 export class RequestLocator {
     private readonly hints = new Map<string, string>();
+    private readonly claims = new RequestClaims();
 
     constructor(private readonly options: RequestLocatorOptions) {
         const { network } = options;
@@ -83,16 +87,35 @@
      * @returns the node, with the record when it is this one
      */
     async locate(requestId: string, accountId: string): Promise<RequestLocation> {
-        const record = this.options.chatRequests.find(requestId, accountId);
-        if (record && record.state !== "handed-over") {
-            return { kind: "here", record };
+        const known = this.findHere(requestId, accountId);
+        if (known) {
+            return { kind: "here", record: known };
         }
-        const candidates = this.listCandidates(requestId, record?.movedTo);
+        const movedTo = this.options.chatRequests.find(requestId, accountId)?.movedTo;
+        const candidates = this.listCandidates(requestId, movedTo);
         const answers = await Promise.all(
             candidates.map(nodeId => this.findHolder(nodeId, requestId, accountId)),
         );
-        const found = answers.find(answer => answer !== undefined);
-        return found === undefined ? { kind: "unknown" } : { kind: "member", ...found };
+        return answers.find(({ kind }) => kind === "member")
+            ?? answers.find(({ kind }) => kind === "unconfirmed")
+            ?? { kind: "unknown" };
+    }
+
+    /** Finds a request that this node holds; undefined for one that it has handed over. */
+    findHere(requestId: string, accountId: string): RequestRecord | undefined {
+        const record = this.options.chatRequests.find(requestId, accountId);
+        return record?.state === "handed-over" ? undefined : record;
+    }
+
+    /**
+     * Claims a request that this node accepts if {@link locate} says that it is unknown. Of two nodes that claim the same
+     * request, one at most is told so while both claims last.
+     *
+     * @param requestId - the request
+     * @returns a function that releases the claim, after the request was accepted or not; to be called once
+     */
+    claim(requestId: string): () => void {
+        return this.claims.add(requestId);
     }
 
     /**
@@ -163,7 +186,7 @@
         nodeId: string,
         requestId: string,
         accountId: string,
-    ): Promise<FoundRequest | undefined> {
+    ): Promise<HolderAnswer> {
         let asked = nodeId;
         for (let hop = 0; hop < maxHops; hop += 1) {
             try {
@@ -172,27 +195,40 @@
                     await this.options.network.call(asked, findMethod, payload, findTimeoutMs),
                 );
                 if (reply.found) {
-                    return { nodeId: asked, bodyDigest: reply.bodyDigest ?? "" };
+                    return { kind: "member", nodeId: asked, bodyDigest: reply.bodyDigest ?? "" };
+                }
+                if (reply.isClaimed) {
+                    return { kind: "unconfirmed" };
                 }
                 if (!reply.movedTo || reply.movedTo === this.options.nodeId) {
-                    return undefined;
+                    return { kind: "unknown" };
                 }
                 asked = reply.movedTo;
             }
             catch {
-                return undefined;
+                return { kind: this.isPresent(asked) ? "unconfirmed" : "unknown" };
             }
         }
-        return undefined;
+        return { kind: "unknown" };
+    }
+
+    private isPresent(nodeId: string): boolean {
+        const member = this.options.membership.find(nodeId);
+        return member !== undefined && member.state !== "gone";
     }
 
     private async handleFind(payload: unknown): Promise<unknown> {
         const { requestId, accountId } = addressedSchema.parse(payload);
-        const record = this.options.chatRequests.find(requestId, accountId);
-        if (record && record.state !== "handed-over") {
-            return { found: true, bodyDigest: computeBodyDigest(record.description.body) };
+        const known = this.findHere(requestId, accountId);
+        if (known) {
+            return { found: true, bodyDigest: computeBodyDigest(known.description.body) };
         }
-        return { found: false, movedTo: record?.movedTo ?? this.hints.get(requestId) };
+        const movedTo = this.options.chatRequests.find(requestId, accountId)?.movedTo;
+        return {
+            found: false,
+            isClaimed: this.claims.has(requestId),
+            movedTo: movedTo ?? this.hints.get(requestId),
+        };
     }
 
     private async handleRead(payload: unknown): Promise<RemoteAnswerPart> {
