Give each call of a lease's holder a connection of its own

A service that sends an answer twice on a kept connection ended the next call on it, which it had not answered. The call's record was cleared from the lease's row; if the holder then lost the lease, the next holder called at once, and the earlier call was read after it (1000005 after 1000045 in the test).

Cause: calls shared kept connections, and an answer of HTTP/1.1 does not tell to which request it belongs.

Evidence: without the change, "came twice" of formerHolders.test and "a copy ... after a call is written" of sendStagedJson.test fail.

Why it works: a connection is used for one call, so that any answer on it is one to that call. A finite number of connections makes the agent of Node hand a connection to a waiting request even without keep-alive, so the request itself says that its connection ends.

--- a/src/platform/StagedSender.ts
+++ b/src/platform/StagedSender.ts
@@ -16,14 +16,14 @@
     readonly stages: DutyStages;
 }
 
-/** Connections to one service for the calls that only the holder of a lease makes. */
+/** Connections to one service for the calls that only the holder of a lease makes, one for each call. */
 export class StagedSender {
     private readonly agent: Agent;
     /** Calls under way, each with its end. */
     private readonly calls = new Map<AbortController, Promise<unknown>>();
 
     constructor(private readonly options: StagedSenderOptions) {
-        this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections });
+        this.agent = new Agent({ maxSockets: options.maxConnections });
     }
 
     /**
--- a/src/platform/sendStagedJson.ts
+++ b/src/platform/sendStagedJson.ts
@@ -6,7 +6,7 @@
 
 /** Options of {@link sendStagedJson}. */
 export interface SendStagedJsonOptions {
-    /** Pool of connections. */
+    /** Opens connections, and limits their number. */
     readonly agent: Agent;
     readonly url: string;
     /** Default: `POST`. */
@@ -31,7 +31,8 @@
 /**
  * Sends a JSON request in steps: it opens a connection, asks the caller, and then writes the request. When the call
  * is abandoned or fails, the connection is reset: the operating system would deliver bytes of a connection that was closed
- * in order, however late. A reset does not take back what has left this system.
+ * in order, however late. A reset does not take back what has left this system. Each call has a connection of its own, as
+ * an answer that comes twice would be taken for that of the next call.
  *
  * @param options - destination, request and what to call at each step
  * @returns status, headers and parsed body
@@ -47,6 +48,7 @@
         "content-length": Buffer.byteLength(body),
     };
     const request = openRequest(url, { agent, method, headers });
+    request.shouldKeepAlive = false;
     const failed = rejectOnFailure(request, signal);
     const answer = await exchange(request, failed, body, stages);
     const effect = effectByStatus.get(answer.status);
--- a/standins/platform/HoldingLink.ts
+++ b/standins/platform/HoldingLink.ts
@@ -8,6 +8,11 @@
      * as where they wait for a late reader.
      */
     readonly losesBytesAtReset?: boolean;
+    /**
+     * Whether, while the link is held, a connection's last answer comes again when its opener sends something; default: false.
+     * Openers that send one request at a time get whole answers.
+     */
+    readonly repeatsAnswers?: boolean;
 }
 
 /** One connection through the link, and the bytes of its opener that are held up. */
@@ -15,6 +20,7 @@
     readonly near: Socket;
     readonly far: Socket;
     held: Buffer[];
+    lastAnswer: Buffer | undefined;
     /** Whether the opener has closed or reset the connection, which the other side learns after the bytes. */
     hasEnded: boolean;
 }
@@ -80,12 +86,12 @@
     private accept(near: Socket): void {
         const [host, port] = this.target.split(":");
         const far = connectSocket(Number(port), host);
-        const connection: LinkedConnection = { near, far, held: [], hasEnded: false };
+        const connection: LinkedConnection = { near, far, held: [], lastAnswer: undefined, hasEnded: false };
         this.connections.add(connection);
         near.on("data", (bytes: Buffer) => this.forward(connection, bytes));
         near.on("end", () => this.end(connection));
         near.on("error", () => this.reset(connection));
-        far.on("data", (bytes: Buffer) => near.writable && near.write(bytes));
+        far.on("data", (bytes: Buffer) => this.answer(connection, bytes));
         far.on("end", () => near.end());
         far.on("error", () => near.destroy());
         far.on("close", () => this.connections.delete(connection));
@@ -97,11 +103,21 @@
     private forward(connection: LinkedConnection, bytes: Buffer): void {
         if (this.isHeld) {
             connection.held.push(bytes);
+            if (this.options.repeatsAnswers && connection.lastAnswer) {
+                connection.near.write(connection.lastAnswer);
+            }
             return;
         }
         connection.far.write(bytes);
     }
 
+    private answer(connection: LinkedConnection, bytes: Buffer): void {
+        connection.lastAnswer = bytes;
+        if (connection.near.writable) {
+            connection.near.write(bytes);
+        }
+    }
+
     private end(connection: LinkedConnection): void {
         connection.hasEnded = true;
         if (!this.isHeld) {
