Bound the requests that are open on one connection of a caller

A caller that sends requests without end on one connection and reads no answer had all of them handled at once: each read of 64 KB brings hundreds, and nothing stopped the next read as long as no answer was written.

At 16 open requests of a connection, the answer to the last one announces the close, so that the caller knows that no later request was handled, and what still arrives is dropped without being parsed. A caller that sends a few at a time is served as before.

--- a/src/http/ConnectionErrors.ts
+++ b/src/http/ConnectionErrors.ts
@@ -28,8 +28,14 @@
 export class ConnectionErrors {
     private readonly states = new WeakMap<Socket, ConnectionState>();
 
-    /** Records that a request is open. To be called when its head has been read. */
-    trackRequest(request: IncomingMessage, response: ServerResponse): void {
+    /**
+     * Records that a request is open. To be called when its head has been read.
+     *
+     * @param request - the request
+     * @param response - its response
+     * @returns number of requests that are open on its connection, this one included
+     */
+    trackRequest(request: IncomingMessage, response: ServerResponse): number {
         const { socket } = request;
         const state = this.states.get(socket) ?? { open: new Set(), isClosing: false };
         this.states.set(socket, state);
@@ -41,6 +47,7 @@
                 socket.destroySoon();
             }
         });
+        return state.open.size;
     }
 
     /**
--- a/src/http/HttpListener.ts
+++ b/src/http/HttpListener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { ConnectionErrors } from "./ConnectionErrors";
+import { PipelineLimit } from "./PipelineLimit";
 
 /** Options of {@link HttpListener}. */
 export interface HttpListenerOptions {
@@ -24,14 +25,13 @@
     /** The Node.js server, for settings that may change while it runs. */
     readonly server: Server;
     private readonly connectionErrors = new ConnectionErrors();
+    private readonly pipelineLimit = new PipelineLimit();
 
     constructor(private readonly options: HttpListenerOptions) {
-        this.server = createServer(options.serverOptions ?? {}, (request, response) => {
-            request.on("error", () => response.destroy());
-            response.on("error", () => response.destroy());
-            this.connectionErrors.trackRequest(request, response);
-            options.onRequest(request, response);
-        });
+        this.server = createServer(
+            options.serverOptions ?? {},
+            (request, response) => this.receive(request, response),
+        );
         this.server.on(
             "clientError",
             (error, socket) => this.connectionErrors.handle(error, socket as Socket),
@@ -67,4 +67,15 @@
         this.server.closeAllConnections();
         await closed;
     }
+
+    private receive(request: IncomingMessage, response: ServerResponse): void {
+        if (this.pipelineLimit.isBeyond(request)) {
+            return;
+        }
+        request.on("error", () => response.destroy());
+        response.on("error", () => response.destroy());
+        const openCount = this.connectionErrors.trackRequest(request, response);
+        this.pipelineLimit.apply(request, response, openCount);
+        this.options.onRequest(request, response);
+    }
 }
