Read the input of upstreams in slices that share the event loop

`InputScheduler` stands between a socket and such a reader. What arrives on a connection without an open call is read at once, so that undici's check of kept connections for stray bytes holds as before.

`processInput.add(socket)` is general: any stream whose reader loops over `read()`, as undici's Agents do, can be added by its connector.

--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -1,5 +1,5 @@
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { createTrackedConnector, type TrackedSocket } from "./createTrackedConnector";
+import { createTrackedConnector, type TrackedCall, type TrackedSocket } from "./createTrackedConnector";
 import { isResetSocket } from "./isResetSocket";
 import { markRequest } from "./markRequest";
 import { resetOnError } from "./resetOnError";
@@ -10,10 +10,10 @@
     readonly isReset: () => boolean;
     /** Returns whether it was opened to the process that is listed; known once the call is written. */
     readonly isConfirmed: () => boolean;
-    /** Begins a call. The listener is called when the connection's bytes have ended, before undici ends the answer. */
-    readonly beginCall: (listener: () => void) => void;
-    /** Ends the call that began with the listener; another one may have begun since. */
-    readonly endCall: (listener: () => void) => void;
+    /** Begins a call, which is told of the connection's input. */
+    readonly beginCall: (call: TrackedCall) => void;
+    /** Ends a call; another one may have begun since. */
+    readonly endCall: (call: TrackedCall) => void;
     /** Closes it, unless another call has begun on it. */
     readonly close: () => void;
     /** Lets undici reset it when the call is aborted, so that the system does not deliver what has not left yet. */
@@ -55,17 +55,24 @@
     override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
         const { tracked } = this;
         let callNumber = 0;
+        if (!options.onConnection) {
+            tracked.isIdle = false;
+        }
         options.onConnection?.({
             isReset: () => isResetSocket(tracked.socket),
             isConfirmed: () => tracked.isConfirmed,
-            beginCall: listener => {
-                tracked.onEnd = listener;
+            beginCall: call => {
+                tracked.call = call;
+                tracked.isIdle = false;
                 tracked.callCount += 1;
                 callNumber = tracked.callCount;
                 markRequest(tracked.socket);
             },
-            endCall: listener => {
-                tracked.onEnd = tracked.onEnd === listener ? undefined : tracked.onEnd;
+            endCall: call => {
+                if (tracked.call === call) {
+                    tracked.call = undefined;
+                    tracked.isIdle = true;
+                }
             },
             close: () => {
                 if (tracked.callCount === callNumber) {
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { ChunkBuffer } from "../_lib/ChunkBuffer";
+import type { TrackedCall } from "./createTrackedConnector";
 import type { CallConnection } from "./TrackedClient";
 
 /** How the end of an answer's body is marked. */
@@ -62,7 +63,10 @@
     private listener: ((chunk: Buffer) => void) | undefined;
     /** Body that arrived before the listener was set. */
     private readonly early = new ChunkBuffer();
-    private readonly onConnectionEnd = (): void => this.resume(); // undici throws if reading is paused at the end
+    private readonly trackedCall: TrackedCall = {
+        onEnd: () => this.resume(), // undici throws if reading is paused at the end
+        onInput: () => {},
+    };
 
     constructor(private readonly options: UpstreamExchangeOptions = {}) {
         this.started = new Promise(resolve => {
@@ -152,7 +156,7 @@
             return;
         }
         this.controller = controller;
-        this.connection?.beginCall(this.onConnectionEnd);
+        this.connection?.beginCall(this.trackedCall);
     }
 
     onResponseStart(
@@ -191,7 +195,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        this.connection?.endCall(this.onConnectionEnd);
+        this.connection?.endCall(this.trackedCall);
         const isTruncated = this.framing === answerFramings.close && this.connection?.isReset() === true;
         this.settleEnd(
             isTruncated
@@ -208,7 +212,7 @@
     }
 
     private fail(message: string): void {
-        this.connection?.endCall(this.onConnectionEnd);
+        this.connection?.endCall(this.trackedCall);
         if (!this.hasHead) {
             this.settleStart({ kind: "failed", isSent: this.isSent, message });
         }
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -1,7 +1,16 @@
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
+import { processInput } from "../http/InputScheduler";
 import { createResetMarkingConnector } from "./createResetMarkingConnector";
 
+/** The call that has begun on a connection and has not ended. */
+export interface TrackedCall {
+    /** Called when the bytes of the connection have ended, before undici learns of it. */
+    readonly onEnd: () => void;
+    /** Called with the number of bytes that are read next; may give up the connection. */
+    readonly onInput: (bytes: number) => void;
+}
+
 /** Holds the current socket of a client with at most one connection. */
 export interface TrackedSocket {
     socket: Socket | undefined;
@@ -9,12 +18,15 @@
     isConfirmed: boolean;
     /** Number of calls that have begun on this socket and earlier ones. */
     callCount: number;
-    /** Called when the bytes of the socket have ended, before undici learns of it. */
-    onEnd?: (() => void) | undefined;
+    /** The call that is open on the socket; undefined if there is none, or one that is not tracked. */
+    call?: TrackedCall | undefined;
+    /** Whether no call is open on the socket, tracked or not; what arrives then is read at once. */
+    isIdle?: boolean;
 }
 
 /**
- * Creates a connector that stores its socket and marks resets, as {@link createResetMarkingConnector} does.
+ * Creates a connector that stores its socket and marks resets, as {@link createResetMarkingConnector} does. The input of the
+ * socket is read in slices (see {@link processInput}).
  *
  * @param tracked - receives the socket; undefined after a failed attempt
  * @param connect - opens the connection
@@ -29,9 +41,16 @@
     const connectMarked = createResetMarkingConnector(connect);
     return (options, callback) =>
         connectMarked(options, (...outcome) => {
-            tracked.socket = outcome[1] ?? undefined;
+            const socket = outcome[1] ?? undefined;
+            tracked.socket = socket;
             tracked.isConfirmed = isListingCurrent();
-            tracked.socket?.prependListener("end", () => tracked.onEnd?.());
+            if (socket) {
+                socket.prependListener("end", () => tracked.call?.onEnd());
+                processInput.add(socket, {
+                    onInput: bytes => tracked.call?.onInput(bytes),
+                    isUrgent: () => tracked.isIdle === true,
+                });
+            }
             callback(...outcome);
         });
 };
