Bound what an upstream's answer may hold besides its body, and its parts

Only the body of an answer had a limit. Bytes before the head, framing (sizes of chunks, extensions, trailers) and the number of parts of a body had none, though each part costs a call of the parser and of the node. A call that passes one is aborted like other endless answers: it counts as sent, so that the run is not denied.

undici's own limit on heads creates an error with a stack for each line after it (1.7 s for 40 heads of short lines); it now lies above ours.

--- a/src/upstreams/UpstreamClient.ts
+++ b/src/upstreams/UpstreamClient.ts
@@ -46,6 +46,7 @@
 /** Default time-out for establishing a connection, in milliseconds. */
 export const defaultConnectTimeoutMs = 400; // a first packet within a data centre takes 1 to 3 ms
 const defaultKeepAliveMs = 4_000; // below the usual idle time-out of servers
+const maxHeadBytes = 65_536; // above AnswerLimits: undici creates an error for each further line of a head that is too long
 const keepAliveMarginMs = 1_200; // upstreams announce their idle time-out in whole seconds
 
 /** HTTP client of one upstream, with a pool of connections that each carry one call at a time. */
@@ -128,6 +129,7 @@
             pipelining: 1,
             keepAliveTimeout: keepAliveMs ?? defaultKeepAliveMs,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
+            maxHeaderSize: maxHeadBytes,
             headersTimeout: 0,
             bodyTimeout: 0,
             factory: (origin, clientOptions) =>
--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { ChunkBuffer } from "../_lib/ChunkBuffer";
+import { AnswerLimits } from "./AnswerLimits";
 import type { TrackedCall } from "./createTrackedConnector";
 import type { CallConnection } from "./TrackedClient";
 
@@ -63,9 +64,10 @@
     private listener: ((chunk: Buffer) => void) | undefined;
     /** Body that arrived before the listener was set. */
     private readonly early = new ChunkBuffer();
+    private readonly limits = new AnswerLimits();
     private readonly trackedCall: TrackedCall = {
         onEnd: () => this.resume(), // undici throws if reading is paused at the end
-        onInput: () => {},
+        onInput: bytes => this.abortWithReason(this.limits.recordInput(bytes)),
     };
 
     constructor(private readonly options: UpstreamExchangeOptions = {}) {
@@ -177,6 +179,7 @@
             return;
         }
         this.hasHead = true;
+        this.limits.recordHead();
         this.framing = readFraming(headers);
         this.settleStart({ kind: "answered", head: { status, headers } });
     }
@@ -185,6 +188,10 @@
         if (this.isAborted || chunk.length === 0) {
             return;
         }
+        this.abortWithReason(this.limits.recordPart(chunk.length));
+        if (this.isAborted) {
+            return;
+        }
         if (this.listener) {
             this.listener(chunk);
         }
@@ -211,6 +218,12 @@
         this.fail(error.message);
     }
 
+    private abortWithReason(reason: string | undefined): void {
+        if (reason !== undefined) {
+            this.abort(reason);
+        }
+    }
+
     private fail(message: string): void {
         this.connection?.endCall(this.trackedCall);
         if (!this.hasHead) {
--- a/standins/platform/BundledProgram.ts
+++ b/standins/platform/BundledProgram.ts
@@ -38,9 +38,14 @@
      *
      * @param storeAddress - host and port of the platform's store
      * @param settings - further fields of the platform's settings
+     * @param nodeArgs - arguments of Node.js; default: none
      * @returns the process
      */
-    async start(storeAddress: string, settings: object = {}): Promise<ProgramProcess> {
+    async start(
+        storeAddress: string,
+        settings: object = {},
+        nodeArgs: readonly string[] = [],
+    ): Promise<ProgramProcess> {
         const ports = (await findFreeAddresses(portCount)).map(address => address.split(":")[1]);
         const ip = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}.2`;
         const [front, ready, directory] = ports.map(port => `${ip}:${port}`);
@@ -55,7 +60,7 @@
             ...settings,
         };
         writeFileSync(file, JSON.stringify(fields));
-        const child = await ChildProcessHandle.start<unknown>(this.script, ["serve", file]);
+        const child = await ChildProcessHandle.start<unknown>(this.script, ["serve", file], nodeArgs);
         return { child, callersAddress: front };
     }
 
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -69,6 +69,24 @@
     | "endless-event-chunks"
     /** Sends lines that are no events without end, each followed by a blank line. */
     | "endless-lines"
+    /** Sends comments of an event stream without end. */
+    | "endless-comments"
+    /** Sends the same event without end. */
+    | "endless-repeated-events"
+    /** Sends an event without end, in chunks of one byte. */
+    | "endless-one-byte-chunks"
+    /** Sends empty lines without end, in place of a head. */
+    | "endless-empty-lines"
+    /** Sends a head of short header lines without end. */
+    | "endless-short-headers"
+    /** Sends a status line without end. */
+    | "endless-status"
+    /** Sends an extension of a chunk without end. */
+    | "endless-extension"
+    /** Sends zeros without end in place of a chunk's size. */
+    | "endless-size"
+    /** Sends short trailers without end. */
+    | "endless-trailers"
     /** States that the request was not executed, with a body without end. */
     | "endless-refusal"
     /** Executes the request and never answers. */
@@ -130,6 +148,8 @@
     readonly runs: RunnerRun[] = [];
     /** Bytes of endless answers that callers have taken. */
     endlessBytes = 0;
+    /** Time from a request until its endless answer begins, in milliseconds. */
+    endlessDelayMs = 0;
     /** Number of endless answers whose connections are open. */
     openEndless = 0;
     /** Behaviours for the next requests, in order; each is used once. */
@@ -331,9 +351,16 @@
         socket.on("close", () => {
             this.openEndless -= 1;
         });
-        writeEndlessly(socket, head, chunk, bytes => {
-            this.endlessBytes += bytes;
-        });
+        const begin = (): void =>
+            writeEndlessly(socket, head, chunk, bytes => {
+                this.endlessBytes += bytes;
+            });
+        if (this.endlessDelayMs > 0) {
+            setTimeout(begin, this.endlessDelayMs);
+        }
+        else {
+            begin();
+        }
     }
 
     private async sendStream(
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -301,7 +301,7 @@
     }
 
     /** Sends a request to a node on a new connection and resolves once the response is closed. */
-    call(target: TestNode, call: TestCall): Promise<TestResponse> {
+    call(target: Pick<TestNode, "callersAddress">, call: TestCall): Promise<TestResponse> {
         this.requestCount += 1;
         const [host, port] = target.callersAddress.split(":");
         const headers = {
