Bound events of a stream that tell the caller nothing

A stream that passes this is broken off like one with bytes that are no events, and may go on elsewhere. An event has at most 16,384 lines, as looking at 500,000 lines at once takes the process some 50 ms.

--- a/src/forwarding/EventStreamSplitter.test.ts
+++ b/src/forwarding/EventStreamSplitter.test.ts
@@ -102,4 +102,46 @@
         expect(splitter.push(Buffer.from(`id: 1\ndata: x\n\n${text}`)).eventCount).toBeGreaterThan(0);
         expect(splitter.isForeign).toBe(isForeign);
     });
+
+    describe("events that tell nothing", () => {
+        const countUntilForeign = (splitter: EventStreamSplitter, text: string): number => {
+            const chunk = Buffer.from(text);
+            let count = 0;
+            while (count < 300_000 && !splitter.isForeign) {
+                splitter.push(chunk);
+                count += 1;
+            }
+            return count;
+        };
+
+        it.each([": x\n\n", "\n\n", "retry: 1\n\n", "id: 1\ndata: x\n\n", "id: 1\n\n"])(
+            "are limited in number: %j",
+            text => {
+                expect(countUntilForeign(new EventStreamSplitter(1), text)).toBeLessThan(2_000);
+            },
+        );
+
+        it("are limited in bytes", () => {
+            const text = `: ${"x".repeat(10_000)}\n\n`;
+            expect(countUntilForeign(new EventStreamSplitter(), text)).toBeLessThan(40);
+        });
+
+        it("may be as many as a stream repeats when it is resumed", () => {
+            const splitter = new EventStreamSplitter(50_000);
+            for (let id = 1; id <= 50_001; id += 1) {
+                splitter.push(Buffer.from(`id: ${id}\ndata: x\n\n`));
+            }
+            expect(splitter).toMatchObject({ isForeign: false, lastEventId: 50_001 });
+        });
+
+        it("may be between events, however long the stream is", () => {
+            expect(countUntilForeign(new EventStreamSplitter(), ": x\n\n: y\n\ndata: z\n\n")).toBe(300_000);
+        });
+
+        it("are found in an event of too many lines, of which only so many are looked at", () => {
+            const splitter = new EventStreamSplitter();
+            splitter.push(Buffer.from(`${":\n".repeat(400_000)}\n`));
+            expect(splitter.isForeign).toBe(true);
+        });
+    });
 });
--- a/src/forwarding/EventStreamSplitter.ts
+++ b/src/forwarding/EventStreamSplitter.ts
@@ -1,9 +1,12 @@
 import { ChunkBuffer } from "../_lib/ChunkBuffer";
+import { QuietEventLimit } from "./QuietEventLimit";
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idField = "id:";
 const maxEventBytes = 1_048_576;
+const maxEventLines = 16_384;
+const contentField = /^(?:data|event)(?::|\r?$)/;
 const eventField = /^(?:(?:id|data|event|retry)(?::|\r?$)|:)/; // a comment has an empty name
 const fieldLine = /^[\w-]*(?::|\r?$)/; // name and value, a name alone, a comment, or the blank line
 const maxSeparatorBytes = 3;
@@ -27,13 +30,16 @@
     lastEventId: number | undefined;
     /**
      * Whether bytes have arrived that are no events: a block without a field of an event, with a line that is no field, or
-     * one that is too long.
+     * one that is too long; or too many events that tell nothing.
      */
     isForeign = false;
 
+    private readonly quiet: QuietEventLimit;
+
     /** @param after - id up to which events are skipped; undefined skips none */
     constructor(after?: number) {
         this.lastEventId = after;
+        this.quiet = new QuietEventLimit(after ?? 0);
     }
 
     /** Bytes of the event that is not complete yet. */
@@ -87,13 +93,18 @@
         for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
             const event = data.subarray(start, end);
             start = end;
-            const lines = event.toString("latin1").split("\n");
-            if (!isEvent(lines)) {
+            const lines = event.toString("latin1").split("\n", maxEventLines + 1);
+            if (lines.length > maxEventLines || !isEvent(lines)) {
                 this.isForeign = true;
                 break;
             }
             const id = readEventId(lines);
-            if (id !== undefined && this.lastEventId !== undefined && id <= this.lastEventId) {
+            const isRepeated = id !== undefined && this.lastEventId !== undefined && id <= this.lastEventId;
+            this.recordEvent(event.length, !isRepeated && lines.some(line => contentField.test(line)));
+            if (this.isForeign) {
+                break;
+            }
+            if (isRepeated) {
                 continue;
             }
             this.lastEventId = id ?? this.lastEventId;
@@ -104,6 +115,16 @@
         this.keepIncomplete(data.subarray(start));
         return { bytes: events.length === 1 ? events[0] : Buffer.concat(events), eventCount };
     }
+
+    private recordEvent(length: number, hasContent: boolean): void {
+        if (hasContent) {
+            this.quiet.recordContent();
+        }
+        else {
+            this.quiet.recordQuiet(length);
+        }
+        this.isForeign ||= this.quiet.isPassed;
+    }
 }
 
 /** Returns the position after the blank line that ends an event, or 0 if the line has not arrived. */
