Close a kept connection at the first bytes that no call asked for

The parser skips empty lines before a head without end, so that an upstream could send them on a connection between two calls and have them read for as long as the connection is kept; undici closes it only at the first byte of a head. No answer begins without a call, so the connection is now closed before such bytes are read.

--- a/src/upstreams/UpstreamClient.test.ts
+++ b/src/upstreams/UpstreamClient.test.ts
@@ -188,4 +188,33 @@
         await closed.close();
         await startUpstream(socket => socket.end());
     });
+
+    // Guards against empty lines between two calls, which the parser skips for as long as they come.
+    it("closes a kept connection at the first bytes that no call asked for", async () => {
+        let sentBytes = 0;
+        let isClosed = false;
+        await startUpstream(socket => {
+            const repeat = (): void => {
+                socket.write("\r\n".repeat(8_192), error => {
+                    if (!error) {
+                        sentBytes += 16_384;
+                        setImmediate(repeat);
+                    }
+                });
+            };
+            socket.write(`${sizedHead}\r\nbody`);
+            socket.on("close", () => {
+                isClosed = true;
+            });
+            setTimeout(repeat, pausedMs);
+        });
+        expect(await callOnce()).toMatchObject({ end: { isWhole: true }, body: "body" });
+        const startMs = performance.now();
+        while (!isClosed && performance.now() - startMs < endTimeoutMs) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(isClosed).toBe(true);
+        expect(performance.now() - startMs).toBeLessThan(1_000);
+        expect(sentBytes).toBeLessThan(9_437_184);
+    });
 });
--- a/src/upstreams/createTrackedConnector.ts
+++ b/src/upstreams/createTrackedConnector.ts
@@ -47,7 +47,12 @@
             if (socket) {
                 socket.prependListener("end", () => tracked.call?.onEnd());
                 processInput.add(socket, {
-                    onInput: bytes => tracked.call?.onInput(bytes),
+                    onInput: bytes => {
+                        tracked.call?.onInput(bytes);
+                        if (tracked.isIdle) {
+                            socket.destroy(); // nobody asked for them, and empty lines would be read without end
+                        }
+                    },
                     isUrgent: () => tracked.isIdle === true,
                 });
             }
