--- a/src/upstreams/UpstreamExchange.ts
+++ b/src/upstreams/UpstreamExchange.ts
@@ -1,6 +1,8 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { ChunkBuffer } from "../_lib/ChunkBuffer";
+import { AnswerLimits } from "./AnswerLimits";
+import type { TrackedCall } from "./createTrackedConnector";
 import type { CallConnection } from "./TrackedClient";
 
 /** How the end of an answer's body is marked. */
@@ -62,7 +64,11 @@
     private listener: ((chunk: Buffer) => void) | undefined;
     /** Body that arrived before the listener was set. */
     private readonly early = new ChunkBuffer();
-    private readonly onConnectionEnd = (): void => this.resume(); // undici throws if reading is paused at the end
+    private readonly limits = new AnswerLimits();
+    private readonly trackedCall: TrackedCall = {
+        onEnd: () => this.resume(), // undici throws if reading is paused at the end
+        onInput: bytes => this.abortWithReason(this.limits.recordInput(bytes)),
+    };
 
     constructor(private readonly options: UpstreamExchangeOptions = {}) {
         this.started = new Promise(resolve => {
@@ -152,7 +158,7 @@
             return;
         }
         this.controller = controller;
-        this.connection?.beginCall(this.onConnectionEnd);
+        this.connection?.beginCall(this.trackedCall);
     }
 
     onResponseStart(
@@ -173,6 +179,7 @@
             return;
         }
         this.hasHead = true;
+        this.limits.recordHead();
         this.framing = readFraming(headers);
         this.settleStart({ kind: "answered", head: { status, headers } });
     }
@@ -181,6 +188,10 @@
         if (this.isAborted || chunk.length === 0) {
             return;
         }
+        this.abortWithReason(this.limits.recordPart(chunk.length));
+        if (this.isAborted) {
+            return;
+        }
         if (this.listener) {
             this.listener(chunk);
         }
@@ -191,7 +202,7 @@
 
     onResponseEnd(): void {
         this.isEnded = true;
-        this.connection?.endCall(this.onConnectionEnd);
+        this.connection?.endCall(this.trackedCall);
         const isTruncated = this.framing === answerFramings.close && this.connection?.isReset() === true;
         this.settleEnd(
             isTruncated
@@ -207,8 +218,14 @@
         this.fail(error.message);
     }
 
+    private abortWithReason(reason: string | undefined): void {
+        if (reason !== undefined) {
+            this.abort(reason);
+        }
+    }
+
     private fail(message: string): void {
-        this.connection?.endCall(this.onConnectionEnd);
+        this.connection?.endCall(this.trackedCall);
         if (!this.hasHead) {
             this.settleStart({ kind: "failed", isSent: this.isSent, message });
         }
