Keep requests that a limited upstream has not read within its stated limit

Upstreams saw: one that states a limit of requests a second and reads nothing for a time got all requests that were given up meanwhile at once, beyond its limit. Cause: UpstreamLimits spreads the sends, and takes a reset after the time-out for the end of the request; what was written waits in the upstream's system and is read whole.

A node now has at most the requests of one second of its rate given up at such an upstream, and then sends one at a time, at growing intervals, until the upstream has answered a later one: the rule that brittle upstreams have (GivenUpRequests).

The stub of InstanceRegistry.test gets the new question; its checks are unchanged.

--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -53,6 +53,7 @@
             readWaitMs: ({ id }) => this.waitMsById.get(id) ?? 0,
             take: ({ id }) => void this.taken.push(id),
             isLimited: ({ id }) => this.waitMsById.has(id),
+            readMaxUnread: () => undefined,
         },
         brittle: {
             observe: () => {},
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -23,7 +23,7 @@
     readonly events: EventLog;
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
-    readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "take" | "isLimited">;
+    readonly limits: Pick<UpstreamLimits, "observe" | "readWaitMs" | "readMaxUnread" | "take" | "isLimited">;
     readonly brittle: Pick<BrittleServices, "observe" | "isBrittle" | "listLimits">;
     /** Current limit of this node's connections to one upstream of a service. */
     readonly readMaxConnections: (service: string) => number;
@@ -37,7 +37,7 @@
     readonly client: UpstreamClient;
     /** Requests of this node in flight at the upstream. */
     inFlight: number;
-    /** Requests of this node that a brittle upstream may still read. */
+    /** Requests of this node that a brittle upstream, or one that states a limit, may still read. */
     readonly givenUp: GivenUpRequests;
     /** Monotonic time until which the upstream gets no requests, in milliseconds. */
     ejectedUntilMs: number;
@@ -104,6 +104,7 @@
         return listed.filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
             && this.hasPlace(tracked, limits?.get(tracked.instance.id))
+            && this.hasRoomForUnread(tracked)
             && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
             && this.options.limits.readWaitMs(tracked.instance) === 0
         );
@@ -282,7 +283,9 @@
      */
     endRequest(tracked: TrackedInstance, isGivenUp = false): void {
         tracked.inFlight -= 1;
-        if (isGivenUp && this.options.brittle.isBrittle(tracked.instance.service)) {
+        const { brittle, limits } = this.options;
+        const { instance } = tracked;
+        if (isGivenUp && (brittle.isBrittle(instance.service) || limits.isLimited(instance))) {
             tracked.givenUp.add(this.options.clock.readMonotonicMs());
         }
         if (tracked.inFlight === 0 && this.closing.delete(tracked)) {
@@ -309,6 +312,12 @@
         return places === undefined || givenUp.hasPlace({ places, inFlight, answeredSentMs, nowMs });
     }
 
+    /** Whether an upstream that states a limit may get a request beside those that it may still read all at once. */
+    private hasRoomForUnread(tracked: TrackedInstance): boolean {
+        const maxUnread = this.options.limits.readMaxUnread(tracked.instance);
+        return maxUnread === undefined || this.hasPlace(tracked, tracked.inFlight + maxUnread);
+    }
+
     private readOwnLoad(): ReadonlyMap<string, number> {
         return new Map([...this.tracked.values()].map(({ instance, inFlight }) => [instance.id, inFlight]));
     }
--- a/src/placement/UpstreamLimits.ts
+++ b/src/placement/UpstreamLimits.ts
@@ -44,6 +44,7 @@
 const changedShare = 0.1;
 const rateReadMs = 250;
 const msPerSecond = 1_000;
+const maxUnreadSeconds = 1; // of a node's rate
 
 /**
  * Keeps the requests of all nodes to an upstream within the limit that it states in its answers. A node that hears a
@@ -95,6 +96,21 @@
             : msPerSecond / Math.max(1, limit.limitPerS); // another node may send it one by then
     }
 
+    /**
+     * Returns the number of requests that this node may have given up at an upstream that may not have read them: it may take
+     * them all at once.
+     *
+     * @returns at least 1; undefined if the upstream states no limit
+     */
+    readMaxUnread(upstream: UpstreamStart): number | undefined {
+        const limit = this.find(upstream);
+        if (!limit) {
+            return undefined;
+        }
+        this.refresh(upstream, limit);
+        return Math.max(1, Math.ceil(limit.ratePerS * maxUnreadSeconds));
+    }
+
     /** Whether an upstream states a limit. */
     isLimited(upstream: UpstreamStart): boolean {
         return this.find(upstream) !== undefined;
