--- a/standins/LeaseholderModel.ts
+++ b/standins/LeaseholderModel.ts
@@ -21,7 +21,7 @@
 } as const;
 
 const departedShare = 0.5; // of the calls; no reset takes them back
-const newConnectionShare = 0.2; // of the calls; the others use a kept connection
+const slowConnectionShare = 0.2; // of the calls; the connections of the others open at once
 const subjects = [
     { path: "/usage", target: { duty: "usage", subject: "usage" }, body: {} },
     {
@@ -157,7 +157,7 @@
     ): Promise<void> {
         const { random } = this.model;
         const endMs = this.clock.readMonotonicMs() + times.call;
-        if (random.drawFloat() < newConnectionShare) {
+        if (random.drawFloat() < slowConnectionShare) {
             await this.clock.sleep(random.drawInt(this.cloudDelayMs));
         }
         const isOver = (): boolean =>
