Bound the bytes of the platform's answers that are read at the same time

A faulty store, cloud or weight store whose answers do not end took the memory of every node that called it: an answer could have 64 MiB, 16 of them are read at the same time, and each chunk was kept with a buffer of its own.

An answer may have 16 MiB, sixteen pages of rows, and all answers that are read at the same time 32 MiB. A larger one fails like one that was cut, and its reading ends. A feed whose answer failed lists its rows in pages, as before. Chunks are collected in blocks.

--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { waitForAbort } from "../_lib/waitForAbort";
+import { type ByteBudget, readAnswer } from "../http/readAnswer";
 import { StoreError } from "./StoreError";
 
 /** Options of {@link sendJson}. */
@@ -22,6 +23,10 @@
     readonly body: unknown;
 }
 
+const maxAnswerBytes = 16_777_216; // 16 MiB, sixteen pages of the store's rows
+/** All answers that are read at the same time take no more than two of the largest. */
+const answersBudget: ByteBudget = { maxBytes: 2 * maxAnswerBytes, usedBytes: 0 };
+const utf8 = new TextDecoder();
 const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 
 /**
@@ -46,7 +51,9 @@
             signal,
         });
         const answer = await Promise.race([answered, rejectOnAbort(signal)]);
-        const text = await answer.body.text();
+        const text = utf8.decode(
+            await readAnswer({ body: answer.body, maxBytes: maxAnswerBytes, budget: answersBudget }),
+        );
         if (answer.statusCode === 503) {
             throw new StoreError(`${name}: service answered with status 503`, "none");
         }
