Bound the answer that the operator's command line reads from a node

An answer of a faulty node that does not end was collected whole, with a time-out only between its parts, until the operator's process ended for lack of memory. It now has to end within 64 MiB and 60 s.

Evidence: the new test failed before (268 MB taken, the test's own limit, in place of less than 75 MB).

--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import { readAnswer } from "../http/readAnswer";
 import type { FailureBody } from "../results/formatFailure";
 import { CliError } from "./CliError";
 import { exitCodes } from "./exitCodes";
@@ -6,7 +7,9 @@
 
 const entryVariableName = "SEQUOIAGRADE_ENTRY";
 const tokenVariableName = "SEQUOIAGRADE_TOKEN";
-const timeoutMs = 15_000;
+const timeoutMs = 15_000; // of each part of an answer
+const wholeTimeoutMs = 60_000;
+const maxAnswerBytes = 67_108_864; // 64 MiB, 1 MiB (the largest message of a node to another) of 64 nodes
 
 /** Client of a node's operator API. */
 export class OperatorClient {
@@ -85,8 +88,10 @@
                 body: body === undefined ? undefined : JSON.stringify(body),
                 headersTimeout: timeoutMs,
                 bodyTimeout: timeoutMs,
+                signal: AbortSignal.timeout(wholeTimeoutMs),
             });
-            return { status: answer.statusCode, body: await answer.body.json() };
+            const bytes = await readAnswer({ body: answer.body, maxBytes: maxAnswerBytes });
+            return { status: answer.statusCode, body: JSON.parse(bytes.toString("utf8")) };
         }
         catch (error) {
             const code = (error as { code?: string; }).code ?? "";
