Close connections to the members' port that are no web sockets

Whoever sent a request of another kind to the port of the members, with a body or with further requests without end, was read for good: the answer 426 left the connection open, and the rest of the request was parsed and dropped.

The answer 426 now ends the connection.

--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -1,4 +1,6 @@
+import { connect } from "node:net";
 import { WebSocket } from "ws";
+import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import { FakeClock } from "../kernel/FakeClock";
 import { SeededRandom } from "../kernel/SeededRandom";
 import { SystemClock } from "../kernel/SystemClock";
@@ -183,6 +185,22 @@
         await waitUntil(() => a.network.linkedNodeIds.length === 0);
     });
 
+    // Guards against requests of other protocols without end that occupy the process.
+    it.each([
+        ["a body", "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"],
+        ["requests", "", "GET / HTTP/1.1\r\nhost: a\r\n\r\n"],
+    ])(
+        "closes a connection that is no web socket and on which bytes arrive without end: %s",
+        async (...kind) => {
+            const a = await startPeer("a");
+            const [, first, repeated] = kind;
+            const socket = connect(a.network.port, "127.0.0.1");
+            socket.on("error", () => {});
+            writeEndlessly(socket, first, repeated.repeat(1_000), () => {});
+            await waitUntil(() => socket.destroyed);
+        },
+    );
+
     it("closes a link on which nothing arrives and reports its loss", async () => {
         const a = await startPeer("a");
         const lost: string[] = [];
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -56,7 +56,7 @@
     private readonly scope: TaskScope;
     private server: WebSocketServer | undefined;
     private readonly httpServer: Server = createServer((_request, response) => {
-        response.writeHead(upgradeRequiredStatus).end();
+        response.writeHead(upgradeRequiredStatus, { connection: "close" }).end(); // also ends an endless request
     });
     private readonly linkUpListeners: ((nodeId: string) => void)[] = [];
     private readonly linkLostListeners: ((nodeId: string) => void)[] = [];
