--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -26,6 +26,8 @@
     readonly onOversized: (bytes: number) => void;
 }
 
+const maxUnsentFrames = 4; // of the largest size; a member that sends but does not read is disconnected
+
 /** An authenticated link to one member. */
 export class PeerLink {
     private readonly pending = new Map<number, PendingCall>();
@@ -57,7 +59,10 @@
         this.ended = new Promise(resolve => socket.once("close", () => resolve()));
     }
 
-    /** Sends a message; drops it if the socket is not open, or if the member would close the link for its size. */
+    /**
+     * Sends a message; drops it if the socket is not open, or if the member would close the link for its size. Terminates
+     * the socket if the member does not read what was sent before.
+     */
     send(message: PeerMessage): void {
         if (this.socket.readyState !== this.socket.OPEN) {
             return;
@@ -67,6 +72,10 @@
             this.frameLimit.onOversized(frame.length);
             return;
         }
+        if (this.socket.bufferedAmount > maxUnsentFrames * this.frameLimit.maxFrameBytes) {
+            this.socket.terminate();
+            return;
+        }
         this.lastSentMs = this.clock.readMonotonicMs();
         this.counters.messagesSent += 1;
         this.counters.bytesSent += frame.length;
--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { WebSocket } from "ws";
 import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import { FakeClock } from "../kernel/FakeClock";
@@ -185,6 +185,25 @@
         await waitUntil(() => a.network.linkedNodeIds.length === 0);
     });
 
+    // Guards against a member that takes the memory of another, since that keeps what the member does not read.
+    it("closes a link whose member sends calls but reads no replies", async () => {
+        const a = await startPeer("a");
+        a.network.registerHandler("list", async () => "x".repeat(9_000));
+        const socket = await connectRaw(a);
+        (socket as unknown as { readonly _socket: Socket; })._socket.pause();
+        const call = encodeFrame({ kind: "call", callId: 1, method: "list", payload: {} });
+        const startMs = performance.now();
+        let calls = 0;
+        while (a.network.linkedNodeIds.length > 0 && performance.now() - startMs < 10_000) {
+            socket.send(call);
+            calls += 1;
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(a.network.linkedNodeIds).toEqual([]);
+        expect(calls * 9_000).toBeLessThan(32_000_000); // what the buffers of the system and of the link may take
+        socket.terminate();
+    });
+
     // Guards against requests of other protocols without end that occupy the process.
     it.each([
         ["a body", "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"],
