--- a/src/peers/PeerNetwork.test.ts
+++ b/src/peers/PeerNetwork.test.ts
@@ -1,4 +1,6 @@
+import { connect, type Socket } from "node:net";
 import { WebSocket } from "ws";
+import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import { FakeClock } from "../kernel/FakeClock";
 import { SeededRandom } from "../kernel/SeededRandom";
 import { SystemClock } from "../kernel/SystemClock";
@@ -183,6 +185,41 @@
         await waitUntil(() => a.network.linkedNodeIds.length === 0);
     });
 
+    // Guards against a member that takes the memory of another, since that keeps what the member does not read.
+    it("closes a link whose member sends calls but reads no replies", async () => {
+        const a = await startPeer("a");
+        a.network.registerHandler("list", async () => "x".repeat(9_000));
+        const socket = await connectRaw(a);
+        (socket as unknown as { readonly _socket: Socket; })._socket.pause();
+        const call = encodeFrame({ kind: "call", callId: 1, method: "list", payload: {} });
+        const startMs = performance.now();
+        let calls = 0;
+        while (a.network.linkedNodeIds.length > 0 && performance.now() - startMs < 10_000) {
+            socket.send(call);
+            calls += 1;
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(a.network.linkedNodeIds).toEqual([]);
+        expect(calls * 9_000).toBeLessThan(32_000_000); // what the buffers of the system and of the link may take
+        socket.terminate();
+    });
+
+    // Guards against requests of other protocols without end that occupy the process.
+    it.each([
+        ["a body", "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"],
+        ["requests", "", "GET / HTTP/1.1\r\nhost: a\r\n\r\n"],
+    ])(
+        "closes a connection that is no web socket and on which bytes arrive without end: %s",
+        async (...kind) => {
+            const a = await startPeer("a");
+            const [, first, repeated] = kind;
+            const socket = connect(a.network.port, "127.0.0.1");
+            socket.on("error", () => {});
+            writeEndlessly(socket, first, repeated.repeat(1_000), () => {});
+            await waitUntil(() => socket.destroyed);
+        },
+    );
+
     it("closes a link on which nothing arrives and reports its loss", async () => {
         const a = await startPeer("a");
         const lost: string[] = [];
