Bound the answers that undici collects for HttpEngineClient

Its JSON calls and cancellations go past UpstreamExchange, so that no limit of an answer held for them: a body, or empty lines before the head, without end was read, and a body kept, until the call's time was over. Such a call's connection is now closed after 64 MiB.

--- a/src/upstreams/TrackedClient.ts
+++ b/src/upstreams/TrackedClient.ts
@@ -33,6 +33,22 @@
     readonly isListingCurrent: () => boolean;
 }
 
+const maxUntrackedBytes = 67_108_864; // 64 MiB, head and framing included
+
+/** Creates a call whose answer undici collects itself, and which ends with its connection if that is too long. */
+const createUntrackedCall = (tracked: TrackedSocket): TrackedCall => {
+    let inputBytes = 0;
+    return {
+        onEnd: () => {},
+        onInput: bytes => {
+            inputBytes += bytes;
+            if (inputBytes > maxUntrackedBytes) {
+                tracked.socket?.destroy(new Error(`answer exceeds ${maxUntrackedBytes} bytes`));
+            }
+        },
+    };
+};
+
 /**
  * undici client with one connection that distinguishes a reset from a regular close. undici treats both as the end of
  * an answer without a length, but such an answer is complete only after a regular close.
@@ -57,6 +73,7 @@
         let callNumber = 0;
         if (!options.onConnection) {
             tracked.isIdle = false;
+            tracked.call = createUntrackedCall(tracked);
         }
         options.onConnection?.({
             isReset: () => isResetSocket(tracked.socket),
--- a/src/upstreams/endlessClientAnswers.test.ts
+++ b/src/upstreams/endlessClientAnswers.test.ts
@@ -1,11 +1,14 @@
 import type { AddressInfo, Server } from "node:net";
 import { createServer } from "node:net";
+import { HttpEngineClient } from "./HttpEngineClient";
 import { HttpPlainClient } from "./HttpPlainClient";
 
 const timeoutMs = 4_000;
 const maxEndMs = 1_500;
 const mebibyte = 1_048_576;
 const maxBytes = 9 * mebibyte; // 8 MiB of them in the buffers of the loopback connection
+const longMs = 30_000;
+const maxUntrackedBytes = 72 * mebibyte;
 const partBytes = 16_384;
 
 describe("HttpPlainClient", () => {
@@ -57,4 +60,16 @@
         expect(performance.now() - startMs).toBeLessThan(maxEndMs);
         expect(sentBytes).toBeLessThan(maxBytes);
     });
+
+    // Guards against a JSON answer without end, which was kept whole until the call's time was over.
+    it.each([
+        ["body", "HTTP/1.1 200 OK\r\n\r\n", "x"],
+        ["empty lines before the head", "", "\r\n"],
+    ])("ends a call of HttpEngineClient whose answer has no end: %s", async (_name, head, text) => {
+        const url = await serveEndlessly(head, text);
+        const engine = new HttpEngineClient({ url, timeoutMs: longMs });
+        await expect(engine.readLoad()).rejects.toThrow();
+        expect(sentBytes).toBeLessThan(maxUntrackedBytes);
+        await engine.close();
+    }, longMs);
 });
