Pass on the bytes of a tunnel's small frames together

A faulty member at either end of a tunnel that sends frames of one byte had each of them passed on by itself: a write to the upstream, or a part to the parser, for each byte.

The bytes of all frames of a read are now passed on as one part.

--- a/src/tunnels/TunnelConnection.ts
+++ b/src/tunnels/TunnelConnection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import { joinParts } from "../_lib/joinParts";
 import type { RequestMarker } from "../upstreams/markRequest";
 import { encodeFrameLength } from "./encodeFrameLength";
 import { TunnelFrameDecoder } from "./TunnelFrameDecoder";
@@ -86,8 +87,9 @@
             this.deliver(chunk);
             return;
         }
-        for (const bytes of this.decoder.decode(chunk)) {
-            this.deliver(bytes);
+        const parts = [...this.decoder.decode(chunk)];
+        if (parts.length > 0) {
+            this.deliver(joinParts(parts));
         }
         if (this.decoder.isEnded) {
             this.push(null);
--- a/src/tunnels/TunnelRequestDecoder.ts
+++ b/src/tunnels/TunnelRequestDecoder.ts
@@ -1,4 +1,5 @@
 import { Transform } from "node:stream";
+import { joinParts } from "../_lib/joinParts";
 import { TunnelFrameDecoder } from "./TunnelFrameDecoder";
 
 /**
@@ -14,11 +15,15 @@
         });
         super({
             transform: (chunk: Buffer, _encoding, callback) => {
+                const parts: Buffer[] = [];
                 for (const bytes of decoder.decode(chunk)) {
                     if (isRefused) {
                         break;
                     }
-                    this.push(bytes);
+                    parts.push(bytes);
+                }
+                if (parts.length > 0) {
+                    this.push(joinParts(parts));
                 }
                 callback(isRefused ? new Error("the upstream accepts no more requests") : undefined);
             },
