--- a/src/platform/sendStagedJson.test.ts
+++ b/src/platform/sendStagedJson.test.ts
@@ -1,6 +1,7 @@
 import { Agent } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { pause } from "../../standins/pause";
+import { writeEndlessly } from "../../standins/platform/writeEndlessly";
 import type { JsonAnswer } from "./sendJson";
 import { sendStagedJson } from "./sendStagedJson";
 
@@ -119,4 +120,27 @@
         sockets[0].resetAndDestroy();
         await expect(sent).rejects.toMatchObject({ effect: "unknown" });
     });
+
+    // Guards against a service whose answer occupies the holder of a duty beyond the call, or takes its memory.
+    it.each([
+        ["empty lines", "", "\r\n"],
+        ["interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n"],
+        ["headers", "HTTP/1.1 200 OK\r\n", "a: b\r\n"],
+        ["a body", "HTTP/1.1 200 OK\r\n\r\n", "x"],
+        ["small chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"],
+    ])("ends a call whose answer does not end: %s", async (_name, first, repeated) => {
+        answer = undefined;
+        const call = new AbortController();
+        const sent = send(call);
+        await waitUntilSeen("POST");
+        const text = repeated.repeat(Math.floor(16_384 / repeated.length));
+        writeEndlessly(sockets[0], first, text, () => {});
+        setTimeout(() => call.abort(new Error("given up")), 500);
+        const startMs = performance.now();
+        await expect(sent).rejects.toMatchObject({ effect: "unknown" });
+        expect(performance.now() - startMs).toBeLessThan(2_000);
+        while (!sockets[0].destroyed) {
+            await pause(5);
+        }
+    });
 });
