Let a new writer of software versions prevent late writes of the one before

Callers saw, in principle: a stream that goes on at another software version after a loss of all nodes (ORDER), because the record said that a version had been gone for long which had been listed to the end. Cause: the writer ends with a write whose answer it didn't get; the next writer reads the record, finds it up to date and writes nothing; then the late write takes effect, as the revision is still the one it expects.

A node that becomes the writer, also at its start, reads the records and writes each of them again under the revision read: then the late write fails, or the own one conflicts and is repeated on what was read again.

Evidence: VersionRecords.test, for a next writer that ran before and one that starts then: on the code before, "v1" was taken for the only version, both times.

--- a/src/origins/VersionRecords.test.ts
+++ b/src/origins/VersionRecords.test.ts
@@ -239,6 +239,28 @@
             expect(await findSoleAfterLoss()).toBeUndefined();
         });
 
+        // Guards against streams joined from two versions: the write of a writer that has ended replaces what is listed.
+        it.each([["ran before", true], ["starts then", false]])(
+            "keeps it on record also when its writer has ended, and another node that %s writes",
+            async (_, isRunning) => {
+                const next = new TestProcess(clock, late);
+                next.isWriter = !isRunning;
+                if (isRunning) {
+                    await next.start("v1", "v2");
+                }
+                await process.versionRecords.stop();
+                if (!isRunning) {
+                    await next.start("v1", "v2");
+                }
+                next.isWriter = true;
+                await clock.advance(1_000);
+                late.commitLate();
+                await clock.advance(1_000);
+                await next.versionRecords.stop();
+                expect(await findSoleAfterLoss()).toBeUndefined();
+            },
+        );
+
         it("writes no more once a write was answered", async () => {
             await process.list("v1", "v2");
             await clock.advance(1_000);
--- a/src/origins/VersionRecords.ts
+++ b/src/origins/VersionRecords.ts
@@ -59,7 +59,7 @@
     private stored = new Map<string, StoredRecord>();
     /** Services with a write whose outcome is not known, and which a later write has to replace or to prevent. */
     private readonly unsettled = new Set<string>();
-    /** Whether this node has read the records since it became the writer. */
+    /** Whether this node has read the records since it became the writer, and knows which of them it has to write again. */
     private isPreparedWriter = false;
     private wake: () => void = () => {};
 
@@ -127,7 +127,6 @@
             return;
         }
         this.reportHistory();
-        this.isPreparedWriter = this.options.isWriter();
         versions.completeHistory(latestPause);
         onLoaded();
         while (!signal.aborted) {
@@ -195,7 +194,9 @@
             return true;
         }
         try {
-            await this.prepareWriter(isWriter);
+            if (isWriter && !this.isPreparedWriter) {
+                await this.prepareWriter(services);
+            }
             const operations = services
                 .map(service => this.createOperation(service, nowMs))
                 .filter(operation => operation !== undefined);
@@ -211,12 +212,14 @@
         }
     }
 
-    /** Reads what the writer before has written, once this node is the writer. */
-    private async prepareWriter(isWriter: boolean): Promise<void> {
-        if (isWriter && !this.isPreparedWriter) {
-            await this.load();
-            this.isPreparedWriter = true;
-        }
+    /**
+     * Reads what the writer before has written, once this node is the writer. Each record is to be written again: a write of
+     * the one before that is carried out later then fails, as the record has another revision.
+     */
+    private async prepareWriter(services: readonly string[]): Promise<void> {
+        await this.load();
+        services.filter(service => this.stored.has(service)).forEach(service => this.unsettled.add(service));
+        this.isPreparedWriter = true;
     }
 
     /** Writes some records; reads those again that others have changed, and returns false if there are such. */
