--- a/src/tunnels/abandonedCalls.test.ts
+++ b/src/tunnels/abandonedCalls.test.ts
@@ -8,7 +8,9 @@
 import { openTunnel } from "./openTunnel";
 import { TunnelServer } from "./TunnelServer";
 
-const bodyBytes = 1_000_000; // more than the upstream's system takes at first, less than the sender's takes besides
+// To send more: ABANDONED_BYTES=5000000 npx jest src/tunnels/abandonedCalls
+
+const bodyBytes = Number(process.env.ABANDONED_BYTES ?? 1_000_000); // more than the upstream's system takes at first, less than the sender's takes besides
 const busyMs = 300; // for which the upstream does not read
 const abandonMs = 100;
 const deliveryMs = 700;
