Count time on input only until its reader has read it all

Callers saw nothing wrong yet; input of sound connections waited for a turn of the event loop for nothing: the scheduler counted the time from a slice until the next read of any connection, up to 4 ms, as spent on that slice. With one token every 20 ms on one connection, every second token was held, and a stream of small parts was charged as much as a flood.

A reader reads until nothing is left. That last read, which returns null, now ends the slice.

Evidence: the new test read 1 of 2 inputs at once before.

--- a/src/http/InputScheduler.test.ts
+++ b/src/http/InputScheduler.test.ts
@@ -91,6 +91,19 @@
         expect(heard.slice(before)).toContain("sound");
     });
 
+    // Guards against time that passes after a connection has been read, which counted as time spent on its input.
+    it("reads input at once when the last was read completely, however long ago", async () => {
+        const stream = createStream();
+        scheduler.add(stream);
+        follow(stream, "a", 0);
+        for (let token = 0; token < 10; token += 1) {
+            stream.push(Buffer.from("token"));
+            await new Promise(resolve => process.nextTick(resolve));
+            expect(heard).toHaveLength(token + 1);
+            nowMs += 20;
+        }
+    });
+
     it("reads urgent input at once", async () => {
         const stream = createStream();
         scheduler.add(stream, { isUrgent: () => true });
--- a/src/http/InputScheduler.ts
+++ b/src/http/InputScheduler.ts
@@ -68,6 +68,9 @@
         const read = socket.read.bind(socket);
         socket.read = size => {
             const length = socket.readableLength;
+            if (size === undefined && length === 0 && this.current === connection) {
+                this.endSlice();
+            }
             if (size !== undefined || length === 0) {
                 return read(size);
             }
