Let a long-lived connection wait for a turn or two only

A connection's time on input was summed up since it was opened, and whoever has the least is served first. A sound stream that had been read for a second in all, and then had to wait once, waited until new connections with endless input had taken as much: its caller saw a stream that stops. The time is now brought within one turn's worth of that of the connection that was served last when a connection begins to wait.

--- a/src/http/InputScheduler.test.ts
+++ b/src/http/InputScheduler.test.ts
@@ -104,6 +104,30 @@
         }
     });
 
+    // Guards against a long stream that, once it has to wait, waits until new connections have taken as much time as it has.
+    it("serves a connection that has taken much time, but none lately, within some turns", async () => {
+        const long = createStream();
+        scheduler.add(long);
+        follow(long, "long", 1);
+        for (let token = 0; token < 1_000; token += 1) {
+            long.push(Buffer.from("token"));
+            await new Promise(resolve => process.nextTick(resolve));
+            nowMs += 20;
+        }
+        await waitForTurn();
+        const busy = createStream();
+        scheduler.add(busy);
+        follow(busy, "busy", 4);
+        busy.push(Buffer.alloc(640 * kibibyte));
+        long.push(Buffer.from("token"));
+        await new Promise(resolve => process.nextTick(resolve));
+        const before = heard.length;
+        for (let turn = 0; turn < 4; turn += 1) {
+            await waitForTurn();
+        }
+        expect(heard.slice(before)).toContain("long");
+    });
+
     it("reads urgent input at once", async () => {
         const stream = createStream();
         scheduler.add(stream, { isUrgent: () => true });
--- a/src/http/InputScheduler.ts
+++ b/src/http/InputScheduler.ts
@@ -19,19 +19,20 @@
 /** A connection whose input is read in slices. */
 interface ScheduledConnection {
     readonly socket: Duplex;
-    /** Time spent on its input, in milliseconds; raised to that of the others when it begins to wait. */
+    /** Time spent on its input, in milliseconds; brought near to that of the others when it begins to wait. */
     spentMs: number;
 }
 
 const sliceBytes = 8_192;
 const turnMs = 4; // of input in a turn of the event loop, before other work gets its turn
 const maxSliceMs = 4; // a reader that pauses does not tell when it has finished
+const maxAheadMs = turnMs + maxSliceMs; // what a connection takes in one turn at most
 
 /**
  * Shares the event loop between connections whose readers read whatever has arrived, such as undici's parser. Such a
  * reader gets input in slices; once reading has taken some milliseconds, the input that is left waits for the next turn of
  * the event loop, so that timers and other connections are served in between. Among waiting connections, the one that
- * has taken the least time is served first. Input is never dropped, and keeps its order.
+ * has taken the least time lately is served first. Input is never dropped, and keeps its order.
  */
 export class InputScheduler {
     private readonly clock: Pick<Clock, "readMonotonicMs">;
@@ -118,7 +119,8 @@
 
     private hold(connection: ScheduledConnection): void {
         if (!this.waiting.has(connection)) {
-            connection.spentMs = Math.max(connection.spentMs, this.servedMs);
+            const spentMs = Math.max(connection.spentMs, this.servedMs);
+            connection.spentMs = Math.min(spentMs, this.servedMs + maxAheadMs);
             this.waiting.add(connection);
         }
         this.schedule();
