Count only unread requests against an upstream that states a limit

Callers of a service whose upstreams state small limits got 503 for as long as an earlier answer ran, although the limit allowed them: a caller that left in the middle of an answer counted as a request that the upstream has not read. At a rate of one a second for this node, one such caller kept all others from the upstream until no request was in flight there.

A request whose answer has begun, or after which a later one was answered, has been read, and has been counted by the upstream already. Brittle upstreams are unchanged: they may not have read its end.

Evidence: with the earlier condition the new test lists only the other upstream after the first caller has left.

--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -247,7 +247,8 @@
         }
         finally {
             exchange.abort("the attempt has ended");
-            context.instances.endRequest(upstream, exchange.isSent && isGivenUp(result));
+            const isUnanswered = exchange.isSent && isGivenUp(result);
+            context.instances.endRequest(upstream, isUnanswered ? sentMs : undefined);
         }
     }
 
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -29,6 +29,7 @@
     sinceRecoveryMs = Infinity;
     maxConnections = 4;
     brittleLimit: number | undefined;
+    maxUnread = 10;
     remote = new Map<string, number>();
     readonly published: unknown[] = [];
     readonly waitMsById = new Map<string, number>();
@@ -53,7 +54,7 @@
             readWaitMs: ({ id }) => this.waitMsById.get(id) ?? 0,
             take: ({ id }) => void this.taken.push(id),
             isLimited: ({ id }) => this.waitMsById.has(id),
-            readMaxUnread: () => undefined,
+            readMaxUnread: ({ id }) => this.waitMsById.has(id) ? this.maxUnread : undefined,
         },
         brittle: {
             observe: () => {},
@@ -161,6 +162,23 @@
         expect(setup.taken).toHaveLength(1);
     });
 
+    // Guards against callers that leave in the middle of an answer, and keep the others from an upstream with a limit.
+    it("counts requests that a limited upstream has not read, but not those whose answer has begun", async () => {
+        const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
+        setup.waitMsById.set("one", 0);
+        setup.maxUnread = 1;
+        const sentMs = setup.clock.readMonotonicMs();
+        for (let count = 0; count < 3; count += 1) {
+            setup.registry.beginRequest(one);
+        }
+        one.answeredSentMs = sentMs;
+        await setup.clock.advance(100);
+        setup.registry.endRequest(one, sentMs);
+        expect(setup.listIds()).toEqual(["one", "two"]);
+        setup.registry.endRequest(one, sentMs + 50);
+        expect(setup.listIds()).toEqual(["two"]);
+    });
+
     it("lists a brittle upstream up to this node's part of its places, and not after it turned a request away", async () => {
         const one = setup.registry.listUsable("app").find(known => known.instance.id === "one")!;
         setup.registry.recordTurnedAway(one);
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -279,13 +279,11 @@
      * Ends the count of a request. The connections of a removed upstream are closed with its last request.
      *
      * @param tracked - upstream of the request
-     * @param isGivenUp - whether it was given up after it had been written; default false
+     * @param givenUpSentMs - when it was sent, by the monotonic clock, if it was given up after it had been written
      */
-    endRequest(tracked: TrackedInstance, isGivenUp = false): void {
+    endRequest(tracked: TrackedInstance, givenUpSentMs?: number): void {
         tracked.inFlight -= 1;
-        const { brittle, limits } = this.options;
-        const { instance } = tracked;
-        if (isGivenUp && (brittle.isBrittle(instance.service) || limits.isLimited(instance))) {
+        if (givenUpSentMs !== undefined && this.mayReadLater(tracked, givenUpSentMs)) {
             tracked.givenUp.add(this.options.clock.readMonotonicMs());
         }
         if (tracked.inFlight === 0 && this.closing.delete(tracked)) {
@@ -306,6 +304,15 @@
         });
     }
 
+    /**
+     * Whether an upstream may still read a request that was given up, or its end. A brittle one that has not read the end runs
+     * the request on; for one that states a limit, only requests that it has not read count.
+     */
+    private mayReadLater({ instance, answeredSentMs }: TrackedInstance, sentMs: number): boolean {
+        const { brittle, limits } = this.options;
+        return brittle.isBrittle(instance.service) || (limits.isLimited(instance) && answeredSentMs < sentMs);
+    }
+
     /** Whether this node may send an upstream a request by its places there; undefined if these are not limited. */
     private hasPlace({ givenUp, inFlight, answeredSentMs }: TrackedInstance, places?: number): boolean {
         const nowMs = this.options.clock.readMonotonicMs();
