Let bodies in small chunks wait in proportion to their chunks

Callers whose bodies arrive in chunks of less than 256 bytes waited 50 ms for each read of their connection, one after another over all callers of the process: 1 MB in chunks of 200 bytes took 1.1 s for one caller and 10.5 s for ten at a time, and 15 MB of one caller would have passed the deadlines of most routes. Each read cost a pause that fits thousands of chunks of a byte, however few chunks it held.

The count is known at the end of the turn of the event loop, so that is when the request gets its place.

--- a/src/http/PacedRequest.test.ts
+++ b/src/http/PacedRequest.test.ts
@@ -3,6 +3,7 @@
 import { HttpListener } from "./HttpListener";
 
 const chunkCount = 50_000; // several reads
+const maxBodyBytes = 1_000_000;
 const head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
 
 describe("PacedRequest", () => {
@@ -15,7 +16,7 @@
             host: "127.0.0.1",
             port: 0,
             onRequest: (request, response) =>
-                void readBody(request, chunkCount).then(body => {
+                void readBody(request, maxBodyBytes).then(body => {
                     bodies.push(body.toString("latin1"));
                     response.end("done");
                 }),
@@ -50,4 +51,16 @@
         expect(performance.now() - startMs).toBeLessThan(500); // 50 ms each, were they to wait
         expect(bodies).toEqual(Array(10).fill("x".repeat(20)));
     });
+
+    // Guards against bodies of sound callers that all together arrive at a megabyte a second.
+    it("delays bodies in chunks of some hundred bytes by little, also those of several callers", async () => {
+        const part = `c8\r\n${"x".repeat(200)}\r\n`;
+        const parts = 2_500; // ten reads or so
+        const startMs = performance.now();
+        const answers = await Promise.all(
+            Array.from({ length: 10 }, () => send(`${head}${part.repeat(parts)}0\r\n\r\n`)),
+        );
+        expect(performance.now() - startMs).toBeLessThan(1_500);
+        expect(answers.every(answer => answer.includes("200 OK"))).toBe(true);
+    });
 });
--- a/src/http/PacedRequest.ts
+++ b/src/http/PacedRequest.ts
@@ -4,16 +4,20 @@
 
 const smallChunkBytes = 256; // to take a smaller chunk apart costs more than to keep its bytes
 const maxSmallChunks = 64; // of a request in one turn of the event loop
+const delayMsPerSmallChunk = 0.005; // several times what it costs
 const pacer = new ReadPacer(); // one for the process, which all requests share
 
 /**
  * Request to a server. Its body may arrive in chunks of any size, and each read from its connection may bring thousands
- * of small ones. The rest of such a read is delivered as one chunk, and the next read waits for its turn.
+ * of small ones. The rest of such a read is delivered as one chunk, and the next read waits for its turn, the longer the more
+ * small chunks there were.
  */
 export class PacedRequest extends IncomingMessage {
     private smallChunks = 0;
     /** Bytes to be delivered at the request's turn; undefined if it does not wait for one. */
     private held: ChunkBuffer | undefined;
+    /** Whether it has its place among those that wait for a turn. */
+    private isQueued = false;
 
     override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
         if (chunk === null) {
@@ -21,6 +25,7 @@
             return super.push(null);
         }
         if (this.held) {
+            this.countSmallChunk();
             this.held.append(chunk);
             return false;
         }
@@ -37,18 +42,25 @@
 
     private countSmallChunk(): void {
         if (this.smallChunks === 0) {
-            setImmediate(() => {
-                this.smallChunks = 0;
-            });
+            setImmediate(() => this.endTurn());
         }
         this.smallChunks += 1;
         if (this.smallChunks > maxSmallChunks) {
-            this.held = new ChunkBuffer();
-            pacer.enqueue(() => this.resumeReading());
+            this.held ??= new ChunkBuffer();
+        }
+    }
+
+    private endTurn(): void {
+        const delayMs = this.smallChunks * delayMsPerSmallChunk;
+        this.smallChunks = 0;
+        if (this.held && !this.isQueued) {
+            this.isQueued = true;
+            pacer.enqueue(() => this.resumeReading(), delayMs);
         }
     }
 
     private resumeReading(): void {
+        this.isQueued = false;
         this.deliverHeld();
         if (!this.destroyed) {
             super.read(0); // lets the connection be read again
