--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -283,7 +283,7 @@
      */
     endRequest(tracked: TrackedInstance, givenUpSentMs?: number): void {
         tracked.inFlight -= 1;
-        if (givenUpSentMs !== undefined && this.mayReadLater(tracked, givenUpSentMs)) {
+        if (givenUpSentMs !== undefined && this.isPossiblyUnread(tracked, givenUpSentMs)) {
             tracked.givenUp.add(this.options.clock.readMonotonicMs());
         }
         if (tracked.inFlight === 0 && this.closing.delete(tracked)) {
@@ -308,7 +308,7 @@
      * Whether an upstream may still read a request that was given up, or its end. A brittle one that has not read the end runs
      * the request on; for one that states a limit, only requests that it has not read count.
      */
-    private mayReadLater({ instance, answeredSentMs }: TrackedInstance, sentMs: number): boolean {
+    private isPossiblyUnread({ instance, answeredSentMs }: TrackedInstance, sentMs: number): boolean {
         const { brittle, limits } = this.options;
         return brittle.isBrittle(instance.service) || (limits.isLimited(instance) && answeredSentMs < sentMs);
     }
