Bound what the object store's answers take together

Callers of a node whose object store answers without end would have lost it: each of eight connections kept 64 MiB of an answer, more than a machine of 350 MB has, and each small chunk a buffer of its own.

Such answers are now read into blocks, and share 64 MiB; one of up to 64 MiB can still be read.

--- a/src/platform/HttpObjectStore.ts
+++ b/src/platform/HttpObjectStore.ts
@@ -1,4 +1,5 @@
 import { type Agent, request } from "undici";
+import { type ByteBudget, readAnswer } from "../http/readAnswer";
 import { createServiceAgent } from "./createServiceAgent";
 import { StoreError } from "./StoreError";
 import type { ObjectStore } from "./types";
@@ -10,6 +11,9 @@
 }
 
 const maxConnections = 8;
+const maxAnswerBytes = 67_108_864; // 64 MiB
+/** All answers that are read at the same time take no more than the largest. */
+const answersBudget: ByteBudget = { maxBytes: maxAnswerBytes, usedBytes: 0 };
 
 /** Client of the object store over HTTP, in the format of the stand-in. */
 export class HttpObjectStore implements ObjectStore {
@@ -53,7 +57,11 @@
                 body,
                 signal: AbortSignal.timeout(this.options.timeoutMs),
             });
-            const content = Buffer.from(await answer.body.arrayBuffer());
+            const content = await readAnswer({
+                body: answer.body,
+                maxBytes: maxAnswerBytes,
+                budget: answersBudget,
+            });
             if (answer.statusCode === 404) {
                 return undefined;
             }
