--- a/src/forwarding/RetryPlanner.ts
+++ b/src/forwarding/RetryPlanner.ts
@@ -76,7 +76,7 @@
         const isSilent = admitted.route.retryRule === retryRules.repeatable
             || upstream.lastReceivedMs < sentMs;
         const runs = recorder.trace.runs + 1; // this one has not been recorded yet
-        return isSilent && this.hasRetry(runs, true) && selection.hasOther(upstream);
+        return isSilent && this.hasRetry(runs) && selection.hasOther(upstream);
     }
 
     /**
@@ -90,7 +90,7 @@
         const { targetLatencyMs, eventGapTargetMs = 0 } = admitted.route;
         const remainingMs = this.options.readRemainingMs() + idleMs;
         return idleMs >= computeIdleTimeoutMs({ targetLatencyMs, eventGapTargetMs, remainingMs })
-            && this.hasRetry(recorder.trace.runs, false)
+            && this.hasRetry(recorder.trace.runs)
             && (selection.hasRoomElsewhere(upstream) || this.hasOtherPath(upstream, idleMs));
     }
 
@@ -104,11 +104,10 @@
      * Whether a request whose upstream is silent may be sent to another one now, so that it is not given up for nothing.
      *
      * @param runs - number of attempts after which the request may have run, the current one included
-     * @param isUnread - whether the upstream may not have read the request yet
      */
-    private hasRetry(runs: number, isUnread: boolean): boolean {
+    private hasRetry(runs: number): boolean {
         const { context, binding, crashWatch, dispatchCheck } = this.options;
-        const history = this.createHistory(runs, () => this.getBudget().hasRetry(isUnread));
+        const history = this.createHistory(runs, () => this.getBudget().hasRetry());
         return decideRetry({ isSent: true, isNotRun: false }, history) === "another-upstream"
             && this.options.readRemainingMs() >= minRemainingMs
             && dispatchCheck.isAllowedByStop()
--- a/src/retries/SlidingWindowRetryBudget.ts
+++ b/src/retries/SlidingWindowRetryBudget.ts
@@ -15,8 +15,6 @@
 
 const slotCount = 20; // of the window; at 10 s, requests leave the window in steps of half a second
 const safetyFactor = 0.8; // of the limit; the windows of the nodes do not begin at the same time
-const heldShare = 0.5; // of the retries; the others are left while an upstream reads nothing
-const maxHeldWindows = 6;
 
 /** An attempt that was given up without an answer, and that its upstream may read at any later time. */
 export interface GivenUpAttempt {
@@ -41,8 +39,7 @@
  * part of the additional retries of all nodes. The nodes need no coordination.
  *
  * What is limited is the number of attempts that arrive after the first one of their request. An attempt that was given up may
- * arrive after its retry, together with all others that its upstream has not read. The retry therefore counts until that is
- * known, for some windows at most, and in the window after it; such retries take a part of the budget only.
+ * arrive after its retry; the retry then counts until that is known, for one window at most, and in the window after it.
  */
 export class SlidingWindowRetryBudget {
     private readonly slots: Slot[] = [];
@@ -58,19 +55,14 @@
         this.getCurrentSlot().requests += 1;
     }
 
-    /**
-     * Whether a retry is left in the current window.
-     *
-     * @param isGivenUp - whether the attempt before it is given up and may arrive later; default false
-     */
-    hasRetry(isGivenUp = false): boolean {
+    /** Whether a retry is left in the current window. */
+    hasRetry(): boolean {
         this.settleHeld();
         const { ratio, extra, countNodes } = this.options;
         const requests = this.slots.reduce((sum, each) => sum + each.requests, 0);
         const retries = this.slots.reduce((sum, each) => sum + each.retries, this.held.length);
         const allowed = requests * ratio + extra / Math.max(1, countNodes());
-        const most = allowed * safetyFactor;
-        return retries + 1 <= most && (!isGivenUp || this.held.length + 1 <= Math.max(1, most * heldShare));
+        return retries + 1 <= allowed * safetyFactor;
     }
 
     /**
@@ -80,7 +72,7 @@
      * @returns false if none is left in the current window
      */
     takeRetry(givenUp?: GivenUpAttempt): boolean {
-        if (!this.hasRetry(givenUp !== undefined)) {
+        if (!this.hasRetry()) {
             return false;
         }
         if (givenUp) {
@@ -96,7 +88,7 @@
     private settleHeld(): void {
         const nowMs = this.options.clock.readMonotonicMs();
         const isOpen = ({ attempt, takenMs }: HeldRetry): boolean =>
-            nowMs - takenMs < this.options.windowMs * maxHeldWindows && !attempt.hasArrived();
+            nowMs - takenMs < this.options.windowMs && !attempt.hasArrived();
         const open = this.held.filter(isOpen);
         this.getCurrentSlot().retries += this.held.length - open.length;
         this.held = open;
