--- a/standins/platform/RandomFaultScenario.ts
+++ b/standins/platform/RandomFaultScenario.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "../../src/kernel/SeededRandom";
 import { listEventIds } from "./listEventIds";
-import type { RunnerBehaviour, RunnerStandIn } from "./RunnerStandIn";
+import type { RunnerBehaviour } from "./RunnerBehaviour";
+import type { RunnerStandIn } from "./RunnerStandIn";
 import {
     createTestConfiguration,
     ServingTestbed,
--- a/standins/platform/createEndlessAnswer.ts
+++ b/standins/platform/createEndlessAnswer.ts
@@ -1,4 +1,4 @@
-import type { RunnerBehaviour } from "./RunnerStandIn";
+import type { RunnerBehaviour } from "./RunnerBehaviour";
 import { notExecutedHeader } from "./runnerHeaders";
 
 /** An answer without end. */
--- a/standins/platform/errorAnswers.ts
+++ b/standins/platform/errorAnswers.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { RunnerBehaviour } from "./RunnerStandIn";
+import type { RunnerBehaviour } from "./RunnerBehaviour";
 
 /** An answer that tells of an error. */
 export interface ErrorAnswer {
--- a/standins/platform/streamCuts.ts
+++ b/standins/platform/streamCuts.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { RunnerBehaviour } from "./RunnerStandIn";
+import type { RunnerBehaviour } from "./RunnerBehaviour";
 
 const resetConnection = (response: ServerResponse): void => {
     response.socket?.resetAndDestroy();
