Split the state of an upstream, and its unread requests, off the registry of upstreams

No behaviour changes: the tests of src/placement, src/forwarding, brittleUpstreams and lateReadersLimit pass.

--- a/src/forwarding/CrashWatch.test.ts
+++ b/src/forwarding/CrashWatch.test.ts
@@ -1,5 +1,5 @@
 import { FakeClock } from "../kernel/FakeClock";
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { BrokenRequest, RequestTraits } from "../quarantine/types";
 import { listSharedPartIds } from "./listSharedPartIds";
 import { CrashWatch } from "./CrashWatch";
--- a/src/forwarding/CrashWatch.ts
+++ b/src/forwarding/CrashWatch.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../kernel/types";
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { CrashQuarantine } from "../quarantine/CrashQuarantine";
 import type { ForwardTraits } from "./ForwardTraits";
 import type { AttemptResult, RequestMetadata } from "./types";
--- a/src/forwarding/DispatchCheck.test.ts
+++ b/src/forwarding/DispatchCheck.test.ts
@@ -1,4 +1,4 @@
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { PendingDispatch } from "../stopping/types";
 import { DispatchCheck } from "./DispatchCheck";
 import type { InterruptKind } from "./RequestInterrupt";
--- a/src/forwarding/DispatchCheck.ts
+++ b/src/forwarding/DispatchCheck.ts
@@ -1,4 +1,5 @@
-import type { InstanceRegistry, TrackedInstance } from "../placement/InstanceRegistry";
+import type { InstanceRegistry } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { PlannedStop } from "../stopping/PlannedStop";
 import { quarantinedMessage } from "./constants";
 import { createUnsentResult } from "./createUnsentResult";
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -4,7 +4,7 @@
 import type { Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
 import { ResponseRelay } from "./ResponseRelay";
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -3,7 +3,7 @@
 import type { Clock, Task } from "../kernel/types";
 import { waitFor } from "../kernel/waitFor";
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { HeldMemory } from "../upstreams/AnswerMemory";
 import { collectBody, type CollectedBody } from "../upstreams/collectBody";
 import type { AnswerHead, UpstreamExchange } from "../upstreams/UpstreamExchange";
--- a/src/forwarding/RetryPlanner.ts
+++ b/src/forwarding/RetryPlanner.ts
@@ -1,4 +1,4 @@
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import { retryRules } from "../routes/types";
 import type { AdmittedRequest } from "./admitRequest";
 import { computeIdleTimeoutMs, minIdleTimeoutMs } from "./computeIdleTimeoutMs";
--- a/src/forwarding/StreamBinding.test.ts
+++ b/src/forwarding/StreamBinding.test.ts
@@ -1,4 +1,4 @@
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import { StreamBinding, type StreamBindingOptions } from "./StreamBinding";
 
 const createBinding = (
--- a/src/forwarding/UpstreamSelection.test.ts
+++ b/src/forwarding/UpstreamSelection.test.ts
@@ -1,4 +1,4 @@
-import type { TrackedInstance } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { UpstreamView } from "../placement/types";
 import { UpstreamSelection } from "./UpstreamSelection";
 
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -1,5 +1,6 @@
 import { rankByRendezvous } from "../_lib/rankByRendezvous";
-import type { InstanceRegistry, TrackedInstance } from "../placement/InstanceRegistry";
+import type { InstanceRegistry } from "../placement/InstanceRegistry";
+import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { PlacementPolicy, UpstreamView } from "../placement/types";
 import type { StreamBinding } from "./StreamBinding";
 
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -9,11 +9,12 @@
 import { UpstreamClient } from "../upstreams/UpstreamClient";
 import { UpstreamRejections } from "../upstreams/UpstreamRejections";
 import { AddressDepartures } from "./AddressDepartures";
-import { GivenUpRequests } from "./GivenUpRequests";
+import { createTrackedInstance, type TrackedInstance } from "./createTrackedInstance";
 import { InstanceNotices } from "./InstanceNotices";
 import { isListingCurrent } from "./isListingCurrent";
 import type { BrittleServices } from "./BrittleServices";
 import type { UpstreamInstance, UpstreamStart, UpstreamView } from "./types";
+import { UnreadRequests } from "./UnreadRequests";
 import type { UpstreamLimits } from "./UpstreamLimits";
 
 /** Options of {@link InstanceRegistry}. */
@@ -31,26 +32,6 @@
     readonly createClient?: (instance: UpstreamInstance) => UpstreamClient;
 }
 
-/** An upstream with this node's connections and requests to it. */
-export interface TrackedInstance {
-    readonly instance: UpstreamInstance;
-    readonly client: UpstreamClient;
-    /** Requests of this node in flight at the upstream. */
-    inFlight: number;
-    /** Requests of this node that a brittle upstream, or one that states a limit, may still read. */
-    readonly givenUp: GivenUpRequests;
-    /** Monotonic time until which the upstream gets no requests, in milliseconds. */
-    ejectedUntilMs: number;
-    /** Monotonic time at which data from the upstream last arrived, in milliseconds. */
-    lastReceivedMs: number;
-    /** Latest monotonic time at which a request was sent that the upstream has answered, in milliseconds. */
-    answeredSentMs: number;
-    /** Monotonic time of the first request that was sent after data last arrived, in milliseconds. */
-    unansweredSinceMs: number;
-    /** Monotonic end of a missing entry's grace period, in milliseconds; undefined while the entry is listed. */
-    missingGraceEndsMs: number | undefined;
-}
-
 /** Group of counters with the requests in flight by upstream. */
 const loadGroup = "load";
 const startSchema = z.object({ id: z.string(), startedAtMs: z.number().optional() });
@@ -72,10 +53,12 @@
     private readonly notices = new InstanceNotices();
     private readonly departures: AddressDepartures;
     private readonly rejections: UpstreamRejections;
+    private readonly unread: UnreadRequests;
 
     constructor(private readonly options: InstanceRegistryOptions) {
         this.rejections = new UpstreamRejections(options.events);
         this.departures = new AddressDepartures(options.clock);
+        this.unread = new UnreadRequests(options);
     }
 
     async start(): Promise<void> {
@@ -103,8 +86,7 @@
             : undefined;
         return listed.filter(tracked =>
             tracked.ejectedUntilMs <= nowMs && tracked.inFlight < maxConnections
-            && this.hasPlace(tracked, limits?.get(tracked.instance.id))
-            && this.hasRoomForUnread(tracked)
+            && this.unread.hasRoom(tracked, limits?.get(tracked.instance.id))
             && this.notices.readRefusedUntilMs(tracked.instance) <= nowMs
             && this.options.limits.readWaitMs(tracked.instance) === 0
         );
@@ -283,8 +265,8 @@
      */
     endRequest(tracked: TrackedInstance, givenUpSentMs?: number): void {
         tracked.inFlight -= 1;
-        if (givenUpSentMs !== undefined && this.isPossiblyUnread(tracked, givenUpSentMs)) {
-            tracked.givenUp.add(this.options.clock.readMonotonicMs());
+        if (givenUpSentMs !== undefined) {
+            this.unread.record(tracked, givenUpSentMs);
         }
         if (tracked.inFlight === 0 && this.closing.delete(tracked)) {
             void tracked.client.close();
@@ -304,27 +286,6 @@
         });
     }
 
-    /**
-     * Whether an upstream may still read a request that was given up, or its end. A brittle one that has not read the end runs
-     * the request on; for one that states a limit, only requests that it has not read count.
-     */
-    private isPossiblyUnread({ instance, answeredSentMs }: TrackedInstance, sentMs: number): boolean {
-        const { brittle, limits } = this.options;
-        return brittle.isBrittle(instance.service) || (limits.isLimited(instance) && answeredSentMs < sentMs);
-    }
-
-    /** Whether this node may send an upstream a request by its places there; undefined if these are not limited. */
-    private hasPlace({ givenUp, inFlight, answeredSentMs }: TrackedInstance, places?: number): boolean {
-        const nowMs = this.options.clock.readMonotonicMs();
-        return places === undefined || givenUp.hasPlace({ places, inFlight, answeredSentMs, nowMs });
-    }
-
-    /** Whether an upstream that states a limit may get a request beside those that it may still read all at once. */
-    private hasRoomForUnread(tracked: TrackedInstance): boolean {
-        const maxUnread = this.options.limits.readMaxUnread(tracked.instance);
-        return maxUnread === undefined || this.hasPlace(tracked, tracked.inFlight + maxUnread);
-    }
-
     private readOwnLoad(): ReadonlyMap<string, number> {
         return new Map([...this.tracked.values()].map(({ instance, inFlight }) => [instance.id, inFlight]));
     }
@@ -440,17 +401,7 @@
             Object.assign(before, { instance });
             return;
         }
-        this.tracked.set(instance.id, {
-            instance,
-            client,
-            inFlight: 0,
-            givenUp: new GivenUpRequests(),
-            ejectedUntilMs: -Infinity,
-            lastReceivedMs: -Infinity,
-            answeredSentMs: -Infinity,
-            unansweredSinceMs: -Infinity,
-            missingGraceEndsMs: undefined,
-        });
+        this.tracked.set(instance.id, createTrackedInstance(instance, client));
     }
 
     private tryCreateClient(instance: UpstreamInstance): UpstreamClient | undefined {
