--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -70,6 +70,17 @@
         () => find(tunnelServerName).size,
     );
     registerControlGauges(find, addValue);
+    addGauge({
+        registry,
+        name: "sequoiagrade_peer_kind_bytes_sent",
+        help: "Bytes sent to other nodes, by kind of message.",
+        labelNames: ["kind"],
+        read: () =>
+            [...find(peerNetworkName).counters.bytesSentByKind].map(([kind, value]) => ({
+                labels: { kind },
+                value,
+            })),
+    });
     addByService(
         "sequoiagrade_upstreams_usable",
         "Upstreams that may get a request now.",
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -51,6 +51,7 @@
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
     private recoveredAtMs = -Infinity;
+    private latestSource: "store" | "member" = "store";
     /** Ends the current pause of a node that does not read now. */
     private pauseAbort = new AbortController();
     /** End the waits for answers of calls that began before a suspension. */
@@ -71,6 +72,11 @@
         return this.replica.records;
     }
 
+    /** Whether the latest reading was made by this node, or passed on by another one. */
+    get source(): "store" | "member" {
+        return this.latestSource;
+    }
+
     async start(): Promise<void> {
         this.scope.run(`feed-${this.options.name}`, signal => this.follow(signal));
     }
@@ -93,6 +99,7 @@
         if (update.isRecovery) {
             this.recoveredAtMs = this.options.clock.readMonotonicMs();
         }
+        this.latestSource = "member";
         if (this.replica.apply(update, this.options.clock.readMonotonicMs()) === "gap") {
             this.isListed = false;
             this.pauseAbort.abort(abortReason);
@@ -266,6 +273,7 @@
         };
         const difference = this.sharing && this.replica.compareListing(listing);
         updateClock(snapshot.storeMs);
+        this.latestSource = "store";
         this.replica.apply(listing, nowMs);
         if (difference) {
             this.sharing?.publish(difference);
@@ -299,6 +307,7 @@
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
             removed: changes.filter(change => change[1] === undefined).map(([key]) => key),
         };
+        this.latestSource = "store";
         const result = this.replica.apply(update, this.options.clock.readMonotonicMs());
         if (isWanted) {
             this.sharing?.publish(update);
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -16,6 +16,8 @@
     bytesSent: number;
     messagesReceived: number;
     bytesReceived: number;
+    /** Bytes sent, by the name of the message's kind: the topic of reports, the method of calls. */
+    readonly bytesSentByKind: Map<string, number>;
 }
 
 /** Limit of the frames that a link sends. */
@@ -79,6 +81,11 @@
         this.lastSentMs = this.clock.readMonotonicMs();
         this.counters.messagesSent += 1;
         this.counters.bytesSent += frame.length;
+        const kind = describeKind(message);
+        this.counters.bytesSentByKind.set(
+            kind,
+            (this.counters.bytesSentByKind.get(kind) ?? 0) + frame.length,
+        );
         this.socket.send(frame);
     }
 
@@ -143,3 +150,15 @@
         this.pending.clear();
     }
 }
+
+/** Names what a message is about; the topics and methods are those of this program. */
+const describeKind = (message: PeerMessage): string => {
+    switch (message.kind) {
+        case "report":
+            return message.topic;
+        case "call":
+            return message.method;
+        default:
+            return message.kind;
+    }
+};
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -45,6 +45,7 @@
         bytesSent: 0,
         messagesReceived: 0,
         bytesReceived: 0,
+        bytesSentByKind: new Map(),
     };
     private readonly links = new Map<string, PeerLink>();
     private readonly keeper: LinkKeeper;
--- a/src/routes/ServingState.ts
+++ b/src/routes/ServingState.ts
@@ -48,6 +48,8 @@
             before: Number.isFinite(before) ? before : undefined,
             routes: configuration.routes.length,
             accounts: configuration.accounts.length,
+            source: this.options.feed.source,
+            ageMs: roundAge(this.options.feed.readAgeMs()),
         });
     }
 
@@ -56,5 +58,8 @@
     }
 }
 
+const roundAge = (ageMs: number): number | undefined =>
+    Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+
 /** Name of the serving state service. */
 export const servingStateName = createServiceName<ServingState>("serving-state");
