--- a/src/routes/ConfigurationKeeper.test.ts
+++ b/src/routes/ConfigurationKeeper.test.ts
@@ -27,7 +27,11 @@
 
     constructor(clock: FakeClock) {
         const events = new EventLog({ node: "n", clock });
-        const feed = { records: this.records } as unknown as FeedFollower<ServingConfiguration>;
+        const feed = {
+            records: this.records,
+            source: "store",
+            readAgeMs: () => 0,
+        } as unknown as FeedFollower<ServingConfiguration>;
         this.state = new ServingState({ feed, events, maxAgeMs: () => 1_000 });
         this.keeper = new ConfigurationKeeper({
             state: this.state,
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -20,6 +20,8 @@
     logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
     /** Time after which a revoked key must no longer be accepted. */
     keyRevocationMs: positiveMs.default(5_000),
+    /** Time after its acknowledgement within which a configuration must be in force. */
+    configurationMs: positiveMs.default(2_000),
     /** Time between the signal for a graceful shutdown and the forced end of the process. */
     stopGraceMs: positiveMs.default(8_000),
     /** Time after which a leaving upstream must receive no more requests. */
--- a/standins/platform/StoreStandIn.ts
+++ b/standins/platform/StoreStandIn.ts
@@ -36,6 +36,7 @@
 }
 
 const feedPollMs = 5;
+const minLongPollMs = 100;
 const maxEntries = 100;
 const maxNameBytes = 200;
 const maxValueBytes = 65_536;
@@ -53,6 +54,8 @@
     dropsNextResponse = false;
     /** Error statuses for the next requests, in order, such as 429; each is used once. */
     readonly nextErrorStatuses: number[] = [];
+    /** Time by which the answers of calls that wait for changes come late, in milliseconds. */
+    feedDelayMs = 0;
     /** Changes the text of the next answers with status 200, in order; each is used once. */
     readonly nextReplacements: ((text: string) => string)[] = [];
     private readonly rows = new Map<string, StoredRow>();
@@ -198,12 +201,20 @@
             }
             const rows = this.history.filter(row => row.table === query.get("table") && row.ver > after);
             if (rows.length > 0 || performance.now() >= endMs) {
-                return { rows, ...this.readVersionAndTime() };
+                const answer = { rows, ...this.readVersionAndTime() };
+                await this.delayFeed(Number(query.get("waitMs")));
+                return answer;
             }
             await new Promise(resolve => setTimeout(resolve, feedPollMs));
         }
     }
 
+    private async delayFeed(waitMs: number): Promise<void> {
+        if (this.feedDelayMs > 0 && waitMs >= minLongPollMs) {
+            await new Promise(resolve => setTimeout(resolve, this.feedDelayMs));
+        }
+    }
+
     private applyChange(row: StoredRow): void {
         const name = formatRowKey(row.table, row.part, row.key);
         if (row.removed) {
