Let the time limit of a reading of the store run from its last byte

Cause: a reading had 0.7 s for its whole answer. A configuration of 1,779 routes is 403 KB, 0.5 s of a thin link that carries nothing else; the reading was given up while its bytes arrived, began again from nothing, and took the other calls of the node with it, as their connections are replaced too. Now the limit covers the time until the answer begins, and then each pause between its bytes; 10 s beyond it at most, so that an answer that drips ends. Writes keep a limit of the whole exchange: they are small, and what is not answered in time counts as unknown.

--- a/src/http/readAnswer.ts
+++ b/src/http/readAnswer.ts
@@ -14,6 +14,8 @@
     readonly maxBytes: number;
     /** Default: no limit to all answers together. */
     readonly budget?: ByteBudget;
+    /** Called for each piece that arrives. */
+    readonly onProgress?: () => void;
 }
 
 /**
@@ -23,7 +25,7 @@
  * @returns the body
  * @throws Error if it exceeds a limit or ends too early; the rest is not read
  */
-export const readAnswer = ({ body, maxBytes, budget }: ReadAnswerOptions): Promise<Buffer> =>
+export const readAnswer = ({ body, maxBytes, budget, onProgress }: ReadAnswerOptions): Promise<Buffer> =>
     new Promise((resolve, reject) => {
         const bytes = new ChunkBuffer();
         body.on("data", (chunk: Buffer) => {
@@ -35,6 +37,7 @@
                 return;
             }
             bytes.append(chunk);
+            onProgress?.();
             if (budget) {
                 budget.usedBytes += chunk.length;
             }
--- a/src/platform/sendJson.ts
+++ b/src/platform/sendJson.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from "undici";
 import { waitForAbort } from "../_lib/waitForAbort";
 import { type ByteBudget, readAnswer } from "../http/readAnswer";
+import { AnswerTimeout } from "./AnswerTimeout";
 import { StoreError } from "./StoreError";
 
 /** Options of {@link sendJson}. */
@@ -12,8 +13,10 @@
     readonly body?: unknown;
     /** Headers in addition to the content type. */
     readonly headers?: Readonly<Record<string, string>>;
-    /** Time-out of the whole exchange, in milliseconds. */
+    /** Time-out of the whole exchange, in milliseconds; with `progressMs`, until its answer begins. */
     readonly timeoutMs: number;
+    /** Time-out between two pieces of an answer that has begun, in milliseconds. */
+    readonly progressMs?: number;
 }
 
 /** Status, headers and parsed JSON body of an answer; the body is undefined if it was empty. */
@@ -30,7 +33,7 @@
 const connectTimeoutCode = "UND_ERR_CONNECT_TIMEOUT";
 
 /**
- * Sends a JSON request with a time-out that covers the whole exchange.
+ * Sends a JSON request with a time-out.
  *
  * @param options - destination, request and time-out
  * @returns status, headers and parsed body
@@ -39,9 +42,10 @@
  */
 export const sendJson = async (options: SendJsonOptions): Promise<JsonAnswer> => {
     const name = `${options.method} ${options.url}`;
+    const timeout = new AnswerTimeout(options);
     try {
         const { origin, pathname, search } = new URL(options.url);
-        const signal = AbortSignal.timeout(options.timeoutMs);
+        const { signal } = timeout;
         const answered = options.dispatcher.request({
             origin,
             path: `${pathname}${search}`,
@@ -51,9 +55,14 @@
             signal,
         });
         const answer = await Promise.race([answered, rejectOnAbort(signal)]);
-        const text = utf8.decode(
-            await readAnswer({ body: answer.body, maxBytes: maxAnswerBytes, budget: answersBudget }),
-        );
+        timeout.recordProgress();
+        const bytes = await readAnswer({
+            body: answer.body,
+            maxBytes: maxAnswerBytes,
+            budget: answersBudget,
+            onProgress: () => timeout.recordProgress(),
+        });
+        const text = utf8.decode(bytes);
         if (answer.statusCode === 503) {
             throw new StoreError(`${name}: service answered with status 503`, "none");
         }
@@ -67,6 +76,9 @@
         const effect = isConnectFailure(error) ? "none" : "unknown";
         throw new StoreError(`${name}: ${(error as Error).message}`, effect);
     }
+    finally {
+        timeout.clear();
+    }
 };
 
 /**
