Send large readings of the store between nodes compressed, once to each, in parts that are asked for

Heartbeats waited behind it, links were given up, and all 18 nodes ended up with copies that they had read from the store themselves. Now a reading whose records are large is told by its head alone.

--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -9,6 +9,7 @@
 import { isPoller } from "../membership/isPoller";
 import { Membership, membershipName } from "../membership/Membership";
 import { decodeNodeRecord, NodeRecords, nodeRecordsName, nodeRecordsTable } from "../membership/NodeRecords";
+import { BodyExchange, bodyExchangeName } from "../peers/BodyExchange";
 import { ClusterKey, clusterKeyName } from "../peers/ClusterKey";
 import { GossipMap, gossipMapName } from "../peers/GossipMap";
 import { PeerNetwork, peerNetworkName } from "../peers/PeerNetwork";
@@ -162,6 +163,12 @@
         create: find =>
             new PeerReports({ processId, network: find(peerNetworkName), events: find(eventLogName) }),
     });
+    kernel.register({
+        name: bodyExchangeName,
+        requires: [peerNetworkName],
+        create: find =>
+            new BodyExchange({ network: find(peerNetworkName), clock, events: find(eventLogName) }),
+    });
     kernel.register({
         name: clusterSumsName,
         requires: [peerNetworkName],
@@ -188,12 +195,14 @@
             feedNames.quarantine,
             membershipName,
             peerReportsName,
+            bodyExchangeName,
         ],
         create: find =>
             new FeedDistribution({
                 nodeId,
                 membership: find(membershipName),
                 reports: find(peerReportsName),
+                bodies: find(bodyExchangeName),
                 followers: new Map<string, FeedFollower<unknown>>(
                     Object.values(feedNames).map(name => [
                         name.id,
--- a/src/feeds/FeedDistribution.ts
+++ b/src/feeds/FeedDistribution.ts
@@ -1,9 +1,11 @@
-import { z } from "zod";
+import type { z } from "zod";
 import { createServiceName } from "../kernel/createServiceName";
 import type { Membership } from "../membership/Membership";
 import { rankReaders } from "../membership/rankReaders";
+import type { BodyExchange } from "../peers/BodyExchange";
 import type { PeerReports, ReportTopic } from "../peers/PeerReports";
 import type { FeedFollower } from "./FeedFollower";
+import { FeedInbox, type FeedNotice, feedNoticeSchema, feedUpdateSchema } from "./FeedInbox";
 import type { FeedUpdate } from "./types";
 
 /** Options of {@link FeedDistribution}. */
@@ -11,21 +13,11 @@
     readonly nodeId: string;
     readonly membership: Pick<Membership, "listLive">;
     readonly reports: Pick<PeerReports, "publish" | "listen">;
+    readonly bodies: Pick<BodyExchange, "offer" | "find" | "pull">;
     /** The followers whose readings are shared, by feed. */
     readonly followers: ReadonlyMap<string, FeedFollower<unknown>>;
 }
 
-const positionSchema = z.number().int().nonnegative().safe();
-const updateSchema = z.object({
-    era: z.number().finite().optional(),
-    after: positionSchema.optional(),
-    position: positionSchema,
-    storeMs: z.number().max(Number.MAX_SAFE_INTEGER),
-    isRecovery: z.boolean(),
-    written: z.array(z.tuple([z.string(), z.unknown()])),
-    removed: z.array(z.string()),
-});
-
 /** Shares the readings of the store's feeds between the nodes, so that few nodes read for all. */
 export class FeedDistribution {
     constructor(private readonly options: FeedDistributionOptions) {}
@@ -37,16 +29,32 @@
     }
 
     private registerFeed(feed: string, follower: FeedFollower<unknown>): void {
-        const { reports, membership, nodeId } = this.options;
-        const topic: ReportTopic<FeedUpdate<unknown>> = {
+        const { reports, bodies, membership, nodeId } = this.options;
+        const updates: ReportTopic<FeedUpdate<unknown>> = {
             name: `feed/${feed}`,
-            schema: updateSchema as unknown as z.ZodType<FeedUpdate<unknown>, z.ZodTypeDef, unknown>,
+            schema: feedUpdateSchema as unknown as z.ZodType<FeedUpdate<unknown>, z.ZodTypeDef, unknown>,
+        };
+        const notices: ReportTopic<FeedNotice> = {
+            name: `feed-notice/${feed}`,
+            schema: feedNoticeSchema as unknown as z.ZodType<FeedNotice, z.ZodTypeDef, unknown>,
+        };
+        const inbox = new FeedInbox({ follower, bodies });
+        reports.listen(updates, update => inbox.receive(update));
+        reports.listen(notices, (notice, fromNode) => inbox.receiveNotice(notice, fromNode));
+        const publish = (update: FeedUpdate<unknown>): void => {
+            const { written, removed, ...head } = update;
+            const body = written.length > 0 ? bodies.offer({ written, removed }) : undefined;
+            if (body) {
+                reports.publish(notices, { ...head, body });
+            }
+            else {
+                reports.publish(updates, update);
+            }
         };
-        reports.listen(topic, update => follower.receive(update));
         follower.setSharing({
             readRank: () =>
                 Math.max(0, rankReaders({ feed, members: membership.listLive() }).indexOf(nodeId)),
-            publish: update => reports.publish(topic, update),
+            publish,
         });
     }
 }
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -101,11 +101,22 @@
         }
         this.latestSource = "member";
         if (this.replica.apply(update, this.options.clock.readMonotonicMs()) === "gap") {
-            this.isListed = false;
-            this.pauseAbort.abort(abortReason);
+            this.reload();
         }
     }
 
+    /** Whether the records include all that a reading told. */
+    hasRead({ era, position }: Pick<FeedUpdate<T>, "era" | "position">): boolean {
+        return this.replica.records.value !== undefined && era === this.replica.era
+            && position <= this.replica.position;
+    }
+
+    /** Lists the records again, as some are missing. */
+    reload(): void {
+        this.isListed = false;
+        this.pauseAbort.abort(abortReason);
+    }
+
     /**
      * Confirms the records by a reading of the store that begins after this call, whatever the clocks say. Readings are
      * shared by all that wait for one.
--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -61,9 +61,9 @@
      * Registers the listener for the members' reports on a topic; replaces an earlier one.
      *
      * @param topic - name and schema of the value
-     * @param onReceived - called for each valid report of a member
+     * @param onReceived - called for each valid report, with the member that sent or passed it on
      */
-    listen<T>(topic: ReportTopic<T>, onReceived: (value: T) => void): void {
+    listen<T>(topic: ReportTopic<T>, onReceived: (value: T, fromNode: string) => void): void {
         this.options.network.onReport(topic.name, (nodeId, payload) => {
             const envelope = envelopeSchema.safeParse(payload);
             const value = topic.schema.safeParse(envelope.data?.value);
@@ -73,7 +73,7 @@
             }
             if (this.isNew(envelope.data)) {
                 this.send(topic.name, envelope.data, nodeId);
-                onReceived(value.data);
+                onReceived(value.data, nodeId);
             }
         });
     }
--- a/src/placement/BrittleServices.test.ts
+++ b/src/placement/BrittleServices.test.ts
@@ -13,7 +13,7 @@
     beforeEach(async () => {
         clock = new FakeClock();
         published = 0;
-        const listeners: ((value: never) => void)[] = [];
+        const listeners: ((value: never, fromNode: string) => void)[] = [];
         nodes = [0, 1, 2].map(rank =>
             new BrittleServices({
                 reports: {
@@ -21,7 +21,7 @@
                         published += 1;
                         const parsed = topic.schema.parse(value) as never;
                         listeners.filter((_unused, other) => other !== rank).forEach(listener =>
-                            listener(parsed)
+                            listener(parsed, "member")
                         );
                     },
                     listen: (_topic, onReceived) => void listeners.push(onReceived),
--- a/src/placement/InstanceRegistry.test.ts
+++ b/src/placement/InstanceRegistry.test.ts
@@ -43,8 +43,11 @@
         clock: this.clock,
         events: this.events,
         reports: {
-            listen: ({ name }: { readonly name: string; }, onReceived: (value: never) => void) => {
-                this.listeners.set(name, value => onReceived(value as never));
+            listen: (
+                { name }: { readonly name: string; },
+                onReceived: (value: never, fromNode: string) => void,
+            ) => {
+                this.listeners.set(name, value => onReceived(value as never, "member"));
             },
             publish: (_topic: unknown, value: unknown) => void this.published.push(value),
         },
--- a/src/placement/UpstreamLimits.test.ts
+++ b/src/placement/UpstreamLimits.test.ts
@@ -10,7 +10,7 @@
     readonly clock = new FakeClock();
     readonly nodes: UpstreamLimits[] = [];
     reported = 0;
-    private readonly listeners: ((value: never) => void)[] = [];
+    private readonly listeners: ((value: never, fromNode: string) => void)[] = [];
 
     constructor(count: number) {
         for (let rank = 0; rank < count; rank += 1) {
@@ -20,7 +20,7 @@
                         this.reported += 1;
                         const parsed = topic.schema.parse(value);
                         this.listeners.filter((_unused, other) => other !== rank)
-                            .forEach(listener => listener(parsed as never));
+                            .forEach(listener => listener(parsed as never, "member"));
                     },
                     listen: (_topic, onReceived) => void this.listeners.push(onReceived),
                 },
--- a/src/quarantine/CrashQuarantine.test.ts
+++ b/src/quarantine/CrashQuarantine.test.ts
@@ -10,7 +10,7 @@
     /** Time at which the quarantine of each stored part began, in milliseconds. */
     readonly stored = new Map<string, number>();
     private readonly storeListeners: (() => void)[] = [];
-    private readonly listeners = new Map<string, Map<string, (value: never) => void>>();
+    private readonly listeners = new Map<string, Map<string, (value: never, fromNode: string) => void>>();
     readonly nodes: CrashQuarantine[] = [];
     /** Number of parts written. */
     writes = 0;
@@ -70,13 +70,18 @@
         }
         for (const [id, onReceived] of this.listeners.get(topic.name) ?? []) {
             if (id !== nodeId && !this.isCut) {
-                onReceived(parsed as never);
+                onReceived(parsed as never, "member");
             }
         }
     }
 
-    private listen<T>(nodeId: string, topic: ReportTopic<T>, onReceived: (value: T) => void): void {
-        const known = this.listeners.get(topic.name) ?? new Map<string, (value: never) => void>();
+    private listen<T>(
+        nodeId: string,
+        topic: ReportTopic<T>,
+        onReceived: (value: T, fromNode: string) => void,
+    ): void {
+        const known = this.listeners.get(topic.name)
+            ?? new Map<string, (value: never, fromNode: string) => void>();
         this.listeners.set(topic.name, known.set(nodeId, onReceived));
     }
 
--- a/standins/platform/ThinLink.ts
+++ b/standins/platform/ThinLink.ts
@@ -20,7 +20,7 @@
      */
     constructor(private readonly target: string, bytesPerS: number) {
         this.bytesPerTick = Math.ceil(bytesPerS * tickMs / msPerSecond);
-        this.timer = setInterval(() => this.refill(), tickMs);
+        this.timer = setInterval(() => this.tick(), tickMs);
     }
 
     /** Host and port that lead to the server; available after {@link start}. */
@@ -49,14 +49,14 @@
                 other.destroy();
             });
         }
-        void this.carry(near, far);
-        void this.carry(far, near);
+        void this.forward(near, far);
+        void this.forward(far, near);
     }
 
-    private async carry(from: Readable, to: Writable): Promise<void> {
+    private async forward(from: Readable, to: Writable): Promise<void> {
         try {
             for await (const chunk of from) {
-                await this.carryChunk(chunk as Buffer, to);
+                await this.forwardChunk(chunk as Buffer, to);
             }
             to.end();
         }
@@ -65,7 +65,7 @@
         }
     }
 
-    private async carryChunk(chunk: Buffer, to: Writable): Promise<void> {
+    private async forwardChunk(chunk: Buffer, to: Writable): Promise<void> {
         for (let sent = 0; sent < chunk.length;) {
             const bytes = Math.min(chunk.length - sent, this.leftBytes);
             if (bytes === 0) {
@@ -78,7 +78,7 @@
         }
     }
 
-    private refill(): void {
+    private tick(): void {
         this.leftBytes = this.bytesPerTick;
         const { waiting } = this;
         this.waiting = [];
