Hold requests for a reading where the configuration was confirmed longer ago than the bound

Cause: a node decided by any configuration, however old: the age was asked only where a key is checked, with the bound for revoked keys, and the bound for changes was not even read from the settings.

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -105,6 +105,7 @@
                 feed: find(feedNames.configurations),
                 events: find(eventLogName),
                 maxAgeMs: () => settings.keyRevocationMs * freshShare,
+                changeMs: settings.configurationMs,
             }),
     });
     kernel.register({
--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -208,6 +208,33 @@
         expect(follower.readSinceRecoveryMs()).toBeLessThan(100);
     });
 
+    it("reads again until its records are young enough", async () => {
+        await clock.advance(3_000);
+        let isDone = false;
+        void follower.refresh(2_000).then(() => {
+            isDone = true;
+        });
+        await clock.advance(1);
+        expect(isDone).toBe(false);
+        feed.sendChanges([["b", "2"]]);
+        await clock.advance(1);
+        expect([isDone, follower.isStoreAway]).toEqual([true, false]);
+        expect(follower.readAgeMs()).toBeLessThan(2_000);
+    });
+
+    it("reads no further once the store has not answered twice", async () => {
+        await clock.advance(3_000);
+        const refreshed = follower.refresh(2_000);
+        await clock.advance(1);
+        feed.isDown = true;
+        feed.pendingWait!.reject(new Error("timeout"));
+        expect(follower.isStoreAway).toBe(false);
+        await clock.advance(200);
+        feed.pendingWait!.reject(new Error("timeout"));
+        await refreshed;
+        expect(follower.isStoreAway).toBe(true);
+    });
+
     it("hides records that a restored store lists again after their removal, until they are written again", async () => {
         feed.sendChanges([["a", undefined], ["b", "2"]]);
         await clock.advance(1);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -34,6 +34,8 @@
 const minSleepMs = 20;
 const minWaitMs = 1; // a node that only confirms its records wants the answer at once
 const confirmIntervalMs = 100; // bounds the calls while many ask for a confirmation
+const failuresOfOutage = 2; // in a row; a single one may be that of a connection
+const maxRefreshMs = 2_000;
 
 /**
  * Follows a feed: lists its records, then applies changes. Lists them again after a gap in the history, an error, or a
@@ -50,6 +52,9 @@
     private isListed = false;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
+    private failuresInRow = 0;
+    private settleListeners: (() => void)[] = [];
+    private refreshing: Promise<void> | undefined;
     private recoveredAtMs = -Infinity;
     private latestSource: "store" | "member" = "store";
     /** Ends the current pause of a node that does not read now. */
@@ -127,6 +132,24 @@
         return this.confirmation.join();
     }
 
+    /** Whether the store could not be read the last times that this node tried. */
+    get isStoreAway(): boolean {
+        return this.failuresInRow >= failuresOfOutage;
+    }
+
+    /**
+     * Reads the store until the records are young enough. Ends without that if the store is away, or the reading takes too
+     * long.
+     *
+     * @param maxAgeMs - age up to which the records are young enough, in milliseconds
+     */
+    refresh(maxAgeMs: number): Promise<void> {
+        this.refreshing ??= this.readUntilYoung(maxAgeMs).finally(() => {
+            this.refreshing = undefined;
+        });
+        return this.refreshing;
+    }
+
     /**
      * Returns the time since the store last confirmed that the records are up to date.
      *
@@ -163,14 +186,39 @@
         return this.replica.resumedStoreMs;
     }
 
+    private async readUntilYoung(maxAgeMs: number): Promise<void> {
+        const { clock } = this.options;
+        const endMs = clock.readMonotonicMs() + maxRefreshMs;
+        while (this.readAgeMs() > maxAgeMs && !this.isStoreAway && clock.readMonotonicMs() < endMs) {
+            await (this.hasToList() ? this.waitForSettledCall() : this.confirm());
+        }
+    }
+
+    private waitForSettledCall(): Promise<void> {
+        return new Promise(resolve => this.settleListeners.push(resolve));
+    }
+
+    private recordCall(isAnswered: boolean): void {
+        this.failuresInRow = isAnswered ? 0 : this.failuresInRow + 1;
+        const listeners = this.settleListeners;
+        this.settleListeners = [];
+        listeners.forEach(listener => listener());
+    }
+
     private async readNow(): Promise<boolean> {
         try {
             const task = runTask(() => this.receiveChanges(minWaitMs), {
                 name: `confirm-${this.options.name}`,
             });
-            return await task.done === "applied";
+            const result = await task.done;
+            this.recordCall(true);
+            if (result === "gap") {
+                this.reload();
+            }
+            return result === "applied";
         }
         catch (error) {
+            this.recordCall(false);
             this.options.events.emit(eventKinds.storeFailed, {
                 feed: this.options.name,
                 call: "confirm records",
@@ -194,9 +242,11 @@
                     ? yield* this.listRecords()
                     : (yield* this.receiveChanges(this.computeWaitMs(readAgeMs))) !== "gap";
                 retryMs = firstRetryMs;
+                this.recordCall(true);
                 this.reportStoreState(undefined);
             }
             catch (error) {
+                this.recordCall(false);
                 this.reportStoreState(error as Error);
                 if (this.isListed) {
                     this.isListed = false;
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -25,6 +25,7 @@
 import { StopRefusal } from "./StopRefusal";
 import { renewAdmission } from "./renewAdmission";
 import { resolveOrigin } from "./resolveOrigin";
+import { waitForConfiguration } from "./waitForConfiguration";
 import { describeSharedParts } from "./describeSharedParts";
 import { drainRequest } from "./drainRequest";
 import type { ForwardContext } from "./ForwardContext";
@@ -144,6 +145,7 @@
         let outcome = "cut"; // where the task is cancelled
         let reason: string | undefined;
         try {
+            yield* waitForConfiguration(context, admission);
             const received = admitRequest(context, request, admission);
             const { admitted, body } = yield* this.prepare(context, request, received, {
                 arrivedMs,
@@ -264,6 +266,7 @@
             sharedParts: describeSharedParts(admission.sharedParts ?? []),
             resumes: admission.resumes,
             resumesAfter: admission.resumesAfter,
+            heldMs: admission.heldMs,
             quotaCost: admission.quotaCost,
             quotaLeft: roundNumber(admission.quotaLeft),
             service: forwarder?.service,
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -42,6 +42,8 @@
     resumes?: string;
     /** Id of the event after which it resumes the stream. */
     resumesAfter?: number;
+    /** Time for which the request waited for a reading of the configuration, in milliseconds; absent if it did not. */
+    heldMs?: number;
     /** Units that the request costs. */
     quotaCost?: number;
     /** Units of the account's quota over all nodes that remain after the request. */
--- a/src/routes/ConfigurationKeeper.test.ts
+++ b/src/routes/ConfigurationKeeper.test.ts
@@ -32,7 +32,7 @@
             source: "store",
             readAgeMs: () => 0,
         } as unknown as FeedFollower<ServingConfiguration>;
-        this.state = new ServingState({ feed, events, maxAgeMs: () => 1_000 });
+        this.state = new ServingState({ feed, events, maxAgeMs: () => 1_000, changeMs: 1_000 });
         this.keeper = new ConfigurationKeeper({
             state: this.state,
             feed,
--- a/src/routes/ServingState.ts
+++ b/src/routes/ServingState.ts
@@ -12,6 +12,8 @@
     readonly events: EventLog;
     /** Maximum age of the last confirmation at which keys may still be checked, in milliseconds. */
     readonly maxAgeMs: () => number;
+    /** Time within which a configuration must be in force after its acknowledgement, in milliseconds. */
+    readonly changeMs: number;
 }
 
 /** The active configuration of this node. Configurations with a lower version are ignored. */
@@ -36,6 +38,19 @@
         return this.readAgeMs() <= this.options.maxAgeMs();
     }
 
+    /**
+     * Whether requests may be decided by the configuration: a change that should be in force would have been read. While
+     * the store is away, the last configuration stays in use.
+     */
+    isCurrent(): boolean {
+        return this.readAgeMs() <= this.options.changeMs || this.options.feed.isStoreAway;
+    }
+
+    /** Reads the configuration again, until it is current or the reading takes too long. */
+    refresh(): Promise<void> {
+        return this.options.feed.refresh(this.options.changeMs);
+    }
+
     /** Puts a configuration in force if its version is higher than the present one's. */
     adopt(configuration: ServingConfiguration): void {
         const before = this.table.value?.configuration.version ?? -Infinity;
