Count the age of what was read from when its confirming call was sent

Class: an answer is taken for as young as the moment at which it is handled. When a call is sent the store's clock can not be past what its answer says, so that storeMs - sentMs bounds the offset from above; the lowest such bound counts, widened by what two steady clocks may drift. Ages computed from it may be too high by a call's time, never too low. The lower estimate stays for the clocks of the nodes and for times that have to have passed. Failed before: StoreClock.test, three answers handled 600 ms late, whose estimate is 600 ms behind (the new method's bound; readStoreMs still shows it).

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -151,12 +151,12 @@
     }
 
     /**
-     * Returns the time since the store last confirmed that the records are up to date.
+     * Returns the time since the store last confirmed that the records are up to date, or a little more.
      *
      * @returns milliseconds; infinite if there was no confirmation or the age is unknown
      */
     readAgeMs(): number {
-        const nowMs = this.options.storeClock.readStoreMs();
+        const nowMs = this.options.storeClock.readLatestStoreMs();
         const { confirmedStoreMs } = this.replica;
         return nowMs === undefined || confirmedStoreMs === undefined ? Infinity : nowMs - confirmedStoreMs;
     }
--- a/src/feeds/StoreClock.test.ts
+++ b/src/feeds/StoreClock.test.ts
@@ -33,6 +33,37 @@
         expect(storeClock.readStoreMs()).toBe(7_100);
     });
 
+    // Guards against ages that are too low on a node that handles every answer late.
+    it("bounds the store's clock by the time at which a call was sent, however late its answer is handled", () => {
+        const clock = new SplitClock();
+        const storeClock = new StoreClock({ clock });
+        expect(storeClock.readLatestStoreMs()).toBeUndefined();
+        for (let call = 0; call < 3; call += 1) {
+            const storeMs = 7_000 + clock.monotonicMs;
+            const updateClock = storeClock.beginCall(0);
+            clock.advance(600); // the answer comes at once, and waits
+            updateClock(storeMs);
+        }
+        expect(storeClock.readStoreMs()).toBeLessThan(7_000 + clock.monotonicMs);
+        expect(storeClock.readLatestStoreMs()).toBeGreaterThanOrEqual(7_000 + clock.monotonicMs);
+        expect(storeClock.readLatestStoreMs()).toBeLessThan(7_000 + clock.monotonicMs + 1);
+        clock.wallMs += 3_000;
+        expect(storeClock.readLatestStoreMs()).toBeUndefined();
+    });
+
+    it("bounds it more closely by calls that are answered sooner, and widens the bound by what clocks may drift", () => {
+        const clock = new SplitClock();
+        const storeClock = new StoreClock({ clock });
+        const updateClock = storeClock.beginCall(1_000);
+        clock.advance(1_000);
+        updateClock(8_000); // 1,000 ms after it was sent, for all that is known
+        expect(storeClock.readLatestStoreMs()).toBe(9_000);
+        storeClock.beginCall(0)(8_000);
+        expect(storeClock.readLatestStoreMs()).toBe(8_000);
+        clock.advance(100_000);
+        expect(storeClock.readLatestStoreMs()).toBe(108_020);
+    });
+
     it("is unknown after a suspension, in which the monotonic clock stops, until the store answers", () => {
         const clock = new SplitClock();
         const storeClock = new StoreClock({ clock });
--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -9,6 +9,7 @@
 }
 
 const maxCallMs = 1_000; // a call fails sooner; where it does not, this process stood still
+const maxDriftRatio = 0.000_2; // of two steady clocks against each other
 const defaultJumpThresholdMs = 400; // above the drift between two readings and below the safety margin of every lease
 
 /**
@@ -19,6 +20,8 @@
 export class StoreClock {
     /** Store time minus monotonic time; the largest observed value includes the least network delay. */
     private offsetMs: number | undefined;
+    /** Upper bound of the store's time minus monotonic time, and the monotonic time at which it was found. */
+    private upperOffset: { readonly offsetMs: number; readonly foundMs: number; } | undefined;
     private wallOffsetMs: number;
     private readonly jumpThresholdMs: number;
     private jumps = 0;
@@ -50,6 +53,7 @@
             const isLate = answeredMs - sentMs > waitMs + maxCallMs;
             if (jumps === this.jumps && !(isLate && this.offsetMs === undefined)) {
                 this.offsetMs = Math.max(this.offsetMs ?? -Infinity, storeMs - answeredMs);
+                this.limitOffset(storeMs - sentMs);
             }
         };
     }
@@ -64,18 +68,50 @@
         return this.offsetMs === undefined ? undefined : this.options.clock.readMonotonicMs() + this.offsetMs;
     }
 
+    /**
+     * Computes a time on the store's clock that it has not passed yet, however late its answers were handled here. Ages
+     * that are computed from it may be too high, but not too low.
+     *
+     * @returns milliseconds, or undefined as for {@link readStoreMs}
+     */
+    readLatestStoreMs(): number | undefined {
+        const storeMs = this.readStoreMs();
+        const upperMs = this.computeUpperOffsetMs();
+        return storeMs === undefined || upperMs === undefined
+            ? undefined
+            : Math.max(storeMs, this.options.clock.readMonotonicMs() + upperMs);
+    }
+
     /** Returns this VM's wall-clock time minus the store's, in milliseconds; undefined if the latter is unknown. */
     readWallMinusStoreMs(): number | undefined {
         const storeMs = this.readStoreMs();
         return storeMs === undefined ? undefined : this.options.clock.readWallMs() - storeMs;
     }
 
+    /** Lowers the upper bound: the store's clock showed no more than its answer when the call was sent. */
+    private limitOffset(offsetMs: number): void {
+        const upperMs = this.computeUpperOffsetMs();
+        if (upperMs === undefined || offsetMs < upperMs) {
+            this.upperOffset = { offsetMs, foundMs: this.options.clock.readMonotonicMs() };
+        }
+    }
+
+    private computeUpperOffsetMs(): number | undefined {
+        const { upperOffset } = this;
+        if (!upperOffset) {
+            return undefined;
+        }
+        const elapsedMs = this.options.clock.readMonotonicMs() - upperOffset.foundMs;
+        return upperOffset.offsetMs + Math.floor(elapsedMs * maxDriftRatio);
+    }
+
     private resetOnJump(): void {
         const wallOffsetMs = this.readWallOffsetMs();
         const hasJumped = Math.abs(wallOffsetMs - this.wallOffsetMs) > this.jumpThresholdMs;
         this.wallOffsetMs = wallOffsetMs;
         if (hasJumped) {
             this.offsetMs = undefined;
+            this.upperOffset = undefined;
             this.jumps += 1;
             this.jumpListeners.forEach(listener => listener());
         }
