Pass readings of the store on only where a node reads for all, or is due

At a start every node knows itself alone, ranks itself first and waits for changes; each passed on every change that it read. A node now passes a reading on if it is one of the two that read for all when the answer comes, or if none of their readings has reached it in time. Its first listing goes to others only in the former case. FeedSharing.test failed before (all six nodes passed the change on).

--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -280,6 +280,11 @@
         return isRegular ? this.options.waitMs : minWaitMs;
     }
 
+    /** Whether the others get this node's readings now: it reads for all, or none of their readings has come in time. */
+    private isDueForOthers(): boolean {
+        return this.readAgeMs() >= this.computeOwnReadAgeMs();
+    }
+
     private interruptWaits(): void {
         this.pauseAbort.abort(abortReason);
         this.interrupts.forEach(interrupt => interrupt());
@@ -332,7 +337,8 @@
             written: [...snapshot.records],
             removed: [],
         };
-        const difference = this.sharing && this.replica.compareListing(listing);
+        const isWanted = this.replica.records.value ? this.isDueForOthers() : this.computeOwnReadAgeMs() === 0;
+        const difference = this.sharing && isWanted ? this.replica.compareListing(listing) : undefined;
         updateClock(snapshot.storeMs);
         this.latestSource = "store";
         this.replica.apply(listing, nowMs);
@@ -358,11 +364,12 @@
         }
         const changes = [...answer.changes];
         updateClock(answer.storeMs);
-        const isWanted = changes.length > 0 || this.readAgeMs() >= this.computeOwnReadAgeMs();
+        const isWanted = this.isDueForOthers();
+        const hasNews = isWanted || changes.length > 0;
         const update: FeedUpdate<T> = {
             era,
             after: position,
-            position: isWanted ? answer.position : position, // one that others do not get would lead to a gap for them
+            position: hasNews ? answer.position : position, // one that others do not get would lead to a gap for them
             storeMs: answer.storeMs,
             isRecovery: false,
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
--- a/src/feeds/FeedSharing.test.ts
+++ b/src/feeds/FeedSharing.test.ts
@@ -209,6 +209,25 @@
         expect(cluster.nodes[0].published).toBeGreaterThan(before[0]);
     });
 
+    // Guards against nodes that start together, and each pass on what each of them reads.
+    it("are passed on by the two nodes that read for all, also where others wait for changes", async () => {
+        cluster.nodes.forEach(node => {
+            node.rank = 0;
+        });
+        await runFor(1_500); // all wait for changes now
+        cluster.nodes.forEach(node => {
+            node.rank = node.index;
+        });
+        const before = cluster.nodes.map(node => node.published);
+        cluster.store.write("a", false);
+        await runFor(100);
+        expect(cluster.nodes.map(node => node.follower.records.value?.get("a"))).toEqual([1, 1, 1, 1, 1, 1]);
+        expect(cluster.nodes.slice(2).map(node => node.published)).toEqual(before.slice(2));
+        const lists = cluster.nodes.map(node => node.lists);
+        await runFor(4_000);
+        expect(cluster.nodes.map(node => node.lists)).toEqual(lists);
+    });
+
     it("are made by the next node when the first ones are turned away, within 1.4 s", async () => {
         cluster.nodes[0].isTurnedAway = true;
         cluster.nodes[1].isTurnedAway = true;
