Keep whole configurations off the links while the store has an older one, and compress from 4 KB on

The same cause elsewhere: nodes that know a newer configuration than a restored store sent it whole to all, twice a second together, until the operator wrote it again. They now tell its version and reference; a node that is behind asks for it. ConfigurationKeeper.test covers the former (the new test can not run on the code before).

--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -11,6 +11,7 @@
 import { SoleVersions, soleVersionsName } from "../origins/SoleVersions";
 import { StreamOrigins, streamOriginsName } from "../origins/StreamOrigins";
 import { VersionRecords, versionRecordsName } from "../origins/VersionRecords";
+import { bodyExchangeName } from "../peers/BodyExchange";
 import { peerNetworkName } from "../peers/PeerNetwork";
 import { peerReportsName } from "../peers/PeerReports";
 import { BrittleServices, brittleServicesName } from "../placement/BrittleServices";
@@ -110,12 +111,19 @@
     });
     kernel.register({
         name: configurationKeeperName,
-        requires: [servingStateName, feedNames.configurations, peerReportsName, membershipName],
+        requires: [
+            servingStateName,
+            feedNames.configurations,
+            peerReportsName,
+            bodyExchangeName,
+            membershipName,
+        ],
         create: find =>
             new ConfigurationKeeper({
                 state: find(servingStateName),
                 feed: find(feedNames.configurations),
                 reports: find(peerReportsName),
+                bodies: find(bodyExchangeName),
                 isTeller: () =>
                     isPoller({
                         membership: find(membershipName),
--- a/src/peers/encodeBody.ts
+++ b/src/peers/encodeBody.ts
@@ -1,7 +1,7 @@
 import { deflateRawSync } from "node:zlib";
 import { encodeFrame } from "./encodeFrame";
 
-const maxPlainBytes = 16_384;
+const maxPlainBytes = 4_096;
 const fastestLevel = 1;
 
 /**
--- a/src/routes/ConfigurationKeeper.test.ts
+++ b/src/routes/ConfigurationKeeper.test.ts
@@ -1,4 +1,5 @@
 import { ObservableValue } from "../_lib/ObservableValue";
+import type { BodyReference } from "../peers/BodyExchange";
 import type { FeedFollower } from "../feeds/FeedFollower";
 import { FakeClock } from "../kernel/FakeClock";
 import { EventLog } from "../telemetry/EventLog";
@@ -17,11 +18,19 @@
 type Records = ReadonlyMap<string, ServingConfiguration> | undefined;
 
 /** A node, with what the store has for it and what it published. */
+const reference: BodyReference = { digest: "d".repeat(64), bytes: 30_000 };
+
 class Setup {
     readonly records = new ObservableValue<Records>(undefined);
     readonly published: ServingConfiguration[] = [];
     isTeller = true;
+    /** References of the configurations that were told without their content. */
+    readonly noticed: BodyReference[] = [];
+    /** Whether configurations count as large. */
+    isLarge = false;
     receive: (configuration: ServingConfiguration) => void = () => {};
+    receiveNotice: (notice: unknown, fromNode: string) => void = () => {};
+    pull: () => Promise<unknown> = async () => undefined;
     readonly state: ServingState;
     readonly keeper: ConfigurationKeeper;
 
@@ -37,12 +46,25 @@
             state: this.state,
             feed,
             reports: {
-                publish: (_topic, value) =>
-                    void this.published.push(value as unknown as ServingConfiguration),
-                listen: (_topic, onReceived) => {
-                    this.receive = onReceived as unknown as (configuration: ServingConfiguration) => void;
+                publish: (_topic, value) => {
+                    const { body } = value as { body?: BodyReference; };
+                    if (body) {
+                        this.noticed.push(body);
+                    }
+                    else {
+                        this.published.push(value as unknown as ServingConfiguration);
+                    }
+                },
+                listen: ({ name }, onReceived) => {
+                    if (name === "newest-configuration") {
+                        this.receive = onReceived as unknown as (configuration: ServingConfiguration) => void;
+                    }
+                    else {
+                        this.receiveNotice = onReceived as unknown as (notice: unknown) => void;
+                    }
                 },
             },
+            bodies: { offer: () => this.isLarge ? reference : undefined, pull: () => this.pull() },
             isTeller: () => this.isTeller,
             clock,
             events,
@@ -83,6 +105,30 @@
         await Promise.all([old.keeper.stop(), fresh.keeper.stop()]);
     });
 
+    // Guards against links that are filled each second by whole copies of a large configuration.
+    it("tells of a large configuration without its content, which a node that is behind asks for once", async () => {
+        const clock = new FakeClock();
+        const [old, fresh] = [new Setup(clock), new Setup(clock)];
+        old.isLarge = true;
+        await old.start(7);
+        old.store(5);
+        await fresh.start(5);
+        await clock.advance(2_000);
+        expect([old.published, old.noticed]).toEqual([[], [reference, reference]]);
+        let pulls = 0;
+        fresh.pull = async () => {
+            pulls += 1;
+            await clock.sleep(100);
+            return createConfiguration(7);
+        };
+        fresh.receiveNotice({ version: 7, body: reference }, "old");
+        fresh.receiveNotice({ version: 7, body: reference }, "old");
+        await clock.advance(100);
+        fresh.receiveNotice({ version: 7, body: reference }, "old");
+        expect([fresh.readVersion(), pulls]).toEqual([7, 1]);
+        await Promise.all([old.keeper.stop(), fresh.keeper.stop()]);
+    });
+
     it("leaves the telling to a few nodes, and never goes back to a lower version that is told", async () => {
         const clock = new FakeClock();
         const setup = new Setup(clock);
