--- a/src/feeds/StoreClock.ts
+++ b/src/feeds/StoreClock.ts
@@ -53,7 +53,7 @@
             const isLate = answeredMs - sentMs > waitMs + maxCallMs;
             if (jumps === this.jumps && !(isLate && this.offsetMs === undefined)) {
                 this.offsetMs = Math.max(this.offsetMs ?? -Infinity, storeMs - answeredMs);
-                this.limitOffset(storeMs - sentMs);
+                this.recordUpperOffset(storeMs - sentMs);
             }
         };
     }
@@ -89,7 +89,7 @@
     }
 
     /** Lowers the upper bound: the store's clock showed no more than its answer when the call was sent. */
-    private limitOffset(offsetMs: number): void {
+    private recordUpperOffset(offsetMs: number): void {
         const upperMs = this.computeUpperOffsetMs();
         if (upperMs === undefined || offsetMs < upperMs) {
             this.upperOffset = { offsetMs, foundMs: this.options.clock.readMonotonicMs() };
