--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -30,6 +30,7 @@
 const maxPeerFrameBytes = 1_048_576;
 const configurationFeedWaitMs = 1_000; // API keys are confirmed at least once a second
 const nodeFeedWaitMs = 20_000;
+const nodeFeedBatchMs = 200; // nodes that start together write their records one after the other
 const quarantineFeedWaitMs = 20_000;
 const processIdBytes = 4;
 
@@ -47,8 +48,12 @@
 const registerStore = (kernel: Kernel, { settings, platform, clock, random }: ServingNodeOptions): void => {
     kernel.register({ name: storeClockName, requires: [], create: () => new StoreClock({ clock }) });
     const { storeEra } = platform;
-    const register = <T>(name: ServiceName<FeedFollower<T>>, feed: RecordFeed<T>, waitMs: number): void =>
-        registerFeed(kernel, name, { feed, waitMs, clock, storeEra });
+    const register = <T>(
+        name: ServiceName<FeedFollower<T>>,
+        feed: RecordFeed<T>,
+        waitMs: number,
+        batchMs = 0,
+    ): void => registerFeed(kernel, name, { feed, waitMs, batchMs, clock, storeEra });
     register(feedNames.configurations, platform.configurations, configurationFeedWaitMs);
     const instanceFeedWaitMs = computeFeedWaitMs({
         maxPropagationMs: settings.upstreamDrainMs,
@@ -56,7 +61,12 @@
         applyMs: defaultConnectTimeoutMs,
     });
     register(feedNames.instances, platform.instances, instanceFeedWaitMs);
-    register(feedNames.nodes, platform.openFeed(nodeRecordsTable, decodeNodeRecord), nodeFeedWaitMs);
+    register(
+        feedNames.nodes,
+        platform.openFeed(nodeRecordsTable, decodeNodeRecord),
+        nodeFeedWaitMs,
+        nodeFeedBatchMs,
+    );
     const quarantineFeed = platform.openFeed(quarantineTable, decodeQuarantineRecord);
     register(feedNames.quarantine, quarantineFeed, quarantineFeedWaitMs);
     kernel.register({
@@ -76,7 +86,7 @@
 const registerFeed = <T>(
     kernel: Kernel,
     name: ServiceName<FeedFollower<T>>,
-    options: Pick<FeedFollowerOptions<T>, "feed" | "waitMs" | "clock" | "storeEra">,
+    options: Pick<FeedFollowerOptions<T>, "feed" | "waitMs" | "batchMs" | "clock" | "storeEra">,
 ): void => {
     kernel.register({
         name,
--- a/src/feeds/FeedFollower.test.ts
+++ b/src/feeds/FeedFollower.test.ts
@@ -70,6 +70,25 @@
         expect(feed.listCount).toBe(1);
     });
 
+    // Guards against a call of the store for each of many records that are written one after the other.
+    it("takes changes in batches where it is told to", async () => {
+        const events = new EventLog({ node: "n", clock });
+        const batched = new FakeFeed(clock);
+        const options = { name: "f", feed: batched, clock, storeClock: new StoreClock({ clock }), events };
+        const own = new FeedFollower({ ...options, waitMs: 20_000, batchMs: 200 });
+        await own.start();
+        await clock.advance(201);
+        expect(batched.waitCount).toBe(1);
+        batched.sendChanges([["b", "2"]]);
+        await clock.advance(1);
+        expect(own.records.value?.get("b")).toBe("2");
+        await clock.advance(150);
+        expect(batched.waitCount).toBe(1);
+        await clock.advance(50);
+        expect(batched.waitCount).toBe(2);
+        await own.stop();
+    });
+
     it("lists again after a gap in the history", async () => {
         feed.content = new Map([["c", "3"]]);
         feed.pendingWait!.resolve(undefined);
--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -26,6 +26,8 @@
     readonly events: EventLog;
     /** Maximum time that one call waits for changes, in milliseconds. */
     readonly waitMs: number;
+    /** Time after a change before this node waits for the next ones, in milliseconds; default 0. */
+    readonly batchMs?: number;
 }
 
 const firstRetryMs = 100;
@@ -237,6 +239,7 @@
                 yield* this.pause(pauseMs);
                 continue;
             }
+            const before = this.records.value;
             try {
                 this.isListed = this.hasToList()
                     ? yield* this.listRecords()
@@ -244,6 +247,9 @@
                 retryMs = firstRetryMs;
                 this.recordCall(true);
                 this.reportStoreState(undefined);
+                if (this.options.batchMs && this.records.value !== before) {
+                    yield* this.pause(this.options.batchMs);
+                }
             }
             catch (error) {
                 this.recordCall(false);
