--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -7,6 +7,7 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { CallOutcomes } from "./CallOutcomes";
 import { computeReadAgeMs } from "./computeReadAgeMs";
 import { type ApplyResult, FeedReplica } from "./FeedReplica";
 import { SharedReading } from "./SharedReading";
@@ -36,7 +37,6 @@
 const minSleepMs = 20;
 const minWaitMs = 1; // a node that only confirms its records wants the answer at once
 const confirmIntervalMs = 100; // bounds the calls while many ask for a confirmation
-const failuresOfOutage = 2; // in a row; a single one may be that of a connection
 const maxRefreshMs = 2_000;
 
 /**
@@ -54,8 +54,7 @@
     private isListed = false;
     /** Monotonic time of the first failed call since the last success; undefined while the store answers. */
     private failingSinceMs: number | undefined;
-    private failuresInRow = 0;
-    private settleListeners: (() => void)[] = [];
+    private readonly outcomes = new CallOutcomes();
     private refreshing: Promise<void> | undefined;
     private recoveredAtMs = -Infinity;
     private latestSource: "store" | "member" = "store";
@@ -136,7 +135,7 @@
 
     /** Whether the store could not be read the last times that this node tried. */
     get isStoreAway(): boolean {
-        return this.failuresInRow >= failuresOfOutage;
+        return this.outcomes.isStoreAway;
     }
 
     /**
@@ -192,35 +191,24 @@
         const { clock } = this.options;
         const endMs = clock.readMonotonicMs() + maxRefreshMs;
         while (this.readAgeMs() > maxAgeMs && !this.isStoreAway && clock.readMonotonicMs() < endMs) {
-            await (this.hasToList() ? this.waitForSettledCall() : this.confirm());
+            await (this.hasToList() ? this.outcomes.waitForNext() : this.confirm());
         }
     }
 
-    private waitForSettledCall(): Promise<void> {
-        return new Promise(resolve => this.settleListeners.push(resolve));
-    }
-
-    private recordCall(isAnswered: boolean): void {
-        this.failuresInRow = isAnswered ? 0 : this.failuresInRow + 1;
-        const listeners = this.settleListeners;
-        this.settleListeners = [];
-        listeners.forEach(listener => listener());
-    }
-
     private async readNow(): Promise<boolean> {
         try {
             const task = runTask(() => this.receiveChanges(minWaitMs), {
                 name: `confirm-${this.options.name}`,
             });
             const result = await task.done;
-            this.recordCall(true);
+            this.outcomes.record(true);
             if (result === "gap") {
                 this.reload();
             }
             return result === "applied";
         }
         catch (error) {
-            this.recordCall(false);
+            this.outcomes.record(false);
             this.options.events.emit(eventKinds.storeFailed, {
                 feed: this.options.name,
                 call: "confirm records",
@@ -245,14 +233,14 @@
                     ? yield* this.listRecords()
                     : (yield* this.receiveChanges(this.computeWaitMs(readAgeMs))) !== "gap";
                 retryMs = firstRetryMs;
-                this.recordCall(true);
+                this.outcomes.record(true);
                 this.reportStoreState(undefined);
                 if (this.options.batchMs && this.records.value !== before) {
                     yield* this.pause(this.options.batchMs);
                 }
             }
             catch (error) {
-                this.recordCall(false);
+                this.outcomes.record(false);
                 this.reportStoreState(error as Error);
                 if (this.isListed) {
                     this.isListed = false;
