Take no value from members that can not be decoded, and go on

Found by reading the change again: bytes with the right digest that are no encoding, as of a member with another build, made the pull reject; the inbox of that feed would have waited for it for good. Failed before: the new case "is no encoding, under its right digest". The publishing of readings is a method of its own.

--- a/src/feeds/FeedDistribution.ts
+++ b/src/feeds/FeedDistribution.ts
@@ -41,22 +41,28 @@
         const inbox = new FeedInbox({ follower, bodies });
         reports.listen(updates, update => inbox.receive(update));
         reports.listen(notices, (notice, fromNode) => inbox.receiveNotice(notice, fromNode));
-        const publish = (update: FeedUpdate<unknown>): void => {
-            const { written, removed, ...head } = update;
-            const body = written.length > 0 ? bodies.offer({ written, removed }) : undefined;
-            if (body) {
-                reports.publish(notices, { ...head, body });
-            }
-            else {
-                reports.publish(updates, update);
-            }
-        };
         follower.setSharing({
             readRank: () =>
                 Math.max(0, rankReaders({ feed, members: membership.listLive() }).indexOf(nodeId)),
-            publish,
+            publish: update => this.publish(update, updates, notices),
         });
     }
+
+    private publish(
+        update: FeedUpdate<unknown>,
+        updates: ReportTopic<FeedUpdate<unknown>>,
+        notices: ReportTopic<FeedNotice>,
+    ): void {
+        const { reports, bodies } = this.options;
+        const { written, removed, ...head } = update;
+        const body = written.length > 0 ? bodies.offer({ written, removed }) : undefined;
+        if (body) {
+            reports.publish(notices, { ...head, body });
+        }
+        else {
+            reports.publish(updates, update);
+        }
+    }
 }
 
 /** Name of the feed distribution service. */
--- a/src/peers/BodyExchange.test.ts
+++ b/src/peers/BodyExchange.test.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { FakeClock } from "../kernel/FakeClock";
 import { EventLog } from "../telemetry/EventLog";
 import { BodyExchange } from "./BodyExchange";
@@ -31,6 +32,11 @@
         return exchange;
     }
 
+    /** Adds a member that answers each question with the given bytes. */
+    answer(nodeId: string, bytes: Buffer): void {
+        this.handlers.set(nodeId, async () => bytes);
+    }
+
     private async call(target: string, payload: unknown): Promise<unknown> {
         if (this.lost.has(target)) {
             throw new PeerError("lost", "unreachable");
@@ -96,6 +102,18 @@
         await expect(pulled).resolves.toEqual(largeValue);
     });
 
+    it.each([
+        ["is no encoding, under its right digest", "no encoding", "no encoding"],
+        ["differs from its digest", "no encoding", "other bytes"],
+    ])("takes nothing for a value that %s", async (_case, bytes, named) => {
+        const cluster = new Cluster();
+        const own = await cluster.addMember("own");
+        cluster.answer("faulty", Buffer.from(bytes));
+        const digest = createHash("sha256").update(named).digest("hex");
+        await expect(own.pull({ digest, bytes: bytes.length }, ["faulty"])).resolves.toBeUndefined();
+        expect(own.find({ digest, bytes: bytes.length })).toBeUndefined();
+    });
+
     it("pulls nothing where no member has the value", async () => {
         const cluster = new Cluster();
         const [a, b, own] = [
--- a/src/peers/BodyExchange.ts
+++ b/src/peers/BodyExchange.ts
@@ -73,15 +73,32 @@
      */
     async pull(reference: BodyReference, sources: string[]): Promise<unknown> {
         const packed = await this.pullParts(reference, sources);
-        if (!packed || hashBody(packed) !== reference.digest) {
-            this.options.events.emit(eventKinds.peerRejected, {
-                reason: packed ? "value differs from its digest" : "value was not received",
-                bytes: reference.bytes,
-            });
+        const value = packed && this.decodeChecked(packed, reference);
+        if (value === undefined) {
+            this.reportProblem("value was not received", reference);
             return undefined;
         }
-        this.keep(packed);
-        return decodeBody(packed);
+        this.keep(packed!);
+        return value;
+    }
+
+    /** Decodes a value as received; undefined if it is not the one that its reference names, or no value at all. */
+    private decodeChecked(packed: Buffer, reference: BodyReference): unknown {
+        if (hashBody(packed) !== reference.digest) {
+            this.reportProblem("value differs from its digest", reference);
+            return undefined;
+        }
+        try {
+            return decodeBody(packed);
+        }
+        catch (error) {
+            this.reportProblem(String(error), reference);
+            return undefined;
+        }
+    }
+
+    private reportProblem(reason: string, { bytes }: BodyReference): void {
+        this.options.events.emit(eventKinds.peerRejected, { reason, bytes });
     }
 
     private keep(packed: Buffer): BodyReference {
