--- a/src/feeds/FeedFollower.ts
+++ b/src/feeds/FeedFollower.ts
@@ -365,7 +365,8 @@
         const update: FeedUpdate<T> = {
             era,
             after: position,
-            position: hasNews ? answer.position : position, // one that others do not get would lead to a gap for them
+            // A position that others do not get may lead to a gap for them, so that it moves only where it has to.
+            position: hasNews ? answer.position : position,
             storeMs: answer.storeMs,
             isRecovery: false,
             written: changes.filter((change): change is [string, T] => change[1] !== undefined),
--- a/src/feeds/FeedInbox.ts
+++ b/src/feeds/FeedInbox.ts
@@ -24,8 +24,7 @@
 
 const maxWaiting = 256; // readings arrive a few times a second
 
-/** Schema of the records of a {@link FeedUpdate}. */
-export const feedRecordsSchema = z.object({
+const feedRecordsSchema = z.object({
     written: z.array(z.tuple([z.string(), z.unknown()])),
     removed: z.array(z.string()),
 });
--- a/src/origins/StreamOrigins.test.ts
+++ b/src/origins/StreamOrigins.test.ts
@@ -76,12 +76,13 @@
                 return listLinked();
             },
             plan,
-            sendReportTo: (to, _topic, payload) => {
-                messages.push({ from: nodeId, to });
-                if (!lost.has(to)) {
-                    listeners.get(to)!(nodeId, payload);
-                }
-            },
+            sendReport: (targets, _topic, payload) =>
+                targets.forEach(to => {
+                    messages.push({ from: nodeId, to });
+                    if (!lost.has(to)) {
+                        listeners.get(to)!(nodeId, payload);
+                    }
+                }),
             onReport: (_topic, listener) => void listeners.set(nodeId, listener),
             call: async (to, _method, payload) => {
                 if (lost.has(to)) {
--- a/src/origins/StreamOrigins.ts
+++ b/src/origins/StreamOrigins.ts
@@ -18,7 +18,7 @@
     readonly nodeId: string;
     readonly network: Pick<
         PeerNetwork,
-        "linkedNodeIds" | "plan" | "sendReportTo" | "onReport" | "call" | "registerHandler"
+        "linkedNodeIds" | "plan" | "sendReport" | "onReport" | "call" | "registerHandler"
     >;
     readonly membership: Pick<Membership, "listLive">;
     readonly versions: Pick<SoftwareVersions, "isMixed">;
@@ -204,7 +204,7 @@
 
     private send(streams: readonly BegunStream[], keepers: readonly string[]): void {
         const message = { streams, isPassedOn: this.options.network.plan.isAggregator };
-        keepers.forEach(keeper => this.options.network.sendReportTo(keeper, topic, message));
+        this.options.network.sendReport(keepers, topic, message);
     }
 }
 
--- a/src/peers/BodyExchange.ts
+++ b/src/peers/BodyExchange.ts
@@ -5,10 +5,11 @@
 import { waitWithTimeout } from "../kernel/waitWithTimeout";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { maxBodyBytes } from "./constants";
+import { decodeBody } from "./decodeBody";
 import { encodeBody } from "./encodeBody";
 import { PackedBodies } from "./PackedBodies";
 import type { PeerNetwork } from "./PeerNetwork";
-import { decodeBody } from "./decodeBody";
 
 /** Options of {@link BodyExchange}. */
 export interface BodyExchangeOptions {
@@ -20,7 +21,7 @@
 /** Schema of {@link BodyReference}. */
 export const bodyReferenceSchema = z.object({
     digest: z.string().length(64),
-    bytes: z.number().int().positive().max(16_777_216),
+    bytes: z.number().int().positive().max(maxBodyBytes),
 });
 
 /** Names a large value that members can be asked for. */
@@ -55,7 +56,12 @@
      */
     offer(value: unknown): BodyReference | undefined {
         const packed = encodeBody(value);
-        return packed && this.keep(packed);
+        if (!packed) {
+            return undefined;
+        }
+        const digest = hashBody(packed);
+        this.bodies.add(digest, packed);
+        return { digest, bytes: packed.length };
     }
 
     /** Reads a value that this node has itself; undefined if it has not. */
@@ -73,12 +79,14 @@
      */
     async pull(reference: BodyReference, sources: string[]): Promise<unknown> {
         const packed = await this.pullParts(reference, sources);
-        const value = packed && this.decodeChecked(packed, reference);
-        if (value === undefined) {
+        if (!packed) {
             this.reportProblem("value was not received", reference);
             return undefined;
         }
-        this.keep(packed!);
+        const value = this.decodeChecked(packed, reference);
+        if (value !== undefined) {
+            this.bodies.add(reference.digest, packed);
+        }
         return value;
     }
 
@@ -101,12 +109,6 @@
         this.options.events.emit(eventKinds.peerRejected, { reason, bytes });
     }
 
-    private keep(packed: Buffer): BodyReference {
-        const digest = hashBody(packed);
-        this.bodies.add(digest, packed);
-        return { digest, bytes: packed.length };
-    }
-
     private async pullParts(
         { digest, bytes }: BodyReference,
         sources: string[],
--- a/src/peers/FrameQueue.ts
+++ b/src/peers/FrameQueue.ts
@@ -1,10 +1,8 @@
-import { Unpackr } from "msgpackr";
 import type { RawData, WebSocket } from "ws";
+import { decodeFrame } from "./decodeFrame";
 
 const maxQueuedFrames = 4_096; // a peer that sends faster than its frames are processed is disconnected
 
-const unpackr = new Unpackr({ useRecords: false, mapsAsObjects: true });
-
 /** A decoded frame, a frame that could not be decoded, or the end of the connection. */
 export type ReceivedFrame =
     | { readonly kind: "frame"; readonly message: unknown; readonly bytes: number; }
@@ -19,7 +17,7 @@
     private isClosed = false;
 
     constructor(private readonly socket: WebSocket) {
-        socket.on("message", (data: RawData) => this.push(decodeFrame(data as Buffer)));
+        socket.on("message", (data: RawData) => this.push(toReceivedFrame(data as Buffer)));
         socket.on("close", () => this.close());
         socket.on("error", () => this.close());
     }
@@ -57,9 +55,9 @@
     }
 }
 
-const decodeFrame = (data: Buffer): ReceivedFrame => {
+const toReceivedFrame = (data: Buffer): ReceivedFrame => {
     try {
-        return { kind: "frame", message: unpackr.unpack(data), bytes: data.length };
+        return { kind: "frame", message: decodeFrame(data), bytes: data.length };
     }
     catch {
         return { kind: "undecodable" };
--- a/src/peers/PeerNetwork.ts
+++ b/src/peers/PeerNetwork.ts
@@ -184,7 +184,7 @@
 
     /** Sends a report to a member if a link to it is up. Lost reports are not sent again. */
     sendReportTo(nodeId: string, topic: string, payload: unknown): void {
-        this.links.get(nodeId)?.send({ kind: "report", topic, payload });
+        this.sendReport([nodeId], topic, payload);
     }
 
     /** Sends one report to several members, as {@link sendReportTo} does. */
--- a/src/peers/PeerReports.ts
+++ b/src/peers/PeerReports.ts
@@ -65,16 +65,16 @@
      */
     listen<T>(topic: ReportTopic<T>, onReceived: (value: T, fromNode: string) => void): void {
         this.options.network.onReport(topic.name, (nodeId, payload) => {
-            const envelope = envelopeSchema.safeParse(payload);
-            if (envelope.success && !this.isNew(envelope.data)) {
+            const envelope = envelopeSchema.safeParse(payload).data;
+            if (envelope && !this.isNew(envelope)) {
                 return;
             }
-            const value = topic.schema.safeParse(envelope.data?.value);
-            if (!envelope.success || !value.success) {
+            const value = topic.schema.safeParse(envelope?.value);
+            if (!envelope || !value.success) {
                 this.options.events.emit(eventKinds.peerRejected, { reason: "invalid report", peer: nodeId });
                 return;
             }
-            this.send(topic.name, envelope.data, nodeId);
+            this.send(topic.name, envelope, nodeId);
             onReceived(value.data, nodeId);
         });
     }
--- a/src/peers/decodeBody.ts
+++ b/src/peers/decodeBody.ts
@@ -1,8 +1,6 @@
 import { inflateRawSync } from "node:zlib";
-import { Unpackr } from "msgpackr";
-
-const unpackr = new Unpackr({ useRecords: false, mapsAsObjects: true });
-const maxValueBytes = 16_777_216; // as much as an answer of the store may have
+import { maxBodyBytes } from "./constants";
+import { decodeFrame } from "./decodeFrame";
 
 /**
  * Unpacks a value that `encodeBody` has packed.
@@ -12,4 +10,4 @@
  * @throws Error if the bytes are not such an encoding, or the value is larger than any that is sent
  */
 export const decodeBody = (packed: Buffer): unknown =>
-    unpackr.unpack(inflateRawSync(packed, { maxOutputLength: maxValueBytes }));
+    decodeFrame(inflateRawSync(packed, { maxOutputLength: maxBodyBytes }));
--- a/src/platform/AnswerTimeout.ts
+++ b/src/platform/AnswerTimeout.ts
@@ -14,13 +14,15 @@
 /** Time limit of an exchange, which may run anew from each byte of the answer. Aborts a signal when it has passed. */
 export class AnswerTimeout {
     private readonly controller = new AbortController();
-    private readonly endTimer: NodeJS.Timeout;
+    private readonly endTimer: NodeJS.Timeout | undefined;
     private timer: NodeJS.Timeout;
 
     constructor(private readonly options: AnswerTimeoutOptions) {
-        const { timeoutMs } = options;
+        const { timeoutMs, progressMs } = options;
         this.timer = setTimeout(() => this.expire(), timeoutMs);
-        this.endTimer = setTimeout(() => this.expire(), timeoutMs + maxTotalMs);
+        this.endTimer = progressMs === undefined
+            ? undefined
+            : setTimeout(() => this.expire(), timeoutMs + maxTotalMs);
     }
 
     /** Aborted when the time limit has passed. */
