--- a/src/feeds/FeedSharing.test.ts
+++ b/src/feeds/FeedSharing.test.ts
@@ -178,6 +178,18 @@
         }
     };
 
+    /** Lets all nodes wait for changes, then ranks them; returns how many readings each has passed on. */
+    const waitTogether = async (): Promise<number[]> => {
+        cluster.nodes.forEach(node => {
+            node.rank = 0;
+        });
+        await runFor(1_500);
+        cluster.nodes.forEach(node => {
+            node.rank = node.index;
+        });
+        return cluster.nodes.map(node => node.published);
+    };
+
     beforeEach(async () => {
         cluster = new Cluster(6, new SeededRandom(5));
         await cluster.start();
@@ -196,14 +208,7 @@
     });
 
     it("are not passed on by a node that others read for since, where they hold no change", async () => {
-        cluster.nodes.forEach(node => {
-            node.rank = 0;
-        });
-        await runFor(1_500); // all wait for changes now
-        cluster.nodes.forEach(node => {
-            node.rank = node.index;
-        });
-        const before = cluster.nodes.map(node => node.published);
+        const before = await waitTogether();
         await runFor(4_000);
         expect(cluster.nodes.slice(2).map(node => node.published)).toEqual(before.slice(2));
         expect(cluster.nodes[0].published).toBeGreaterThan(before[0]);
@@ -211,14 +216,7 @@
 
     // Guards against nodes that start together, and each pass on what each of them reads.
     it("are passed on by the two nodes that read for all, also where others wait for changes", async () => {
-        cluster.nodes.forEach(node => {
-            node.rank = 0;
-        });
-        await runFor(1_500); // all wait for changes now
-        cluster.nodes.forEach(node => {
-            node.rank = node.index;
-        });
-        const before = cluster.nodes.map(node => node.published);
+        const before = await waitTogether();
         cluster.store.write("a", false);
         await runFor(100);
         expect(cluster.nodes.map(node => node.follower.records.value?.get("a"))).toEqual([1, 1, 1, 1, 1, 1]);
--- a/src/peers/BodyExchange.test.ts
+++ b/src/peers/BodyExchange.test.ts
@@ -32,6 +32,10 @@
         return exchange;
     }
 
+    addMembers(...nodeIds: readonly string[]): Promise<BodyExchange[]> {
+        return Promise.all(nodeIds.map(nodeId => this.addMember(nodeId)));
+    }
+
     /** Adds a member that answers each question with the given bytes. */
     answer(nodeId: string, bytes: Buffer): void {
         this.handlers.set(nodeId, async () => bytes);
@@ -56,11 +60,7 @@
 describe("BodyExchange", () => {
     it("passes a large value on in parts, and from the one who got it to others", async () => {
         const cluster = new Cluster();
-        const [a, b, c] = [
-            await cluster.addMember("a"),
-            await cluster.addMember("b"),
-            await cluster.addMember("c"),
-        ];
+        const [a, b, c] = await cluster.addMembers("a", "b", "c");
         const reference = a.offer(largeValue)!;
         await expect(b.pull(reference, ["a"])).resolves.toEqual(largeValue);
         cluster.lost.add("a");
@@ -72,14 +72,14 @@
 
     it("offers no small values, and equal ones under one reference", async () => {
         const cluster = new Cluster();
-        const [a, b] = [await cluster.addMember("a"), await cluster.addMember("b")];
+        const [a, b] = await cluster.addMembers("a", "b");
         expect(a.offer({ name: "small" })).toBeUndefined();
         expect(a.offer(largeValue)).toEqual(b.offer(largeValue));
     });
 
     it("goes on at the next member where one is lost, with the parts that it has", async () => {
         const cluster = new Cluster();
-        const [failing, sound] = [await cluster.addMember("failing"), await cluster.addMember("sound")];
+        const [failing, sound] = await cluster.addMembers("failing", "sound");
         const own = await cluster.addMember("own");
         const reference = failing.offer(largeValue)!;
         sound.offer(largeValue);
@@ -90,11 +90,7 @@
 
     it("waits for a member that receives the value itself", async () => {
         const cluster = new Cluster();
-        const [a, b, c] = [
-            await cluster.addMember("a"),
-            await cluster.addMember("b"),
-            await cluster.addMember("c"),
-        ];
+        const [a, b, c] = await cluster.addMembers("a", "b", "c");
         const reference = a.offer(largeValue)!;
         const pulled = c.pull(reference, ["b"]);
         await cluster.clock.advance(300);
@@ -116,11 +112,7 @@
 
     it("pulls nothing where no member has the value", async () => {
         const cluster = new Cluster();
-        const [a, b, own] = [
-            await cluster.addMember("a"),
-            await cluster.addMember("b"),
-            await cluster.addMember("own"),
-        ];
+        const [a, b, own] = await cluster.addMembers("a", "b", "own");
         const reference = a.offer(largeValue)!;
         cluster.lost.add("a");
         let result: unknown = "pending";
--- a/standins/platform/ServingTestbed.ts
+++ b/standins/platform/ServingTestbed.ts
@@ -11,6 +11,7 @@
 import { PartitionGate } from "./PartitionGate";
 import { RawRunner, type WriteRawAnswer } from "../RawRunner";
 import { type CrashCause, RunnerStandIn, type RunnerStandInOptions } from "./RunnerStandIn";
+import { pause } from "../pause";
 import { StoreStandIn } from "./StoreStandIn";
 
 /** A running node with the `host:port` addresses of its interfaces. */
@@ -35,6 +36,14 @@
     readonly disconnectAfterBytes?: number;
 }
 
+/** Options of {@link ServingTestbed.callRepeatedly}. */
+export interface RepeatedCallOptions {
+    /** Time for which requests are sent, in milliseconds. */
+    readonly durationMs: number;
+    /** Time between two requests, in milliseconds. */
+    readonly intervalMs: number;
+}
+
 /** The response that a caller received. */
 export interface TestResponse {
     readonly status: number;
@@ -300,6 +309,25 @@
         }
     }
 
+    /**
+     * Sends requests to nodes in turn, at regular intervals for a time, whether or not earlier ones are answered.
+     *
+     * @returns all responses, in the order of their requests
+     */
+    async callRepeatedly(
+        targets: readonly Pick<TestNode, "callersAddress">[],
+        call: TestCall,
+        { durationMs, intervalMs }: RepeatedCallOptions,
+    ): Promise<TestResponse[]> {
+        const responses: Promise<TestResponse>[] = [];
+        const endMs = performance.now() + durationMs;
+        for (let index = 0; performance.now() < endMs; index += 1) {
+            responses.push(this.call(targets[index % targets.length], call));
+            await pause(intervalMs);
+        }
+        return Promise.all(responses);
+    }
+
     /** Sends a request to a node on a new connection and resolves once the response is closed. */
     call(target: Pick<TestNode, "callersAddress">, call: TestCall): Promise<TestResponse> {
         this.requestCount += 1;
