--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -62,6 +62,8 @@
     endlessDelayMs = 0;
     /** Number of endless answers whose connections are open. */
     openEndless = 0;
+    /** Number of endless answers that were begun, including those that have ended. */
+    begunEndless = 0;
     /** Behaviours for the next requests, in order; each is used once. */
     readonly nextBehaviours: RunnerBehaviour[] = [];
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
@@ -258,6 +260,7 @@
         const idField = `${attemptIdHeader}: ${headers[attemptIdHeader]}`;
         const { head, chunk } = createEndlessAnswer(behaviour, idField);
         this.openEndless += 1;
+        this.begunEndless += 1;
         socket.on("close", () => {
             this.openEndless -= 1;
         });
