Roll versions of a service out by an operator's order

Cause: nothing answered op/rollout/SERVICE; the row was logged as unreadable, and a new version got its part of all traffic at once.

The holder of the duties writes each step (trial, moving, completed, rolled back) with the operators' status in one conditional transaction and tells the nodes by gossip. Every node keeps the exposure bound by its own counts alone, and judges the version by the answers of all nodes, so that a bad one gets no more requests even if the holder or the store is away. Verdicts are sequential tests against the answers of the other versions on the same routes; one faulty upstream does not make a version bad.

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -7,6 +7,7 @@
 import { crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { quotaLimiterName } from "../quotas/QuotaLimiter";
 import { retryBudgetsName } from "../retries/RetryBudgets";
+import { rolloutTrackerName } from "../rollouts/RolloutTracker";
 import { servingStateName } from "../routes/ServingState";
 import { plannedStopName } from "../stopping/PlannedStop";
 import { eventLogName } from "../telemetry/EventLog";
@@ -35,6 +36,7 @@
     quarantine: find(crashQuarantineName),
     origins: find(streamOriginsName),
     soleVersions: find(soleVersionsName),
+    rollouts: find(rolloutTrackerName),
     retryBudgets: find(retryBudgetsName),
     plannedStop: find(plannedStopName),
     usage: find(usageLedgerName),
--- a/src/daemon/registerClusterServices.ts
+++ b/src/daemon/registerClusterServices.ts
@@ -20,6 +20,7 @@
 import { eventLogName } from "../telemetry/EventLog";
 import { defaultConnectTimeoutMs } from "../upstreams/UpstreamClient";
 import { ClusterSums, clusterSumsName } from "../sums/ClusterSums";
+import { rolloutsGroup } from "../rollouts/RolloutTracker";
 import { maxPastWindows, usageGroup } from "../usage/UsageLedger";
 import { feedNames } from "./feedNames";
 import type { ServingNodeOptions } from "./servingTypes";
@@ -193,6 +194,7 @@
                 lingerMsByGroup: {
                     [usedGroup]: settings.quotaWindowMs,
                     [usageGroup]: settings.usage.windowMs * maxPastWindows,
+                    [rolloutsGroup]: settings.usage.windowMs * maxPastWindows,
                 },
             }),
     });
--- a/src/daemon/registerDutyServices.ts
+++ b/src/daemon/registerDutyServices.ts
@@ -10,6 +10,7 @@
 import { eventLogName } from "../telemetry/EventLog";
 import { usageLedgerName } from "../usage/UsageLedger";
 import { UsageReporter, usageReporterName } from "../usage/UsageReporter";
+import { registerRolloutKeeper } from "./registerRollouts";
 import type { ServingNodeOptions, ServingPlatform } from "./servingTypes";
 
 const dutyLeaseName = createServiceName<Lease>("duty-lease");
@@ -17,7 +18,7 @@
 const leaseFactor = 1.2; // times `leaseMs`, within which two nodes must not act alternately as the holder
 
 /**
- * Registers the services of the duties that one node at a time performs: usage reports and orders for upstreams.
+ * Registers the services of the duties that one node at a time performs: usage reports, roll-outs and orders for upstreams.
  *
  * @param kernel - the node's kernel
  * @param options - settings and adapters
@@ -65,6 +66,7 @@
                 callTimeoutMs: dutyCallTimeoutMs,
             }),
     });
+    registerRolloutKeeper(kernel, { platform, clock }, dutyLeaseName);
     kernel.register({
         name: instanceScalerName,
         requires: [instanceRegistryName, dutyLeaseName, servingStateName],
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -41,6 +41,7 @@
 import { feedNames } from "./feedNames";
 import { registerClusterServices } from "./registerClusterServices";
 import { registerDutyServices } from "./registerDutyServices";
+import { registerRolloutTracker } from "./registerRollouts";
 import type { ServingNodeOptions } from "./servingTypes";
 
 const freshShare = 0.8; // of the time after which a revoked key must no longer be accepted
@@ -149,6 +150,7 @@
     registerUpstreams(kernel, options);
     registerOrigins(kernel, options);
     registerQuarantine(kernel, options);
+    registerRolloutTracker(kernel, options);
     kernel.register({
         name: quotaLimiterName,
         requires: [clusterSumsName, readinessName, servingStateName],
--- a/src/daemon/servingTypes.ts
+++ b/src/daemon/servingTypes.ts
@@ -7,8 +7,9 @@
 import type { ForwardProtocol } from "../forwarding/types";
 import type { Clock, RandomSource } from "../kernel/types";
 import type { UpstreamInstance } from "../placement/types";
-import type { FencedCloud, TableService } from "../platform/types";
-import type { ServingConfiguration } from "../routes/types";
+import type { FencedCloud, RowOperation, TableService } from "../platform/types";
+import type { RolloutRecord } from "../rollouts/types";
+import type { OperatorRecord } from "../routes/types";
 import type { ServingSettings } from "../settings/servingSettingsSchema";
 
 /** Adapters to everything outside the process. */
@@ -17,8 +18,11 @@
     readonly storeEra: StoreEra;
     /** Opens the change feed of one of this system's own tables. */
     openFeed<T>(table: string, decode: (key: string, value: unknown) => T | undefined): RecordFeed<T>;
-    readonly configurations: RecordFeed<ServingConfiguration>;
+    /** What operators write: the configuration and orders. */
+    readonly configurations: RecordFeed<OperatorRecord>;
     readonly instances: RecordFeed<UpstreamInstance>;
+    /** Creates the write that tells operators the state of a roll-out. */
+    readonly createRolloutStatusWrite: (record: RolloutRecord) => RowOperation;
     /** Undefined where the node takes on no duties. */
     readonly dutyCloud?: FencedCloud;
     readonly protocol: ForwardProtocol;
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -6,6 +6,7 @@
 import type { QuotaLimiter } from "../quotas/QuotaLimiter";
 import type { PlannedStop } from "../stopping/PlannedStop";
 import type { RetryBudgets } from "../retries/RetryBudgets";
+import type { RolloutTracker } from "../rollouts/RolloutTracker";
 import type { ServingState } from "../routes/ServingState";
 import type { EventLog } from "../telemetry/EventLog";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
@@ -28,6 +29,7 @@
     readonly quarantine: CrashWatchOptions["quarantine"];
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly soleVersions: Pick<SoleVersions, "find">;
+    readonly rollouts: Pick<RolloutTracker, "chooseVersions" | "beginAttempt">;
     readonly retryBudgets: RetryBudgets;
     readonly plannedStop: PlannedStop;
     readonly usage: UsageLedger;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -24,6 +24,9 @@
 import { RequestInterrupt } from "./RequestInterrupt";
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
+import type { AttemptOutcome } from "../rollouts/classifyAttempt";
+import type { RolloutAttempt } from "../rollouts/RolloutAttempt";
+import type { VersionChoice } from "../rollouts/VersionChoice";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
@@ -53,10 +56,14 @@
     private readonly responseRelay: ResponseRelay;
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
+    /** Chooses the versions of upstreams during a roll-out; undefined if there is none. */
+    private readonly versions: VersionChoice | undefined;
     private readonly selection: UpstreamSelection;
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
     private readonly retryPlanner: RetryPlanner;
+    /** Times the present attempt during a roll-out. */
+    private attempt: RolloutAttempt | undefined;
     private readonly dispatchCheck: DispatchCheck;
 
     constructor(private readonly options: RequestForwarderOptions) {
@@ -70,12 +77,14 @@
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
+        this.versions = context.rollouts.chooseVersions(service, admitted.route.name);
         this.selection = new UpstreamSelection({
             instances,
             placement,
             service,
             affinityKey: createAffinityKey(admitted.metadata.promptParts),
             binding: this.binding,
+            versions: this.versions,
             findSuspect: () => this.crashWatch.findSuspect(),
         });
         this.recorder = new ForwardRecorder(options);
@@ -105,6 +114,7 @@
             interrupt,
             crashWatch,
             binding,
+            onFirstEvent: () => this.attempt?.observeFirstEvent(),
             isResumableElsewhere: (upstream, idleMs) =>
                 this.retryPlanner.isResumableElsewhere(upstream, idleMs),
             memory,
@@ -229,6 +239,9 @@
         this.crashWatch.beginAttempt();
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
+        this.versions?.markSent(upstream);
+        this.attempt = context.rollouts.beginAttempt(upstream, this.options.admitted.route.name);
+        const firstEventId = this.responseRelay.lastEventId ?? 0;
         const sentMs = context.clock.readMonotonicMs();
         const exchange = upstream.client.send({
             method: request.method!,
@@ -247,6 +260,11 @@
         }
         finally {
             exchange.abort("the attempt has ended");
+            if (!exchange.isSent) {
+                this.versions?.markUnsent(upstream);
+            }
+            const eventCount = (this.responseRelay.lastEventId ?? 0) - firstEventId;
+            this.attempt?.end(toOutcomeKind(result), this.recorder.trace.status, eventCount);
             const isUnanswered = exchange.isSent && isGivenUp(result);
             context.instances.endRequest(upstream, isUnanswered ? sentMs : undefined);
         }
@@ -403,6 +421,14 @@
     }
 }
 
+/** What an attempt tells of its upstream's software version; undefined results are those of cut attempts. */
+const toOutcomeKind = (result: AttemptResult | undefined): AttemptOutcome["kind"] => {
+    if (result?.kind === "failed") {
+        return result.isSent && !result.isNotRun ? "failed" : "unsent";
+    }
+    return result?.kind ?? "interrupted";
+};
+
 /** Whether an attempt was ended by this node, and not by its upstream; undefined if it was cut. */
 const isGivenUp = (result: AttemptResult | undefined): boolean =>
     result === undefined || result.kind === "interrupted"
--- a/src/forwarding/ResponseRelay.ts
+++ b/src/forwarding/ResponseRelay.ts
@@ -29,6 +29,8 @@
     readonly crashWatch: CrashWatch;
     /** The software version that begins the stream. */
     readonly binding: Pick<StreamBinding, "softwareVersion">;
+    /** Called at the first event of each attempt. */
+    readonly onFirstEvent: () => void;
     /** Whether a stream may go on at another upstream now, after a time without an event, in milliseconds. */
     readonly isResumableElsewhere: (upstream: TrackedInstance, idleMs: number) => boolean;
     /** Memory of the request for collected answers. */
@@ -138,6 +140,7 @@
             },
             onFirstEvent: () => {
                 crashWatch.observeFirstEvent();
+                this.options.onFirstEvent();
                 this.options.recorder.recordFirstByte();
                 this.options.recorder.recordUsage();
                 this.options.recorder.recordStream(this.options.binding.softwareVersion);
--- a/src/forwarding/UpstreamSelection.test.ts
+++ b/src/forwarding/UpstreamSelection.test.ts
@@ -20,7 +20,10 @@
         placement: { choose: (_request, views) => views[0] },
         service: "llm",
         affinityKey: undefined,
-        binding: { matches: ({ softwareVersion }) => version === undefined || softwareVersion === version },
+        binding: {
+            isBound: false,
+            matches: ({ softwareVersion }) => version === undefined || softwareVersion === version,
+        },
         findSuspect: () => suspectPart,
     });
 
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -2,6 +2,7 @@
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { PlacementPolicy, UpstreamView } from "../placement/types";
+import type { VersionChoice } from "../rollouts/VersionChoice";
 import type { StreamBinding } from "./StreamBinding";
 
 /** Options of {@link UpstreamSelection}. */
@@ -11,7 +12,9 @@
     readonly service: string;
     /** Key that is equal for requests with a common prompt prefix; undefined for requests without a prompt. */
     readonly affinityKey: string | undefined;
-    readonly binding: Pick<StreamBinding, "matches">;
+    readonly binding: Pick<StreamBinding, "matches" | "isBound">;
+    /** Chooses versions during a roll-out; undefined if there is none. */
+    readonly versions?: Pick<VersionChoice, "select">;
     /** Finds by what the request may crash upstreams; undefined if it is not suspected. */
     readonly findSuspect: () => string | undefined;
 }
@@ -66,12 +69,13 @@
     }
 
     private listUntried(): TrackedInstance[] {
-        const { instances, service, binding } = this.options;
+        const { instances, service, binding, versions } = this.options;
         const onlyId = this.findOnlyId();
-        return instances.listUsable(service).filter(({ instance }) =>
+        const untried = instances.listUsable(service).filter(({ instance }) =>
             !this.triedIds.has(instance.id) && binding.matches(instance)
             && (onlyId === undefined || instance.id === onlyId)
         );
+        return versions ? versions.select(untried, binding.isBound) : untried;
     }
 
     /** Finds the upstream to which requests that may crash upstreams are sent, the same on all nodes. */
--- a/src/placement/InstanceRegistry.ts
+++ b/src/placement/InstanceRegistry.ts
@@ -193,6 +193,18 @@
         return this.createViews(this.listInService(service)).reduce((sum, view) => sum + view.inFlight, 0);
     }
 
+    /**
+     * Counts this node's requests in flight at upstreams of a service, also at those that are leaving or gone.
+     *
+     * @param service - the service
+     * @param isCounted - whether an upstream's requests count
+     */
+    countOwnInFlight(service: string, isCounted: (instance: UpstreamInstance) => boolean): number {
+        return [...this.tracked.values(), ...this.closing]
+            .filter(({ instance }) => instance.service === service && isCounted(instance))
+            .reduce((sum, { inFlight }) => sum + inFlight, 0);
+    }
+
     /** Counts the upstreams of a service that state a limit of requests. */
     countLimited(service: string): number {
         return this.listInService(service).filter(({ instance }) => this.options.limits.isLimited(instance))
--- a/src/routes/ConfigurationKeeper.ts
+++ b/src/routes/ConfigurationKeeper.ts
@@ -9,12 +9,13 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import type { ServingState } from "./ServingState";
-import type { ServingConfiguration } from "./types";
+import { isServingConfiguration } from "./isServingConfiguration";
+import type { OperatorRecord, ServingConfiguration } from "./types";
 
 /** Options of {@link ConfigurationKeeper}. */
 export interface ConfigurationKeeperOptions {
     readonly state: Pick<ServingState, "table" | "adopt">;
-    readonly feed: Pick<FeedFollower<ServingConfiguration>, "records">;
+    readonly feed: Pick<FeedFollower<OperatorRecord>, "records">;
     readonly reports: Pick<PeerReports, "publish" | "listen">;
     readonly bodies: Pick<BodyExchange, "offer" | "pull">;
     /** Whether this node is one of the few that tell the others. */
@@ -93,7 +94,7 @@
     }
 
     private isStoreBehind(version: number): boolean {
-        const stored = [...this.options.feed.records.value?.values() ?? []];
+        const stored = [...this.options.feed.records.value?.values() ?? []].filter(isServingConfiguration);
         return stored.every(configuration => configuration.version < version);
     }
 }
--- a/src/routes/ServingState.ts
+++ b/src/routes/ServingState.ts
@@ -4,11 +4,12 @@
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
 import { RouteTable } from "./RouteTable";
-import type { ServingConfiguration } from "./types";
+import { isServingConfiguration } from "./isServingConfiguration";
+import type { OperatorRecord, ServingConfiguration } from "./types";
 
 /** Options of {@link ServingState}. */
 export interface ServingStateOptions {
-    readonly feed: FeedFollower<ServingConfiguration>;
+    readonly feed: FeedFollower<OperatorRecord>;
     readonly events: EventLog;
     /** Maximum age of the last confirmation at which keys may still be checked, in milliseconds. */
     readonly maxAgeMs: () => number;
@@ -68,8 +69,10 @@
         });
     }
 
-    private adoptAll(records: ReadonlyMap<string, ServingConfiguration> | undefined): void {
-        records?.forEach(configuration => this.adopt(configuration));
+    private adoptAll(records: ReadonlyMap<string, OperatorRecord> | undefined): void {
+        [...records?.values() ?? []].filter(isServingConfiguration).forEach(configuration =>
+            this.adopt(configuration)
+        );
     }
 }
 
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -1,5 +1,7 @@
 /** Types of the configuration under which a node forwards requests. */
 
+import type { RolloutOrder } from "../rollouts/types";
+
 /** How a request may be retried after it has run or may have run. */
 export const retryRules = {
     /** The request is idempotent and may run again from the start. */
@@ -107,6 +109,9 @@
     readonly idleTimeoutMs: number;
 }
 
+/** A record that an operator writes: the configuration, or an order. */
+export type OperatorRecord = ServingConfiguration | RolloutOrder;
+
 /** A complete configuration. Higher versions replace lower ones. */
 export interface ServingConfiguration {
     readonly version: number;
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -36,6 +36,15 @@
     }).strict().default({}),
     /** Window over which an account's rate and burst are counted. */
     quotaWindowMs: positiveMs.default(8_000),
+    /** Bounds on software versions that a roll-out has not proved yet. */
+    rollouts: z.object({
+        /** Share of a service's requests that such a version may get. */
+        exposureShare: z.number().min(0).max(1).default(0.1),
+        /** Requests that it may get in addition. */
+        exposureSlack: z.number().min(0).default(50),
+        /** Time after which a version that was found bad must get no more requests. */
+        rollbackMs: positiveMs.default(5_000),
+    }).strict().default({}),
     /** Time after its last renewal for which the holder of a duty is considered to hold it. */
     leaseMs: positiveMs.default(3_000),
     usage: z.object({
--- a/src/telemetry/eventKinds.ts
+++ b/src/telemetry/eventKinds.ts
@@ -243,6 +243,18 @@
         "info",
         "Calls of a new lease holder on a subject wait, as a call of a former holder may still arrive.",
     ),
+    rolloutPhase: define(
+        2710,
+        "rollout-phase",
+        "info",
+        "A roll-out of a service is in another phase: trial, moving, completed or rolled-back.",
+    ),
+    rolloutJudged: define(
+        2711,
+        "rollout-judged",
+        "info",
+        "The verdict of this node on a version has changed: open, good or bad. A bad one gets no more requests from it.",
+    ),
     storeFailed: define(2801, "store-failed", "warn", "A call to the platform's stores failed."),
     rowUnreadable: define(
         2803,
--- a/standins/platform/RunnerStandIn.ts
+++ b/standins/platform/RunnerStandIn.ts
@@ -66,6 +66,8 @@
     begunEndless = 0;
     /** Behaviours for the next requests, in order; each is used once. */
     readonly nextBehaviours: RunnerBehaviour[] = [];
+    /** Decides the behaviour for a request to a path, where none is given for the next one; sound if undefined. */
+    decideBehaviour: (path: string) => RunnerBehaviour | undefined = () => undefined;
     readonly server = new StandInServer((request, response, body) => this.handle(request, response, body));
     id: string;
     /** Version of its software, which is named in its events. */
@@ -114,7 +116,9 @@
             return;
         }
         const isCrashing = this.isCrashing(request, body);
-        const behaviour = isCrashing ? "crash" : this.nextBehaviours.shift();
+        const behaviour = isCrashing
+            ? "crash"
+            : this.nextBehaviours.shift() ?? this.decideBehaviour(request.url!);
         if (this.running >= this.places) {
             this.rejectForRoom(response, requestId);
             return;
