--- a/src/daemon/ServingNode.ts
+++ b/src/daemon/ServingNode.ts
@@ -12,6 +12,7 @@
 import type { EventFields, EventKind } from "../telemetry/types";
 import { createForwardContext } from "./createForwardContext";
 import { registerForwardGauges } from "./registerForwardGauges";
+import { registerRolloutGauges } from "./registerRolloutGauges";
 import { registerServingServices } from "./registerServingServices";
 import type { ServingNodeOptions } from "./servingTypes";
 
@@ -55,6 +56,7 @@
             server.applyLimits(state.table.value.configuration.limits);
         }
         registerForwardGauges(this.kernel.find);
+        registerRolloutGauges(this.kernel.find);
         server.setContext(createForwardContext(this.kernel.find, this.options));
         this.kernel.find(eventLogName).emit(eventKinds.nodeStarted, {
             callers: this.options.settings.callers,
--- a/src/rollouts/RolloutTracker.ts
+++ b/src/rollouts/RolloutTracker.ts
@@ -39,7 +39,7 @@
 const presenceGroup = "rollouts-now";
 const gossipPrefix = "rollout/";
 const evaluationMs = 250; // as often as the sums change
-const minPresentShare = 0.5; // of the nodes, without whose answers a node cannot tell that a version is bad
+const minPresentShare = 0.6; // of the nodes, without whose answers a node cannot tell that a version is bad
 
 /**
  * What this node knows of the roll-outs: the operators' orders, the agreed phases and the evidence of all nodes. Chooses the
--- a/standins/platform/BundledProgram.ts
+++ b/standins/platform/BundledProgram.ts
@@ -11,6 +11,12 @@
     readonly child: ChildProcessHandle<unknown>;
     /** Host and port for callers. */
     readonly callersAddress: string;
+    /** Host and port of the ready check. */
+    readonly readyAddress: string;
+    /** Host and port of the directory. */
+    readonly directoryAddress: string;
+    /** Host and port of the metrics. */
+    readonly metricsAddress: string;
 }
 
 /** Name of the node that a process of the program is. */
@@ -18,6 +24,7 @@
 
 const repository = join(__dirname, "..", "..");
 const portCount = 4;
+const metricsPort = 9_464; // as deployments have it
 
 /** The program, bundled from the present sources into a temporary folder. */
 export class BundledProgram {
@@ -61,7 +68,13 @@
         };
         writeFileSync(file, JSON.stringify(fields));
         const child = await ChildProcessHandle.start<unknown>(this.script, ["serve", file], nodeArgs);
-        return { child, callersAddress: front };
+        return {
+            child,
+            callersAddress: front,
+            readyAddress: ready,
+            directoryAddress: directory,
+            metricsAddress: `${ip}:${metricsPort}`,
+        };
     }
 
     /** Removes the temporary folder. */
