Bound what callers make a process hold: bytes of their requests, parsed fields and connections

Cause: bodies were bounded one by one only. 250 legal bodies that stop short made the program hold 324 to 340 MB where 192 are allowed, 800 half heads or unread answers took 832 to 873 descriptors where 600 are; in the product's own interface a body of very many short fields cost many times its bytes, as a problem was kept and written for each of them (403 MB where 320 are).

HeldBytes holds bytes before a body is read, with as much left for others as one owner has; what finds no room waits unread for 1 s and is refused as not run (1214). Requests that stand still are given up only where others wait. ConnectionLimit closes the connection that has stood still longest for a new one.

--- a/src/callers/CallerContext.ts
+++ b/src/callers/CallerContext.ts
@@ -1,4 +1,5 @@
 import type { ReplicatedConfiguration } from "../configuration/ReplicatedConfiguration";
+import type { HeldBytes } from "../http/HeldBytes";
 import type { PlainCalls } from "../idempotency/PlainCalls";
 import type { Clock, RandomSource } from "../kernel/types";
 import type { Membership } from "../membership/Membership";
@@ -24,6 +25,8 @@
     readonly locator: RequestLocator;
     readonly plainCalls: PlainCalls;
     readonly maxBodyBytes: number;
+    /** What callers make the process hold. */
+    readonly heldBytes: HeldBytes;
     /** How long a caller may use a list of entries, in milliseconds. */
     readonly entriesValidMs: number;
     /** A caller that reads nothing for this long is disconnected, in milliseconds; at most 10 s take effect. */
--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -29,6 +29,8 @@
     readonly host: string;
     readonly port: number;
     readonly maxHeaderBytes: number;
+    /** Connections that may be open at the same time. */
+    readonly maxConnections: number;
 }
 
 const headersTimeoutMs = 10_000;
@@ -47,6 +49,7 @@
         this.listener = new HttpListener({
             host: options.host,
             port: options.port,
+            maxConnections: options.maxConnections,
             serverOptions: {
                 maxHeaderSize: options.maxHeaderBytes,
                 headersTimeout: headersTimeoutMs,
@@ -112,6 +115,7 @@
             this.sendError(exchange, error);
         }
         finally {
+            exchange.hold?.release();
             if (isCut && this.isLeaving) {
                 this.answerCut(exchange);
             }
--- a/src/callers/Exchange.ts
+++ b/src/callers/Exchange.ts
@@ -1,9 +1,12 @@
 import { abortReason } from "../_lib/abortReason";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Hold } from "../http/HeldBytes";
 
 /** An HTTP request with its response. */
 export class Exchange {
     private closeController: AbortController | undefined;
+    /** Bytes held for the request until it has ended; undefined if it has no body. */
+    hold: Hold | undefined;
 
     /**
      * @param request - the incoming request
--- a/src/callers/handleChat.ts
+++ b/src/callers/handleChat.ts
@@ -15,7 +15,8 @@
 import type { CallerContext } from "./CallerContext";
 import { checkAdmission } from "./checkAdmission";
 import { findOrAcceptRequest } from "./findOrAcceptRequest";
-import { readBody } from "./readBody";
+import { holdParsedFields } from "./holdParsedFields";
+import { readExchangeBody } from "./readExchangeBody";
 import { readIdempotencyKey } from "./readIdempotencyKey";
 import { relayAnswer } from "./relayAnswer";
 import type { Exchange } from "./Exchange";
@@ -30,11 +31,12 @@
  * @throws FailureError when the request is refused
  */
 export function* handleChat(context: CallerContext, exchange: Exchange): Task<void> {
-    authenticateCaller(exchange.request, context.configuration);
-    const bytes = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
+    const { account: { id: accountId } } = authenticateCaller(exchange.request, context.configuration);
+    const bytes = yield* waitFor(readExchangeBody(exchange, { ...context, accountId }));
     checkAdmission(context);
     // Again, as the body may have ended long after its head.
     const { account, configuration } = authenticateCaller(exchange.request, context.configuration);
+    holdParsedFields(exchange, bytes);
     const body = parseChatBody(bytes);
     const service = findModelService(configuration.declaration, body.model);
     if (!account.services.includes(service.name)) {
--- a/src/callers/handleService.ts
+++ b/src/callers/handleService.ts
@@ -9,7 +9,7 @@
 import { authenticateCaller } from "./authenticateCaller";
 import type { CallerContext } from "./CallerContext";
 import { checkAdmission } from "./checkAdmission";
-import { readBody } from "./readBody";
+import { readExchangeBody } from "./readExchangeBody";
 import { readIdempotencyKey } from "./readIdempotencyKey";
 import type { Exchange } from "./Exchange";
 import type { AuthenticatedCaller } from "./types";
@@ -26,9 +26,11 @@
  */
 export function* handleService(context: CallerContext, exchange: Exchange): Task<void> {
     const { name, path } = parseTarget(exchange.target);
-    findPlainService(authenticateCaller(exchange.request, context.configuration), name);
+    const announced = authenticateCaller(exchange.request, context.configuration);
+    findPlainService(announced, name);
     const method = exchange.request.method ?? "GET";
-    const body = yield* waitFor(readBody(exchange.request, context.maxBodyBytes));
+    const accountId = announced.account.id;
+    const body = yield* waitFor(readExchangeBody(exchange, { ...context, accountId }));
     checkAdmission(context);
     // Again, as the body may have ended long after its head.
     const caller = authenticateCaller(exchange.request, context.configuration);
--- a/src/callers/readBody.test.ts
+++ b/src/callers/readBody.test.ts
@@ -1,5 +1,7 @@
 import { IncomingMessage } from "node:http";
 import { Socket } from "node:net";
+import { HeldBytes } from "../http/HeldBytes";
+import { FakeClock } from "../kernel/FakeClock";
 import { measureHeldHeap } from "../../standins/measureHeldHeap";
 import { readBody } from "./readBody";
 
@@ -29,6 +31,35 @@
         await expect(body).rejects.toThrow("larger than the limit");
     });
 
+    // Guards against a request that waits for room and is never answered since its caller has left meanwhile.
+    it("rejects a body whose connection has closed while it waited for room", async () => {
+        const clock = new FakeClock();
+        const held = new HeldBytes({ maxBytes: 1_000, clock });
+        const other = await held.hold({ owner: "a", bytes: 1_000, onGivenUp: () => {} });
+        const request = createRequest();
+        const body = readBody(request, maxBytes, { held, owner: "b", onHold: () => {} });
+        request.destroy();
+        other!.release();
+        await expect(body).rejects.toThrow("connection closed");
+    });
+
+    // Guards against bodies without a stated length that are not counted.
+    it("counts a body in chunks as it grows, and refuses it as not run where there is no room", async () => {
+        const held = new HeldBytes({ maxBytes: 400_000, clock: new FakeClock() });
+        await held.hold({ owner: "a", bytes: 200_000, onGivenUp: () => {} });
+        const request = createRequest();
+        const body = readBody(request, maxBytes, { held, owner: "b", onHold: () => {} });
+        await Promise.resolve();
+        await Promise.resolve();
+        for (let count = 0; count < 4; count += 1) {
+            request.emit("data", Buffer.alloc(65_536));
+        }
+        await expect(body).rejects.toMatchObject({
+            failure: { resultCode: { name: "caller-memory-limit", run: "not-run" } },
+        });
+        expect(held.used).toBe(200_000);
+    });
+
     // Guards against a body in small chunks that takes many times its bytes, up to the process's whole heap.
     it("holds a body in small chunks in little more than its bytes", async () => {
         const request = createRequest();
--- a/src/daemon/EntryNode.ts
+++ b/src/daemon/EntryNode.ts
@@ -2,6 +2,7 @@
 import { callerServerName } from "../callers/CallerServer";
 import { replicatedConfigurationName } from "../configuration/ReplicatedConfiguration";
 import { plainCallsName } from "../idempotency/PlainCalls";
+import { HeldBytes } from "../http/HeldBytes";
 import { Kernel } from "../kernel/Kernel";
 import { runTask } from "../kernel/runTask";
 import { membershipName } from "../membership/Membership";
@@ -29,8 +30,12 @@
 /** An entry node: creates its services and runs them until a graceful shutdown. */
 export class EntryNode {
     readonly kernel = new Kernel();
+    /** What callers make the process hold. */
+    readonly heldBytes: HeldBytes;
 
     constructor(private readonly options: EntryNodeOptions) {
+        const { clock, settings } = options;
+        this.heldBytes = new HeldBytes({ maxBytes: settings.limits.maxHeldBytes, clock });
         registerEntryServices(this.kernel, options);
     }
 
@@ -128,6 +133,7 @@
             locator: find(requestLocatorName),
             plainCalls: find(plainCallsName),
             maxBodyBytes: settings.limits.maxBodyBytes,
+            heldBytes: this.heldBytes,
             entriesValidMs: settings.timing.entriesValidMs,
             stallTimeoutMs,
             disconnectSignal: find(entryReclaimName).disconnectSignal,
@@ -152,6 +158,7 @@
         return new OperatorApi({
             tokenHashes: settings.operatorTokenHashes,
             maxBodyBytes: settings.limits.maxBodyBytes,
+            heldBytes: this.heldBytes,
             configuration: find(replicatedConfigurationName),
             store: find(configurationStoreName),
             membership: find(membershipName),
--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -40,5 +40,5 @@
     retryBudgets: find(retryBudgetsName),
     plannedStop: find(plannedStopName),
     usage: find(usageLedgerName),
-    answerMemory: new AnswerMemory(),
+    answerMemory: new AnswerMemory(options.settings.limits.maxAnswerBytes),
 });
--- a/src/daemon/registerEntryServices.ts
+++ b/src/daemon/registerEntryServices.ts
@@ -85,6 +85,7 @@
             const server = new CallerServer({
                 ...settings.callers,
                 maxHeaderBytes: settings.limits.maxHeaderBytes,
+                maxConnections: settings.limits.maxConnections,
             });
             return Object.assign(server, { start: () => server.listen(), stop: () => server.close() });
         },
--- a/src/daemon/registerForwardGauges.ts
+++ b/src/daemon/registerForwardGauges.ts
@@ -58,6 +58,7 @@
         "Requests in progress.",
         () => find(forwardServerName).openExchanges,
     );
+    registerCallerGauges(find, addValue);
     addValue("sequoiagrade_resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
     addValue(
         "sequoiagrade_quarantined_parts",
@@ -98,6 +99,40 @@
     );
 };
 
+/** Registers what tells how much callers make this node hold. */
+const registerCallerGauges = (
+    find: FindService,
+    addValue: (name: string, help: string, read: () => number) => void,
+): void => {
+    const { heldBytes, connectionLimit } = find(forwardServerName);
+    addValue("sequoiagrade_held_bytes", "Bytes held for callers' requests.", () => heldBytes.used);
+    addValue(
+        "sequoiagrade_held_waiting",
+        "Requests that wait, unread, for memory.",
+        () => heldBytes.waitingCount,
+    );
+    addValue(
+        "sequoiagrade_held_refused_total",
+        "Requests refused since there was no memory for them.",
+        () => heldBytes.counts.refused,
+    );
+    addValue(
+        "sequoiagrade_held_given_up_total",
+        "Requests given up since they stood still while others needed the memory.",
+        () => heldBytes.counts.givenUp,
+    );
+    addValue(
+        "sequoiagrade_caller_connections",
+        "Open connections of callers.",
+        () => connectionLimit?.openCount ?? 0,
+    );
+    addValue(
+        "sequoiagrade_caller_connections_closed_total",
+        "Connections of callers that were closed at their limit.",
+        () => connectionLimit?.closedCount ?? 0,
+    );
+};
+
 /** Registers what tells how this node is linked to the others, and what it knows of them. */
 const registerControlGauges = (
     find: FindService,
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -80,6 +80,7 @@
             new MetricsServer({
                 ...splitAddress(settings.metrics),
                 registry: find(forwardMetricsName).registry,
+                maxConnections: settings.limits.maxCheckConnections,
             }),
     });
     kernel.register({ name: plannedStopName, requires: [], create: () => new PlannedStop({ clock }) });
@@ -93,6 +94,8 @@
                 events: find(eventLogName),
                 plannedStop: find(plannedStopName),
                 formatRetryAfter: platform.formatRetryAfter,
+                maxHeldBytes: settings.limits.maxHeldBytes,
+                maxConnections: settings.limits.maxCallerConnections,
             }),
     });
 };
--- a/src/forwarding/ForwardServer.ts
+++ b/src/forwarding/ForwardServer.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { waitForPendingInput } from "../_lib/waitForPendingInput";
-import { readBody } from "../callers/readBody";
+import { type BodyRoom, readBody } from "../callers/readBody";
 import { sendFailure } from "../callers/sendFailure";
 import { ClosingConnections } from "../http/ClosingConnections";
+import type { ConnectionLimit } from "../http/ConnectionLimit";
+import { HeldBytes, type Hold } from "../http/HeldBytes";
 import { HttpListener } from "../http/HttpListener";
 import { createServiceName } from "../kernel/createServiceName";
 import { TaskScope } from "../kernel/TaskScope";
@@ -42,9 +44,14 @@
     readonly formatRetryAfter?: (retryAfterMs: number) => string;
     /** Maximum size of a request's headers, in bytes; default 16,384. */
     readonly maxHeaderBytes?: number;
+    /** Bytes of requests that callers may make the process hold; default 64 MiB. */
+    readonly maxHeldBytes?: number;
+    /** Connections of callers; default: no limit. */
+    readonly maxConnections?: number;
 }
 
 const defaultMaxHeaderBytes = 16_384;
+const defaultMaxHeldBytes = 67_108_864;
 const initialLimits = { headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }; // in force until a configuration is read
 const timeoutCheckIntervalMs = 1_000; // time-outs of callers take effect up to this much late
 const firstRequestGraceMs = 1_000; // a connection may be idle for a moment before its first request
@@ -59,6 +66,8 @@
     private context: ForwardContext | undefined;
     private readonly openResponses = new Set<ServerResponse>();
     private readonly closing = new ClosingConnections();
+    /** What callers make the process hold. */
+    readonly heldBytes: HeldBytes;
     /** Monotonic time of the last request's arrival, in milliseconds. */
     private lastArrivalMs = -Infinity;
 
@@ -67,9 +76,12 @@
             onTaskError: (task, error) =>
                 options.events.emit(eventKinds.taskFailed, { task, error: String(error) }),
         });
+        const { clock, maxHeldBytes = defaultMaxHeldBytes, maxConnections } = options;
+        this.heldBytes = new HeldBytes({ maxBytes: maxHeldBytes, clock });
         this.listener = new HttpListener({
             host: options.host,
             port: options.port,
+            maxConnections,
             serverOptions: {
                 maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
                 connectionsCheckingInterval: timeoutCheckIntervalMs,
@@ -86,6 +98,11 @@
         return this.listener.port;
     }
 
+    /** Limit of callers' connections; undefined if there is none. */
+    get connectionLimit(): ConnectionLimit | undefined {
+        return this.listener.connectionLimit;
+    }
+
     /** Number of exchanges in progress. */
     get openExchanges(): number {
         return this.scope.size;
@@ -142,6 +159,7 @@
         }
         const admission: AdmissionTrace = {};
         let forwarder: RequestForwarder | undefined;
+        let hold: Hold | undefined;
         let outcome = "cut"; // where the task is cancelled
         let reason: string | undefined;
         try {
@@ -150,6 +168,9 @@
             const { admitted, body } = yield* this.prepare(context, request, received, {
                 arrivedMs,
                 trace: admission,
+                onHold: taken => {
+                    hold = taken;
+                },
             });
             forwarder = new RequestForwarder({ context, request, response, admitted, body, arrivedMs });
             outcome = yield* forwarder.run();
@@ -164,6 +185,7 @@
             reason = failure.message;
         }
         finally {
+            hold?.release();
             if (outcome === "cut") {
                 this.answerCut(request, response, forwarder?.recorder.trace.sends ?? 0);
             }
@@ -179,12 +201,14 @@
         context: ForwardContext,
         request: IncomingMessage,
         received: AdmittedRequest,
-        { arrivedMs, trace }: { readonly arrivedMs: number; readonly trace: AdmissionTrace; },
+        { arrivedMs, trace, onHold }: PrepareOptions,
     ): Task<{ readonly admitted: AdmittedRequest; readonly body: Buffer; }> {
         let admitted = received;
         try {
             const deadlineMs = computeDeadlineMs(received, arrivedMs);
-            const body = yield* this.readBody(request, received.maxBodyBytes, deadlineMs);
+            const owner = received.account?.name ?? request.socket.remoteAddress ?? "";
+            const room = { held: this.heldBytes, owner, onHold };
+            const body = yield* this.readBody(request, received.maxBodyBytes, deadlineMs, room);
             admitted = renewAdmission({ context, request, admitted, trace });
             return { admitted: yield* resolveOrigin(context, admitted), body };
         }
@@ -195,11 +219,16 @@
     }
 
     /** Reads the body of a request until its deadline, and for as long as the node does not stop too soon for the request. */
-    private *readBody(request: IncomingMessage, maxBytes: number, deadlineMs: number): Task<Buffer> {
+    private *readBody(
+        request: IncomingMessage,
+        maxBytes: number,
+        deadlineMs: number,
+        room: BodyRoom,
+    ): Task<Buffer> {
         const refusal = new StopRefusal(this.options.plannedStop, deadlineMs);
         try {
             refusal.check();
-            const promises = [readBody(request, maxBytes), refusal.refused];
+            const promises = [readBody(request, maxBytes, room), refusal.refused];
             const early = yield* waitFor(Promise.race([...promises, waitForPendingInput()])); // mostly with the head
             const body = early ?? (yield* this.waitForBody(promises, deadlineMs));
             refusal.check();
@@ -294,6 +323,12 @@
 /** Limits a duration to what timers accept: a server with another one throws at its next response. */
 const toTimerMs = (durationMs: number): number => Math.min(maxTimerMs, Math.max(0, durationMs));
 
+interface PrepareOptions {
+    readonly arrivedMs: number;
+    readonly trace: AdmissionTrace;
+    readonly onHold: BodyRoom["onHold"];
+}
+
 interface EndedExchange {
     readonly response: ServerResponse;
     readonly arrivedMs: number;
--- a/src/http/HttpListener.ts
+++ b/src/http/HttpListener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { ConnectionErrors } from "./ConnectionErrors";
+import { ConnectionLimit } from "./ConnectionLimit";
 import { PacedRequest } from "./PacedRequest";
 import { PipelineLimit } from "./PipelineLimit";
 
@@ -17,6 +18,8 @@
     readonly port: number;
     /** Handles one request. */
     readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+    /** Connections that may be open at the same time; default: no limit. */
+    readonly maxConnections?: number;
     /** Options of the Node.js server; default: none. */
     readonly serverOptions?: Omit<ServerOptions, "IncomingMessage">;
 }
@@ -27,12 +30,19 @@
     readonly server: Server;
     private readonly connectionErrors = new ConnectionErrors();
     private readonly pipelineLimit = new PipelineLimit();
+    /** Undefined where the connections have no limit. */
+    readonly connectionLimit: ConnectionLimit | undefined;
 
     constructor(private readonly options: HttpListenerOptions) {
         this.server = createServer(
             { ...options.serverOptions, IncomingMessage: PacedRequest },
             (request, response) => this.receive(request, response),
         );
+        const { maxConnections } = options;
+        this.connectionLimit = maxConnections === undefined
+            ? undefined
+            : new ConnectionLimit({ maxConnections });
+        this.server.on("connection", (socket: Socket) => this.connectionLimit?.add(socket));
         this.server.on(
             "clientError",
             (error, socket) => this.connectionErrors.handle(error, socket as Socket),
@@ -77,6 +87,7 @@
         response.on("error", () => response.destroy());
         const openCount = this.connectionErrors.trackRequest(request, response);
         this.pipelineLimit.apply(request, response, openCount);
+        this.connectionLimit?.track(request, response);
         this.options.onRequest(request, response);
     }
 }
--- a/src/operators/OperatorApi.ts
+++ b/src/operators/OperatorApi.ts
@@ -5,9 +5,10 @@
 import { parseJson } from "../_lib/parseJson";
 import { parseWithSchema } from "../_lib/parseWithSchema";
 import { readBearerKey } from "../callers/readBearerKey";
-import { readBody } from "../callers/readBody";
+import { readExchangeBody } from "../callers/readExchangeBody";
 import { sendJsonResponse } from "../callers/sendJsonResponse";
 import type { Exchange } from "../callers/Exchange";
+import type { HeldBytes } from "../http/HeldBytes";
 import type { ReplicatedConfiguration } from "../configuration/ReplicatedConfiguration";
 import type { ConfigurationStore } from "../configuration/ConfigurationStore";
 import { parseDeclaration } from "../declaration/parseDeclaration";
@@ -26,6 +27,8 @@
     /** Hashes of the operators' tokens, in hexadecimal. */
     readonly tokenHashes: readonly string[];
     readonly maxBodyBytes: number;
+    /** What callers make the process hold. */
+    readonly heldBytes: HeldBytes;
     readonly configuration: ReplicatedConfiguration;
     readonly store: ConfigurationStore;
     readonly membership: Membership;
@@ -90,7 +93,7 @@
 
     /** Validates a configuration change and, unless it is a dry run, applies it. */
     private *applyConfiguration(exchange: Exchange): Task<void> {
-        const bytes = yield* waitFor(readBody(exchange.request, this.options.maxBodyBytes));
+        const bytes = yield* waitFor(readExchangeBody(exchange, this.options));
         const change = parseJson(bytes.toString("utf8"))
             .chain(document =>
                 parseWithSchema(applySchema, document).mapLeft(problems =>
--- a/src/results/resultCodes.ts
+++ b/src/results/resultCodes.ts
@@ -168,6 +168,13 @@
         "not-run",
         "Upstreams crash under this request, or under requests with a part of its prompt.",
     ),
+    callerMemoryLimit: define(
+        1214,
+        "caller-memory-limit",
+        503,
+        "not-run",
+        "The node holds as many bytes of callers' requests as it may.",
+    ),
     upstreamFailed: define(
         1301,
         "upstream-failed",
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -36,6 +36,17 @@
     }).strict().default({}),
     /** Window over which an account's rate and burst are counted. */
     quotaWindowMs: positiveMs.default(8_000),
+    /** Bounds on what callers make the process hold. */
+    limits: z.object({
+        /** Bytes of requests that are read, or wait to be answered. */
+        maxHeldBytes: z.number().int().positive().default(67_108_864),
+        /** Bytes of answers that are collected before they are sent. */
+        maxAnswerBytes: z.number().int().positive().default(67_108_864),
+        /** Connections of callers. */
+        maxCallerConnections: z.number().int().positive().default(4_000),
+        /** Connections that ask for metrics, for the readiness or for entries, for each of these. */
+        maxCheckConnections: z.number().int().positive().default(400),
+    }).strict().default({}),
     /** Bounds on software versions that a roll-out has not proved yet. */
     rollouts: z.object({
         /** Share of a service's requests that such a version may get. */
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -37,6 +37,10 @@
         maxBodyBytes: z.number().int().positive().default(1_048_576),
         maxHeaderBytes: z.number().int().positive().default(16_384),
         maxPeerFrameBytes: z.number().int().positive().default(4_194_304),
+        /** Bytes of requests that callers may make the node hold until they are answered. */
+        maxHeldBytes: z.number().int().positive().default(67_108_864),
+        /** Connections of callers and operators. */
+        maxConnections: z.number().int().positive().default(4_000),
         /** Maximum memory for running and finished streams. */
         maxStreamBytes: z.number().int().positive().default(134_217_728),
         maxQueuedRequests: z.number().int().positive().default(2_000),
--- a/src/telemetry/MetricsServer.ts
+++ b/src/telemetry/MetricsServer.ts
@@ -8,13 +8,15 @@
     readonly host: string;
     readonly port: number;
     readonly registry: Registry;
+    /** Connections that may be open at the same time; default: no limit. */
+    readonly maxConnections?: number;
 }
 
 /** Serves the metrics in Prometheus text format on a separate address, under any path. */
 export class MetricsServer {
     private readonly listener: HttpListener;
 
-    constructor({ host, port, registry }: MetricsServerOptions) {
+    constructor({ host, port, registry, maxConnections }: MetricsServerOptions) {
         const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
             request.resume();
             registry.metrics().then(
@@ -28,7 +30,7 @@
                 },
             );
         };
-        this.listener = new HttpListener({ host, port, onRequest });
+        this.listener = new HttpListener({ host, port, maxConnections, onRequest });
     }
 
     async start(): Promise<void> {
