--- a/src/callers/holdParsedFields.ts
+++ b/src/callers/holdParsedFields.ts
@@ -15,7 +15,7 @@
  * @throws FailureError if there is no room for it
  */
 export const holdParsedFields = (exchange: Exchange, body: Buffer): void => {
-    if (exchange.hold?.grow(countJsonFields(body) * bytesPerField) === false) {
+    if (exchange.hold?.take(countJsonFields(body) * bytesPerField) === false) {
         const message = "the node has no room for the fields of the body";
         throw new FailureError(createFailure(resultCodes.callerMemoryLimit, message, { retryAfterMs }));
     }
--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -51,13 +51,13 @@
     if (room && (length === undefined || declaredBytes > 0)) {
         const { held, owner, onHold } = room;
         const bytes = length === undefined ? Math.min(pieceBytes, maxBytes) : declaredBytes;
-        const hold = await held.hold({ owner, bytes, onGivenUp: () => reader.giveUp() });
+        const hold = await held.hold({ owner, bytes, onGivenUp: () => reader.abort() });
         if (!hold) {
             request.resume();
             throw createRoomFailure();
         }
         onHold(hold);
-        reader.useHold(hold, bytes);
+        reader.adoptHold(hold, bytes);
     }
     return reader.read();
 };
@@ -72,13 +72,13 @@
     constructor(private readonly request: IncomingMessage, private readonly maxBytes: number) {}
 
     /** Counts the body with what is held for it, which grows with the body. */
-    useHold(hold: Hold, bytes: number): void {
+    adoptHold(hold: Hold, bytes: number): void {
         this.hold = hold;
         this.heldBytes = bytes;
     }
 
     /** Ends the reading, as the body has stood still and its room is needed. */
-    giveUp(): void {
+    abort(): void {
         this.refuse(createFailureError("bodyTimeout", "the body stood still while others needed the memory"));
     }
 
@@ -111,7 +111,7 @@
             this.refuse(createFailureError("bodyTooLarge", message));
             return;
         }
-        if (!this.growTo(length)) {
+        if (!this.reserveUpTo(length)) {
             this.refuse(createRoomFailure());
             return;
         }
@@ -119,14 +119,14 @@
         this.body.append(chunk);
     }
 
-    private growTo(length: number): boolean {
+    private reserveUpTo(length: number): boolean {
         if (!this.hold || length <= this.heldBytes) {
             return true;
         }
         const bytes = Math.max(length - this.heldBytes, Math.min(pieceBytes, this.maxBytes - this.heldBytes));
-        const hasGrown = this.hold.grow(bytes);
-        this.heldBytes += hasGrown ? bytes : 0;
-        return hasGrown;
+        const hasRoom = this.hold.take(bytes);
+        this.heldBytes += hasRoom ? bytes : 0;
+        return hasRoom;
     }
 
     /** Refuses the request; what follows of the body is dropped. */
--- a/src/http/HeldBytes.test.ts
+++ b/src/http/HeldBytes.test.ts
@@ -35,7 +35,7 @@
     // Guards against a single proper request that is refused since it is large.
     it("serves a single request of any size, also with very many fields", async () => {
         const single = await hold("a", maxBytes * 2);
-        expect(single!.grow(maxBytes)).toBe(true);
+        expect(single!.take(maxBytes)).toBe(true);
         expect(await Promise.race([hold("b", smallBytes), Promise.resolve("waits")])).toBe("waits");
         single!.release();
         expect(held.used).toBe(smallBytes);
@@ -66,7 +66,7 @@
     });
 
     // Guards against bytes that are counted twice or never given back.
-    it("counts what is held, in whatever order requests grow and end", async () => {
+    it("counts what is held, in whatever order requests take more and end", async () => {
         const action = fc.record({
             owner: fc.nat(3),
             bytes: fc.nat(3_000_000),
@@ -82,7 +82,7 @@
                     ? await Promise.race([all.hold(request), Promise.resolve(undefined)])
                     : undefined;
                 holds.push(...(taken ? [taken] : []));
-                holds.at(index % Math.max(1, holds.length))?.[kind === 1 ? "grow" : "markProgress"](bytes);
+                holds.at(index % Math.max(1, holds.length))?.[kind === 1 ? "take" : "markProgress"](bytes);
                 if (kind === 2) {
                     holds.splice(index, 1)[0]?.release();
                 }
--- a/src/http/HeldBytes.ts
+++ b/src/http/HeldBytes.ts
@@ -10,7 +10,7 @@
 /** Bytes that the process holds for one request. */
 export interface Hold {
     /** Holds more bytes; returns false, and holds no more, if there is no room. */
-    grow(bytes: number): boolean;
+    take(bytes: number): boolean;
     /** Records that bytes of the request have arrived. */
     markProgress(): void;
     /** Records that the whole request has arrived; it is not given up from then on. */
@@ -44,7 +44,7 @@
 const stallMs = 1_000; // a request that brings no bytes for so long is given up where others need the room
 const maxWaitMs = 1_000;
 const maxWaiting = 64; // what each of them has sent already waits in a buffer of 64 KiB
-const recheckMs = 100;
+const sweepMs = 100;
 
 /**
  * Bounds the bytes that callers make the process hold before their requests are answered. An owner may hold as much as is left
@@ -56,7 +56,7 @@
     private readonly waiting: Waiter[] = [];
     private readonly byOwner = new Map<string, number>();
     private usedBytes = 0;
-    private isRechecking = false;
+    private isSweeping = false;
     /** Requests that were refused, and those that were given up, since the start. */
     readonly counts = { refused: 0, givenUp: 0 };
 
@@ -91,7 +91,7 @@
         const held = new Promise<Hold | undefined>(resolve =>
             this.waiting.push({ ...request, resolve, untilMs })
         );
-        this.startRechecking();
+        this.startSweeping();
         return held;
     }
 
@@ -104,7 +104,7 @@
         this.holds.add(state);
         this.add(state, request.bytes);
         return {
-            grow: bytes => this.grow(state, bytes),
+            take: bytes => this.take(state, bytes),
             markProgress: () => {
                 state.progressMs = this.options.clock.readMonotonicMs();
             },
@@ -125,7 +125,7 @@
         return ownBytes + bytes <= freeBytes || this.usedBytes === 0;
     }
 
-    private grow(state: HoldState, bytes: number): boolean {
+    private take(state: HoldState, bytes: number): boolean {
         const isAlone = this.usedBytes === state.held;
         if (!this.holds.has(state) || !(isAlone || this.hasRoom(state.owner, bytes))) {
             return false;
@@ -170,23 +170,23 @@
         }
     }
 
-    private startRechecking(): void {
-        if (!this.isRechecking) {
-            this.isRechecking = true;
-            void this.recheck();
+    private startSweeping(): void {
+        if (!this.isSweeping) {
+            this.isSweeping = true;
+            void this.sweep();
         }
     }
 
-    private async recheck(): Promise<void> {
+    private async sweep(): Promise<void> {
         while (this.waiting.length > 0) {
-            this.giveUpStalled();
+            this.abortStalled();
             this.admitWaiting();
-            await this.options.clock.sleep(recheckMs);
+            await this.options.clock.sleep(sweepMs);
         }
-        this.isRechecking = false;
+        this.isSweeping = false;
     }
 
-    private giveUpStalled(): void {
+    private abortStalled(): void {
         const latestMs = this.options.clock.readMonotonicMs() - stallMs;
         for (const state of this.holds) {
             if (!state.isComplete && state.progressMs <= latestMs) {
