Learn what requests cost and how fast upstreams are, and place by it where the setting asks for it

Wish of the operators: requests that look alike cost different amounts. A node learns the time of a request by route, size and account, and how many times as long each upstream takes; work outstanding travels as one counter an upstream in the sums. With the setting placement = work the load of an upstream is its requests (3/4) and outstanding work (1/4), times its slowness.

Roll-outs use 0.9 of the exposure share (0.8 before).

--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -3,11 +3,14 @@
 import { soleVersionsName } from "../origins/SoleVersions";
 import { streamOriginsName } from "../origins/StreamOrigins";
 import { BoundedAffinityPolicy } from "../placement/BoundedAffinityPolicy";
+import type { PlacementPolicy } from "../placement/types";
 import { instanceRegistryName } from "../placement/InstanceRegistry";
 import { crashQuarantineName } from "../quarantine/CrashQuarantine";
 import { quotaLimiterName } from "../quotas/QuotaLimiter";
 import { retryBudgetsName } from "../retries/RetryBudgets";
 import { rolloutTrackerName } from "../rollouts/RolloutTracker";
+import { workBalanceName } from "../scheduling/WorkBalance";
+import { WorkPlacementPolicy } from "../scheduling/WorkPlacementPolicy";
 import { servingStateName } from "../routes/ServingState";
 import { plannedStopName } from "../stopping/PlannedStop";
 import { eventLogName } from "../telemetry/EventLog";
@@ -31,7 +34,8 @@
     protocol: options.platform.protocol,
     servingState: find(servingStateName),
     instances: find(instanceRegistryName),
-    placement: new BoundedAffinityPolicy({ random: options.random }),
+    placement: createPlacement(find, options),
+    work: find(workBalanceName),
     quotas: find(quotaLimiterName),
     quarantine: find(crashQuarantineName),
     origins: find(streamOriginsName),
@@ -42,3 +46,10 @@
     usage: find(usageLedgerName),
     answerMemory: new AnswerMemory(options.settings.limits.maxAnswerBytes),
 });
+
+const createPlacement = (find: FindService, { settings, random }: ServingNodeOptions): PlacementPolicy => {
+    const policy = new BoundedAffinityPolicy({ random });
+    return settings.placement === "work"
+        ? new WorkPlacementPolicy({ balance: find(workBalanceName), policy })
+        : policy;
+};
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -26,6 +26,7 @@
 import { isPoller } from "../membership/isPoller";
 import { rankReaders } from "../membership/rankReaders";
 import { ConfigurationKeeper, configurationKeeperName } from "../routes/ConfigurationKeeper";
+import { WorkBalance, workBalanceName } from "../scheduling/WorkBalance";
 import { ServingState, servingStateName } from "../routes/ServingState";
 import { PlannedStop, plannedStopName } from "../stopping/PlannedStop";
 import { EventLog, eventLogName } from "../telemetry/EventLog";
@@ -154,6 +155,12 @@
     registerOrigins(kernel, options);
     registerQuarantine(kernel, options);
     registerRolloutTracker(kernel, options);
+    kernel.register({
+        name: workBalanceName,
+        requires: [clusterSumsName],
+        create: find =>
+            new WorkBalance({ clock, sums: find(clusterSumsName), isShared: settings.placement === "work" }),
+    });
     kernel.register({
         name: quotaLimiterName,
         requires: [clusterSumsName, readinessName, servingStateName],
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -7,6 +7,7 @@
 import type { PlannedStop } from "../stopping/PlannedStop";
 import type { RetryBudgets } from "../retries/RetryBudgets";
 import type { RolloutTracker } from "../rollouts/RolloutTracker";
+import type { WorkBalance } from "../scheduling/WorkBalance";
 import type { ServingState } from "../routes/ServingState";
 import type { EventLog } from "../telemetry/EventLog";
 import type { ForwardMetrics } from "../telemetry/ForwardMetrics";
@@ -30,6 +31,7 @@
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly soleVersions: Pick<SoleVersions, "find">;
     readonly rollouts: Pick<RolloutTracker, "chooseVersions" | "beginAttempt">;
+    readonly work: Pick<WorkBalance, "begin">;
     readonly retryBudgets: RetryBudgets;
     readonly plannedStop: PlannedStop;
     readonly usage: UsageLedger;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -27,6 +27,7 @@
 import type { AttemptOutcome } from "../rollouts/classifyAttempt";
 import type { RolloutAttempt } from "../rollouts/RolloutAttempt";
 import type { VersionChoice } from "../rollouts/VersionChoice";
+import type { WorkRequest } from "../scheduling/types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
@@ -251,6 +252,7 @@
             isWanted: isConfirmed => this.dispatchCheck.isWanted(upstream, isConfirmed),
         });
         context.instances.beginRequest(upstream);
+        const work = context.work.begin(upstream.instance.id, this.describeWork());
         let result: AttemptResult | undefined;
         try {
             result = yield* this.receiveAnswer(upstream, exchange, sentMs);
@@ -264,12 +266,19 @@
                 this.versions?.markUnsent(upstream);
             }
             const eventCount = (this.responseRelay.lastEventId ?? 0) - firstEventId;
+            work.end(result?.kind === "answered");
             this.attempt?.end(toOutcomeKind(result), this.recorder.trace.status, eventCount);
             const isUnanswered = exchange.isSent && isGivenUp(result);
             context.instances.endRequest(upstream, isUnanswered ? sentMs : undefined);
         }
     }
 
+    private describeWork(): WorkRequest {
+        const { route, service, account, metadata } = this.options.admitted;
+        const { promptTokens, outputTokens } = metadata;
+        return { service, route: route.name, account: account?.name, promptTokens, outputTokens };
+    }
+
     private createHeaders(upstream: TrackedInstance): string[] {
         const { context, request, admitted } = this.options;
         return context.protocol.encodeCall(request.rawHeaders, {
--- a/src/forwarding/UpstreamSelection.ts
+++ b/src/forwarding/UpstreamSelection.ts
@@ -38,11 +38,11 @@
      * @param options - whether upstreams with a free slot are preferred; default false
      */
     choose({ prefersRoom = false } = {}): SelectedUpstream | undefined {
-        const { instances, placement, affinityKey } = this.options;
+        const { instances, placement, service, affinityKey } = this.options;
         const untried = this.listUntried();
         const views = instances.createViews(untried);
         const withRoom = prefersRoom ? views.filter(hasRoom) : [];
-        const view = placement.choose({ affinityKey }, withRoom.length > 0 ? withRoom : views);
+        const view = placement.choose({ service, affinityKey }, withRoom.length > 0 ? withRoom : views);
         const upstream = untried.find(({ instance }) => instance.id === view?.id);
         return view && upstream && { upstream, load: view.inFlight };
     }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -14,6 +14,8 @@
 
 /** Data of one request for a placement decision. */
 export interface PlacementRequest {
+    /** Service of the request. */
+    readonly service: string;
     /** Key that is equal for requests with a common prompt prefix; undefined for requests without a prompt. */
     readonly affinityKey: string | undefined;
 }
--- a/src/rollouts/ExposureBudget.ts
+++ b/src/rollouts/ExposureBudget.ts
@@ -6,7 +6,7 @@
     readonly slack: number;
 }
 
-const usedShare = 0.8; // of what is allowed; answers that another node or the caller gives up may count elsewhere
+const usedShare = 0.9; // of what is allowed; answers that another node or the caller gives up may count elsewhere
 const maxSaved = 3; // requests; a route that was quiet must not be followed by a burst
 
 /**
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -47,6 +47,8 @@
         /** Connections that ask for metrics, for the readiness or for entries, for each of these. */
         maxCheckConnections: z.number().int().positive().default(400),
     }).strict().default({}),
+    /** What the load of an upstream is measured by: its requests, or the work that they are estimated to cost. */
+    placement: z.enum(["requests", "work"]).default("requests"),
     /** Bounds on software versions that a roll-out has not proved yet. */
     rollouts: z.object({
         /** Share of a service's requests that such a version may get. */
