Read the record of a roll-out from the store where a node does not hear of the others

A node that is cut off from the members, and not from the store, was stuck on trial: after the completion only upstreams of the version are left, which it must not try while it is not informed, so that it refused all requests until its members counted as gone (20 s).

--- a/src/daemon/registerRollouts.ts
+++ b/src/daemon/registerRollouts.ts
@@ -21,7 +21,7 @@
  */
 export const registerRolloutTracker = (
     kernel: Kernel,
-    { settings, clock, random }: ServingNodeOptions,
+    { settings, platform, clock, random }: ServingNodeOptions,
 ): void => {
     kernel.register({
         name: rolloutTrackerName,
@@ -39,6 +39,7 @@
                 sums: find(clusterSumsName),
                 instances: find(instanceRegistryName),
                 readiness: find(readinessName),
+                tables: platform.tables,
                 bounds: settings.rollouts,
                 clock,
                 random,
--- a/src/rollouts/RolloutKeeper.ts
+++ b/src/rollouts/RolloutKeeper.ts
@@ -16,7 +16,7 @@
 import { createRolloutRecord } from "./createRolloutRecord";
 import { isNewerRecord } from "./isNewerRecord";
 import { planRollout, type RolloutStep } from "./planRollout";
-import { rolloutRecordSchema } from "./rolloutRecordSchema";
+import { recordsTable, rolloutRecordSchema } from "./rolloutRecordSchema";
 import type { RolloutState } from "./RolloutState";
 import type { RolloutTracker } from "./RolloutTracker";
 import { type RolloutOrder, rolloutPhases, type RolloutRecord } from "./types";
@@ -44,7 +44,6 @@
     readonly record: RolloutRecord | undefined;
 }
 
-const recordsTable = "rollouts";
 const cycleMs = 250;
 
 /**
--- a/src/rollouts/RolloutTracker.ts
+++ b/src/rollouts/RolloutTracker.ts
@@ -7,6 +7,7 @@
 import type { GossipMap } from "../peers/GossipMap";
 import type { InstanceRegistry } from "../placement/InstanceRegistry";
 import type { TrackedInstance } from "../placement/createTrackedInstance";
+import type { TableService } from "../platform/types";
 import type { OperatorRecord } from "../routes/types";
 import type { ClusterSums } from "../sums/ClusterSums";
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
@@ -15,7 +16,7 @@
 import { isNewerRecord } from "./isNewerRecord";
 import { RolloutAttempt } from "./RolloutAttempt";
 import type { RolloutCounters, RolloutSums } from "./RolloutCounters";
-import { rolloutRecordSchema } from "./rolloutRecordSchema";
+import { recordsTable, rolloutRecordSchema } from "./rolloutRecordSchema";
 import { RolloutState } from "./RolloutState";
 import { type RolloutBounds, type RolloutOrder, rolloutPhases, type RolloutRecord } from "./types";
 import { VersionChoice } from "./VersionChoice";
@@ -27,6 +28,7 @@
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
     readonly instances: Pick<InstanceRegistry, "listInService" | "countOwnInFlight">;
     readonly readiness: Pick<Readiness, "countLive" | "countPresumedLive">;
+    readonly tables: Pick<TableService, "read">;
     readonly bounds: RolloutBounds;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -39,6 +41,7 @@
 const presenceGroup = "rollouts-now";
 const gossipPrefix = "rollout/";
 const evaluationMs = 250; // as often as the sums change
+const storeReadMs = 1_000; // between two readings of a node that the others do not tell
 const minPresentShare = 0.6; // of the nodes, without whose answers a node cannot tell that a version is bad
 
 /**
@@ -51,6 +54,8 @@
     private readonly states = new Map<string, RolloutState>();
     private orders: ReadonlyMap<string, RolloutOrder> = new Map();
     private isEvaluating = false;
+    /** Monotonic time at which this node last read a roll-out from the store, in milliseconds, by service. */
+    private readonly storeReadAtMs = new Map<string, number>();
 
     constructor(private readonly options: RolloutTrackerOptions) {
         this.scope = createLoggedTaskScope(options.events);
@@ -213,6 +218,9 @@
                 return;
             }
             active.forEach(state => this.judge(state));
+            for (const state of active.filter(({ isInformed }) => !isInformed)) {
+                yield* this.readStored(state);
+            }
             yield* waitFor(this.options.clock.sleep(evaluationMs, signal));
         }
     }
@@ -231,6 +239,23 @@
         }
     }
 
+    /** Reads the record of a roll-out from the store, as the other nodes may not be able to tell of it. */
+    private *readStored({ record: { service } }: RolloutState): Task<void> {
+        const { tables, clock, events } = this.options;
+        const nowMs = clock.readMonotonicMs();
+        if (nowMs - (this.storeReadAtMs.get(service) ?? -Infinity) < storeReadMs) {
+            return;
+        }
+        this.storeReadAtMs.set(service, nowMs);
+        try {
+            const [row] = yield* waitFor(tables.read([{ table: recordsTable, key: service }]));
+            this.receive(row?.value);
+        }
+        catch (error) {
+            events.emit(eventKinds.storeFailed, { call: "read a roll-out", error: String(error) });
+        }
+    }
+
     /** Updates what the node tells of its requests at the other versions. */
     private updatePresence(state: RolloutState): void {
         const { service, version, phase } = state.record;
--- a/src/rollouts/rolloutRecordSchema.ts
+++ b/src/rollouts/rolloutRecordSchema.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 import { rolloutPhases, type RolloutRecord } from "./types";
 
+/** Table of the records, by service. */
+export const recordsTable = "rollouts";
+
 const numberSchema = z.number().finite();
 const versionsSchema = z.array(z.string());
 
