--- a/src/callers/callerCrowds.test.ts
+++ b/src/callers/callerCrowds.test.ts
@@ -1,18 +1,18 @@
 import { execFile } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { promisify } from "node:util";
 import type { CrowdedEntry } from "../../standins/crowdedEntryProcess";
 import { ChildProcessHandle } from "../../standins/ChildProcessHandle";
 import { pause } from "../../standins/pause";
+import { readResidentMb } from "../../standins/readResidentMb";
 import { CallerCrowd, type CrowdMember } from "../../standins/platform/CallerCrowd";
 
 const maxResidentMb = 320; // the node and its stand-ins
 const limits = { maxHeldBytes: 33_554_432, maxConnections: 1_000 };
 const bodyBytes = 1_000_000;
 const missingBytes = 2_000;
-const kibPerMb = 1_024;
 const settleMs = 2_000; // in which a crowd has sent what is taken from it
 const samplePauseMs = 50;
 const repository = join(__dirname, "..", "..");
@@ -101,10 +101,7 @@
         await child.stop();
     });
 
-    const readMemoryMb = (): number => {
-        const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-        return Number(/VmRSS:\s+(\d+) kB/.exec(status)![1]) / kibPerMb;
-    };
+    const readMemoryMb = (): number => readResidentMb(child.pid);
 
     const isServed = async (): Promise<boolean> => {
         const response = await fetch(`http://${child.readyMessage.address}/v1/chat/completions`, {
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -7,6 +7,7 @@
 import type { TrackedInstance } from "../placement/createTrackedInstance";
 import type { UpstreamExchange } from "../upstreams/UpstreamExchange";
 import type { AdmittedRequest } from "./admitRequest";
+import { AttemptAccounts } from "./AttemptAccounts";
 import { ResponseRelay } from "./ResponseRelay";
 import { StreamBinding } from "./StreamBinding";
 import { computeFailoverDelayMs } from "./computeFailoverDelayMs";
@@ -24,10 +25,6 @@
 import { RequestInterrupt } from "./RequestInterrupt";
 import { minRemainingMs, RetryPlanner } from "./RetryPlanner";
 import type { AttemptResult, FailedAttemptResult, ResponseMetadata } from "./types";
-import type { AttemptOutcome } from "../rollouts/classifyAttempt";
-import type { RolloutAttempt } from "../rollouts/RolloutAttempt";
-import type { VersionChoice } from "../rollouts/VersionChoice";
-import type { WorkRequest } from "../scheduling/types";
 import { UpstreamSelection } from "./UpstreamSelection";
 import { type ResponseStartOutcome, waitForResponseStart } from "./waitForResponseStart";
 
@@ -57,14 +54,11 @@
     private readonly responseRelay: ResponseRelay;
     private readonly deadlineMs: number;
     private readonly binding: StreamBinding;
-    /** Chooses the versions of upstreams during a roll-out; undefined if there is none. */
-    private readonly versions: VersionChoice | undefined;
     private readonly selection: UpstreamSelection;
     private readonly traits: ForwardTraits;
     private readonly crashWatch: CrashWatch;
     private readonly retryPlanner: RetryPlanner;
-    /** Times the present attempt during a roll-out. */
-    private attempt: RolloutAttempt | undefined;
+    private readonly accounts: AttemptAccounts;
     private readonly dispatchCheck: DispatchCheck;
 
     constructor(private readonly options: RequestForwarderOptions) {
@@ -78,17 +72,24 @@
         const { service, origin } = admitted;
         const { instances, placement } = context;
         this.binding = new StreamBinding({ instances, service, origin });
-        this.versions = context.rollouts.chooseVersions(service, admitted.route.name);
+        const versions = context.rollouts.chooseVersions(service, admitted.route.name);
         this.selection = new UpstreamSelection({
             instances,
             placement,
             service,
             affinityKey: createAffinityKey(admitted.metadata.promptParts),
             binding: this.binding,
-            versions: this.versions,
+            versions,
             findSuspect: () => this.crashWatch.findSuspect(),
         });
         this.recorder = new ForwardRecorder(options);
+        this.accounts = new AttemptAccounts({
+            context,
+            admitted,
+            versions,
+            recorder: this.recorder,
+            readLastEventId: () => this.responseRelay.lastEventId,
+        });
         const { deadlineMs, binding, crashWatch, selection, recorder } = this;
         const interrupt = new RequestInterrupt({ response, clock, deadlineMs, plannedStop });
         this.interrupt = interrupt;
@@ -115,7 +116,7 @@
             interrupt,
             crashWatch,
             binding,
-            onFirstEvent: () => this.attempt?.observeFirstEvent(),
+            onFirstEvent: () => this.accounts.observeFirstEvent(),
             isResumableElsewhere: (upstream, idleMs) =>
                 this.retryPlanner.isResumableElsewhere(upstream, idleMs),
             memory,
@@ -240,9 +241,6 @@
         this.crashWatch.beginAttempt();
         this.selection.markTried(upstream);
         context.instances.renewSilent(upstream);
-        this.versions?.markSent(upstream);
-        this.attempt = context.rollouts.beginAttempt(upstream, this.options.admitted.route.name);
-        const firstEventId = this.responseRelay.lastEventId ?? 0;
         const sentMs = context.clock.readMonotonicMs();
         const exchange = upstream.client.send({
             method: request.method!,
@@ -252,7 +250,7 @@
             isWanted: isConfirmed => this.dispatchCheck.isWanted(upstream, isConfirmed),
         });
         context.instances.beginRequest(upstream);
-        const work = context.work.begin(upstream.instance.id, this.describeWork());
+        this.accounts.begin(upstream);
         let result: AttemptResult | undefined;
         try {
             result = yield* this.receiveAnswer(upstream, exchange, sentMs);
@@ -262,23 +260,12 @@
         }
         finally {
             exchange.abort("the attempt has ended");
-            if (!exchange.isSent) {
-                this.versions?.markUnsent(upstream);
-            }
-            const eventCount = (this.responseRelay.lastEventId ?? 0) - firstEventId;
-            work.end(result?.kind === "answered");
-            this.attempt?.end(toOutcomeKind(result), this.recorder.trace.status, eventCount);
+            this.accounts.end(upstream, result, exchange.isSent);
             const isUnanswered = exchange.isSent && isGivenUp(result);
             context.instances.endRequest(upstream, isUnanswered ? sentMs : undefined);
         }
     }
 
-    private describeWork(): WorkRequest {
-        const { route, service, account, metadata } = this.options.admitted;
-        const { promptTokens, outputTokens } = metadata;
-        return { service, route: route.name, account: account?.name, promptTokens, outputTokens };
-    }
-
     private createHeaders(upstream: TrackedInstance): string[] {
         const { context, request, admitted } = this.options;
         return context.protocol.encodeCall(request.rawHeaders, {
@@ -430,14 +417,6 @@
     }
 }
 
-/** What an attempt tells of its upstream's software version; undefined results are those of cut attempts. */
-const toOutcomeKind = (result: AttemptResult | undefined): AttemptOutcome["kind"] => {
-    if (result?.kind === "failed") {
-        return result.isSent && !result.isNotRun ? "failed" : "unsent";
-    }
-    return result?.kind ?? "interrupted";
-};
-
 /** Whether an attempt was ended by this node, and not by its upstream; undefined if it was cut. */
 const isGivenUp = (result: AttemptResult | undefined): boolean =>
     result === undefined || result.kind === "interrupted"
