Keep requests from a version on trial when another order replaces its own, before that one's record is known

Found when reading the change again: until the holder had written the new record, a node chose by the new order alone, and the version on trial counted as one of the others, with all of their traffic; with the store away for as long as that lasted. The five new cases of VersionChoice.test fail in two phases on the code before.

--- a/src/rollouts/RolloutTracker.ts
+++ b/src/rollouts/RolloutTracker.ts
@@ -136,8 +136,7 @@
         return new VersionChoice({
             version,
             route,
-            readState: () => this.findCurrent(service),
-            isInformed: () => this.findCurrent(service)?.isInformed ?? false,
+            readState: () => this.states.get(service),
             listInService: () => instances.listInService(service),
             exposureShare: bounds.exposureShare,
             random,
@@ -165,13 +164,6 @@
         });
     }
 
-    /** Returns the state of the roll-out that the present order is about; undefined before its record is known. */
-    private findCurrent(service: string): RolloutState | undefined {
-        const state = this.states.get(service);
-        const order = this.orders.get(service);
-        return order && state && state.record.version !== order.version ? undefined : state;
-    }
-
     private adoptOrders(records: ReadonlyMap<string, OperatorRecord> | undefined): void {
         const orders = [...records?.values() ?? []].filter(isOrder);
         this.orders = new Map(orders.map(order => [order.service, order]));
--- a/src/rollouts/VersionChoice.test.ts
+++ b/src/rollouts/VersionChoice.test.ts
@@ -47,7 +47,6 @@
         version: "v2",
         route: "r",
         readState: () => state,
-        isInformed: () => state?.isInformed ?? false,
         listInService: () => listed,
         exposureShare: bounds.exposureShare,
         random: new SeededRandom(seed),
@@ -89,6 +88,22 @@
         expect(createChoice(undefined, candidates).select(candidates, false)).toEqual(candidates);
     });
 
+    // Guards against an unproven version that counts as one of the others when an order replaces its own.
+    it.each<[RolloutPhase, boolean, string[]]>([
+        [rolloutPhases.trial, false, ["v1"]],
+        [rolloutPhases.moving, false, ["v1"]],
+        [rolloutPhases.rolledBack, false, ["v1"]],
+        [rolloutPhases.rolledBack, true, ["v1", "v3"]],
+        [rolloutPhases.completed, false, ["v1", "v3"]],
+    ])(
+        "knows the roll-out before, in the phase %s (refused: %s), until the order's own is known",
+        (phase, isRefused, versions) => {
+            const state = createState(createRecord(phase, { version: "v3", isRefused }));
+            const listed = [...all, createUpstream("m1", "v3")];
+            expect(listVersions(createChoice(state, listed).select(listed, false))).toEqual(versions);
+        },
+    );
+
     it("lets a stream go on at the version on trial", () => {
         const state = createState(createRecord(rolloutPhases.trial));
         expect(createChoice(state).select(candidates, true)).toEqual(candidates);
@@ -99,7 +114,9 @@
         ["rolled back", createRecord(rolloutPhases.rolledBack), ["v1"]],
         ["refused", createRecord(rolloutPhases.rolledBack, { isRefused: true }), ["v1", "v2"]],
         ["completed", createRecord(rolloutPhases.completed, { replaced: ["v1"] }), ["v2"]],
-        ["barred before", createRecord(rolloutPhases.completed, { version: "v3", barred: ["v2"] }), ["v1"]],
+        ["barred before", createRecord(rolloutPhases.completed, { version: "v3", barred: ["v2"] }), [
+            "v1",
+        ]],
     ])("selects by the end of the roll-out: %s", (_name, record, versions) => {
         expect(listVersions(createChoice(createState(record)).select(all, false))).toEqual(versions);
     });
--- a/src/rollouts/VersionChoice.ts
+++ b/src/rollouts/VersionChoice.ts
@@ -11,10 +11,8 @@
     readonly version: string;
     /** Route of the request. */
     readonly route: string;
-    /** Reads what is known of the roll-out; undefined before its record is known. */
+    /** Reads the newest roll-out that is known; it may be the one before the order's. */
     readonly readState: () => RolloutState | undefined;
-    /** Whether this node knows the answers of the others up to a moment ago. */
-    readonly isInformed: () => boolean;
     /** Lists the upstreams of the service that are not leaving, usable or not. */
     readonly listInService: () => readonly TrackedInstance[];
     /** Share of the requests that a version on trial may get. */
@@ -43,8 +41,8 @@
      * @param isBound - whether the request takes up a stream, or its stream has begun
      */
     select(usable: readonly TrackedInstance[], isBound: boolean): TrackedInstance[] {
-        const state = this.options.readState();
-        const allowed = usable.filter(upstream => !this.isBarred(upstream, state));
+        const state = this.readCurrent();
+        const allowed = usable.filter(upstream => !this.isBarred(upstream));
         switch (state?.record.phase) {
             case rolloutPhases.trial:
                 return this.selectOnTrial(state, allowed, isBound);
@@ -61,7 +59,7 @@
     /** Records that the request is being sent to an upstream. */
     markSent(upstream: TrackedInstance): void {
         this.sends += 1;
-        const state = this.options.readState();
+        const state = this.readCurrent();
         if (state && this.isCandidate(upstream)) {
             state.exposed += 1;
             state.budget.take();
@@ -70,25 +68,36 @@
 
     /** Records that the request did not reach the upstream after all. */
     markUnsent(upstream: TrackedInstance): void {
-        const state = this.options.readState();
+        const state = this.readCurrent();
         if (state && this.isCandidate(upstream)) {
             state.exposed -= 1;
             state.budget.restore();
         }
     }
 
+    /** Returns the roll-out that the order is about; undefined before its record is known. */
+    private readCurrent(): RolloutState | undefined {
+        const state = this.options.readState();
+        return state?.record.version === this.options.version ? state : undefined;
+    }
+
     private isCandidate({ instance }: TrackedInstance): boolean {
         return instance.softwareVersion === this.options.version;
     }
 
-    private isBarred({ instance }: TrackedInstance, state: RolloutState | undefined): boolean {
+    /** Whether an upstream's version was rolled back or replaced, or is one that another order now replaces on trial. */
+    private isBarred({ instance }: TrackedInstance): boolean {
+        const state = this.options.readState();
         if (!state) {
             return false;
         }
         const { phase, version, isRefused, barred, replaced } = state.record;
         const { softwareVersion = "" } = instance;
-        const isRolledBack = phase === rolloutPhases.rolledBack && !isRefused && softwareVersion === version;
-        return isRolledBack || barred.includes(softwareVersion) || replaced.includes(softwareVersion);
+        const isCurrent = version === this.options.version;
+        const isUnproven = phase === rolloutPhases.rolledBack
+            || (!isCurrent && phase !== rolloutPhases.completed);
+        return (isUnproven && !isRefused && softwareVersion === version) || barred.includes(softwareVersion)
+            || replaced.includes(softwareVersion);
     }
 
     private selectOnTrial(
@@ -97,7 +106,7 @@
         isBound: boolean,
     ): TrackedInstance[] {
         const others = allowed.filter(upstream => !this.isCandidate(upstream));
-        if (state.verdict.kind === "bad" || !this.options.isInformed()) {
+        if (state.verdict.kind === "bad" || !state.isInformed) {
             return others;
         }
         if (isBound) {
