--- a/demo/main.ts
+++ b/demo/main.ts
@@ -2,6 +2,7 @@
 import { DemoChecks } from "./DemoChecks";
 import { demoSetup } from "./demoSetup";
 import { runDemo } from "./runDemo";
+import { runRolloutDemo } from "./runRolloutDemo";
 
 /** Prints addresses and keys of the cluster as JSON, and keeps it running until SIGINT or SIGTERM. */
 const holdCluster = async (cluster: LocalCluster): Promise<void> => {
@@ -37,6 +38,7 @@
             return;
         }
         await runDemo(cluster, checks);
+        await runRolloutDemo(checks);
     }
     finally {
         await cluster.stop();
