Leave a version that turns bad while requests move to it, and count a request at the version once

Found when reading the change again: while the traffic moves, a request went to the bad version if no other upstream was usable; and a request that was not sent was taken back from the newest roll-out, which may be another one than it was counted in. Both cases have a test.

--- a/demo/runRolloutDemo.ts
+++ b/demo/runRolloutDemo.ts
@@ -25,7 +25,7 @@
  * @param checks - receives the outcome of each check
  */
 export const runRolloutDemo = async (checks: DemoChecks): Promise<void> => {
-    const [good, bad] = await Promise.all([playRollout(false), playRollout(true)]);
+    const [good, bad] = await Promise.all([runRollout(false), runRollout(true)]);
     const failed = good.answers.filter(({ status }) => status !== 200).length;
     checks.record(
         "a good version gets the traffic, and no request is lost",
@@ -39,7 +39,7 @@
     );
 };
 
-const playRollout = async (isBad: boolean): Promise<PlayedRollout> => {
+const runRollout = async (isBad: boolean): Promise<PlayedRollout> => {
     const testbed = new ServingTestbed();
     await testbed.start();
     try {
--- a/src/forwarding/AttemptAccounts.ts
+++ b/src/forwarding/AttemptAccounts.ts
@@ -52,14 +52,13 @@
     /**
      * Ends the attempt.
      *
-     * @param upstream - its upstream
      * @param result - its result; undefined if it was cut
      * @param isSent - whether any byte of the request may have reached the upstream
      */
-    end(upstream: TrackedInstance, result: AttemptResult | undefined, isSent: boolean): void {
+    end(result: AttemptResult | undefined, isSent: boolean): void {
         const { versions, recorder, readLastEventId } = this.options;
         if (!isSent) {
-            versions?.markUnsent(upstream);
+            versions?.markUnsent();
         }
         this.work?.end(result?.kind === "answered");
         const eventCount = (readLastEventId() ?? 0) - this.firstEventId;
--- a/src/forwarding/RequestForwarder.ts
+++ b/src/forwarding/RequestForwarder.ts
@@ -260,7 +260,7 @@
         }
         finally {
             exchange.abort("the attempt has ended");
-            this.accounts.end(upstream, result, exchange.isSent);
+            this.accounts.end(result, exchange.isSent);
             const isUnanswered = exchange.isSent && isGivenUp(result);
             context.instances.endRequest(upstream, isUnanswered ? sentMs : undefined);
         }
--- a/src/rollouts/RolloutState.ts
+++ b/src/rollouts/RolloutState.ts
@@ -25,8 +25,7 @@
     private phaseSinceMs: number;
     /** Whether the answers that most nodes got are known here up to a moment ago. */
     isInformed = false;
-    /** Requests that this node has sent to the version. */
-    exposed = 0;
+    private exposedCount = 0;
 
     /**
      * @param record - the roll-out
@@ -49,6 +48,11 @@
         });
     }
 
+    /** Requests that this node has sent to the version. */
+    get exposed(): number {
+        return this.exposedCount;
+    }
+
     get record(): RolloutRecord {
         return this.presentRecord;
     }
@@ -69,6 +73,18 @@
         return nowMs - this.phaseSinceMs;
     }
 
+    /** Counts a request that is sent to the version. */
+    countExposed(): void {
+        this.exposedCount += 1;
+        this.budget.take();
+    }
+
+    /** Takes a request back that did not reach an upstream. */
+    dropExposed(): void {
+        this.exposedCount -= 1;
+        this.budget.restore();
+    }
+
     /** Adopts a later phase of the same roll-out. */
     advance(record: RolloutRecord, nowMs: number): void {
         if (record.phase !== this.presentRecord.phase) {
--- a/src/rollouts/VersionChoice.test.ts
+++ b/src/rollouts/VersionChoice.test.ts
@@ -88,6 +88,33 @@
         expect(createChoice(undefined, candidates).select(candidates, false)).toEqual(candidates);
     });
 
+    // Guards against requests at a version that turns bad while the traffic moves, when no other upstream can be used.
+    it("leaves a version that turns bad while requests move to it", () => {
+        const state = createState(createRecord(rolloutPhases.moving));
+        for (let index = 0; index < 40; index += 1) {
+            state.counters.countBaseline("r", "good");
+            state.counters.countCandidate("r", `n${index % 2}`, "bad");
+        }
+        state.evaluate(state.counters.readSums([]));
+        expect(state.verdict.kind).toBe("bad");
+        expect(listVersions(createChoice(state).select(all, false))).toEqual(["v1"]);
+        expect(createChoice(state).select(candidates, false)).toEqual([]);
+    });
+
+    // Guards against requests that count as exposed though they never reached the version.
+    it("takes back a request that was not sent, once", () => {
+        const state = createState(createRecord(rolloutPhases.trial));
+        const before = state.budget.available;
+        const choice = createChoice(state);
+        choice.markSent(candidates[0]);
+        expect([state.exposed, state.budget.available]).toEqual([1, before - 1]);
+        choice.markUnsent();
+        choice.markUnsent();
+        choice.markSent(old[0]);
+        choice.markUnsent();
+        expect([state.exposed, state.budget.available]).toEqual([0, before]);
+    });
+
     // Guards against an unproven version that counts as one of the others when an order replaces its own.
     it.each<[RolloutPhase, boolean, string[]]>([
         [rolloutPhases.trial, false, ["v1"]],
--- a/src/rollouts/VersionChoice.ts
+++ b/src/rollouts/VersionChoice.ts
@@ -29,6 +29,8 @@
     /** Place of the request among those that move to the version, from 0 to 1. */
     private readonly place: number;
     private sends = 0;
+    /** Roll-out that counts the present attempt; undefined if its upstream is not of the version. */
+    private counted: RolloutState | undefined;
 
     constructor(private readonly options: VersionChoiceOptions) {
         this.place = options.random.drawFloat();
@@ -59,20 +61,14 @@
     /** Records that the request is being sent to an upstream. */
     markSent(upstream: TrackedInstance): void {
         this.sends += 1;
-        const state = this.readCurrent();
-        if (state && this.isCandidate(upstream)) {
-            state.exposed += 1;
-            state.budget.take();
-        }
+        this.counted = this.isCandidate(upstream) ? this.readCurrent() : undefined;
+        this.counted?.countExposed();
     }
 
-    /** Records that the request did not reach the upstream after all. */
-    markUnsent(upstream: TrackedInstance): void {
-        const state = this.readCurrent();
-        if (state && this.isCandidate(upstream)) {
-            state.exposed -= 1;
-            state.budget.restore();
-        }
+    /** Records that the request did not reach the upstream of its present attempt after all. */
+    markUnsent(): void {
+        this.counted?.dropExposed();
+        this.counted = undefined;
     }
 
     /** Returns the roll-out that the order is about; undefined before its record is known. */
@@ -140,9 +136,10 @@
             this.options.exposureShare,
             state.readPhaseAgeMs(this.options.readNowMs()) / moveMs,
         );
-        const isMoved = this.place < movedShare && state.verdict.kind !== "bad";
+        const isBad = state.verdict.kind === "bad";
+        const isMoved = this.place < movedShare && !isBad;
         const preferred = allowed.filter(upstream => this.isCandidate(upstream) === isMoved);
-        return preferred.length > 0 ? preferred : [...allowed];
+        return preferred.length > 0 || isBad ? preferred : [...allowed];
     }
 
     /** Before its record is known, the version gets requests only where no other one is listed, as after its completion. */
--- a/src/scheduling/WorkPlacementPolicy.test.ts
+++ b/src/scheduling/WorkPlacementPolicy.test.ts
@@ -49,7 +49,7 @@
 }
 
 /** Plays the load, and returns for how long requests waited for a place, by kind. */
-const playLoad = async (usesWork: boolean, seed: number): Promise<number[][]> => {
+const runLoad = async (usesWork: boolean, seed: number): Promise<number[][]> => {
     const clock = new FakeClock();
     const random = new SeededRandom(seed);
     const nodes: Node[] = [];
@@ -178,7 +178,7 @@
     it("makes fewer requests of each kind wait beyond their aim than the number of requests does", async () => {
         const late = { byRequests: kinds.map(() => 0), byWork: kinds.map(() => 0) };
         for (let seed = 1; seed <= seedCount; seed += 1) {
-            const played = { byRequests: await playLoad(false, seed), byWork: await playLoad(true, seed) };
+            const played = { byRequests: await runLoad(false, seed), byWork: await runLoad(true, seed) };
             for (const [kind] of kinds.entries()) {
                 late.byRequests[kind] += computeLateShare(played.byRequests[kind]) / seedCount;
                 late.byWork[kind] += computeLateShare(played.byWork[kind]) / seedCount;
