--- a/standins/platform/BundledProgram.ts
+++ b/standins/platform/BundledProgram.ts
@@ -24,6 +24,7 @@
 
 const repository = join(__dirname, "..", "..");
 const portCount = 4;
+const firstHost = 2; // last part of the address of the first process
 const metricsPort = 9_464; // as deployments have it
 
 /** The program, bundled from the present sources into a temporary folder. */
@@ -46,19 +47,23 @@
      * @param storeAddress - host and port of the platform's store
      * @param settings - further fields of the platform's settings
      * @param nodeArgs - arguments of Node.js; default: none
+     * @param index - number of the process among those that run at the same time; default 0
      * @returns the process
      */
     async start(
         storeAddress: string,
         settings: object = {},
         nodeArgs: readonly string[] = [],
+        index = 0,
     ): Promise<ProgramProcess> {
         const ports = (await findFreeAddresses(portCount)).map(address => address.split(":")[1]);
-        const ip = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}.2`;
+        const ip = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}.${
+            firstHost + index
+        }`;
         const [front, ready, directory] = ports.map(port => `${ip}:${port}`);
-        const file = join(this.folder, "settings.json");
+        const file = join(this.folder, `settings-${index}.json`);
         const fields = {
-            node: programNodeId,
+            node: index === 0 ? programNodeId : `${programNodeId}-${index}`,
             ip,
             zone: "zone-a",
             listen: { front, ready, directory },
