Learn costs only where placement uses them, and say once what a single request may hold, what a roll-out's id is and what is refused for memory

By default every request was estimated and learned from, though nothing reads it unless placement = work: that work is gone from the path of requests. The setting rollbackMs was read by nothing, since a node stops by what it hears of the others; it is removed. A request that is alone had its rule in two places of HeldBytes, the refusal for memory and the id of a roll-out stood twice, the list of active roll-outs four times; what a node does now was counted twice an interval. Behaviour stays, but for one case: a lone request under 16 KiB is held also where the whole limit is smaller than it.

--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -4,6 +4,7 @@
 import { createFailure } from "../results/createFailure";
 import { FailureError } from "../results/FailureError";
 import { resultCodes } from "../results/resultCodes";
+import { createCallerMemoryFailure } from "./createCallerMemoryFailure";
 
 /** Where the bytes of a body are counted. */
 export interface BodyRoom {
@@ -16,7 +17,7 @@
 
 const emptyBody = Buffer.alloc(0);
 const pieceBytes = 65_536; // held at a time for a body without a stated length
-const retryAfterMs = 1_000;
+const noRoomMessage = "the node holds as many bytes of callers' requests as it may";
 const closedMessage = "the connection closed before the end of the body";
 
 /**
@@ -54,7 +55,7 @@
         const hold = await held.hold({ owner, bytes, onGivenUp: () => reader.abort() });
         if (!hold) {
             request.resume();
-            throw createRoomFailure();
+            throw createCallerMemoryFailure(noRoomMessage);
         }
         onHold(hold);
         reader.adoptHold(hold, bytes);
@@ -112,7 +113,7 @@
             return;
         }
         if (!this.reserveUpTo(length)) {
-            this.refuse(createRoomFailure());
+            this.refuse(createCallerMemoryFailure(noRoomMessage));
             return;
         }
         this.hold?.markProgress();
@@ -141,12 +142,3 @@
 
 const createFailureError = (code: keyof typeof resultCodes, message: string): FailureError =>
     new FailureError(createFailure(resultCodes[code], message));
-
-const createRoomFailure = (): FailureError =>
-    new FailureError(
-        createFailure(
-            resultCodes.callerMemoryLimit,
-            "the node holds as many bytes of callers' requests as it may",
-            { retryAfterMs },
-        ),
-    );
--- a/src/daemon/createForwardContext.ts
+++ b/src/daemon/createForwardContext.ts
@@ -35,7 +35,7 @@
     servingState: find(servingStateName),
     instances: find(instanceRegistryName),
     placement: createPlacement(find, options),
-    work: find(workBalanceName),
+    work: options.settings.placement === "work" ? find(workBalanceName) : undefined,
     quotas: find(quotaLimiterName),
     quarantine: find(crashQuarantineName),
     origins: find(streamOriginsName),
--- a/src/daemon/registerServingServices.ts
+++ b/src/daemon/registerServingServices.ts
@@ -155,12 +155,13 @@
     registerOrigins(kernel, options);
     registerQuarantine(kernel, options);
     registerRolloutTracker(kernel, options);
-    kernel.register({
-        name: workBalanceName,
-        requires: [clusterSumsName],
-        create: find =>
-            new WorkBalance({ clock, sums: find(clusterSumsName), isShared: settings.placement === "work" }),
-    });
+    if (settings.placement === "work") {
+        kernel.register({
+            name: workBalanceName,
+            requires: [clusterSumsName],
+            create: find => new WorkBalance({ clock, sums: find(clusterSumsName) }),
+        });
+    }
     kernel.register({
         name: quotaLimiterName,
         requires: [clusterSumsName, readinessName, servingStateName],
--- a/src/forwarding/AttemptAccounts.ts
+++ b/src/forwarding/AttemptAccounts.ts
@@ -34,7 +34,7 @@
         const { promptTokens, outputTokens } = metadata;
         versions?.markSent(upstream);
         this.attempt = context.rollouts.beginAttempt(upstream, route.name);
-        this.work = context.work.begin(upstream.instance.id, {
+        this.work = context.work?.begin(upstream.instance.id, {
             service,
             route: route.name,
             account: account?.name,
--- a/src/forwarding/ForwardContext.ts
+++ b/src/forwarding/ForwardContext.ts
@@ -31,7 +31,8 @@
     readonly origins: Pick<StreamOrigins, "find" | "record">;
     readonly soleVersions: Pick<SoleVersions, "find">;
     readonly rollouts: Pick<RolloutTracker, "chooseVersions" | "beginAttempt">;
-    readonly work: Pick<WorkBalance, "begin">;
+    /** Undefined where placement does not look at what requests cost. */
+    readonly work: Pick<WorkBalance, "begin"> | undefined;
     readonly retryBudgets: RetryBudgets;
     readonly plannedStop: PlannedStop;
     readonly usage: UsageLedger;
--- a/src/http/HeldBytes.ts
+++ b/src/http/HeldBytes.ts
@@ -96,7 +96,7 @@
     }
 
     private tryHold(request: HoldRequest): Hold | undefined {
-        if (!this.hasRoom(request.owner, request.bytes)) {
+        if (!this.hasRoom(request.owner, request.bytes, 0)) {
             return undefined;
         }
         const progressMs = this.options.clock.readMonotonicMs();
@@ -115,19 +115,22 @@
         };
     }
 
-    private hasRoom(owner: string, bytes: number): boolean {
+    /** Whether a request may hold more bytes than those that it holds already; one that is alone always may. */
+    private hasRoom(owner: string, bytes: number, heldBytes: number): boolean {
         const { maxBytes } = this.options;
+        if (this.usedBytes === heldBytes) {
+            return true;
+        }
         if (bytes <= smallBytes) {
             return this.usedBytes + bytes <= maxBytes;
         }
         const freeBytes = maxBytes * largeShare - this.usedBytes;
         const ownBytes = this.byOwner.get(owner) ?? 0;
-        return ownBytes + bytes <= freeBytes || this.usedBytes === 0;
+        return ownBytes + bytes <= freeBytes;
     }
 
     private take(state: HoldState, bytes: number): boolean {
-        const isAlone = this.usedBytes === state.held;
-        if (!this.holds.has(state) || !(isAlone || this.hasRoom(state.owner, bytes))) {
+        if (!this.holds.has(state) || !this.hasRoom(state.owner, bytes, state.held)) {
             return false;
         }
         this.add(state, bytes);
--- a/src/rollouts/RolloutKeeper.test.ts
+++ b/src/rollouts/RolloutKeeper.test.ts
@@ -74,7 +74,7 @@
             instances,
             readiness,
             tables,
-            bounds: { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 },
+            bounds: { exposureShare: 0.1, exposureSlack: 50 },
             clock,
             random: new SeededRandom(1),
             events,
--- a/src/rollouts/RolloutKeeper.ts
+++ b/src/rollouts/RolloutKeeper.ts
@@ -85,8 +85,8 @@
     /** Lists the services that have an order, or a roll-out that is not over. */
     private listServices(): Set<string> {
         const { tracker } = this.options;
-        const active = tracker.listStates().filter(state => state.isActive);
-        return new Set([...tracker.listOrders().keys(), ...active.map(({ record }) => record.service)]);
+        const active = tracker.listActive().map(({ record }) => record.service);
+        return new Set([...tracker.listOrders().keys(), ...active]);
     }
 
     private readEra(): number {
--- a/src/rollouts/RolloutState.ts
+++ b/src/rollouts/RolloutState.ts
@@ -2,6 +2,7 @@
 import { sumCounts } from "./AnswerSeries";
 import { type AttemptOutcome, classifyAttempt, type LongestSteps } from "./classifyAttempt";
 import { ExposureBudget } from "./ExposureBudget";
+import { formatRolloutId } from "./formatRolloutId";
 import { RolloutCounters, type RolloutSums, timeMeasures } from "./RolloutCounters";
 import { type RolloutBounds, rolloutPhases, type RolloutRecord, type VersionVerdict } from "./types";
 import { VersionJudge } from "./VersionJudge";
@@ -41,7 +42,7 @@
     ) {
         this.presentRecord = record;
         this.phaseSinceMs = nowMs;
-        this.counters = new RolloutCounters(`${record.era}.${record.revision}`);
+        this.counters = new RolloutCounters(this.id);
         this.budget = new ExposureBudget({
             share: bounds.exposureShare,
             slack: bounds.exposureSlack * startSlackShare / nodes,
@@ -53,6 +54,11 @@
         return this.exposedCount;
     }
 
+    /** What tells the roll-out apart from others, the same on all nodes. */
+    get id(): string {
+        return formatRolloutId(this.presentRecord);
+    }
+
     get record(): RolloutRecord {
         return this.presentRecord;
     }
--- a/src/rollouts/RolloutTracker.ts
+++ b/src/rollouts/RolloutTracker.ts
@@ -13,6 +13,7 @@
 import { createLoggedTaskScope } from "../telemetry/createLoggedTaskScope";
 import type { EventLog } from "../telemetry/EventLog";
 import { eventKinds } from "../telemetry/eventKinds";
+import { formatRolloutId } from "./formatRolloutId";
 import { isNewerRecord } from "./isNewerRecord";
 import { RolloutAttempt } from "./RolloutAttempt";
 import type { RolloutCounters, RolloutSums } from "./RolloutCounters";
@@ -63,7 +64,10 @@
 
     async start(): Promise<void> {
         const { feed, gossip, sums } = this.options;
-        sums.registerContributor(presenceGroup, () => this.readOwn(({ presence }) => presence));
+        sums.registerContributor(presenceGroup, () => {
+            this.listActive().forEach(state => this.updatePresence(state));
+            return this.readOwn(({ presence }) => presence);
+        });
         sums.registerContributor(rolloutsGroup, () => this.readOwn(({ answers }) => answers));
         feed.records.onChange(records => this.adoptOrders(records));
         this.adoptOrders(feed.records.value);
@@ -94,6 +98,11 @@
         return [...this.states.values()];
     }
 
+    /** The roll-outs that are not over. */
+    listActive(): RolloutState[] {
+        return this.listStates().filter(state => state.isActive);
+    }
+
     /** Returns what is known of the newest roll-out of a service. */
     findState(service: string): RolloutState | undefined {
         return this.states.get(service);
@@ -183,7 +192,7 @@
             return;
         }
         const nowMs = clock.readMonotonicMs();
-        if (state && state.record.revision === record.revision && state.record.era === record.era) {
+        if (state?.id === formatRolloutId(record)) {
             state.advance(record, nowMs);
         }
         else {
@@ -196,7 +205,7 @@
     }
 
     private startEvaluation(): void {
-        if (!this.isEvaluating && this.listStates().some(state => state.isActive)) {
+        if (!this.isEvaluating && this.listActive().length > 0) {
             this.isEvaluating = true;
             this.scope.run("rollout-evaluation", signal => this.evaluate(signal));
         }
@@ -204,7 +213,7 @@
 
     private *evaluate(signal: AbortSignal): Task<void> {
         for (;;) {
-            const active = this.listStates().filter(state => state.isActive);
+            const active = this.listActive();
             if (active.length === 0 || signal.aborted) {
                 this.isEvaluating = false;
                 return;
@@ -261,9 +270,7 @@
     private readOwn(
         read: (counters: RolloutCounters) => ReadonlyMap<string, number>,
     ): ReadonlyMap<string, number> {
-        const active = this.listStates().filter(state => state.isActive);
-        active.forEach(state => this.updatePresence(state));
-        return new Map(active.flatMap(({ counters }) => [...read(counters)]));
+        return new Map(this.listActive().flatMap(({ counters }) => [...read(counters)]));
     }
 }
 
--- a/src/rollouts/VersionChoice.test.ts
+++ b/src/rollouts/VersionChoice.test.ts
@@ -9,7 +9,7 @@
 import { VersionChoice } from "./VersionChoice";
 
 const clock = new FakeClock();
-const bounds = { exposureShare: 0.1, exposureSlack: 50, rollbackMs: 5_000 };
+const bounds = { exposureShare: 0.1, exposureSlack: 50 };
 
 const createUpstream = (id: string, softwareVersion: string): TrackedInstance =>
     createTrackedInstance({ id, softwareVersion } as UpstreamInstance, {} as UpstreamClient);
--- a/src/rollouts/VersionChoice.ts
+++ b/src/rollouts/VersionChoice.ts
@@ -115,7 +115,7 @@
     }
 
     private listTrialUpstreams(
-        { record }: RolloutState,
+        { id }: RolloutState,
         allowed: readonly TrackedInstance[],
     ): TrackedInstance[] {
         const listed = this.options.listInService();
@@ -123,7 +123,7 @@
             instance.id
         );
         const selected = selectTrialUpstreams({
-            rolloutId: `${record.era}.${record.revision}`,
+            rolloutId: id,
             candidates,
             baselineCount: listed.length - candidates.length,
             share: this.options.exposureShare,
--- a/src/rollouts/types.ts
+++ b/src/rollouts/types.ts
@@ -63,8 +63,6 @@
     readonly exposureShare: number;
     /** Requests that it may get in addition. */
     readonly exposureSlack: number;
-    /** Time after which a version that was found bad must get no more requests, in milliseconds. */
-    readonly rollbackMs: number;
 }
 
 /** Answers of one kind of upstreams. */
--- a/src/scheduling/WorkBalance.ts
+++ b/src/scheduling/WorkBalance.ts
@@ -11,8 +11,6 @@
 export interface WorkBalanceOptions {
     readonly clock: Clock;
     readonly sums: Pick<ClusterSums, "registerContributor" | "readOthers">;
-    /** Whether the other nodes are told of this node's work. */
-    readonly isShared: boolean;
 }
 
 /** A request that is under way at an upstream. */
@@ -45,9 +43,7 @@
     constructor(private readonly options: WorkBalanceOptions) {}
 
     async start(): Promise<void> {
-        if (this.options.isShared) {
-            this.options.sums.registerContributor(workGroup, () => this.readOwn());
-        }
+        this.options.sums.registerContributor(workGroup, () => this.readOwn());
     }
 
     /**
--- a/src/scheduling/WorkPlacementPolicy.test.ts
+++ b/src/scheduling/WorkPlacementPolicy.test.ts
@@ -88,7 +88,6 @@
     let readOwn = (): ReadonlyMap<string, number> => new Map();
     const balance: WorkBalance = new WorkBalance({
         clock,
-        isShared: true,
         sums: {
             registerContributor: (_group, read) => {
                 readOwn = read;
--- a/src/settings/servingSettingsSchema.ts
+++ b/src/settings/servingSettingsSchema.ts
@@ -55,8 +55,6 @@
         exposureShare: z.number().min(0).max(1).default(0.1),
         /** Requests that it may get in addition. */
         exposureSlack: z.number().min(0).default(50),
-        /** Time after which a version that was found bad must get no more requests. */
-        rollbackMs: positiveMs.default(5_000),
     }).strict().default({}),
     /** Time after its last renewal for which the holder of a duty is considered to hold it. */
     leaseMs: positiveMs.default(3_000),
