--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -18,6 +18,8 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
+const metricsPort = 9_464; // the same on all machines
+
 /** Bounds of the sheet of bhatti-logs. */
 export const bounds = {
     contactMs: 3_000,
@@ -67,6 +69,22 @@
     return ports;
 };
 
+/**
+ * Finds loopback addresses at which the fixed port of the metrics is free, one for each node.
+ *
+ * @param count - number of addresses
+ */
+const findAddresses = async count => {
+    for (;;) {
+        const net = `127.${1 + Math.floor(Math.random() * 250)}.${1 + Math.floor(Math.random() * 250)}`;
+        const ips = Array.from({ length: count }, (_, index) => `${net}.${index + 2}`);
+        const areFree = await Promise.all(ips.map(ip => isFree(ip, metricsPort)));
+        if (areFree.every(Boolean)) {
+            return ips;
+        }
+    }
+};
+
 /** One node as a process of its own. */
 class NodeProcess {
     constructor(folder, fields) {
@@ -153,12 +171,11 @@
      *
      * @param options - number of nodes, the configuration, and further fields of the settings
      */
-    async start({ nodeCount, configuration, settings = {}, storeAddresses = [] }) {
+    async start({ nodeCount, configuration, settings = {} }) {
         await this.store.server.start();
         await this.cloud.server.start();
         this.store.put("op", "config", configuration);
-        const net = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
-        const ips = Array.from({ length: nodeCount }, (_, index) => `${net}.${index + 2}`);
+        const ips = await findAddresses(nodeCount);
         const [front, ready, control, directory, first] = await findPorts(ips, 5);
         const zones = ["zone-a", "zone-b", "zone-c", "zone-d"];
         this.nodes = ips.map((ip, index) =>
@@ -193,7 +210,7 @@
                 entry: "directory",
                 heartbeatMs: 1_200,
                 bounds,
-                platform: { address: storeAddresses[index] ?? this.store.address, form: "table" },
+                platform: { address: this.store.address, form: "table" },
                 cloudApi: {
                     address: this.cloud.address,
                     duties: ["usage_report", "autoscale"],
@@ -217,15 +234,13 @@
     }
 
     /** Ends all processes and removes the temporary folder. */
-    async stop(keepsFolder = false) {
+    async stop() {
         for (const node of this.nodes) {
             node.signal("SIGCONT");
             await node.kill();
         }
         await this.cloud.server.stop();
         await this.store.server.stop();
-        if (!keepsFolder) {
-            rmSync(this.folder, { recursive: true, force: true });
-        }
+        rmSync(this.folder, { recursive: true, force: true });
     }
 }
