Review case 9: no stream goes on after all nodes were killed while two versions serve

The case kills all nodes and takes 60 streams up once the nodes are in touch again. Also: a script that cannot run exits with 2, whatever fails after the first error.

--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,68 +1,107 @@
 /**
- * A node is stopped with SIGTERM, and gets the signal once more within its grace period, as two planned stops that overlap
- * send it.
+ * Runners of two software versions serve side by side. All nodes are killed at once and start again. Clients take their broken
+ * streams up again once the nodes are in touch, while all runners serve on. Without the disruption, the clients' connections
+ * break, and the nodes run on.
  */
-import { Agent } from "node:http";
-import { createRequire } from "node:module";
-import { dirname, join } from "node:path";
+import { setMaxListeners } from "node:events";
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { hasTrouble, runCase } from "../lib-2/case.mjs";
 import { countResults, sendAttempt } from "../lib-2/clients.mjs";
 import { createConfiguration } from "../lib-2/configuration.mjs";
-import { bounds, Deployment, repository, sleep } from "../lib-2/deployment.mjs";
+import { bounds, Deployment, sleep } from "../lib-2/deployment.mjs";
+import { ModelRunner } from "../lib-2/ModelRunner.mjs";
 
-const require = createRequire(import.meta.url);
-const { RunnerStandIn } = require(join(repository, "dist", "standins", "platform", "RunnerStandIn.js"));
-
-const workMs = 2_000;
-const requestCount = 40;
-const heartbeatMs = 1_200;
-const secondSignalAfterMs = 1_000;
-const msPerSecond = 1_000;
+const versions = ["v1", "v1", "v1", "v2", "v2", "v2"];
+const events = 80;
+const eventMs = 100;
+const streamCount = 60;
+const beginEveryMs = 40;
+const minBegunEvents = 5;
+const downMs = 1_000;
+const inTouchMarginMs = 500;
+const newStreamCount = 40;
+const minTakenUp = 12; // from which on the rule holds
+const deadlineMs = 15_000;
 
 const deployment = new Deployment();
 
+/** Sends a stream's first attempt, or one that takes it up with the time that is left, to one of the nodes. */
+const openStream = (index, headers, { signal, spentMs = 0 } = {}) =>
+    sendAttempt(deployment.nodes[index % deployment.nodes.length], {
+        path: `/diagnosis/${index}`,
+        body: `prompt ${index}`,
+        deadlineMs: deadlineMs - spentMs,
+        headers,
+        signal,
+    });
+
+const readEvents = (body = "") =>
+    [...body.matchAll(/id: (\d+)\ndata: token \d+ of (v\d)\n\n/g)].map(([, id, version]) => ({
+        id: Number(id),
+        version,
+    }));
+
+const isBegun = ({ status, body }) => status === 200 && readEvents(body).length > 0;
+
 await runCase(dirname(fileURLToPath(import.meta.url)), deployment, async record => {
-    await deployment.start({ nodeCount: 2, configuration: createConfiguration() });
-    const runner = new RunnerStandIn({ id: "app-1" });
-    runner.workMs = workMs;
-    await runner.server.start();
-    const born = Date.now();
-    let seq = 0;
-    const beat = () => {
-        seq += 1;
-        const { address } = runner;
-        const entry = { service: "app", address, zone: "zone-a", version: "1", slots: 64, state: "ready", seq, born };
-        deployment.store.put("servers", "app-1", entry);
-    };
-    beat();
-    setInterval(beat, heartbeatMs).unref();
-    await sleep(1_000);
-    const [node] = deployment.nodes;
-    const agent = new Agent({ keepAlive: true });
-    const attempts = Array.from({ length: requestCount }, () =>
-        sendAttempt(node, { path: "/release/1", body: "x".repeat(600), deadlineMs: 5_000, agent }));
-    await sleep(workMs / 4);
-    const runsBefore = runner.runs.length;
-    record.report(`${runsBefore} of ${requestCount} requests have been passed on to the runner`);
-    node.signal("SIGTERM");
-    record.add("SIGTERM");
+    await deployment.start({ nodeCount: 3, configuration: createConfiguration() });
+    for (const [index, version] of versions.entries()) {
+        const { store } = deployment;
+        const runner = new ModelRunner({ id: `r-${index + 1}`, version, store, events, eventMs });
+        await runner.start();
+    }
+    await sleep(2_000);
+    const first = [];
+    const firstSentMs = record.nowMs;
+    const connections = new AbortController();
+    setMaxListeners(0, connections.signal);
+    for (let index = 0; index < streamCount; index += 1) {
+        first.push(openStream(index, {}, { signal: connections.signal }));
+        await sleep(beginEveryMs);
+    }
+    await sleep(minBegunEvents * eventMs);
     if (hasTrouble) {
-        await sleep(secondSignalAfterMs);
-        node.signal("SIGTERM");
-        record.add("SIGTERM again");
+        await Promise.all(deployment.nodes.map(node => node.kill()));
+        record.report("all nodes are killed");
     }
-    const results = await Promise.all(attempts);
-    await Promise.race([node.ended, sleep((bounds.graceS + 1) * msPerSecond)]);
-    record.add(`the process ended: ${JSON.stringify(node.exits)}`);
-    const runIds = new Set(runner.runs.map(({ requestId }) => requestId));
-    for (const { id, status, error, isComplete } of results) {
-        const run = runIds.has(id) ? "run" : "not run";
-        record.add(`answer ${id}: ${status ?? error} ${isComplete ? "complete" : "broken off"}, ${run}`);
+    else {
+        connections.abort();
+        record.report("the clients' connections break; the nodes run on");
+    }
+    await sleep(downMs);
+    if (hasTrouble) {
+        deployment.nodes.forEach(node => node.start());
     }
-    const lost = results.filter(({ id, isComplete }) => runIds.has(id) && !isComplete);
-    record.report(`requests: ${countResults(results)}; exits: ${JSON.stringify(node.exits)}`);
-    record.report(`requests that ran and have no complete answer: ${lost.length}`);
-    await runner.server.stop();
-    return lost.length === 0;
+    await deployment.waitUntilReady();
+    await sleep(bounds.contactMs + inTouchMarginMs);
+    record.add("all nodes are in touch");
+    const broken = (await Promise.all(first)).flatMap((result, index) => {
+        const received = readEvents(result.body);
+        const isBroken = result.status === 200 && !result.isComplete && received.length > 0;
+        return isBroken ? [{ ...result, index, last: received.at(-1) }] : [];
+    });
+    record.report(`streams that are broken off: ${broken.length} of ${streamCount}`);
+    const spentMs = record.nowMs - firstSentMs;
+    const [takenUp, begun] = await Promise.all([
+        Promise.all(
+            broken.map(({ id, index, last }) =>
+                openStream(index, { "last-event-id": String(last.id), "resumes": id }, { spentMs })
+            ),
+        ),
+        Promise.all(Array.from({ length: newStreamCount }, (_, index) => openStream(streamCount + index))),
+    ]);
+    takenUp.forEach((result, position) => {
+        const { id, last } = broken[position];
+        const wentOn = readEvents(result.body).map(({ version }) => version).at(0) ?? "nothing";
+        const from = `stream ${id} of ${last.version} after event ${last.id}`;
+        record.add(`${from}, taken up by ${result.id}: ${result.status ?? result.error}, ${wentOn}`);
+    });
+    const goneOn = takenUp.filter(isBegun).length / Math.max(1, takenUp.length);
+    const newBegun = begun.filter(isBegun).length / newStreamCount;
+    record.report(`taken up: ${countResults(takenUp)}; new: ${countResults(begun)}`);
+    record.report(
+        `share that goes on: ${goneOn.toFixed(2)}; half of the share of new ones that begin: ${newBegun / 2}`,
+    );
+    return takenUp.length < minTakenUp || goneOn >= newBegun / 2;
 });
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -45,24 +45,33 @@
  */
 export const runCase = async (folder, deployment, play) => {
     const record = new CaseRecord(folder);
+    let isEnding = false;
     const end = async code => {
+        if (isEnding) {
+            return;
+        }
+        isEnding = true;
         await deployment.stop();
         record.write();
         process.exit(code);
     };
     const fail = error => {
-        record.report(`could not run: ${error?.stack ?? error}`);
-        void end(2);
+        if (!isEnding) {
+            record.report(`could not run: ${error?.stack ?? error}`);
+            void end(2);
+        }
     };
-    process.once("uncaughtException", fail);
+    process.on("uncaughtException", fail);
     process.once("SIGTERM", () => fail("stopped"));
     process.once("SIGINT", () => fail("stopped"));
     setTimeout(() => fail(`not finished after ${maxCaseMs} ms`), maxCaseMs).unref();
     try {
         record.report(`disruption: ${hasTrouble ? "yes" : "no"}`);
         const holds = await play(record);
-        record.report(holds ? "the rule held" : "the rule was broken");
-        await end(holds ? 0 : 1);
+        if (!isEnding) {
+            record.report(holds ? "the rule held" : "the rule was broken");
+            await end(holds ? 0 : 1);
+        }
     }
     catch (error) {
         fail(error);
--- a/review/lib-2/clients.mjs
+++ b/review/lib-2/clients.mjs
@@ -7,23 +7,25 @@
  * Sends one client attempt and resolves once its connection has ended.
  *
  * @param node - the node that it is sent to
- * @param options - path, body, headers and further fields
+ * @param options - path, body, headers and further fields; `signal` closes the client's connection
  * @returns attempt id, status (undefined without an answer), body and whether the answer is complete
  */
 export const sendAttempt = (
     node,
-    { path, body = "", key = "key-alpha", deadlineMs, headers = {}, agent },
+    { path, body = "", key = "key-alpha", deadlineMs, headers = {}, agent, signal },
 ) => {
     attempts += 1;
     const id = `attempt-${attempts}`;
     const [host, port] = node.front.split(":");
     return new Promise(resolve => {
+        let hasAnswer = false;
         const sent = request(
             {
                 host,
                 port,
                 path,
                 agent,
+                signal,
                 method: "POST",
                 headers: {
                     host: "host.example",
@@ -35,6 +37,7 @@
                 },
             },
             response => {
+                hasAnswer = true;
                 let text = "";
                 response.on("data", chunk => {
                     text += chunk;
@@ -46,7 +49,11 @@
                 });
             },
         );
-        sent.on("error", error => resolve({ id, error: error.code ?? error.message, isComplete: false }));
+        sent.on("error", error => {
+            if (!hasAnswer) {
+                resolve({ id, error: error.code ?? error.message, isComplete: false });
+            }
+        });
         sent.end(body);
     });
 };
