--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,79 +1,54 @@
 /**
- * The runners of a service are brittle all the while, and say so in all their answers. Requests come in groups, with a pause of
- * some seconds between them. During the pause, no answer can repeat that the runners are brittle.
+ * A request crashes each model runner that runs it, one second after the first event of its stream. It comes again and
+ * again, at any node, beside streams that are sound.
  */
 import { dirname } from "node:path";
-import { createRequire } from "node:module";
-import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { hasTrouble, runCase } from "../lib-2/case.mjs";
 import { countResults, sendAttempt } from "../lib-2/clients.mjs";
 import { createConfiguration } from "../lib-2/configuration.mjs";
-import { bounds, Deployment, repository, sleep } from "../lib-2/deployment.mjs";
+import { bounds, Deployment, sleep } from "../lib-2/deployment.mjs";
+import { ModelRunner } from "../lib-2/ModelRunner.mjs";
 
-const require = createRequire(import.meta.url);
-const { RunnerStandIn } = require(join(repository, "dist", "standins", "platform", "RunnerStandIn.js"));
-
-const runnerCount = 4;
-const slots = 6;
-const usualWaiting = 24;
-const brittleWaiting = 4; // from `contactMs` after the runners began to say that they are brittle
-const turnedAwayPerS = 3;
-const workMs = 200;
-const heartbeatMs = 1_200;
+const runnerCount = 6;
+const crashAfterMs = Number(process.env.CRASH_AFTER_MS ?? 1_000); // from the head of the answer
 const backAfterMs = 3_000;
-const pauseMs = Number(process.env.PAUSE_MS ?? 12_000);
-const steadyMs = 6_000;
-const steadyEveryMs = 100;
-const groupSize = 120; // ten a second on average, less than the sheet states for the service
-const groupCount = 3;
-const maxFalls = 2 + runnerCount / 10; // that the rule lets pass
+const entryGoneAfterMs = 1_000;
+const lengthMs = 40_000;
+const soundEveryMs = 250;
+const crashingEvery = 4; // each so many sound streams
+const crashingBody = "the prompt that crashes runners";
+const maxRetries = 3; // that the rule lets pass
 
 const deployment = new Deployment();
-const falls = [];
+const crashes = [];
+const arrivals = [];
 let runners = 0;
-let brittleSinceMs = Infinity;
 
 const startRunner = async record => {
     runners += 1;
-    const id = `app-${runners}`;
-    const runner = new RunnerStandIn({ id });
-    const born = Date.now();
-    let seq = 0;
-    const beat = () => {
-        seq += 1;
-        const { address } = runner;
-        const entry = { service: "app", address, zone: "zone-a", version: "1", slots, state: "ready", seq, born };
-        deployment.store.put("servers", id, entry);
-    };
-    runner.workMs = workMs;
-    runner.places = slots + usualWaiting;
-    const check = setInterval(() => {
-        const isBrittle = hasTrouble && record.nowMs >= brittleSinceMs;
-        runner.brittle = isBrittle ? turnedAwayPerS : undefined;
-        const isNarrow = isBrittle && record.nowMs >= brittleSinceMs + bounds.contactMs;
-        runner.places = slots + (isNarrow ? brittleWaiting : usualWaiting);
-    }, 50);
-    await runner.server.start();
-    beat();
-    const beats = setInterval(beat, heartbeatMs);
-    runner.onCrash = () => {
-        runner.onCrash = () => {};
-        falls.push({ id, atMs: record.nowMs });
-        record.add(`${id} falls over`);
-        clearInterval(check);
-        clearInterval(beats);
-        void runner.server.stop();
-        setTimeout(() => deployment.store.put("servers", id, undefined), heartbeatMs);
-        setTimeout(() => void startRunner(record), backAfterMs);
-    };
-};
-
-let sent = 0;
-const send = () => {
-    const node = deployment.nodes[sent % deployment.nodes.length];
-    sent += 1;
-    return sendAttempt(node, { path: "/release/1", body: "x".repeat(600), deadlineMs: 4_000 });
+    const runner = new ModelRunner({
+        id: `r-${runners}`,
+        version: "v1",
+        store: deployment.store,
+        events: 40,
+        eventMs: 50,
+        onArrival: ({ attemptId, body }) => {
+            record.add(`run ${attemptId} at ${runner.options.id}`);
+            if (body === crashingBody) {
+                arrivals.push({ attemptId, atMs: record.nowMs });
+            }
+        },
+        shouldCrash: (body, ranMs) => hasTrouble && body === crashingBody && ranMs >= crashAfterMs,
+        onCrash: () => {
+            runner.crash();
+            crashes.push(record.nowMs);
+            record.add(`${runner.options.id} crashes`);
+            setTimeout(() => runner.removeEntry(), entryGoneAfterMs);
+            setTimeout(() => void startRunner(record), backAfterMs);
+        },
+    });
+    await runner.start();
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), deployment, async record => {
@@ -82,25 +57,42 @@
         await startRunner(record);
     }
     await sleep(1_000);
-    brittleSinceMs = record.nowMs;
-    record.add("the runners are brittle from now on");
-    const steady = [];
-    for (let elapsedMs = 0; elapsedMs < steadyMs; elapsedMs += steadyEveryMs) {
-        steady.push(send());
-        await sleep(steadyEveryMs);
-    }
-    const results = [...await Promise.all(steady)];
-    record.report(`steady requests: ${countResults(results)}; falls: ${falls.length}`);
-    for (let group = 1; group <= groupCount; group += 1) {
-        await sleep(pauseMs);
-        record.add(`group ${group} of ${groupSize} requests`);
-        const answers = await Promise.all(Array.from({ length: groupSize }, send));
-        results.push(...answers);
-        record.report(`group ${group}: ${countResults(answers)}; falls: ${falls.length}`);
+    const sound = [];
+    const crashing = [];
+    for (let index = 0; index * soundEveryMs < lengthMs; index += 1) {
+        const node = deployment.nodes[index % deployment.nodes.length];
+        const headers = { "x-sequoiagrade-prompt-prefix": `aa:119,${index.toString(16)}:500` };
+        sound.push(sendAttempt(node, {
+            path: "/summary/1",
+            body: `sound prompt ${index}`,
+            deadlineMs: 12_000,
+            headers,
+        }));
+        if (index % crashingEvery === 0) {
+            const other = deployment.nodes[index / crashingEvery % deployment.nodes.length];
+            const path = "/diagnosis/1";
+            crashing.push(sendAttempt(other, {
+                path,
+                body: crashingBody,
+                deadlineMs: 15_000,
+                headers: { "x-sequoiagrade-prompt-prefix": "bb:512,cc:6000" },
+            }));
+        }
+        await sleep(soundEveryMs);
     }
-    for (const { id, status, error, isComplete } of results) {
+    const results = await Promise.all(sound);
+    const crashingResults = await Promise.all(crashing);
+    for (const { id, status, error, isComplete } of [...results, ...crashingResults]) {
         record.add(`answer ${id}: ${status ?? error} ${isComplete ? "complete" : "broken off"}`);
     }
-    record.report(`falls: ${falls.length}; the rule allows ${maxFalls}`);
-    return falls.length <= maxFalls;
+    const thirdMs = crashes[2] ?? Infinity;
+    const late = arrivals.filter(({ atMs }) => atMs > thirdMs + bounds.contactMs);
+    record.report(`crashes: ${crashes.length}; the third after ${thirdMs} ms`);
+    record.report(`sound streams: ${countResults(results)}`);
+    record.report(`the crashing request: ${countResults(crashingResults)}`);
+    record.report(
+        `it reached runners ${late.length} times later than ${bounds.contactMs} ms after the third crash; `
+            + `the rule allows ${maxRetries}`,
+    );
+    return late.length <= maxRetries;
 });
