--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -77,3 +77,13 @@
     },
     tenants,
 });
+
+/** Finds the longest time in which the node answered nothing, in milliseconds. */
+export const findLongestSilence = (answeredAtMs, fromMs, toMs) => {
+    const times = [
+        fromMs,
+        ...answeredAtMs.filter(atMs => atMs > fromMs && atMs < toMs).sort((a, b) => a - b),
+        toMs,
+    ];
+    return Math.max(...times.slice(1).map((atMs, index) => atMs - times[index]));
+};
